Serve a request from end to end as separate processes

Cause: there was no code; the whole path comes first, thin. Change: entry instances, stand-ins for platform, engines and a service, a caller, a test with real processes. Ruled out: one entry sending to all endpoints. Each endpoint gets one owning instance by rendezvous hash, others forward over msgpack streams.

--- /dev/null
+++ b/citronport/__init__.py
@@ -0,0 +1,1 @@
+"""A request scheduler for unlike engines."""
--- /dev/null
+++ b/citronport/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The peer `caller`: address lookup, submission, answers."""
--- /dev/null
+++ b/citronport/const.py
@@ -0,0 +1,27 @@
+"""Constants that several parts share."""
+
+from typing import Final
+
+VERSION: Final = "0.1.0"
+
+TIERS: Final = 4
+"""Tiers are numbered 0 (served first) to 3."""
+
+HEADER_DEADLINE: Final = "X-Deadline-Seconds"
+HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_TICKET: Final = "X-Citronport-Ticket"
+HEADER_NON_IDEMPOTENT: Final = "X-Non-Idempotent"
+HEADER_REQUEST_ID: Final = "X-Request-Id"
+HEADER_CODE: Final = "X-Citronport-Code"
+HEADER_RAN: Final = "X-Citronport-Ran"
+HEADER_GO_TO: Final = "X-Citronport-Go-To"
+HEADER_SHOULD_RETRY: Final = "X-Should-Retry"
+
+DEFAULT_DEADLINE: Final = 60.0
+"""Seconds a request may take when the caller names no deadline."""
+
+MAX_DEADLINE: Final = 600.0
+"""Longest deadline a caller may ask for, seconds."""
+
+DEFAULT_MAX_TOKENS: Final = 256
+CHARS_PER_TOKEN: Final = 4
--- /dev/null
+++ b/citronport/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The peer `endpoint`: engines and plain services."""
--- /dev/null
+++ b/citronport/instances/__init__.py
@@ -0,0 +1,1 @@
+"""The peer `other entry instance`: forwarding and shared state."""
--- /dev/null
+++ b/citronport/instances/const.py
@@ -0,0 +1,16 @@
+"""Constants of the protocol between entry instances."""
+
+from typing import Final
+
+PROTOCOL: Final = 1
+"""Version that each connection opens with."""
+
+MAX_MESSAGE_BYTES: Final = 8_000_000
+READ_BYTES: Final = 65536
+CONNECT_SECONDS: Final = 2.0
+
+REPORT_SECONDS: Final = 0.25
+"""Pause between two reports to another instance."""
+
+SILENT_SECONDS: Final = 2.0
+"""A peer that sent nothing for so long is out of reach."""
--- /dev/null
+++ b/citronport/instances/link.py
@@ -0,0 +1,101 @@
+"""One msgpack stream to another instance: a task that owns the socket."""
+
+import collections.abc
+import contextlib
+import dataclasses
+
+import gevent
+from gevent import queue
+from gevent import socket
+import msgpack
+
+from citronport.instances import const
+from citronport.instances import messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Closed:
+    """The stream is gone; nothing more comes."""
+
+
+class Link:
+    """Sends and receives messages on one connected socket.
+
+    Two tasks own the socket: one writes what ``send`` queued, one reads.
+
+    Args:
+        sock: a connected socket; the link closes it.
+        deliver: takes each message, then ``Closed`` once.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        deliver: collections.abc.Callable[
+            ["Link", messages.Message | Closed], None
+        ],
+    ) -> None:
+        self._sock = sock
+        self._deliver = deliver
+        self._outbox: queue.Queue[bytes | None] = queue.Queue()
+        self.peer: messages.Hello | None = None
+        self._tasks = [gevent.spawn(self._write), gevent.spawn(self._read)]
+
+    def send(self, message: messages.Message) -> None:
+        """Queue a message; it is lost if the stream is gone."""
+        self._outbox.put(messages.encode(message))
+
+    def close(self) -> None:
+        """End the stream after what is queued has been written."""
+        self._outbox.put(None)
+
+    def wait(self) -> None:
+        """Return when the stream is gone."""
+        gevent.joinall(self._tasks)
+
+    def _write(self) -> None:
+        while True:
+            parts = [self._outbox.get()]
+            # One system call for all that waits: streams of many answers
+            # share this socket, and a call for each piece would cost more
+            # than the pieces.
+            while not self._outbox.empty():
+                parts.append(self._outbox.get())
+            data = b"".join(part for part in parts if part is not None)
+            try:
+                self._sock.sendall(data)
+            except OSError:
+                break
+            if None in parts:
+                break
+        self._shut()
+
+    def _read(self) -> None:
+        unpacker = messages.make_unpacker()
+        try:
+            while True:
+                data = self._sock.recv(const.READ_BYTES)
+                if not data:
+                    break
+                unpacker.feed(data)
+                for raw in unpacker:
+                    self._take(messages.decode(raw))
+        except (OSError, ValueError, msgpack.exceptions.UnpackException):
+            pass
+        finally:
+            self._shut()
+            self._deliver(self, Closed())
+
+    def _take(self, message: messages.Message) -> None:
+        if isinstance(message, messages.Hello):
+            if message.protocol != const.PROTOCOL:
+                raise ValueError("other protocol version")
+            self.peer = message
+        elif self.peer is None:
+            raise ValueError("no greeting")
+        self._deliver(self, message)
+
+    def _shut(self) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
--- /dev/null
+++ b/citronport/instances/messages.py
@@ -0,0 +1,182 @@
+"""Typed messages between entry instances, and their form on the wire.
+
+A message is a msgpack list: its number, then its fields in order. Nested
+data classes are maps. A connection opens with ``Hello``.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgpack
+
+from citronport.instances import const
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Hello:
+    """First message on a connection, each way.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: name of the sender.
+        incarnation: unique for each start of the sender's process.
+    """
+
+    protocol: int
+    instance: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Submit:
+    """Run a request here.
+
+    Attributes:
+        stream: number of the exchange, unique on this connection.
+        role: "home" to look for an earlier run first, "owner" to run it.
+        request: fields of ``scheduler.models.Request``; its deadline is
+            seconds from now, since clocks differ.
+        call: fields of ``endpoints.client.Call``.
+    """
+
+    stream: int
+    role: str
+    request: dict[str, Any]
+    call: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Leave:
+    """The caller of an exchange is gone."""
+
+    stream: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Begin:
+    """The answer of an exchange began."""
+
+    stream: int
+    status: int
+    content_type: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Piece:
+    """A piece of an answer; ``offset`` is the bytes before it."""
+
+    stream: int
+    offset: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class End:
+    """The answer is whole."""
+
+    stream: int
+    size: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refused:
+    """The final answer is a refusal."""
+
+    stream: int
+    code: int
+    detail: str
+    retry_after: float | None
+    go_to: list[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """Pressure and versions of the sender.
+
+    Attributes:
+        summary: fields of ``scheduler.models.InstanceSummary``.
+        versions: version of each published value, by its path.
+    """
+
+    summary: dict[str, Any]
+    versions: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Want:
+    """Send me this published value if it is newer than mine."""
+
+    path: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Value:
+    """A published value, as the platform gave it."""
+
+    path: str
+    version: int
+    value: str
+
+
+Message = (
+    Hello
+    | Submit
+    | Leave
+    | Begin
+    | Piece
+    | End
+    | Refused
+    | Report
+    | Want
+    | Value
+)
+
+_KINDS: tuple[type, ...] = (
+    Hello,
+    Submit,
+    Leave,
+    Begin,
+    Piece,
+    End,
+    Refused,
+    Report,
+    Want,
+    Value,
+)
+_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
+_FIELDS = {
+    kind: tuple(field.name for field in dataclasses.fields(kind))
+    for kind in _KINDS
+}
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as it goes over the wire."""
+    kind = type(message)
+    values = [getattr(message, name) for name in _FIELDS[kind]]
+    return msgpack.packb([_NUMBERS[kind], *values])
+
+
+def decode(raw: list[Any]) -> Message:
+    """Return the message of an unpacked list.
+
+    Raises:
+        ValueError: the list is no message of this protocol version.
+    """
+    if not isinstance(raw, list) or not raw or not isinstance(raw[0], int):
+        raise ValueError("not a message")
+    if not 0 <= raw[0] < len(_KINDS):
+        raise ValueError(f"unknown message number {raw[0]}")
+    kind = _KINDS[raw[0]]
+    names = _FIELDS[kind]
+    if len(raw) - 1 != len(names):
+        raise ValueError(f"wrong number of fields for {kind.__name__}")
+    return kind(**dict(zip(names, raw[1:], strict=True)))
+
+
+def make_unpacker() -> msgpack.Unpacker:
+    """Return an unpacker that bounds what a peer can make it hold."""
+    return msgpack.Unpacker(
+        max_buffer_size=const.MAX_MESSAGE_BYTES, strict_map_key=False
+    )
--- /dev/null
+++ b/citronport/instances/peers.py
@@ -0,0 +1,263 @@
+"""The task that speaks with the other entry instances."""
+
+import collections.abc
+import dataclasses
+import itertools
+from typing import Any
+
+from absl import logging
+import gevent
+from gevent import queue
+from gevent import server as gevent_server
+from gevent import socket
+
+from citronport import clock
+from citronport import errors
+from citronport import runs
+from citronport.endpoints import client as endpoint_client
+from citronport.endpoints import messages as answers
+from citronport.instances import const
+from citronport.instances import link
+from citronport.instances import messages
+from citronport.scheduler import models
+
+LOG = "instances:"
+
+
+class Peers:
+    """Keeps one link to each other instance and runs exchanges on it.
+
+    Args:
+        me: the greeting of this process.
+        ticker: the clock.
+        submit: takes a run that another instance sent, with its role.
+        listen: takes messages that belong to no exchange.
+    """
+
+    def __init__(
+        self,
+        me: messages.Hello,
+        ticker: clock.Clock,
+        submit: collections.abc.Callable[[runs.Work, str], runs.Run],
+        listen: collections.abc.Callable[[str, messages.Message], None],
+    ) -> None:
+        self.me = me
+        self._ticker = ticker
+        self._submit = submit
+        self._listen = listen
+        self._links: dict[str, link.Link] = {}
+        self._numbers = itertools.count(1)
+        self._exchanges: dict[
+            tuple[link.Link, int], queue.Queue[messages.Message | link.Closed]
+        ] = {}
+        self._served: dict[tuple[link.Link, int], gevent.Greenlet] = {}
+
+    def serve(self, address: str, port: int) -> gevent_server.StreamServer:
+        """Listen for other instances; return the started server."""
+        server = gevent_server.StreamServer((address, port), self._accept)
+        server.start()
+        return server
+
+    def connect(self, instances: dict[str, models.Instance]) -> None:
+        """Open links that are missing and close those no longer listed."""
+        for name, instance in instances.items():
+            if name != self.me.instance and name not in self._links:
+                self._dial(instance)
+        for name in set(self._links) - set(instances):
+            self._links.pop(name).close()
+
+    def broadcast(self, message: messages.Message) -> None:
+        """Send a message on each link."""
+        for each in self._links.values():
+            each.send(message)
+
+    def send(self, instance: str, message: messages.Message) -> None:
+        """Send a message to one instance, if it can be reached."""
+        if instance in self._links:
+            self._links[instance].send(message)
+
+    def get_incarnation(self, instance: str) -> str | None:
+        """Return the incarnation of an instance that can be reached."""
+        known = self._links.get(instance)
+        return known.peer.incarnation if known and known.peer else None
+
+    def forward(
+        self, run: runs.Run, instance: str, role: str
+    ) -> errors.Refusal | None:
+        """Have another instance run a request and deliver its answer.
+
+        Args:
+            run: the request; gets the answer.
+            instance: who is to run it.
+            role: see ``messages.Submit``.
+
+        Returns:
+            None once the answer is whole, else the refusal that has not
+            been given to the run yet.
+        """
+        chosen = self._links.get(instance)
+        if chosen is None or chosen.peer is None:
+            return errors.Refusal(
+                code=errors.Code.NO_ENDPOINT, retry_after=0.5
+            )
+        key = (chosen, next(self._numbers))
+        inbox: queue.Queue[messages.Message | link.Closed] = queue.Queue()
+        self._exchanges[key] = inbox
+        chosen.send(self._make_submit(key[1], role, run.work))
+        try:
+            return _relay(inbox, run)
+        finally:
+            del self._exchanges[key]
+            if not run.ended:
+                chosen.send(messages.Leave(stream=key[1]))
+
+    def _make_submit(
+        self, stream: int, role: str, work: runs.Work
+    ) -> messages.Submit:
+        request = dataclasses.asdict(work.request)
+        # Clocks of two instances differ, so that a time goes over the
+        # wire as seconds from now.
+        request["deadline"] -= self._ticker.now()
+        return messages.Submit(
+            stream=stream,
+            role=role,
+            request=request,
+            call=dataclasses.asdict(work.call),
+        )
+
+    def _dial(self, instance: models.Instance) -> None:
+        try:
+            sock = socket.create_connection(
+                (instance.address, instance.peer_port),
+                timeout=const.CONNECT_SECONDS,
+            )
+        except OSError:
+            return
+        sock.settimeout(None)
+        if instance.name in self._links:
+            sock.close()
+            return
+        opened = link.Link(sock, self._take)
+        opened.send(self.me)
+        self._links[instance.name] = opened
+
+    def _accept(self, sock: socket.socket, _address: Any) -> None:
+        opened = link.Link(sock, self._take)
+        opened.send(self.me)
+        opened.wait()
+
+    def _take(
+        self, source: link.Link, message: messages.Message | link.Closed
+    ) -> None:
+        match message:
+            case link.Closed():
+                self._close(source)
+            case messages.Submit():
+                self._serve_submit(source, message)
+            case messages.Leave():
+                task = self._served.pop((source, message.stream), None)
+                if task is not None:
+                    task.kill(block=False)
+            case (
+                messages.Begin()
+                | messages.Piece()
+                | messages.End()
+                | messages.Refused()
+            ):
+                inbox = self._exchanges.get((source, message.stream))
+                if inbox is not None:
+                    inbox.put(message)
+            case messages.Hello():
+                logging.info("%s %s is here.", LOG, message.instance)
+            case _:
+                if source.peer is not None:
+                    self._listen(source.peer.instance, message)
+
+    def _close(self, source: link.Link) -> None:
+        for name, known in list(self._links.items()):
+            if known is source:
+                del self._links[name]
+        for (owner, _), inbox in list(self._exchanges.items()):
+            if owner is source:
+                inbox.put(link.Closed())
+        for key, task in list(self._served.items()):
+            if key[0] is source:
+                del self._served[key]
+                task.kill(block=False)
+
+    def _serve_submit(
+        self, source: link.Link, message: messages.Submit
+    ) -> None:
+        request = dict(message.request)
+        request["deadline"] += self._ticker.now()
+        request["prefix"] = tuple(request["prefix"])
+        request["kind"] = models.Kind(request["kind"])
+        work = runs.Work(
+            request=models.Request(**request),
+            call=endpoint_client.Call(**message.call),
+        )
+        run = self._submit(work, message.role)
+        key = (source, message.stream)
+        self._served[key] = gevent.spawn(self._send_answer, key, run)
+
+    def _send_answer(self, key: tuple[link.Link, int], run: runs.Run) -> None:
+        source, stream = key
+        for message in run.read():
+            source.send(_convert(stream, message))
+        self._served.pop(key, None)
+
+
+def _relay(
+    inbox: queue.Queue[messages.Message | link.Closed], run: runs.Run
+) -> errors.Refusal | None:
+    while True:
+        message = inbox.get()
+        match message:
+            case messages.Begin():
+                run.deliver(
+                    answers.Started(
+                        status=message.status,
+                        content_type=message.content_type,
+                    )
+                )
+            case messages.Piece():
+                run.deliver(
+                    answers.Chunk(offset=message.offset, data=message.data)
+                )
+            case messages.End():
+                run.deliver(answers.Finished(size=message.size))
+                return None
+            case messages.Refused():
+                return errors.Refusal(
+                    code=errors.Code(message.code),
+                    detail=message.detail,
+                    retry_after=message.retry_after,
+                    go_to=tuple(message.go_to),
+                )
+            case _:
+                return errors.Refusal(code=errors.Code.INSTANCE_LOST)
+
+
+def _convert(stream: int, message: answers.Message) -> messages.Message:
+    match message:
+        case answers.Started():
+            return messages.Begin(
+                stream=stream,
+                status=message.status,
+                content_type=message.content_type,
+            )
+        case answers.Chunk():
+            return messages.Piece(
+                stream=stream, offset=message.offset, data=message.data
+            )
+        case answers.Finished():
+            return messages.End(stream=stream, size=message.size)
+        case answers.Refused():
+            refusal = message.refusal
+            return messages.Refused(
+                stream=stream,
+                code=int(refusal.code),
+                detail=refusal.detail,
+                retry_after=refusal.retry_after,
+                go_to=list(refusal.go_to),
+            )
--- /dev/null
+++ b/citronport/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The peer `operator`: status, metrics, drain."""
--- /dev/null
+++ b/citronport/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The peer `platform`: catalogue and instance list."""
--- /dev/null
+++ b/citronport/platform/client.py
@@ -0,0 +1,112 @@
+"""Reads and watches what the platform publishes; writes nothing."""
+
+import collections.abc
+import dataclasses
+from typing import Any
+
+from absl import logging
+import geventhttpclient
+import msgpack
+import result
+
+from citronport import clock
+from citronport import settings
+from citronport.platform import const
+
+LOG = "platform:"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Published:
+    """One published value.
+
+    Attributes:
+        path: which value.
+        version: its version; grows with each change.
+        value: the value as the platform gives it, YAML text.
+    """
+
+    path: str
+    version: int
+    value: str
+
+
+def watch(
+    path: str,
+    addresses: tuple[settings.Listener, ...],
+    ticker: clock.Clock,
+    deliver: collections.abc.Callable[[Published], None],
+    confirm: collections.abc.Callable[[float], None],
+) -> None:
+    """Follow one published value for ever, one open watch at a time.
+
+    Args:
+        path: which value.
+        addresses: the platform's addresses, tried in turn.
+        ticker: the clock.
+        deliver: called with each value that differs from the last one.
+        confirm: called after each answer with the clock time at which the
+            question was sent; the answer is at least that fresh.
+    """
+    version = 0
+    turn = 0
+    while True:
+        asked = ticker.now()
+        address = addresses[turn % len(addresses)]
+        match ask(path, address, version):
+            case result.Ok(published):
+                confirm(asked)
+                if published is not None:
+                    version = published.version
+                    deliver(published)
+            case result.Err(reason):
+                logging.warning("%s %s failed: %s.", LOG, path, reason)
+                turn += 1
+                ticker.sleep(const.RETRY_SECONDS)
+
+
+def ask(
+    path: str, address: settings.Listener, version: int
+) -> result.Result[Published | None, str]:
+    """Ask once for a value newer than a version.
+
+    Args:
+        path: which value.
+        address: where the platform listens.
+        version: the version already known; 0 for none.
+
+    Returns:
+        The newer value, None if there was none in time, or the failure.
+    """
+    client = geventhttpclient.HTTPClient(
+        str(address.address),
+        address.port,
+        connection_timeout=const.CONNECT_SECONDS,
+        network_timeout=const.WATCH_SECONDS + const.CONNECT_SECONDS,
+    )
+    wait = const.WATCH_SECONDS if version else 0
+    try:
+        answer = client.get(f"{path}?after={version}&wait={wait}")
+        body = answer.read()
+        if answer.status_code == 304:
+            return result.Ok(None)
+        if answer.status_code != 200:
+            return result.Err(f"status {answer.status_code}")
+        return _read_published(path, body)
+    except Exception as error:
+        # The client raises socket, parser and timeout errors of several
+        # families; whatever it is, the answer is to ask again.
+        return result.Err(type(error).__name__)
+    finally:
+        client.close()
+
+
+def _read_published(
+    path: str, body: bytes
+) -> result.Result[Published | None, str]:
+    if len(body) > const.MAX_VALUE_BYTES:
+        return result.Err("value too large")
+    raw: Any = msgpack.unpackb(body)
+    return result.Ok(
+        Published(path=path, version=raw["version"], value=raw["value"])
+    )
--- /dev/null
+++ b/citronport/runs.py
@@ -0,0 +1,94 @@
+"""A run: one request, its one way to an answer, and who waits for it."""
+
+import collections.abc
+import dataclasses
+
+from gevent import queue
+
+from citronport.endpoints import client
+from citronport.endpoints import messages
+from citronport.scheduler import models
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Work:
+    """A request with the bytes that go to the endpoint."""
+
+    request: models.Request
+    call: client.Call
+
+
+class Run:
+    """The answer of one request as it grows, for one or more readers.
+
+    Messages are kept, so that a repeat of the same request joins the run
+    and reads the answer from its start.
+
+    Args:
+        work: the request.
+        leave: called when the last reader has gone before the end.
+        keep: whether the run goes on without readers, because a repeat
+            may come.
+    """
+
+    def __init__(
+        self,
+        work: Work,
+        leave: collections.abc.Callable[["Run"], None],
+        *,
+        keep: bool = False,
+    ) -> None:
+        self.work = work
+        self.ended = False
+        self.keep = keep
+        self._leave = leave
+        self._log: list[messages.Message] = []
+        self._readers: list[queue.Queue[messages.Message]] = []
+
+    @property
+    def request_id(self) -> str:
+        """The request's id."""
+        return self.work.request.request_id
+
+    def deliver(self, message: messages.Message) -> None:
+        """Add a message to the answer; nothing follows its end."""
+        # A late piece of a run that was already refused must not reach
+        # the caller: it would see two answers in one.
+        if self.ended:
+            return
+        self.ended = isinstance(message, messages.Finished | messages.Refused)
+        if self.keep:
+            self._log.append(message)
+        for reader in self._readers:
+            reader.put(message)
+
+    def read(self) -> collections.abc.Iterator[messages.Message]:
+        """Yield the answer from its start to its end.
+
+        A reader that stops before the end counts as gone.
+        """
+        inbox = self.attach()
+        whole = False
+        try:
+            while not whole:
+                message = inbox.get()
+                whole = isinstance(
+                    message, messages.Finished | messages.Refused
+                )
+                yield message
+        finally:
+            self.detach(inbox)
+
+    def attach(self) -> queue.Queue[messages.Message]:
+        """Return a queue that gets the answer from its start."""
+        inbox: queue.Queue[messages.Message] = queue.Queue()
+        for message in self._log:
+            inbox.put(message)
+        self._readers.append(inbox)
+        return inbox
+
+    def detach(self, inbox: queue.Queue[messages.Message]) -> None:
+        """Take a reader off; without readers the run is given up."""
+        self._readers.remove(inbox)
+        if not self._readers and not self.ended and not self.keep:
+            self._leave(self)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, endpoints and callers."""
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,20 @@
+"""Command line of the stand-ins: each serves until it is killed."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import fire  # noqa: E402
+
+from standins import engine  # noqa: E402
+from standins import platform  # noqa: E402
+from standins import service  # noqa: E402
+
+if __name__ == "__main__":
+    fire.Fire(
+        {
+            "engine": engine.serve,
+            "platform": platform.serve,
+            "service": service.serve,
+        }
+    )
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,217 @@
+"""Stand-in for a caller: looks entries up, sends, keeps what it got."""
+
+import dataclasses
+import json
+import time
+from typing import Any
+
+import geventhttpclient
+
+from standins import answers
+from standins import engine
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a caller got for one request.
+
+    Attributes:
+        status: HTTP status, 0 if the connection failed.
+        code: numbered code of a refusal, None otherwise.
+        ran: what a refusal says about the run.
+        text: the answer's text, as far as it came.
+        whole: whether the answer came to its proper end.
+        answer_id: request id that the answer names.
+        retry_after: seconds, None if not told.
+        seconds: time to the end.
+        first_seconds: time to the first token, None if none came.
+        sent_to: the entry that was used.
+    """
+
+    status: int
+    code: int | None = None
+    ran: str | None = None
+    text: str = ""
+    whole: bool = False
+    answer_id: str | None = None
+    retry_after: float | None = None
+    seconds: float = 0.0
+    first_seconds: float | None = None
+    sent_to: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entries:
+    """The answer of a lookup."""
+
+    addresses: tuple[str, ...]
+    ticket: str
+    keep_seconds: float
+
+
+def look_up(address: str, key: str) -> Entries:
+    """Ask an entry which entries to use.
+
+    Raises:
+        OSError: the entry could not be reached or refused.
+    """
+    client = _connect(address, 5.0)
+    try:
+        answer = client.get("/v1/entries", {"Authorization": f"Bearer {key}"})
+        body = json.loads(answer.read())
+    except Exception as error:
+        raise OSError(f"look-up at {address}: {error}") from error
+    finally:
+        client.close()
+    if answer.status_code != 200:
+        raise OSError(f"look-up at {address}: {body}")
+    return Entries(
+        addresses=tuple(body["entries"]),
+        ticket=body["ticket"],
+        keep_seconds=body["keep_seconds"],
+    )
+
+
+def make_chat(
+    model: str, prompt: str, max_tokens: int, *, stream: bool = True
+) -> dict[str, Any]:
+    """Return the body of a chat call."""
+    return {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+        "stream": stream,
+    }
+
+
+def make_expected(body: dict[str, Any]) -> str:
+    """Return the text that a whole answer to a chat call has."""
+    return answers.make_text(engine.make_prompt(body), body["max_tokens"])
+
+
+def send(
+    address: str,
+    key: str,
+    path: str,
+    body: dict[str, Any],
+    *,
+    deadline: float = 30.0,
+    headers: dict[str, str] | None = None,
+    method: str = "POST",
+) -> Outcome:
+    """Send one request once, on a connection of its own."""
+    started = time.monotonic()
+    client = _connect(address, deadline + 5)
+    sent = {
+        "Authorization": f"Bearer {key}",
+        "Content-Type": "application/json",
+        "X-Deadline-Seconds": str(deadline),
+        **(headers or {}),
+    }
+    try:
+        answer = client.request(method, path, json.dumps(body), sent)
+        if answer.status_code != 200:
+            return _read_refusal(answer, address, started)
+        if body.get("stream"):
+            return _read_stream(answer, address, started)
+        return _read_whole(answer, address, started)
+    except Exception:
+        seconds = time.monotonic() - started
+        return Outcome(status=0, seconds=seconds, sent_to=address)
+    finally:
+        client.close()
+
+
+def _connect(address: str, timeout: float) -> geventhttpclient.HTTPClient:
+    host, port = address.rsplit(":", 1)
+    return geventhttpclient.HTTPClient(
+        host, int(port), connection_timeout=2.0, network_timeout=timeout
+    )
+
+
+def _read_refusal(answer: Any, address: str, started: float) -> Outcome:
+    error = json.loads(answer.read()).get("error", {})
+    return Outcome(
+        status=answer.status_code,
+        code=error.get("code"),
+        ran=error.get("ran"),
+        retry_after=error.get("retry_after"),
+        seconds=time.monotonic() - started,
+        sent_to=address,
+    )
+
+
+def _read_whole(answer: Any, address: str, started: float) -> Outcome:
+    data = answer.read()
+    whole = len(data) == int(answer.get("content-length", len(data)))
+    body = json.loads(data)
+    seconds = time.monotonic() - started
+    text = body.get("receipt", "")
+    if "choices" in body:
+        text = body["choices"][0]["message"]["content"]
+    return Outcome(
+        status=200,
+        text=text,
+        whole=whole,
+        answer_id=body.get("id"),
+        seconds=seconds,
+        first_seconds=seconds,
+        sent_to=address,
+    )
+
+
+def _read_stream(answer: Any, address: str, started: float) -> Outcome:
+    parts: list[str] = []
+    rest = b""
+    answer_id = None
+    first = None
+    done = False
+    error: dict[str, Any] = {}
+    try:
+        while data := answer.read(4096):
+            events = (rest + bytes(data)).split(b"\n\n")
+            rest = events.pop()
+            for event in events:
+                if event == b"data: [DONE]":
+                    done = True
+                    continue
+                chunk = json.loads(event.removeprefix(b"data: "))
+                if "error" in chunk:
+                    error = chunk["error"]
+                    continue
+                answer_id = chunk["id"]
+                content = chunk["choices"][0]["delta"].get("content")
+                if content:
+                    first = first or time.monotonic() - started
+                    parts.append(content)
+    except Exception:
+        done = False
+    return Outcome(
+        status=200,
+        code=error.get("code"),
+        ran=error.get("ran"),
+        text="".join(parts),
+        whole=done,
+        answer_id=answer_id,
+        seconds=time.monotonic() - started,
+        first_seconds=first,
+        sent_to=address,
+    )
+
+
+def send_patiently(
+    address: str,
+    key: str,
+    path: str,
+    body: dict[str, Any],
+    *,
+    patience: float = 15.0,
+    **options: Any,
+) -> Outcome:
+    """Send until a request is taken, as long as "not run" is the answer."""
+    end = time.monotonic() + patience
+    while True:
+        outcome = send(address, key, path, body, **options)
+        if outcome.ran != "not run" or time.monotonic() > end:
+            return outcome
+        time.sleep(outcome.retry_after or 0.1)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,249 @@
+"""Lays out a fleet on loopback addresses and starts its processes."""
+
+import dataclasses
+import signal
+from typing import Any
+
+import geventhttpclient
+import yaml
+
+from citronport.platform import models as platform_models
+from standins import processes
+
+CALLER_PORT = 8000
+PEER_PORT = 8001
+OPERATOR_PORT = 8002
+ENDPOINT_PORT = 9000
+PLATFORM_PORT = 9100
+KEY_SALT = "loopback-salt"
+
+PATH_CATALOGUE = "/v1/catalogue"
+PATH_INSTANCES = "/v1/instances"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Layout:
+    """What stands where.
+
+    Attributes:
+        subnet: second and third number of all addresses, as "31.7"; each
+            fleet that runs at the same time has its own.
+        data_centres: names.
+        instances: number of entry instances.
+        engines: shapes (fields of ``engine.Shape``), with "models".
+        services: service names.
+        entries: catalogue entries; "key" is the plain key.
+    """
+
+    subnet: str
+    data_centres: tuple[str, ...]
+    instances: int
+    engines: tuple[dict[str, Any], ...]
+    services: tuple[str, ...]
+    entries: tuple[dict[str, Any], ...]
+
+
+class Fleet:
+    """The processes of a layout and the values that the platform holds."""
+
+    def __init__(self, layout: Layout, running: processes.Processes) -> None:
+        self.layout = layout
+        self.running = running
+        self.folder = running.folder
+        self.platform = f"127.{layout.subnet}.250"
+        self.versions = {PATH_CATALOGUE: 0, PATH_INSTANCES: 0}
+        self.instances = [
+            self._make_instance(n) for n in range(layout.instances)
+        ]
+        self.endpoints = [
+            self._make_endpoint(n, shape)
+            for n, shape in enumerate(layout.engines)
+        ] + [
+            self._make_service(n, name)
+            for n, name in enumerate(layout.services)
+        ]
+        self.data_centres = [
+            {"name": name, "state": "in"} for name in layout.data_centres
+        ]
+
+    def start(self) -> None:
+        """Start everything and wait until it listens."""
+        self.start_platform()
+        for number in range(len(self.endpoints)):
+            self.start_endpoint(number)
+        for instance in self.instances:
+            self.start_instance(instance["name"])
+        for endpoint in self.endpoints:
+            processes.wait_for_port(endpoint["address"], ENDPOINT_PORT)
+        for instance in self.instances:
+            processes.wait_for_port(instance["address"], CALLER_PORT)
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in and publish both values."""
+        self.running.start(
+            "platform",
+            "standins",
+            "platform",
+            self.platform,
+            str(PLATFORM_PORT),
+            f"--record_file={self.folder / 'platform.jsonl'}",
+        )
+        processes.wait_for_port(self.platform, PLATFORM_PORT)
+        self.publish_catalogue()
+        self.publish_instances()
+
+    def start_endpoint(self, number: int) -> None:
+        """Start one engine or service."""
+        endpoint = self.endpoints[number]
+        record = self.folder / f"{endpoint['name']}.jsonl"
+        common = (
+            endpoint["address"],
+            str(ENDPOINT_PORT),
+            f"--name={endpoint['name']}",
+            f"--record_file={record}",
+        )
+        if endpoint["kind"] == "service":
+            self.running.start(
+                endpoint["name"], "standins", "service", *common
+            )
+            return
+        shape = self.layout.engines[number]
+        flags = [
+            f"--{key}={value}"
+            for key, value in shape.items()
+            if key not in ("name", "models", "data_centre")
+        ]
+        self.running.start(
+            endpoint["name"], "standins", "engine", *common, *flags
+        )
+
+    def start_instance(self, name: str) -> None:
+        """Start one entry instance."""
+        instance = next(i for i in self.instances if i["name"] == name)
+        path = self.folder / f"{name}.yaml"
+        listeners = {
+            part: {"address": instance["address"], "port": port}
+            for part, port in (
+                ("callers", CALLER_PORT),
+                ("peers", PEER_PORT),
+                ("operators", OPERATOR_PORT),
+            )
+        }
+        settings = {
+            "instance": name,
+            "data_centre": instance["data_centre"],
+            **listeners,
+            "platform": [{"address": self.platform, "port": PLATFORM_PORT}],
+            "event_file": str(self.folder / f"{name}.events.jsonl"),
+        }
+        path.write_text(yaml.safe_dump(settings))
+        self.running.start(name, "citronport", "serve", str(path))
+
+    def publish_catalogue(self) -> None:
+        """Publish the next version of the catalogue."""
+        self.versions[PATH_CATALOGUE] += 1
+        catalogue = {
+            "version": self.versions[PATH_CATALOGUE],
+            "key_salt": KEY_SALT,
+            "data_centres": self.data_centres,
+            "endpoints": self.endpoints,
+            "entries": [_hide_key(e) for e in self.layout.entries],
+        }
+        self._put(PATH_CATALOGUE, yaml.safe_dump(catalogue))
+
+    def publish_instances(self) -> None:
+        """Publish the next version of the instance list."""
+        self.versions[PATH_INSTANCES] += 1
+        listed = {
+            "version": self.versions[PATH_INSTANCES],
+            "instances": self.instances,
+        }
+        self._put(PATH_INSTANCES, yaml.safe_dump(listed))
+
+    def set_data_centre(self, name: str, state: str) -> None:
+        """Take a data centre in or out of service."""
+        for data_centre in self.data_centres:
+            if data_centre["name"] == name:
+                data_centre["state"] = state
+        self.publish_catalogue()
+
+    def set_platform(self, mode: str) -> None:
+        """Take the platform down, make it stale, or bring it up."""
+        self._post(f"/admin/mode?mode={mode}", "")
+
+    def stop_instances(self, seconds: float = 30.0) -> list[int | None]:
+        """Order a graceful shutdown; return the exit codes."""
+        names = [i["name"] for i in self.instances]
+        live = [n for n in names if self.running.is_running(n)]
+        for name in live:
+            self.running.signal(name, signal.SIGTERM)
+        return [self.running.wait(name, seconds) for name in live]
+
+    def get_callers_addresses(self) -> list[str]:
+        """Return where callers may connect."""
+        return [f"{i['address']}:{CALLER_PORT}" for i in self.instances]
+
+    def _put(self, path: str, value: str) -> None:
+        self._post(
+            f"/admin/put?path={path}&version={self.versions[path]}", value
+        )
+
+    def _post(self, path: str, body: str) -> None:
+        client = geventhttpclient.HTTPClient(self.platform, PLATFORM_PORT)
+        client.post(path, body).read()
+        client.close()
+
+    def _make_instance(self, number: int) -> dict[str, Any]:
+        centres = self.layout.data_centres
+        return {
+            "name": f"entry-{number + 1}",
+            "data_centre": centres[number % len(centres)],
+            "address": f"127.{self.layout.subnet}.{number + 1}",
+            "caller_port": CALLER_PORT,
+            "peer_port": PEER_PORT,
+            "state": "in",
+        }
+
+    def _make_endpoint(
+        self, number: int, shape: dict[str, Any]
+    ) -> dict[str, Any]:
+        centres = self.layout.data_centres
+        known = {
+            "concurrency": shape.get("batch", 8),
+            "cold_concurrency": shape.get("cold_concurrency", 1),
+            "cold_prompt_tokens": shape.get("cold_prompt_tokens", 2000),
+            "prefill_rate": shape.get("prefill_rate", 20000.0),
+            "decode_rate": shape.get("decode_rate", 200.0),
+            "cache_tokens": shape.get("cache_tokens", 100_000),
+        }
+        return {
+            "name": shape["name"],
+            "kind": "engine",
+            "models": list(shape["models"]),
+            "data_centre": shape.get(
+                "data_centre", centres[number % len(centres)]
+            ),
+            "address": f"127.{self.layout.subnet}.{number + 101}",
+            "port": ENDPOINT_PORT,
+            "state": "in",
+            **known,
+        }
+
+    def _make_service(self, number: int, name: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "kind": "service",
+            "models": [name],
+            "data_centre": self.layout.data_centres[0],
+            "address": f"127.{self.layout.subnet}.{number + 201}",
+            "port": ENDPOINT_PORT,
+            "concurrency": 32,
+            "cold_concurrency": 32,
+            "state": "in",
+        }
+
+
+def _hide_key(entry: dict[str, Any]) -> dict[str, Any]:
+    shown = {k: v for k, v in entry.items() if k != "key"}
+    shown["key_sha256"] = platform_models.hash_key(KEY_SALT, entry["key"])
+    return shown
--- /dev/null
+++ b/standins/journal.py
@@ -0,0 +1,41 @@
+"""Records what a stand-in got, one JSON line each."""
+
+import json
+import pathlib
+import time
+from typing import Any
+
+
+class Journal:
+    """Appends lines to a file; each line is whole at once.
+
+    Args:
+        path: the file, or None to keep nothing.
+        name: goes into each line.
+    """
+
+    def __init__(self, path: str | None, name: str) -> None:
+        self._file = (
+            pathlib.Path(path).open("a", buffering=1) if path else None
+        )
+        self._name = name
+
+    def add(self, kind: str, **fields: Any) -> None:
+        """Append a line."""
+        if self._file is None:
+            return
+        line = {"time": time.time(), "by": self._name, "kind": kind, **fields}
+        self._file.write(json.dumps(line) + "\n")
+
+
+def read_lines(path: pathlib.Path) -> list[dict[str, Any]]:
+    """Return the lines of a journal; a line cut by a kill is left out."""
+    if not path.exists():
+        return []
+    lines = []
+    for text in path.read_text().splitlines():
+        try:
+            lines.append(json.loads(text))
+        except ValueError:
+            continue
+    return lines
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the tree mirrors the source."""
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,34 @@
+"""Test runner: loads all tests, or those whose id holds an argument."""
+
+import sys
+import unittest
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import testtools  # noqa: E402
+
+
+def select_tests(suite: unittest.TestSuite, words: list[str]) -> list:
+    """Return the tests whose id holds one of the words, or all."""
+    tests = list(testtools.iterate_tests(suite))
+    if not words:
+        return tests
+    return [t for t in tests if any(w in t.id() for w in words)]
+
+
+def run() -> int:
+    """Run the tests and print the closing line that CI reads."""
+    suite = unittest.defaultTestLoader.discover("tests", top_level_dir=".")
+    tests = select_tests(suite, sys.argv[1:])
+    runner = unittest.TextTestRunner(verbosity=2, stream=sys.stdout)
+    outcome = runner.run(unittest.TestSuite(tests))
+    failed = len(outcome.failures) + len(outcome.errors)
+    failed += len(outcome.unexpectedSuccesses)
+    print(f"{outcome.testsRun - failed} passed, {failed} failed")
+    return 1 if failed or not outcome.testsRun else 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
