Grow the command line, settings, operators' listener and telemetry

Cause: the operators' listener was checked and unused, wrong use printed pages of fire's help, a fault of a catalogue that spans two values was told as "line 1", a background task that died did so silently, and nothing was counted or traced. Ruled out: fire's own error output (pages, a pager, an interactive shell behind "--") and its running of a method before all arguments are read ("serve FILE typo" served first): methods only return orders. Metrics updated in the hot path through aioprometheus (each update builds a JSON key): plain counters, rendered when read. One scrape-wide registry: what is gone would stay. Change: commands.py (fire) -> orders.py; documents.py reads YAML strictly (a key that stands twice is refused) and names line and place; endpoints with one address twice and keys of two entries are refused; operators/*; telemetry.py, spans.py (W3C traceparent over peer links to endpoints), tasks.py; docs/OPERATING.md and examples, held to the models by tests. SIGTERM is handled before anything listens: it killed without a drain in between (exit -15 seen in a test). Conclusion: an operator sees and stops the fleet, and a wrong file is told by line.

--- a/citronport/__main__.py
+++ b/citronport/__main__.py
@@ -1,4 +1,4 @@
-"""The command line of the one binary."""
+"""Start of the one binary: pins the event loop, then runs the command."""
 
 import os
 
@@ -11,49 +11,14 @@
 
 gevent.monkey.patch_all()
 
-import pathlib  # noqa: E402
 import sys  # noqa: E402
 
-from absl import logging  # noqa: E402
-import fire  # noqa: E402
-import result  # noqa: E402
-
-from citronport import clock  # noqa: E402
-from citronport import const  # noqa: E402
-from citronport import core  # noqa: E402
-from citronport import settings  # noqa: E402
-
-
-class Commands:
-    """A request scheduler for unlike engines."""
-
-    def serve(self, settings_file: str) -> None:
-        """Run one entry instance until SIGTERM.
-
-        Args:
-            settings_file: path of a YAML settings file.
-        """
-        match settings.read_settings(pathlib.Path(settings_file)):
-            case result.Err(reason):
-                _fail(reason)
-            case result.Ok(checked):
-                core.Daemon(checked, clock.RuntimeClock()).serve()
-
-    def version(self) -> str:
-        """Print the version."""
-        return const.VERSION
-
-
-def _fail(reason: str) -> None:
-    print(reason, file=sys.stderr)
-    sys.exit(2)
+from citronport import commands  # noqa: E402
 
 
 def run() -> None:
     """Run the command line."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    fire.Fire(Commands(), name="citronport")
+    sys.exit(commands.run(sys.argv[1:]))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/citronport/commands.py
@@ -0,0 +1,213 @@
+"""The command line of the one binary: what was typed becomes an order."""
+
+import contextlib
+import inspect
+import io
+from typing import Any
+
+import fire
+from fire import core as fire_core
+
+from citronport import orders
+from citronport import settings
+
+HELP = """\
+citronport - a request scheduler for unlike engines
+
+Usage: citronport COMMAND [ARGUMENTS]
+
+Commands:
+  serve FILE                  run one entry instance until SIGTERM
+  check settings FILE         check a settings file
+  check catalogue FILE        check a catalogue before it is published
+  status [ADDRESS...]         show the fleet: [--settings=FILE] [--json]
+  drain ADDRESS               have an instance finish its work and stop
+  version                     print the version
+
+An ADDRESS is the operators' "ip:port" of an instance.
+
+Examples:
+  citronport check settings docs/examples/settings.yaml
+  citronport serve docs/examples/settings.yaml
+  citronport status 127.0.0.1:8002
+  citronport status --settings=docs/examples/settings.yaml --json
+  citronport drain 127.0.0.1:8002
+
+citronport COMMAND --help tells more. Exit codes: 0 done, 1 failed,
+2 wrong use.
+"""
+
+
+class UsageError(Exception):
+    """What was typed makes no sense; the text is for the operator."""
+
+
+class _Checks:
+    """Check a file without using it."""
+
+    def settings(self, file: str) -> orders.CheckSettings:
+        """Check a settings file.
+
+        Prints one line: the instance and its addresses, or each fault
+        with its line and place.
+
+        Args:
+            file: a YAML settings file.
+        """
+        return orders.CheckSettings(path=str(file))
+
+    def catalogue(self, file: str) -> orders.CheckCatalogue:
+        """Check a catalogue before it is published.
+
+        Prints one line: what it holds, or each fault with its line and
+        place.
+
+        Args:
+            file: a YAML catalogue.
+        """
+        return orders.CheckCatalogue(path=str(file))
+
+
+class _Commands:
+    # fire runs a method before it has looked at all arguments, so that
+    # "serve FILE typo" would serve first and complain later. A method
+    # therefore only returns an order, which is carried out afterwards.
+
+    def __init__(self) -> None:
+        self.check = _Checks()
+
+    def serve(self, file: str) -> orders.Serve:
+        """Run one entry instance until SIGTERM.
+
+        SIGTERM and "drain" stop it gracefully: no new work, and the end
+        comes when the last request in progress has its answer.
+
+        Args:
+            file: a YAML settings file; see docs/OPERATING.md.
+        """
+        return orders.Serve(path=str(file))
+
+    def status(
+        self,
+        *addresses: str,
+        settings: str | None = None,
+        json: bool = False,
+    ) -> orders.ShowStatus:
+        """Show the fleet at a glance.
+
+        Asks the named instances, or the one of a settings file; each
+        tells of the others it knows. An instance out of reach is shown.
+
+        Args:
+            addresses: operators' "ip:port" of instances.
+            settings: a settings file whose instance is asked.
+            json: print JSON for scripts.
+        """
+        if not isinstance(json, bool):
+            raise UsageError("--json takes no value")
+        if not addresses and settings is None:
+            raise UsageError("status needs an ADDRESS or --settings=FILE")
+        return orders.ShowStatus(
+            addresses=tuple(_check_address(a) for a in addresses),
+            path=None if settings is None else str(settings),
+            as_json=json,
+        )
+
+    def drain(self, address: str) -> orders.Drain:
+        """Have an instance finish its work and stop, as SIGTERM does.
+
+        Args:
+            address: operators' "ip:port" of the instance.
+        """
+        return orders.Drain(address=_check_address(address))
+
+    def version(self) -> orders.ShowVersion:
+        """Print the version."""
+        return orders.ShowVersion()
+
+
+def run(arguments: list[str]) -> int:
+    """Carry out a command line.
+
+    Args:
+        arguments: what was typed after the program's name.
+
+    Returns:
+        The exit code.
+    """
+    if not arguments or {"-h", "--help", "help"} & set(arguments):
+        print(_describe_command(arguments), end="")
+        return 0
+    try:
+        order = parse(arguments)
+    except UsageError as error:
+        reason = f"{error} (see citronport --help)"
+        return orders.fail(reason, orders.EXIT_WRONG_USE)
+    return orders.carry_out(order)
+
+
+def parse(arguments: list[str]) -> orders.Order:
+    """Return the order of a command line.
+
+    Raises:
+        UsageError: it makes no sense; the text is one line.
+    """
+    # On wrong use fire prints pages of help; all that is told is the one
+    # line that it raises.
+    with contextlib.redirect_stderr(io.StringIO()):
+        try:
+            order = fire.Fire(
+                _Commands(),
+                command=_mark_flags(arguments),
+                name="citronport",
+                serialize=lambda _: None,
+            )
+        except fire_core.FireExit as error:
+            raise UsageError(_explain(error, arguments)) from None
+    if not isinstance(order, orders.Order):
+        raise UsageError(f"incomplete command: {' '.join(arguments)}")
+    return order
+
+
+def _mark_flags(arguments: list[str]) -> list[str]:
+    # fire takes what follows "--" for flags of its own, one of which
+    # opens an interactive shell.
+    if "--" in arguments:
+        raise UsageError("-- is not understood")
+    return arguments
+
+
+def _explain(error: fire_core.FireExit, arguments: list[str]) -> str:
+    trace = error.trace
+    last = trace.elements[-1]
+    text = last.ErrorAsStr() if last.HasError() else "not understood"
+    if text.startswith("Could not consume arg"):
+        word = text.partition(": ")[2]
+        known = "unknown command" if word == arguments[0] else "not expected"
+        return f"{known}: {word}"
+    if "required argument" in text:
+        return f"a value is missing: {text.rpartition(': ')[2]}"
+    return " ".join(text.split())
+
+
+def _check_address(address: Any) -> str:
+    host, _, port = str(address).rpartition(":")
+    try:
+        settings.Listener.model_validate(
+            {"address": host.strip("[]"), "port": port}
+        )
+    except ValueError:
+        raise UsageError(f'not an "ip:port" address: {address}') from None
+    return str(address)
+
+
+def _describe_command(arguments: list[str]) -> str:
+    target: Any = _Commands()
+    words = [a for a in arguments if not a.startswith("-") and a != "help"]
+    for word in words:
+        if word.startswith("_") or not hasattr(target, word):
+            return HELP
+        target = getattr(target, word)
+    if not words or isinstance(target, _Checks):
+        return HELP
+    return f"citronport {' '.join(words)}\n\n{inspect.getdoc(target)}\n"
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -14,6 +14,10 @@
 from citronport import errors
 from citronport import runs
 from citronport import settings as settings_module
+from citronport import spans
+from citronport import tasks
+from citronport import telemetry
+from citronport.callers import const as caller_const
 from citronport.callers import home
 from citronport.callers import server as caller_server
 from citronport.endpoints import client as endpoint_client
@@ -22,6 +26,8 @@
 from citronport.instances import const as instance_const
 from citronport.instances import messages
 from citronport.instances import peers
+from citronport.operators import server as operator_server
+from citronport.operators import status
 from citronport.platform import client as platform_client
 from citronport.platform import const as platform_const
 from citronport.platform import store
@@ -59,11 +65,23 @@
             self._take_run,
             self._take_message,
         )
+        self._tracer = spans.make_tracer(
+            settings.instance, settings.trace_file, settings.trace_share
+        )
+        self.telemetry = telemetry.Telemetry(ticker, self._tracer)
+        self.tasks = tasks.Supervisor(ticker, self.telemetry.counts.note_death)
         self.executor = Executor(
-            self.scheduler, ticker, self._forward, self._record
+            self.scheduler,
+            ticker,
+            self._forward,
+            self._record,
+            self.telemetry,
         )
         self._connected: set[str] = set()
+        self._reports: dict[str, models.LoadReport] = {}
+        self._owned: frozenset[str] = frozenset()
         self._stopped = gevent_event.Event()
+        self.status = self._make_status_reader(incarnation)
         self._event_file = (
             open(settings.event_file, "a", buffering=1)
             if settings.event_file
@@ -73,6 +91,9 @@
 
     def serve(self) -> None:
         """Run until a stop is ordered and the work in progress is done."""
+        # Before anything listens: a stop that came in between would end the
+        # process at once and cut the first callers.
+        gevent.signal_handler(signal.SIGTERM, self.stop)
         listeners = self.settings
         self.peers.serve(str(listeners.peers.address), listeners.peers.port)
         application = caller_server.Application(
@@ -86,14 +107,28 @@
         callers = caller_server.make_server(
             str(listeners.callers.address),
             listeners.callers.port,
-            application,
+            telemetry.Listener(
+                application,
+                self.telemetry.counts,
+                self._tracer,
+                caller_const.PATH_LOOKUP,
+            ),
         )
         callers.start()
+        operators = operator_server.make_server(
+            listeners.operators,
+            operator_server.Application(
+                self.status.read, self.telemetry.counts, self.stop
+            ),
+        )
+        operators.start()
+        self.tasks.report_unhandled()
         for path in (
             platform_const.PATH_CATALOGUE,
             platform_const.PATH_INSTANCES,
         ):
-            gevent.spawn(
+            self.tasks.keep(
+                f"watch {path}",
                 platform_client.watch,
                 path,
                 self.settings.platform,
@@ -101,16 +136,38 @@
                 self.published.offer,
                 lambda asked: None,
             )
-        gevent.spawn(self._watch_endpoints)
-        gevent.spawn(self._speak)
-        gevent.spawn(self.executor.serve)
-        gevent.signal_handler(signal.SIGTERM, self._stopped.set)
+        self.tasks.keep("load reports", self._watch_endpoints)
+        self.tasks.keep("peer reports", self._speak)
+        self.tasks.require("executor", self.executor.serve)
         logging.info("%s %s is up.", LOG, self.settings.instance)
         self._stopped.wait()
         self._drain()
         callers.stop(timeout=0)
         logging.info("%s %s is down.", LOG, self.settings.instance)
 
+    def stop(self) -> None:
+        """Order a graceful shutdown; a second order changes nothing."""
+        logging.info("%s %s is leaving.", LOG, self.settings.instance)
+        self._stopped.set()
+
+    def _make_status_reader(self, incarnation: str) -> status.Reader:
+        return status.Reader(
+            status.Parts(
+                settings=self.settings,
+                incarnation=incarnation,
+                ticker=self.ticker,
+                published=self.published,
+                counts=self.telemetry.counts,
+                summarize=self.scheduler.summarize,
+                get_owned=lambda: self._owned,
+                count_running=self.executor.count_running,
+                is_linked=lambda n: self.peers.get_incarnation(n) is not None,
+                is_leaving=self._stopped.is_set,
+                connected=self._connected,
+                reports=self._reports,
+            )
+        )
+
     def _drain(self) -> None:
         self.executor.post(models.LeaveOrdered())
         while not self.executor.is_idle():
@@ -138,6 +195,7 @@
         owned = frozenset(
             e for e, i in owners.items() if i == self.settings.instance
         )
+        self._owned = owned
         self.executor.post(models.OwnershipChanged(owned=owned, owners=owners))
 
     def _watch_endpoints(self) -> None:
@@ -155,6 +213,7 @@
     def _read_load(self, endpoint: models.Endpoint) -> None:
         match endpoint_client.read_load(endpoint.address):
             case result.Ok(report):
+                self._reports[endpoint.name] = report
                 if endpoint.name not in self._connected:
                     self._connected.add(endpoint.name)
                     self.executor.post(
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -1,5 +1,6 @@
 """The task that owns the scheduler and carries out its actions."""
 
+import collections
 import collections.abc
 
 from absl import logging
@@ -10,6 +11,8 @@
 from citronport import clock
 from citronport import errors
 from citronport import runs
+from citronport import tasks
+from citronport import telemetry as telemetry_module
 from citronport.endpoints import client
 from citronport.endpoints import messages
 from citronport.scheduler import core
@@ -29,6 +32,7 @@
         forward: hands a run to another instance; it delivers to the run
             and returns the code if the other instance did not run it.
         record: takes each event and its actions, for the event trace.
+        telemetry: counts and traces the runs.
     """
 
     def __init__(
@@ -41,19 +45,23 @@
         record: collections.abc.Callable[
             [models.Event, list[models.Action]], None
         ],
+        telemetry: telemetry_module.Telemetry | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._ticker = ticker
         self._forward = forward
         self._record = record
+        self._telemetry = telemetry or telemetry_module.Telemetry(ticker)
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
+        self._at_endpoint: collections.Counter[str] = collections.Counter()
         self._refused_by: dict[str, tuple[str, ...]] = {}
 
     def submit(self, run: runs.Run, *, forwarded: bool = False) -> None:
         """Take a run on; its answer comes through the run."""
         self._runs[run.request_id] = run
+        run.watch = self._telemetry.watch(run.work, forwarded=forwarded)
         self.post(
             models.RequestArrived(
                 request=run.work.request, forwarded=forwarded
@@ -68,6 +76,10 @@
         """Tell the scheduler that nobody waits for a run any more."""
         self.post(models.RequestLeft(request_id=run.request_id))
 
+    def count_running(self, endpoint: str) -> int:
+        """Return how many requests have not ended yet at an endpoint."""
+        return self._at_endpoint[endpoint]
+
     def is_idle(self) -> bool:
         """Return whether no run is in progress."""
         return not self._runs and self._inbox.empty()
@@ -86,13 +98,20 @@
         self._record(event, actions)
         if isinstance(event, models.AnswerFinished):
             self._forget(event.request_id)
+        if isinstance(event, models.RequestArrived):
+            self._note_decided(event.request.request_id)
         for action in actions:
             self._act(action)
 
+    def _note_decided(self, request_id: str) -> None:
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.watch.decided()
+
     def _act(self, action: models.Action) -> None:
         match action:
             case models.Dispatch():
-                self._spawn(action.request_id, self._dispatch, action)
+                self._spawn(action.request_id, self._occupy, action)
             case models.Forward():
                 self._spawn(action.request_id, self._hand_over, action)
             case models.Refuse():
@@ -108,7 +127,34 @@
     ) -> None:
         run = self._runs.get(request_id)
         if run is not None:
-            self._tasks[request_id] = gevent.spawn(act, run, action)
+            self._tasks[request_id] = gevent.spawn(
+                self._guard, act, run, action
+            )
+
+    def _guard(
+        self,
+        act: collections.abc.Callable,
+        run: runs.Run,
+        action: models.Action,
+    ) -> None:
+        # An unforeseen error would end the task without a word: the
+        # caller would wait for ever, and the endpoint's place stay taken.
+        try:
+            act(run, action)
+        except Exception as error:
+            logging.error(
+                "%s a request died of %s.", LOG, tasks.describe_error(error)
+            )
+            self._telemetry.counts.note_death("request")
+            self._finish(run, errors.Refusal(code=errors.Code.INTERNAL))
+            self.post(models.AnswerFinished(request_id=run.request_id))
+
+    def _occupy(self, run: runs.Run, action: models.Dispatch) -> None:
+        self._at_endpoint[action.endpoint] += 1
+        try:
+            self._dispatch(run, action)
+        finally:
+            self._at_endpoint[action.endpoint] -= 1
 
     def _dispatch(self, run: runs.Run, action: models.Dispatch) -> None:
         request = run.work.request
@@ -128,6 +174,7 @@
         if fleet is None:
             return
         address = fleet.endpoints[action.endpoint].address
+        run.watch.dispatched(action.endpoint)
         match client.run_call(address, run.work.call, may_send, deliver):
             case result.Ok(size):
                 run.deliver(messages.Finished(size=size))
@@ -148,6 +195,7 @@
                 )
 
     def _hand_over(self, run: runs.Run, action: models.Forward) -> None:
+        run.watch.forwarded(action.instance)
         refusal = self._forward(run, action.instance)
         if refusal is None:
             self.post(models.AnswerFinished(request_id=run.request_id))
@@ -155,6 +203,7 @@
         if refusal.meaning.ran == errors.Ran.OUTCOME_UNKNOWN:
             self._finish(run, refusal)
             return
+        run.watch.returned()
         # The other instance said in so many words that it did not run the
         # request, so that it may be decided again here.
         tried = self._refused_by.get(run.request_id, ())
@@ -184,6 +233,8 @@
         self.post(models.AnswerFinished(request_id=action.request_id))
 
     def _forget(self, request_id: str) -> None:
-        self._runs.pop(request_id, None)
+        run = self._runs.pop(request_id, None)
+        if run is not None:
+            run.watch.end(telemetry_module.OUTCOME_LEFT)
         self._tasks.pop(request_id, None)
         self._refused_by.pop(request_id, None)
--- /dev/null
+++ b/citronport/operators/client.py
@@ -0,0 +1,103 @@
+"""Asks instances for their status and orders them to drain."""
+
+import collections.abc
+import dataclasses
+
+from gevent import pool
+import geventhttpclient
+import pydantic
+import result
+
+from citronport.operators import const
+from citronport.operators import models
+
+_STATUS = pydantic.TypeAdapter(models.Status)
+
+Progress = collections.abc.Callable[[int, int], None]
+
+
+def read_fleet(
+    addresses: list[str], note_progress: Progress
+) -> list[models.Answer]:
+    """Ask instances, and all others that they know, for their status.
+
+    Args:
+        addresses: operators' "ip:port" to start from.
+        note_progress: called with how many were asked and how many are
+            known, after each answer.
+
+    Returns:
+        One answer for each instance, in the order of their names.
+    """
+    known = {address: "" for address in addresses}
+    answers: dict[str, models.Answer] = {}
+    workers = pool.Pool(const.ASK_AT_ONCE)
+    while len(answers) < len(known):
+        asked = [a for a in known if a not in answers]
+        for address, answer in workers.imap_unordered(_ask, asked):
+            answers[address] = answer
+            if isinstance(answer, models.Status):
+                for peer in answer.peers:
+                    if peer.operators:
+                        known[peer.operators] = peer.name
+            note_progress(len(answers), len(known))
+    named = [_add_name(a, known) for a in answers.values()]
+    return sorted(named, key=_get_order)
+
+
+def order_drain(address: str) -> result.Result[None, str]:
+    """Order an instance to stop gracefully."""
+    return _call(address, "POST", const.PATH_DRAIN).map(lambda _: None)
+
+
+def _ask(address: str) -> tuple[str, models.Answer]:
+    match _call(address, "GET", const.PATH_STATUS):
+        case result.Err(reason):
+            return address, models.Unreachable(
+                address=address, name="", reason=reason
+            )
+        case result.Ok(body):
+            pass
+    try:
+        return address, _STATUS.validate_json(body)
+    except pydantic.ValidationError:
+        return address, models.Unreachable(
+            address=address, name="", reason="its answer is not a status"
+        )
+
+
+def _add_name(answer: models.Answer, known: dict[str, str]) -> models.Answer:
+    if isinstance(answer, models.Status):
+        return answer
+    return dataclasses.replace(answer, name=known[answer.address])
+
+
+def _get_order(answer: models.Answer) -> str:
+    match answer:
+        case models.Status():
+            return answer.instance
+        case models.Unreachable():
+            return answer.name or answer.address
+
+
+def _call(address: str, method: str, path: str) -> result.Result[bytes, str]:
+    host, port = address.rsplit(":", 1)
+    client = geventhttpclient.HTTPClient(
+        host.strip("[]"),
+        int(port),
+        connection_timeout=const.ASK_SECONDS,
+        network_timeout=const.ASK_SECONDS,
+    )
+    try:
+        answer = client.request(method, path)
+        body = bytes(answer.read(const.MAX_STATUS_BYTES))
+    except Exception as error:
+        # The client raises socket, parser and timeout errors of several
+        # families; the operator is told which.
+        text = getattr(error, "strerror", None) or type(error).__name__
+        return result.Err(text)
+    finally:
+        client.close()
+    if answer.status_code >= 300:
+        return result.Err(f"status {answer.status_code}")
+    return result.Ok(body)
--- /dev/null
+++ b/citronport/orders.py
@@ -0,0 +1,178 @@
+"""What the commands do, once what was typed is understood."""
+
+import collections.abc
+import dataclasses
+import pathlib
+import sys
+from typing import Any
+
+import result
+
+from citronport import clock
+from citronport import const
+from citronport import core
+from citronport import settings
+from citronport import telemetry
+from citronport.operators import client as operator_client
+from citronport.operators import models as operator_models
+from citronport.operators import overview
+from citronport.platform import models as platform_models
+
+EXIT_FAILED = 1
+EXIT_WRONG_USE = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Serve:
+    """Run an instance."""
+
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CheckSettings:
+    """Check a settings file."""
+
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CheckCatalogue:
+    """Check a catalogue."""
+
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShowStatus:
+    """Show the fleet."""
+
+    addresses: tuple[str, ...]
+    path: str | None
+    as_json: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Drain:
+    """Stop an instance gracefully."""
+
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShowVersion:
+    """Print the version."""
+
+
+Order = (
+    Serve | CheckSettings | CheckCatalogue | ShowStatus | Drain | ShowVersion
+)
+
+
+def carry_out(order: Order) -> int:
+    """Carry out an order; return the exit code."""
+    match order:
+        case Serve():
+            return _serve(order)
+        case CheckSettings():
+            return _check(
+                settings.read_settings(pathlib.Path(order.path)),
+                lambda checked: (
+                    f"{order.path}: valid: {checked.instance} in "
+                    f"{checked.data_centre}, callers at {checked.callers}"
+                ),
+            )
+        case CheckCatalogue():
+            return _check_catalogue(order.path)
+        case ShowStatus():
+            return _show_status(order)
+        case Drain():
+            return _drain(order)
+        case ShowVersion():
+            print(const.VERSION)
+            return 0
+
+
+def fail(reason: str, code: int) -> int:
+    """Print one line for the operator; return the exit code."""
+    print(f"citronport: {reason}", file=sys.stderr)
+    return code
+
+
+def _serve(order: Serve) -> int:
+    match settings.read_settings(pathlib.Path(order.path)):
+        case result.Err(reason):
+            return fail(reason, EXIT_WRONG_USE)
+        case result.Ok(checked):
+            pass
+    telemetry.set_up_logs(checked.log_level)
+    try:
+        core.Daemon(checked, clock.RuntimeClock()).serve()
+    except OSError as error:
+        # An address that is taken or not this machine's, or a file that
+        # can not be written.
+        return fail(str(error), EXIT_FAILED)
+    return 0
+
+
+def _check(
+    checked: result.Result[Any, str],
+    describe: collections.abc.Callable[[Any], str],
+) -> int:
+    match checked:
+        case result.Err(reason):
+            return fail(reason, EXIT_WRONG_USE)
+        case result.Ok(value):
+            print(describe(value))
+            return 0
+
+
+def _check_catalogue(path: str) -> int:
+    text = settings.read_text(pathlib.Path(path))
+    checked = text.and_then(
+        lambda text: platform_models.parse_catalogue(text).map_err(
+            lambda reason: f"{path}: {reason}"
+        )
+    )
+    return _check(
+        checked,
+        lambda catalogue: (
+            f"{path}: valid: version {catalogue.version}, "
+            f"{len(catalogue.data_centres)} data centres, "
+            f"{len(catalogue.endpoints)} endpoints, "
+            f"{len(catalogue.entries)} entries"
+        ),
+    )
+
+
+def _show_status(order: ShowStatus) -> int:
+    addresses = list(order.addresses)
+    if order.path is not None:
+        match settings.read_settings(pathlib.Path(order.path)):
+            case result.Err(reason):
+                return fail(reason, EXIT_WRONG_USE)
+            case result.Ok(checked):
+                addresses.append(str(checked.operators))
+    answers = operator_client.read_fleet(addresses, _show_progress)
+    if order.as_json:
+        print(overview.render_json(answers))
+    else:
+        print(overview.render_text(answers, styled=sys.stdout.isatty()))
+    reached = any(isinstance(a, operator_models.Status) for a in answers)
+    return 0 if reached else EXIT_FAILED
+
+
+def _show_progress(done: int, total: int) -> None:
+    if not sys.stderr.isatty():
+        return
+    end = "\r" if done < total else "\r\033[K"
+    print(f"{done} of {total} instances asked", end=end, file=sys.stderr)
+
+
+def _drain(order: Drain) -> int:
+    match operator_client.order_drain(order.address):
+        case result.Err(reason):
+            return fail(f"{order.address}: {reason}", EXIT_FAILED)
+        case result.Ok(_):
+            print(f"{order.address} is leaving")
+            return 0
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -1,14 +1,12 @@
 """What the platform publishes, validated at the border."""
 
 import hashlib
-from typing import Any
 
 import pydantic
 import result
-import yaml
 
 from citronport import const
-from citronport import settings
+from citronport import documents
 from citronport.scheduler import models as decisions
 
 
@@ -31,6 +29,7 @@
     address: pydantic.IPvAnyAddress
     caller_port: int
     peer_port: int
+    operator_port: int = pydantic.Field(default=0, ge=0, le=65535)
     state: decisions.Service = decisions.Service.IN
 
 
@@ -86,22 +85,36 @@
 
     @pydantic.model_validator(mode="after")
     def check_names(self) -> "CatalogueModel":
-        """Refuse names that stand twice and data centres not listed."""
+        """Refuse what stands twice and data centres not listed."""
         for part in ("data_centres", "endpoints", "entries"):
-            names = [item.name for item in getattr(self, part)]
-            twice = {name for name in names if names.count(name) > 1}
-            if twice:
-                raise ValueError(f"{part}: {min(twice)} stands twice")
+            _check_once(part, "name", [i.name for i in getattr(self, part)])
+        # Two owners would each fill an endpoint that has two names, and
+        # overfeed its cold start together.
+        places = [f"{e.address}:{e.port}" for e in self.endpoints]
+        _check_once("endpoints", "address", places)
+        # A key of two entries would be served in the class of either.
+        keys = [e.key_sha256 for e in self.entries]
+        _check_once("entries", "key_sha256", keys)
         known = {item.name for item in self.data_centres}
-        for endpoint in self.endpoints:
+        for index, endpoint in enumerate(self.endpoints):
             if endpoint.data_centre not in known:
-                raise ValueError(
-                    f"endpoints: {endpoint.name}: no data centre "
-                    f"{endpoint.data_centre}"
+                raise documents.make_error(
+                    ("endpoints", index, "data_centre"),
+                    f"no data centre {endpoint.data_centre}",
                 )
         return self
 
 
+def _check_once(part: str, field: str, values: list[str]) -> None:
+    seen = set()
+    for index, value in enumerate(values):
+        if value in seen:
+            raise documents.make_error(
+                (part, index, field), f"{value} stands twice"
+            )
+        seen.add(value)
+
+
 class InstanceListModel(_Strict):
     """The list of live and leaving instances."""
 
@@ -116,47 +129,17 @@
         text: YAML.
 
     Returns:
-        The catalogue, or one line that names each wrong place, with its
-        line number in the text where it can be told.
+        The catalogue, or one line that names each fault by line and place.
     """
-    try:
-        raw = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        return result.Err("not YAML: " + " ".join(str(error).split()))
+    match documents.load(text):
+        case result.Err(reason):
+            return result.Err(reason)
+        case result.Ok(raw):
+            pass
     try:
         return result.Ok(CatalogueModel.model_validate(raw))
     except pydantic.ValidationError as error:
-        lines = [
-            f"line {find_line(text, item['loc'])}" for item in error.errors()
-        ]
-        described = settings.describe_errors(error)
-        return result.Err(f"{', '.join(lines)}: {described}")
-
-
-def find_line(text: str, place: tuple[int | str, ...]) -> int:
-    """Return the line (from 1) of the node at a place in a YAML text."""
-    node = yaml.compose(text, Loader=yaml.SafeLoader)
-    line = 1
-    for step in place:
-        if node is None:
-            return line
-        line = node.start_mark.line + 1
-        child = _descend(node, step)
-        if child is None:
-            return line
-        node = child
-    return node.start_mark.line + 1 if node is not None else line
-
-
-def _descend(node: Any, step: int | str) -> Any:
-    match node:
-        case yaml.MappingNode():
-            for key, value in node.value:
-                if key.value == step:
-                    return value
-        case yaml.SequenceNode() if isinstance(step, int):
-            return node.value[step]
-    return None
+        return result.Err(documents.describe_errors(text, error))
 
 
 def make_fleet(catalogue: CatalogueModel) -> decisions.Fleet:
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from gevent import queue
 
@@ -9,6 +10,9 @@
 from citronport.endpoints import messages
 from citronport.scheduler import models
 
+if typing.TYPE_CHECKING:
+    from citronport import telemetry
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Work:
@@ -41,6 +45,7 @@
         self.work = work
         self.ended = False
         self.keep = keep
+        self.watch: telemetry.Watch | None = None
         self._leave = leave
         self._log: list[messages.Message] = []
         self._readers: list[queue.Queue[messages.Message]] = []
@@ -57,6 +62,8 @@
         if self.ended:
             return
         self.ended = isinstance(message, messages.Finished | messages.Refused)
+        if self.watch is not None:
+            self.watch.see(message)
         if self.keep:
             self._log.append(message)
         for reader in self._readers:
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -111,6 +111,7 @@
         address: IP number.
         caller_port: where callers connect.
         peer_port: where other instances connect.
+        operator_port: where operators connect; 0 if not listed.
         state: in service, leaving or out.
     """
 
@@ -119,6 +120,7 @@
     address: str
     caller_port: int
     peer_port: int
+    operator_port: int = 0
     state: Service = Service.IN
 
 
--- /dev/null
+++ b/citronport/telemetry.py
@@ -0,0 +1,311 @@
+"""What an instance tells of itself: logs, counts and traces of requests."""
+
+import collections
+import contextvars
+from typing import Any
+
+from absl import flags
+from absl import logging
+from aioprometheus import histogram
+from opentelemetry import trace
+
+from citronport import clock
+from citronport import const
+from citronport import runs
+from citronport import settings
+from citronport import spans
+from citronport.endpoints import messages
+
+FIRST_TOKEN_BUCKETS = (
+    0.05, 0.1, 0.2, 0.35, 0.53, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0,
+    float("inf"),
+)  # fmt: skip
+"""Upper bounds in seconds; 0.53 is what 95 in 100 are to keep."""
+
+OUTCOME_WHOLE = "whole"
+OUTCOME_LATE = "late"
+OUTCOME_LEFT = "left"
+
+CALLER_TRACE: contextvars.ContextVar[str] = contextvars.ContextVar(
+    "caller_trace", default=""
+)
+"""Trace header of the HTTP request that this task answers."""
+
+_LEVELS = {
+    settings.LogLevel.INFO: logging.INFO,
+    settings.LogLevel.WARNING: logging.WARNING,
+    settings.LogLevel.ERROR: logging.ERROR,
+}
+
+
+def set_up_logs(level: settings.LogLevel) -> None:
+    """Send log lines of a level and above to standard error."""
+    # The command line is fire's; absl warns until its flags were parsed.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(_LEVELS[level])
+
+
+class Counts:
+    """Counts of one instance since its start.
+
+    The path of a request only adds to plain numbers here; they become
+    metrics when somebody reads them.
+
+    Attributes:
+        outcomes: requests that callers sent to this instance, by tier and
+            outcome: "whole" (within the deadline: goodput), "late",
+            "left" (the caller went) or a numbered code.
+        refusals: refusals given to callers, by code, of requests that
+            became known or not.
+        first_token: time to the first piece of an answer, by tier.
+        task_deaths: unforeseen errors that ended a task, by task.
+        platform_reads: calls to the platform, by path and outcome.
+    """
+
+    def __init__(self) -> None:
+        self.outcomes: collections.Counter[tuple[int, str]] = (
+            collections.Counter()
+        )
+        self.refusals: collections.Counter[int] = collections.Counter()
+        self.first_token = [
+            histogram.Histogram(*FIRST_TOKEN_BUCKETS)
+            for _ in range(const.TIERS)
+        ]
+        self.task_deaths: collections.Counter[str] = collections.Counter()
+        self.platform_reads: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    def note_death(self, task: str) -> None:
+        """Count a task that died."""
+        self.task_deaths[task] += 1
+
+    def note_read(self, path: str, outcome: str) -> None:
+        """Count a call to the platform."""
+        self.platform_reads[path, outcome] += 1
+
+
+class Watch:
+    """Follows one request here through its hops.
+
+    Args:
+        work: the request.
+        counts: gets its outcome; None if another instance counts it.
+        ticker: the clock.
+        tracer: None if traces are off.
+        caller: trace header that came with the request, or empty.
+    """
+
+    __slots__ = ("_counts", "_first", "_hops", "_started", "_ticker", "_work")
+
+    def __init__(
+        self,
+        work: runs.Work,
+        counts: Counts | None,
+        ticker: clock.Clock,
+        tracer: spans.Tracer | None,
+        caller: str,
+    ) -> None:
+        self._work = work
+        self._counts = counts
+        self._ticker = ticker
+        self._first = True
+        self._started = ticker.now()
+        self._hops = _make_hops(work, tracer, caller)
+        if caller:
+            work.call.headers[spans.HEADER] = caller
+        if self._hops is not None:
+            self._hops.enter("admission")
+
+    def decided(self) -> None:
+        """Note that the scheduler has seen the request."""
+        if self._hops is not None and self._hops.name == "admission":
+            self._hops.enter("queue")
+
+    def dispatched(self, endpoint: str) -> None:
+        """Note that the request goes to an endpoint now."""
+        if self._hops is not None:
+            self._hops.enter("dispatch", {"endpoint": endpoint})
+            self._hops.carry(self._work.call.headers)
+
+    def forwarded(self, instance: str) -> None:
+        """Note that the request goes to another instance now."""
+        if self._hops is not None:
+            self._hops.enter("forward", {"instance": instance})
+            self._hops.carry(self._work.call.headers)
+
+    def returned(self) -> None:
+        """Note that another instance did not run the request."""
+        if self._hops is not None:
+            self._hops.enter("admission")
+
+    def see(self, message: messages.Message) -> None:
+        """Note a message of the answer."""
+        match message:
+            case messages.Chunk():
+                if self._first:
+                    self._note_first()
+            case messages.Finished():
+                late = self._ticker.now() > self._work.request.deadline
+                self.end(OUTCOME_LATE if late else OUTCOME_WHOLE)
+            case messages.Refused():
+                self.end(str(int(message.refusal.code)))
+
+    def end(self, outcome: str) -> None:
+        """Note the end; a later one is not counted."""
+        counts, self._counts = self._counts, None
+        if counts is not None:
+            counts.outcomes[self._work.request.tier, outcome] += 1
+        if self._hops is not None:
+            self._hops.end({"outcome": outcome})
+            self._hops = None
+
+    def _note_first(self) -> None:
+        self._first = False
+        if self._counts is not None:
+            seconds = self._ticker.now() - self._started
+            tier = self._work.request.tier
+            self._counts.first_token[tier].observe(seconds)
+        if self._hops is not None and self._hops.name == "dispatch":
+            self._hops.enter("stream")
+
+
+class _Hops:
+    """The span of a request here and, under it, the one of its hop."""
+
+    __slots__ = ("_hop", "_parent", "_root", "_tracer", "name")
+
+    def __init__(self, tracer: spans.Tracer, root: trace.Span) -> None:
+        self._tracer = tracer
+        self._root = root
+        self._parent = spans.make_child_context(root)
+        self._hop: trace.Span | None = None
+        self.name = ""
+
+    def enter(
+        self, name: str, attributes: spans.Attributes | None = None
+    ) -> None:
+        """End the hop and start the next."""
+        if self._hop is not None:
+            self._hop.end()
+        self.name = name
+        self._hop = self._tracer.start(name, self._parent, attributes)
+
+    def carry(self, headers: dict[str, str]) -> None:
+        """Name the hop as the parent of what the next process does."""
+        if self._hop is not None:
+            spans.write_header(self._hop, headers)
+
+    def end(self, attributes: dict[str, Any]) -> None:
+        """End the hop and the request."""
+        if self._hop is not None:
+            self._hop.end()
+        self._root.set_attributes(attributes)
+        self._root.end()
+
+
+def _make_hops(
+    work: runs.Work, tracer: spans.Tracer | None, caller: str
+) -> _Hops | None:
+    if tracer is None:
+        return None
+    request = work.request
+    root = tracer.start(
+        "request",
+        spans.read_header(caller),
+        {
+            "request": request.request_id,
+            "tier": request.tier,
+            "model": request.model,
+        },
+    )
+    if not root.is_recording():
+        # Not sampled: the mark that says so still goes on to the next
+        # hops, so that none of them samples a part of the trace.
+        spans.write_header(root, work.call.headers)
+        return None
+    return _Hops(tracer, root)
+
+
+class Telemetry:
+    """Counts and traces of one instance.
+
+    Args:
+        ticker: the clock.
+        tracer: None if traces are off.
+    """
+
+    def __init__(
+        self, ticker: clock.Clock, tracer: spans.Tracer | None = None
+    ) -> None:
+        self.counts = Counts()
+        self._ticker = ticker
+        self._tracer = tracer
+
+    def watch(self, work: runs.Work, *, forwarded: bool) -> Watch:
+        """Return what follows a request that came in now.
+
+        Args:
+            work: the request.
+            forwarded: whether another instance sent it, which counts it.
+        """
+        headers = work.call.headers
+        caller = headers.get(spans.HEADER, "") or CALLER_TRACE.get()
+        return Watch(
+            work,
+            None if forwarded else self.counts,
+            self._ticker,
+            self._tracer,
+            caller,
+        )
+
+
+class Listener:
+    """The WSGI application for callers, watched.
+
+    Args:
+        application: answers the callers.
+        counts: gets the refusals.
+        tracer: None if traces are off.
+        lookup_path: path whose requests are a hop of their own.
+    """
+
+    def __init__(
+        self,
+        application: Any,
+        counts: Counts,
+        tracer: spans.Tracer | None,
+        lookup_path: str,
+    ) -> None:
+        self._application = application
+        self._counts = counts
+        self._tracer = tracer
+        self._lookup_path = lookup_path
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
+        """Answer one HTTP request."""
+        # A connection's requests are answered by one task one after the
+        # other, so that the header of the one before must not stay.
+        caller = environ.get("HTTP_TRACEPARENT", "")
+        CALLER_TRACE.set(spans.check_header(caller) if caller else "")
+
+        def start(status: str, headers: list, *rest: Any) -> Any:
+            if status[0] in "45":
+                self._note_refusal(headers)
+            return start_response(status, headers, *rest)
+
+        if self._tracer is None or environ["PATH_INFO"] != self._lookup_path:
+            return self._application(environ, start)
+        span = self._tracer.start(
+            "lookup", spans.read_header(CALLER_TRACE.get())
+        )
+        try:
+            return self._application(environ, start)
+        finally:
+            span.end()
+
+    def _note_refusal(self, headers: list[tuple[str, str]]) -> None:
+        for name, value in headers:
+            if name == const.HEADER_CODE:
+                self._counts.refusals[int(value)] += 1
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -33,6 +33,7 @@
         engines: shapes (fields of ``engine.Shape``), with "models".
         services: service names.
         entries: catalogue entries; "key" is the plain key.
+        traced: whether the instances write their spans to files.
     """
 
     subnet: str
@@ -41,6 +42,7 @@
     engines: tuple[dict[str, Any], ...]
     services: tuple[str, ...]
     entries: tuple[dict[str, Any], ...]
+    traced: bool = False
 
 
 class Fleet:
@@ -136,6 +138,8 @@
             "platform": [{"address": self.platform, "port": PLATFORM_PORT}],
             "event_file": str(self.folder / f"{name}.events.jsonl"),
         }
+        if self.layout.traced:
+            settings["trace_file"] = str(self.folder / f"{name}.spans.jsonl")
         path.write_text(yaml.safe_dump(settings))
         self.running.start(name, "citronport", "serve", str(path))
 
@@ -201,6 +205,7 @@
             "address": f"127.{self.layout.subnet}.{number + 1}",
             "caller_port": CALLER_PORT,
             "peer_port": PEER_PORT,
+            "operator_port": OPERATOR_PORT,
             "state": "in",
         }
 
--- /dev/null
+++ b/tests/operators/test_operators.py
@@ -0,0 +1,182 @@
+"""What operators see and order, with real processes."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+import geventhttpclient
+import testtools
+
+from standins import caller
+from standins import fleet
+from standins import processes
+
+LAYOUT = fleet.Layout(
+    subnet="60.2",
+    data_centres=("dc-1", "dc-2"),
+    instances=2,
+    engines=({"name": "engine-1", "models": ("small",), "cold_seconds": 0.1},),
+    services=(),
+    entries=(
+        {"name": "floor", "owner": "extruder-1", "class": 1, "key": "key-1"},
+    ),
+    traced=True,
+)
+CHAT = "/v1/chat/completions"
+PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+HOPS = ("admission", "queue", "dispatch", "stream")
+
+
+def call(address, path, method="GET"):
+    """Return status and body of an operator's call."""
+    host, port = address.split(":")
+    client = geventhttpclient.HTTPClient(host, int(port), network_timeout=10)
+    answer = client.request(method, path)
+    body = bytes(answer.read())
+    client.close()
+    return answer.status_code, body.decode()
+
+
+def run_status(*arguments):
+    """Run the status command; return exit code and output."""
+    done = subprocess.run(
+        [sys.executable, "-m", "citronport", "status", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    return done.returncode, done.stdout
+
+
+class OperatorsTest(testtools.TestCase):
+    """A fleet of two instances and one engine, seen by its operators."""
+
+    def setUp(self):
+        """Start the fleet and find who owns the engine."""
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        running = processes.Processes(pathlib.Path(folder.name))
+        self.addCleanup(running.__exit__)
+        self.fleet = fleet.Fleet(LAYOUT, running)
+        self.fleet.start()
+        self.operators = [
+            f"{i['address']}:{fleet.OPERATOR_PORT}"
+            for i in self.fleet.instances
+        ]
+        self.callers = self.fleet.get_callers_addresses()
+        self.body = caller.make_chat("small", "what is due?", 5)
+        for address in self.callers:
+            self.send(address)
+        statuses = [json.loads(call(a, "/status")[1]) for a in self.operators]
+        self.owner = 0 if statuses[0]["endpoints"] else 1
+
+    def send(self, address, **headers):
+        """Send a chat call that must be answered whole."""
+        outcome = caller.send_patiently(
+            address, "key-1", CHAT, self.body, headers=headers
+        )
+        self.assertTrue(outcome.whole)
+        return outcome
+
+    def stop(self, number, *names):
+        """Signal instances and wait for their end."""
+        for name in names:
+            self.fleet.running.signal(name, number)
+            self.assertIsNotNone(self.fleet.running.wait(name, 20))
+
+    def read_spans(self, trace_id):
+        """Return the spans of a trace from all instances, in order."""
+        spans = [
+            json.loads(line)
+            for path in self.fleet.folder.glob("*.spans.jsonl")
+            for line in path.read_text().splitlines()
+        ]
+        found = [s for s in spans if s["trace_id"] == trace_id]
+        return sorted(found, key=lambda s: s["start_ns"])
+
+    def check_chain(self, spans, instance, hops, parent):
+        """Check one instance's part of a trace; return its spans by name."""
+        mine = [s for s in spans if s["instance"] == instance]
+        names = [s["name"] for s in mine]
+        self.assertEqual(["request", *hops], names)
+        root = mine[0]
+        self.assertEqual(parent, root["parent_id"])
+        for span in mine[1:]:
+            self.assertEqual(root["span_id"], span["parent_id"])
+        return {s["name"]: s for s in mine}
+
+    def test_forwarded_request_is_one_trace(self):
+        """A caller that traces its request finds each hop in its trace.
+
+        It asks the instance that does not own the engine: that one admits
+        and forwards, the owner admits, queues, dispatches and streams,
+        and the engine is told the owner's dispatch as its parent.
+        """
+        entry = self.fleet.instances[1 - self.owner]["name"]
+        owner = self.fleet.instances[self.owner]["name"]
+        self.send(self.callers[1 - self.owner], traceparent=PARENT)
+        self.stop(signal.SIGTERM, entry, owner)
+        _, trace_id, parent_id, _ = PARENT.split("-")
+        spans = self.read_spans(trace_id)
+        first = self.check_chain(
+            spans, entry, ("admission", "queue", "forward"), parent_id
+        )
+        forward = first["forward"]["span_id"]
+        second = self.check_chain(spans, owner, HOPS, forward)
+        self.assertEqual("whole", first["request"]["attributes"]["outcome"])
+        self.assertEqual(
+            "engine-1", second["dispatch"]["attributes"]["endpoint"]
+        )
+        self.assertNotIn("what is due?", json.dumps(spans))
+
+    def test_status_command(self):
+        """One address shows the fleet; one that is gone is shown too.
+
+        An operator asks while one of two instances is dead: the dead one
+        is a line of the table, and the command succeeds.
+        """
+        code, output = run_status(self.operators[0], "--json")
+        self.assertEqual(0, code)
+        shown = json.loads(output)
+        self.assertEqual(2, len(shown["instances"]))
+        whole = sum(
+            i["tiers"][1]["outcomes"].get("whole", 0)
+            for i in shown["instances"]
+        )
+        self.assertEqual(2, whole)
+        self.stop(signal.SIGKILL, "entry-2")
+        code, output = run_status(self.operators[0])
+        self.assertEqual(0, code)
+        lines = output.splitlines()
+        self.assertIn("serving", next(n for n in lines if "entry-1" in n))
+        self.assertIn("unreachable", next(n for n in lines if "entry-2" in n))
+        self.assertNotIn("\033", output)
+        code, _ = run_status(self.operators[1])
+        self.assertEqual(1, code)
+
+    def test_metrics_count_goodput_and_refusals(self):
+        """The usual text format, with what callers got."""
+        caller.send(self.callers[0], "wrong-key", CHAT, self.body)
+        code, body = call(self.operators[0], "/metrics")
+        self.assertEqual(200, code)
+        for line in (
+            'citronport_requests_total{outcome="whole",tier="1"} 1',
+            'citronport_refusals_total{code="1002"} 1',
+            'citronport_first_token_seconds_count{tier="1"} 1.0',
+            "citronport_catalogue_version 1",
+            "citronport_peer_links 1",
+        ):
+            self.assertIn(f"{line}\n", body)
+
+    def test_drain_stops_gracefully(self):
+        """A drain ends the process by itself, and only by POST."""
+        self.assertEqual(200, call(self.operators[0], "/ready")[0])
+        self.assertEqual(405, call(self.operators[0], "/drain")[0])
+        self.assertEqual(404, call(self.operators[0], "/other")[0])
+        code, _ = call(self.operators[0], "/drain", "POST")
+        self.assertEqual(202, code)
+        self.assertEqual(0, self.fleet.running.wait("entry-1", 20))
--- /dev/null
+++ b/tests/test_main.py
@@ -0,0 +1,98 @@
+"""The command line: what it answers, and what the process is made of."""
+
+import os
+import subprocess
+import sys
+
+import testtools
+
+from citronport import commands
+
+PROGRAM = (sys.executable, "-m", "citronport")
+
+
+def run_program(*arguments):
+    """Run the program; return exit code, output and error output."""
+    done = subprocess.run(
+        [*PROGRAM, *arguments], capture_output=True, text=True, timeout=60
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+class WrongUseTest(testtools.TestCase):
+    """Wrong use exits 2 with one clear line and no traceback."""
+
+    def check(self, arguments, expected):
+        """Run a command line that makes no sense."""
+        code, output, errors = run_program(*arguments.split())
+        self.assertEqual((2, ""), (code, output), errors)
+        self.assertEqual(1, errors.count("\n"), errors)
+        self.assertIn(expected, errors)
+
+    def test_missing_file(self):
+        """A file that is not there is named."""
+        self.check("serve /nowhere.yaml", "/nowhere.yaml: No such file")
+
+    def test_file_that_is_wrong(self):
+        """Each fault of a file stands in the one line."""
+        self.check(
+            "check settings docs/examples/catalogue.yaml",
+            "line 2: version: unknown key",
+        )
+
+    def test_typed_wrong(self):
+        """Each kind of wrong use raises one line; nothing is carried out."""
+        for arguments, expected in (
+            ("bogus", "unknown command: bogus"),
+            ("serve", "a value is missing: file"),
+            ("serve a.yaml b", "not expected: b"),
+            ("serve a.yaml path", "incomplete command"),
+            ("check", "incomplete command"),
+            ("check nothing x", "not expected: nothing"),
+            ("status", "status needs an ADDRESS"),
+            ("status 127.0.0.1:99999", 'not an "ip:port"'),
+            ("status 127.0.0.1:1 --json=x", "--json takes no value"),
+            ("drain host", 'not an "ip:port"'),
+            ("version -- --interactive", "-- is not understood"),
+        ):
+            error = self.assertRaises(
+                commands.UsageError, commands.parse, arguments.split()
+            )
+            self.assertIn(expected, str(error))
+            self.assertNotIn("\n", str(error))
+
+    def test_good_use(self):
+        """Help and checks answer on standard output and exit 0."""
+        for arguments, expected in (
+            ("", "Examples:"),
+            ("serve --help", "Run one entry instance until SIGTERM."),
+            ("check settings docs/examples/settings.yaml", "valid: entry-1"),
+            ("check catalogue docs/examples/catalogue.yaml", "version 7"),
+        ):
+            code, output, errors = run_program(*arguments.split())
+            self.assertEqual((0, ""), (code, errors))
+            self.assertIn(expected, output)
+
+
+class LoopTest(testtools.TestCase):
+    """The event loop does not depend on the environment."""
+
+    def test_loop_is_libev_on_epoll(self):
+        """An environment that asks for another loop is overruled.
+
+        gevent's libuv loop may use io_uring, which the machines forbid.
+        """
+        script = (
+            "import citronport.__main__, gevent;"
+            "loop = gevent.get_hub().loop;"
+            "print(type(loop).__module__, loop.backend)"
+        )
+        asked = {"GEVENT_LOOP": "libuv-cffi", "GEVENT_BACKEND": "select"}
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            env={**os.environ, **asked},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        self.assertEqual("gevent.libev.corecext epoll\n", done.stdout)
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,79 @@
+"""Tasks that die are seen, counted, and started again or the end."""
+
+import subprocess
+import sys
+
+import gevent
+import testtools
+
+from citronport import clock
+from citronport import tasks
+
+SECRET = "key-of-a-caller"
+
+
+class SupervisorTest(testtools.TestCase):
+    """No task dies silently."""
+
+    def setUp(self):
+        """Make a supervisor on a clock that stands still."""
+        super().setUp()
+        self.deaths = []
+        self.ticker = clock.ManualClock()
+        self.tasks = tasks.Supervisor(self.ticker, self.deaths.append)
+
+    def test_task_starts_again_after_a_pause(self):
+        """A watch dies of an unforeseen error, twice.
+
+        Without care its value would stay old for ever and nobody would
+        know. It starts again each time, later and not at once.
+        """
+        starts = []
+
+        def act():
+            starts.append(self.ticker.now())
+            if len(starts) < 3:
+                raise KeyError(SECRET)
+
+        with self.assertLogs("absl", "ERROR") as logs:
+            self.tasks.keep("watch", act).get(timeout=10)
+        pause = tasks.RESTART_SECONDS
+        self.assertEqual([0, pause, 2 * pause], starts)
+        self.assertEqual(["watch", "watch"], self.deaths)
+        self.assertIn(
+            "watch died of KeyError at test_tasks.py", logs.output[0]
+        )
+        self.assertNotIn(SECRET, "".join(logs.output))
+
+    def test_other_tasks_are_logged_without_their_values(self):
+        """Gevent itself would print the error's text, a caller's key."""
+        hub = gevent.get_hub()
+        self.addCleanup(vars(hub).pop, "print_exception")
+        self.tasks.report_unhandled()
+        with self.assertLogs("absl", "ERROR") as logs:
+            gevent.spawn(int, SECRET).join()
+        self.assertEqual(["unnamed"], self.deaths)
+        self.assertNotIn(SECRET, "".join(logs.output))
+
+    def test_process_ends_with_a_task_it_needs(self):
+        """The task that owns the decisions dies in the middle of a step.
+
+        Going on could overfeed a cold start or lose a request, so that
+        the whole process ends, with a code of its own.
+        """
+        script = (
+            "import gevent\n"
+            "from citronport import clock, tasks\n"
+            "ticker = clock.RuntimeClock()\n"
+            "supervisor = tasks.Supervisor(ticker, lambda name: None)\n"
+            "supervisor.require('executor', int, 'x')\n"
+            "gevent.sleep(30)\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        self.assertEqual(tasks.EXIT_TASK_DIED, done.returncode)
+        self.assertIn("ends without executor", done.stderr)
