Build the one binary without a loader that starts processes

The standard zipapp alone cannot load extension modules. The folder must belong to the user alone. First failing: test_serves_as_one_process against a PEX on a scratch copy: (0, False) != (0, True): no child now, but children that had ended. Conclusion: one file, one process from its first instruction on.

--- /dev/null
+++ b/tests/test_build.py
@@ -0,0 +1,104 @@
+"""The one binary: built, started, counted and used."""
+
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import testtools
+
+from standins import caller
+from standins import fleet
+from standins import processes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BINARY = ROOT / "dist" / "citronport"
+LAYOUT = fleet.Layout(
+    subnet="60.3",
+    data_centres=("dc-1",),
+    instances=1,
+    engines=({"name": "engine-1", "models": ("small",), "cold_seconds": 0.1},),
+    services=(),
+    entries=(
+        {"name": "floor", "owner": "extruder-1", "class": 0, "key": "key-1"},
+    ),
+)
+MINOR_FAULTS_OF_CHILDREN = 10
+"""Place in /proc/PID/stat; above 0 once a child has run and ended."""
+
+
+def make_environment(folder):
+    """Return an environment in which the binary finds Python 3.11."""
+    python = pathlib.Path(sys.executable).resolve()
+    return {
+        **os.environ,
+        "PATH": f"{python.parent}:{os.environ['PATH']}",
+        "CITRONPORT_UNPACK": str(folder),
+    }
+
+
+def count_children(pid):
+    """Return how many children a process has, and whether it had any."""
+    tasks = pathlib.Path(f"/proc/{pid}/task").iterdir()
+    now = sum(len((t / "children").read_text().split()) for t in tasks)
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
+    return now, int(fields[MINOR_FAULTS_OF_CHILDREN]) > 0
+
+
+class BuildTest(testtools.TestCase):
+    """The binary runs as one process and serves."""
+
+    def setUp(self):
+        """Build it and make folders."""
+        super().setUp()
+        subprocess.run([ROOT / "script" / "build"], check=True, timeout=300)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.unpacked = self.folder / "unpacked"
+
+    def start(self, *arguments):
+        """Start the binary as an operator does."""
+        process = subprocess.Popen(
+            [BINARY, *arguments], env=make_environment(self.unpacked)
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def test_serves_as_one_process(self):
+        """One process, from its first start on a new instance.
+
+        A loader that starts helpers, if only for a moment, breaks the
+        rule of the machines. The kernel adds the page faults of each
+        child that has ended to its parent's account, so that a helper
+        which is gone by now is still seen.
+        """
+        running = processes.Processes(self.folder)
+        self.addCleanup(running.__exit__)
+        stand = fleet.Fleet(LAYOUT, running)
+        stand.start()
+        running.signal("entry-1", 15)
+        self.assertEqual(0, running.wait("entry-1", 20))
+
+        process = self.start("serve", str(self.folder / "entry-1.yaml"))
+        address = stand.get_callers_addresses()[0]
+        processes.wait_for_port(*address.split(":"), seconds=60)
+        body = caller.make_chat("small", "what is due?", 5)
+        outcome = caller.send_patiently(
+            address, "key-1", "/v1/chat/completions", body
+        )
+        self.assertEqual(caller.make_expected(body), outcome.text)
+        self.assertEqual((0, False), count_children(process.pid))
+        process.terminate()
+        self.assertEqual(0, process.wait(20))
+
+    def test_folder_of_others_is_refused(self):
+        """Code is not run from a folder that others can write to."""
+        self.unpacked.mkdir()
+        self.unpacked.chmod(0o777)
+        self.assertEqual(1, self.start("version").wait(60))
+        self.unpacked.chmod(0o700)
+        self.assertEqual(0, self.start("version").wait(60))
+        self.assertEqual(1, len(list(self.unpacked.iterdir())))
