Give each endpoint one owner by lease, and spread state by gossip

Cause: every instance ranked owners on its own view; two views that differ could feed one cold start twice. Reports went from each to each. Ruled out: a majority lease (a consensus group by another name); a share per instance (a dead holder's share comes back no sooner than a lease). Change: two authorities, the platform's list and all peers, divide what a cold start bears; a new owner waits for the old lease and an idle endpoint or a release. A newcomer without a list asks over links that others opened.

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -1,25 +1,25 @@
 """Wiring of the tasks of one entry instance; nothing is decided here."""
 
-import dataclasses
-import json
 import signal
-import time
 
 from absl import logging
 import gevent
 from gevent import event as gevent_event
+from gevent import pywsgi
 import result
 
 from citronport import clock
 from citronport import errors
+from citronport import executor
 from citronport import runs
 from citronport import settings as settings_module
+from citronport import trace
 from citronport.callers import home
 from citronport.callers import server as caller_server
 from citronport.endpoints import client as endpoint_client
 from citronport.endpoints import const as endpoint_const
-from citronport.executor import Executor
 from citronport.instances import const as instance_const
+from citronport.instances import gossip
 from citronport.instances import messages
 from citronport.instances import peers
 from citronport.platform import client as platform_client
@@ -31,6 +31,13 @@
 
 LOG = "core:"
 
+ASSESS_SECONDS = 0.25
+"""Pause between two looks at leases; a lease is checked before each send
+to a cold endpoint all the same."""
+
+RELEASE_SECONDS = 10.0
+"""How long an endpoint that was given up is offered to its new owner."""
+
 
 class Daemon:
     """One entry instance.
@@ -45,169 +52,232 @@
     ) -> None:
         self.settings = settings
         self.ticker = ticker
-        self.published = store.Store()
-        self.scheduler = scheduler_core.Scheduler(settings.instance)
+        self.name = settings.instance
+        now = ticker.now()
         incarnation = home.make_incarnation()
-        self.records = home.Home(settings.instance, incarnation, ticker.now())
+        self.published = store.Store()
+        self.scheduler = scheduler_core.Scheduler(self.name)
+        self.owners = ownership.Ownership(self.name, now)
+        self.records = home.Home(self.name, incarnation, now)
         self.peers = peers.Peers(
             messages.Hello(
                 protocol=instance_const.PROTOCOL,
-                instance=settings.instance,
+                instance=self.name,
                 incarnation=incarnation,
             ),
             ticker,
             self._take_run,
             self._take_message,
         )
-        self.executor = Executor(
-            self.scheduler, ticker, self._forward, self._record
+        self.executor = executor.Executor(
+            self.scheduler,
+            ticker,
+            self._forward,
+            trace.make_event_recorder(self.name, settings.event_file),
+        )
+        self.gossip = gossip.Gossip(
+            self.peers,
+            self.published,
+            self.owners,
+            ticker,
+            self.scheduler.summarize,
+            self.executor.post,
         )
         self._connected: set[str] = set()
         self._stopped = gevent_event.Event()
-        self._event_file = (
-            open(settings.event_file, "a", buffering=1)
-            if settings.event_file
-            else None
-        )
+        self._leaving = False
+        self._assigned: models.OwnershipChanged | None = None
+        self._given: dict[str, float] = {}
         self.published.listen(self._apply)
 
     def serve(self) -> None:
         """Run until a stop is ordered and the work in progress is done."""
-        listeners = self.settings
-        self.peers.serve(str(listeners.peers.address), listeners.peers.port)
+        listener = self.settings.peers
+        self.peers.serve(str(listener.address), listener.port)
+        callers = self._make_caller_server()
+        callers.start()
+        self._watch_platform()
+        gevent.spawn(self._watch_endpoints)
+        gevent.spawn(self.gossip.serve)
+        gevent.spawn(self._assess)
+        gevent.spawn(self.executor.serve)
+        gevent.signal_handler(signal.SIGTERM, self.stop)
+        logging.info("%s %s is up.", LOG, self.name)
+        self._stopped.wait()
+        self._drain()
+        callers.stop(timeout=0)
+        logging.info("%s %s is down.", LOG, self.name)
+
+    def stop(self) -> None:
+        """Order a graceful shutdown; a second order changes nothing."""
+        logging.info("%s %s is leaving.", LOG, self.name)
+        self._stopped.set()
+
+    def _make_caller_server(self) -> pywsgi.WSGIServer:
         application = caller_server.Application(
             self.published,
             self.records,
             self.ticker,
             self.executor.submit,
             self.executor.leave,
-            lambda: frozenset(),
+            self.gossip.find_silent,
         )
-        callers = caller_server.make_server(
-            str(listeners.callers.address),
-            listeners.callers.port,
-            application,
+        listener = self.settings.callers
+        return caller_server.make_server(
+            str(listener.address), listener.port, application
         )
-        callers.start()
-        for path in (
+
+    def _watch_platform(self) -> None:
+        gevent.spawn(
+            platform_client.watch,
             platform_const.PATH_CATALOGUE,
+            platform_const.WATCH_SECONDS,
+            self.settings.platform,
+            self.ticker,
+            self.published.offer,
+            lambda asked, version: None,
+        )
+        gevent.spawn(
+            platform_client.watch,
             platform_const.PATH_INSTANCES,
-        ):
-            gevent.spawn(
-                platform_client.watch,
-                path,
-                self.settings.platform,
-                self.ticker,
-                self.published.offer,
-                lambda asked: None,
-            )
-        gevent.spawn(self._watch_endpoints)
-        gevent.spawn(self._speak)
-        gevent.spawn(self.executor.serve)
-        gevent.signal_handler(signal.SIGTERM, self._stopped.set)
-        logging.info("%s %s is up.", LOG, self.settings.instance)
-        self._stopped.wait()
-        self._drain()
-        callers.stop(timeout=0)
-        logging.info("%s %s is down.", LOG, self.settings.instance)
+            platform_const.CONFIRM_SECONDS,
+            self.settings.platform,
+            self.ticker,
+            self.published.offer,
+            self._confirm_list,
+        )
+
+    def _confirm_list(self, asked: float, version: int) -> None:
+        # A stale platform confirms an older list; that says nothing of
+        # the one in force here.
+        mine = self.published.get_versions()
+        if version >= mine.get(platform_const.PATH_INSTANCES, 0):
+            self.owners.note_platform(asked)
 
     def _drain(self) -> None:
-        self.executor.post(models.LeaveOrdered())
+        self._set_leaving(True)
         while not self.executor.is_idle():
             self.ticker.sleep(0.05)
+        # The endpoints are offered to their new owners before the end, so
+        # that these need not wait for this instance's lease to run out.
+        self._update_ownership()
+        self._offer_given()
+        self.ticker.sleep(instance_const.REPORT_SECONDS)
+
+    def _set_leaving(self, leaving: bool) -> None:
+        if leaving == self._leaving:
+            return
+        self._leaving = leaving
+        order = models.LeaveOrdered() if leaving else models.ReturnOrdered()
+        self.executor.post(order)
+        gevent.sleep(0)
+        names = frozenset({self.name}) if leaving else frozenset()
+        self.owners.update_leaving(names, self.ticker.now())
+        self.gossip.report()
 
     def _apply(self, path: str) -> None:
-        if path == platform_const.PATH_CATALOGUE and self.published.fleet:
-            self.executor.post(models.FleetChanged(fleet=self.published.fleet))
-        self._assign()
+        now = self.ticker.now()
+        fleet = self.published.fleet
+        instances = self.published.instances
+        if path == platform_const.PATH_CATALOGUE and fleet is not None:
+            self.owners.update_endpoints(
+                {e.name: e.data_centre for e in fleet.endpoints.values()}, now
+            )
+            self.executor.post(models.FleetChanged(fleet=fleet))
+        else:
+            members = {
+                i.name: ownership.Member(
+                    name=i.name, data_centre=i.data_centre
+                )
+                for i in instances.values()
+                if i.state == models.Service.IN
+            }
+            version = self.published.get_versions()[path]
+            self.owners.update_members(members, version, now)
+        self._update_leaving()
+        self._update_ownership()
 
-    def _assign(self) -> None:
+    def _update_leaving(self) -> None:
+        if self._stopped.is_set():
+            return
         fleet = self.published.fleet
-        if fleet is None:
+        me = self.published.instances.get(self.name)
+        ordered = me is not None and me.state != models.Service.IN
+        if fleet is not None:
+            centre = fleet.data_centres.get(self.settings.data_centre)
+            ordered = ordered or centre in (
+                models.Service.OUT,
+                models.Service.LEAVING,
+            )
+        self._set_leaving(ordered)
+
+    def _assess(self) -> None:
+        while True:
+            self._update_ownership()
+            self._offer_given()
+            self.ticker.sleep(ASSESS_SECONDS)
+
+    def _update_ownership(self) -> None:
+        assigned = self.owners.assess(self.ticker.now())
+        if assigned == self._assigned:
             return
-        names = [
-            name
-            for name, instance in self.published.instances.items()
-            if instance.state == models.Service.IN
-        ]
-        owners = {
-            endpoint: ownership.rank_instances(endpoint, names)[0]
-            for endpoint in fleet.endpoints
-            if names
-        }
-        owned = frozenset(
-            e for e, i in owners.items() if i == self.settings.instance
+        if self._assigned is not None:
+            for endpoint in self._assigned.owned - assigned.owned:
+                self._given[endpoint] = self.ticker.now()
+        self._assigned = assigned
+        self.executor.post(assigned)
+
+    def _offer_given(self) -> None:
+        version = self.published.get_versions().get(
+            platform_const.PATH_INSTANCES, 0
         )
-        self.executor.post(models.OwnershipChanged(owned=owned, owners=owners))
+        now = self.ticker.now()
+        for endpoint, since in list(self._given.items()):
+            owner = self.owners.find_owner(endpoint)
+            if owner == self.name or now - since > RELEASE_SECONDS:
+                del self._given[endpoint]
+            elif owner and not self.executor.count_running(endpoint):
+                release = messages.Release(
+                    endpoint=endpoint, list_version=version
+                )
+                self.peers.send(owner, release)
 
     def _watch_endpoints(self) -> None:
         while True:
             fleet = self.published.fleet
+            owned = self._assigned.owned if self._assigned else frozenset()
             if fleet is not None:
                 gevent.joinall(
                     [
-                        gevent.spawn(self._read_load, e)
-                        for e in fleet.endpoints.values()
+                        gevent.spawn(self._read_load, fleet.endpoints[name])
+                        for name in owned
+                        if name in fleet.endpoints
                     ]
                 )
             self.ticker.sleep(endpoint_const.REPORT_SECONDS)
 
     def _read_load(self, endpoint: models.Endpoint) -> None:
+        name = endpoint.name
         match endpoint_client.read_load(endpoint.address):
             case result.Ok(report):
-                if endpoint.name not in self._connected:
-                    self._connected.add(endpoint.name)
-                    self.executor.post(
-                        models.EndpointConnected(endpoint=endpoint.name)
-                    )
+                if name not in self._connected:
+                    self._connected.add(name)
+                    self.executor.post(models.EndpointConnected(endpoint=name))
+                if not report.running and not report.queued:
+                    seen = self.ticker.now() - report.age
+                    self.owners.note_idle(name, seen)
                 self.executor.post(
-                    models.EndpointReported(
-                        endpoint=endpoint.name, report=report
-                    )
+                    models.EndpointReported(endpoint=name, report=report)
                 )
             case result.Err(_):
-                if endpoint.name in self._connected:
-                    self._connected.discard(endpoint.name)
-                    self.executor.post(
-                        models.EndpointLost(endpoint=endpoint.name)
-                    )
-
-    def _speak(self) -> None:
-        while True:
-            self.peers.connect(self.published.instances)
-            self.peers.broadcast(
-                messages.Report(
-                    summary=dataclasses.asdict(self.scheduler.summarize()),
-                    versions=self.published.get_versions(),
-                )
-            )
-            self.ticker.sleep(instance_const.REPORT_SECONDS)
-
-    def _take_message(self, sender: str, message: messages.Message) -> None:
-        match message:
-            case messages.Report():
-                self._take_report(sender, message)
-            case messages.Want():
-                known = self.published.get(message.path)
-                if known is not None and known.version > message.version:
-                    self.peers.send(
-                        sender, messages.Value(**dataclasses.asdict(known))
-                    )
-            case messages.Value():
-                self.published.offer(
-                    platform_client.Published(**dataclasses.asdict(message))
-                )
+                if name in self._connected:
+                    self._connected.discard(name)
+                    self.executor.post(models.EndpointLost(endpoint=name))
 
-    def _take_report(self, sender: str, message: messages.Report) -> None:
-        summary = models.InstanceSummary(**message.summary)
-        self.executor.post(models.InstanceReported(summary=summary))
-        mine = self.published.get_versions()
-        for path, version in message.versions.items():
-            if version > mine.get(path, 0):
-                self.peers.send(
-                    sender,
-                    messages.Want(path=path, version=mine.get(path, 0)),
-                )
+    def _take_message(
+        self, sender: str, message: messages.Message
+    ) -> messages.Message | None:
+        return self.gossip.take(sender, message)
 
     def _take_run(self, work: runs.Work, role: str) -> runs.Run:
         run = runs.Run(work, self.executor.leave)
@@ -216,41 +286,3 @@
 
     def _forward(self, run: runs.Run, instance: str) -> errors.Refusal | None:
         return self.peers.forward(run, instance, "owner")
-
-    def _record(
-        self, event: models.Event, actions: list[models.Action]
-    ) -> None:
-        if self._event_file is None or isinstance(event, models.TimePassed):
-            return
-        line = {
-            "time": time.time(),
-            "instance": self.settings.instance,
-            "event": type(event).__name__,
-            "request": getattr(event, "request_id", None),
-            "actions": [
-                {"kind": type(a).__name__, **_describe(a)} for a in actions
-            ],
-        }
-        if isinstance(event, models.RequestArrived):
-            line["request"] = event.request.request_id
-            line["tier"] = event.request.tier
-        self._event_file.write(json.dumps(line) + "\n")
-
-
-def _describe(action: models.Action) -> dict:
-    match action:
-        case models.Refuse():
-            return {
-                "request": action.request_id,
-                "code": int(action.refusal.code),
-            }
-        case models.Forward():
-            return {
-                "request": action.request_id,
-                "instance": action.instance,
-            }
-        case models.Dispatch() | models.Cancel():
-            return {
-                "request": action.request_id,
-                "endpoint": action.endpoint,
-            }
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -1,5 +1,6 @@
 """The task that owns the scheduler and carries out its actions."""
 
+import collections
 import collections.abc
 
 from absl import logging
@@ -49,7 +50,9 @@
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
+        self._at_endpoint: collections.Counter[str] = collections.Counter()
         self._refused_by: dict[str, tuple[str, ...]] = {}
+        self._refusals: dict[str, errors.Refusal] = {}
 
     def submit(self, run: runs.Run, *, forwarded: bool = False) -> None:
         """Take a run on; its answer comes through the run."""
@@ -68,6 +71,10 @@
         """Tell the scheduler that nobody waits for a run any more."""
         self.post(models.RequestLeft(request_id=run.request_id))
 
+    def count_running(self, endpoint: str) -> int:
+        """Return how many requests have not ended yet at an endpoint."""
+        return self._at_endpoint[endpoint]
+
     def is_idle(self) -> bool:
         """Return whether no run is in progress."""
         return not self._runs and self._inbox.empty()
@@ -92,7 +99,7 @@
     def _act(self, action: models.Action) -> None:
         match action:
             case models.Dispatch():
-                self._spawn(action.request_id, self._dispatch, action)
+                self._spawn(action.request_id, self._occupy, action)
             case models.Forward():
                 self._spawn(action.request_id, self._hand_over, action)
             case models.Refuse():
@@ -110,6 +117,13 @@
         if run is not None:
             self._tasks[request_id] = gevent.spawn(act, run, action)
 
+    def _occupy(self, run: runs.Run, action: models.Dispatch) -> None:
+        self._at_endpoint[action.endpoint] += 1
+        try:
+            self._dispatch(run, action)
+        finally:
+            self._at_endpoint[action.endpoint] -= 1
+
     def _dispatch(self, run: runs.Run, action: models.Dispatch) -> None:
         request = run.work.request
         first = True
@@ -157,6 +171,7 @@
             return
         # The other instance said in so many words that it did not run the
         # request, so that it may be decided again here.
+        self._refusals[run.request_id] = refusal
         tried = self._refused_by.get(run.request_id, ())
         self._refused_by[run.request_id] = (*tried, action.instance)
         self.post(
@@ -168,8 +183,14 @@
 
     def _refuse(self, action: models.Refuse) -> None:
         run = self._runs.get(action.request_id)
-        if run is not None:
-            self._finish(run, action.refusal)
+        if run is None:
+            return
+        refusal = action.refusal
+        if refusal.code == errors.Code.NO_ENDPOINT:
+            # Nobody is left to ask; what the last one said tells the
+            # caller more.
+            refusal = self._refusals.get(action.request_id, refusal)
+        self._finish(run, refusal)
 
     def _finish(self, run: runs.Run, refusal: errors.Refusal) -> None:
         run.deliver(messages.Refused(refusal=refusal))
@@ -187,3 +208,4 @@
         self._runs.pop(request_id, None)
         self._tasks.pop(request_id, None)
         self._refused_by.pop(request_id, None)
+        self._refusals.pop(request_id, None)
--- /dev/null
+++ b/citronport/instances/gossip.py
@@ -0,0 +1,165 @@
+"""The task that reports to neighbours and spreads published values."""
+
+import collections.abc
+import dataclasses
+
+import gevent
+
+from citronport import clock
+from citronport.instances import const
+from citronport.instances import membership
+from citronport.instances import messages
+from citronport.instances import peers
+from citronport.platform import client as platform_client
+from citronport.platform import const as platform_const
+from citronport.platform import store
+from citronport.scheduler import models
+from citronport.scheduler import ownership
+
+
+class Gossip:
+    """Keeps an instance and the others informed of each other.
+
+    Args:
+        links: the links to other instances.
+        published: the published values, offered to and taken from others.
+        owners: gets signs of contact and releases.
+        ticker: the clock.
+        summarize: returns what to tell of this instance's pressure.
+        post: takes events for the scheduler.
+    """
+
+    def __init__(
+        self,
+        links: peers.Peers,
+        published: store.Store,
+        owners: ownership.Ownership,
+        ticker: clock.Clock,
+        summarize: collections.abc.Callable[[], models.InstanceSummary],
+        post: collections.abc.Callable[[models.Event], None],
+    ) -> None:
+        self._links = links
+        self._published = published
+        self._owners = owners
+        self._ticker = ticker
+        self._summarize = summarize
+        self._post = post
+        self._members = membership.Membership()
+        self._neighbours: set[str] = set()
+        self._silent: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
+        published.listen(self._spread)
+
+    def find_silent(self) -> frozenset[str]:
+        """Return the names of the instances out of reach."""
+        return self._silent
+
+    def serve(self) -> None:
+        """Report to the neighbours for ever."""
+        while True:
+            self.report()
+            small = len(self._published.instances) <= const.SMALL_FLEET
+            pause = (
+                const.REPORT_SECONDS if small else const.LARGE_REPORT_SECONDS
+            )
+            self._ticker.sleep(pause)
+
+    def report(self) -> None:
+        """Report once and look at who is out of reach."""
+        now = self._ticker.now()
+        self._links.connect(self._published.instances, self._neighbours)
+        silent = self._members.find_silent(now)
+        self._note_silent(frozenset(silent))
+        self._links.broadcast(
+            messages.Report(
+                sent=now,
+                summary=dataclasses.asdict(self._summarize()),
+                versions=self._published.get_versions(),
+                silent=silent,
+            ),
+            self._neighbours,
+        )
+
+    def take(
+        self, sender: str, message: messages.Message
+    ) -> messages.Message | None:
+        """Take a message of another instance; return the answer to it."""
+        now = self._ticker.now()
+        self._members.note_heard(sender, now)
+        match message:
+            case messages.Report():
+                return self._take_report(sender, message)
+            case messages.Echo():
+                self._compare(sender, message.versions)
+                version = message.versions.get(
+                    platform_const.PATH_INSTANCES, 0
+                )
+                self._owners.note_contact(sender, message.sent, version)
+            case messages.Want():
+                return self._answer_want(message)
+            case messages.Value():
+                self._published.offer(
+                    platform_client.Published(**dataclasses.asdict(message))
+                )
+            case messages.Release():
+                self._take_release(message)
+        return None
+
+    def _take_report(
+        self, sender: str, message: messages.Report
+    ) -> messages.Message:
+        now = self._ticker.now()
+        self._members.note_told(message.silent, now)
+        self._compare(sender, message.versions)
+        summary = models.InstanceSummary(**message.summary)
+        self._note_leaving(summary)
+        self._post(models.InstanceReported(summary=summary))
+        return messages.Echo(
+            sent=message.sent, versions=self._published.get_versions()
+        )
+
+    def _compare(self, sender: str, versions: dict[str, int]) -> None:
+        mine = self._published.get_versions()
+        for path, version in versions.items():
+            if version > mine.get(path, 0):
+                want = messages.Want(path=path, version=mine.get(path, 0))
+                self._links.send(sender, want)
+
+    def _answer_want(self, message: messages.Want) -> messages.Message | None:
+        known = self._published.get(message.path)
+        if known is None or known.version <= message.version:
+            return None
+        return messages.Value(**dataclasses.asdict(known))
+
+    def _take_release(self, message: messages.Release) -> None:
+        mine = self._published.get_versions()
+        # A release that lay in a buffer while the list moved on says
+        # nothing of whoever owned the endpoint in between.
+        if message.list_version == mine.get(platform_const.PATH_INSTANCES):
+            self._owners.note_release(message.endpoint)
+
+    def _note_silent(self, silent: frozenset[str]) -> None:
+        for name in silent - self._silent:
+            self._post(models.InstanceGone(instance=name))
+        self._silent = silent
+
+    def _note_leaving(self, summary: models.InstanceSummary) -> None:
+        name = summary.instance
+        if summary.leaving:
+            leaving = self._leaving | {name}
+        else:
+            leaving = self._leaving - {name}
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self._owners.update_leaving(leaving, self._ticker.now())
+
+    def _spread(self, path: str) -> None:
+        if path == platform_const.PATH_INSTANCES:
+            me = self._links.me.instance
+            names = set(self._published.instances)
+            self._neighbours = membership.choose_neighbours(me, names)
+            self._members.set_neighbours(self._neighbours, self._ticker.now())
+        # A change is in force everywhere within seconds also where only
+        # one instance can read the platform: it tells at once instead of
+        # at its next turn.
+        gevent.spawn(self.report)
--- a/citronport/instances/link.py
+++ b/citronport/instances/link.py
@@ -49,9 +49,9 @@
         """End the stream after what is queued has been written."""
         self._outbox.put(None)
 
-    def wait(self) -> None:
-        """Return when the stream is gone."""
-        gevent.joinall(self._tasks)
+    def wait(self, seconds: float | None = None) -> None:
+        """Return when the stream is gone, or after so many seconds."""
+        gevent.joinall(self._tasks, timeout=seconds)
 
     def _write(self) -> None:
         while True:
--- /dev/null
+++ b/citronport/instances/membership.py
@@ -0,0 +1,85 @@
+"""Which instances to keep links to, and which ones are out of reach."""
+
+import xxhash
+
+from citronport.instances import const
+
+
+def choose_neighbours(me: str, names: set[str]) -> set[str]:
+    """Return the instances to report to.
+
+    Load: a fleet of up to some hundred instances. Harm: links from each
+    to each grow with the square. In a small fleet all are neighbours, so
+    that each learns at first hand who answers. In a larger one they stand
+    on a ring by hash, and each reports to those at distances 1, 2, 4 and
+    so on: a change reaches all in as many hops as the number of instances
+    has binary digits.
+
+    Args:
+        me: name of this instance.
+        names: all instances on the list.
+    """
+    others = names - {me}
+    if len(others) < const.SMALL_FLEET:
+        return others
+    ring = sorted(names | {me}, key=_hash)
+    place = ring.index(me)
+    distances = [1 << bit for bit in range((len(ring) - 1).bit_length())]
+    return {ring[(place + d) % len(ring)] for d in distances} - {me}
+
+
+def _hash(name: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(name.encode()), name
+
+
+class Membership:
+    """Signs of life of the other instances, own and told."""
+
+    def __init__(self) -> None:
+        self._heard: dict[str, float] = {}
+        self._told: dict[str, float] = {}
+        self._neighbours: set[str] = set()
+
+    def set_neighbours(self, names: set[str], now: float) -> None:
+        """Note from whom signs of life are expected."""
+        for name in names - self._neighbours:
+            self._heard[name] = now
+        for name in self._neighbours - names:
+            self._heard.pop(name, None)
+        self._neighbours = set(names)
+
+    def note_heard(self, name: str, now: float) -> None:
+        """Note a sign of life at first hand."""
+        self._heard[name] = now
+        self._told.pop(name, None)
+
+    def note_told(self, silent: dict[str, float], now: float) -> None:
+        """Note whom another instance finds silent.
+
+        Args:
+            silent: seconds since somebody said so at first hand, by name.
+            now: clock time, seconds.
+        """
+        for name, age in silent.items():
+            if name not in self._neighbours:
+                known = self._told.get(name, float("-inf"))
+                self._told[name] = max(known, now - age)
+
+    def find_silent(self, now: float) -> dict[str, float]:
+        """Return who is out of reach, with the age of that statement.
+
+        What was told is forgotten after a while: whoever still finds an
+        instance silent says so again. This is how those who are not its
+        neighbours notice its return.
+        """
+        found = {
+            name: 0.0
+            for name, at in self._heard.items()
+            if now - at > const.SILENT_SECONDS
+        }
+        for name, at in list(self._told.items()):
+            if now - at > const.FORGET_SECONDS:
+                del self._told[name]
+            else:
+                found.setdefault(name, now - at)
+        return found
--- a/citronport/instances/messages.py
+++ b/citronport/instances/messages.py
@@ -91,15 +91,47 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Report:
-    """Pressure and versions of the sender.
+    """Pressure, versions and signs of life, answered by ``Echo``.
 
     Attributes:
+        sent: the sender's clock, seconds; only the sender reads it.
         summary: fields of ``scheduler.models.InstanceSummary``.
         versions: version of each published value, by its path.
+        silent: instances out of reach; see ``membership``.
     """
 
+    sent: float
     summary: dict[str, Any]
     versions: dict[str, int]
+    silent: dict[str, float]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Echo:
+    """Answer to a report.
+
+    Attributes:
+        sent: as in the report, so that the sender knows how old this
+            answer can be at most.
+        versions: as in a report, of the answering instance.
+    """
+
+    sent: float
+    versions: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Release:
+    """The sender has given an endpoint up and has nothing more there.
+
+    Attributes:
+        endpoint: its name.
+        list_version: instance list by which the receiver owns it; a
+            release that comes late, under another list, does not count.
+    """
+
+    endpoint: str
+    list_version: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -128,6 +160,8 @@
     | End
     | Refused
     | Report
+    | Echo
+    | Release
     | Want
     | Value
 )
@@ -141,6 +175,8 @@
     End,
     Refused,
     Report,
+    Echo,
+    Release,
     Want,
     Value,
 )
--- a/citronport/instances/peers.py
+++ b/citronport/instances/peers.py
@@ -31,7 +31,8 @@
         me: the greeting of this process.
         ticker: the clock.
         submit: takes a run that another instance sent, with its role.
-        listen: takes messages that belong to no exchange.
+        listen: takes messages that belong to no exchange, and returns
+            the answer, if there is one.
     """
 
     def __init__(
@@ -39,13 +40,21 @@
         me: messages.Hello,
         ticker: clock.Clock,
         submit: collections.abc.Callable[[runs.Work, str], runs.Run],
-        listen: collections.abc.Callable[[str, messages.Message], None],
+        listen: collections.abc.Callable[
+            [str, messages.Message], messages.Message | None
+        ],
     ) -> None:
         self.me = me
         self._ticker = ticker
         self._submit = submit
         self._listen = listen
         self._links: dict[str, link.Link] = {}
+        self._instances: dict[str, models.Instance] = {}
+        # A new instance knows nobody yet: until it has a list, the links
+        # that others opened to it are the only way to ask for one.
+        self._accepted: dict[str, link.Link] = {}
+        self._dialling: set[str] = set()
+        self._used: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._exchanges: dict[
             tuple[link.Link, int], queue.Queue[messages.Message | link.Closed]
@@ -58,23 +67,55 @@
         server.start()
         return server
 
-    def connect(self, instances: dict[str, models.Instance]) -> None:
-        """Open links that are missing and close those no longer listed."""
-        for name, instance in instances.items():
-            if name != self.me.instance and name not in self._links:
-                self._dial(instance)
-        for name in set(self._links) - set(instances):
-            self._links.pop(name).close()
+    def connect(
+        self, instances: dict[str, models.Instance], neighbours: set[str]
+    ) -> None:
+        """Open links that are missing; close those that nobody needs.
+
+        Args:
+            instances: all on the list, by name.
+            neighbours: those to keep a link to.
+        """
+        self._instances = instances
+        for name in neighbours - set(self._links):
+            if name not in self._dialling:
+                gevent.spawn(self._dial, instances[name])
+        now = self._ticker.now()
+        for name, known in list(self._links.items()):
+            idle = now - self._used.get(name, now) > const.IDLE_LINK_SECONDS
+            if name not in instances or (name not in neighbours and idle):
+                del self._links[name]
+                known.close()
+
+    def reach(self, instance: str) -> link.Link | None:
+        """Return a link to an instance, opened if need be."""
+        self._used[instance] = self._ticker.now()
+        if instance not in self._links and instance in self._instances:
+            self._dial(self._instances[instance])
+        return self._links.get(instance)
 
-    def broadcast(self, message: messages.Message) -> None:
-        """Send a message on each link."""
-        for each in self._links.values():
-            each.send(message)
+    def broadcast(self, message: messages.Message, names: set[str]) -> None:
+        """Send a message on the links to some instances."""
+        for name in names:
+            self.send(name, message)
 
     def send(self, instance: str, message: messages.Message) -> None:
-        """Send a message to one instance, if it can be reached."""
-        if instance in self._links:
-            self._links[instance].send(message)
+        """Send a message to one instance, if there is a link to it."""
+        chosen = self._links.get(instance) or self._accepted.get(instance)
+        if chosen is not None:
+            chosen.send(message)
+
+    def is_idle(self) -> bool:
+        """Return whether no answer to another instance is on its way."""
+        return not self._served
+
+    def flush(self, seconds: float) -> None:
+        """Close all links after what is queued on them has been written."""
+        links = [*self._links.values(), *self._accepted.values()]
+        for each in links:
+            each.close()
+        for each in links:
+            each.wait(seconds)
 
     def get_incarnation(self, instance: str) -> str | None:
         """Return the incarnation of an instance that can be reached."""
@@ -95,8 +136,8 @@
             None once the answer is whole, else the refusal that has not
             been given to the run yet.
         """
-        chosen = self._links.get(instance)
-        if chosen is None or chosen.peer is None:
+        chosen = self.reach(instance)
+        if chosen is None:
             return errors.Refusal(
                 code=errors.Code.NO_ENDPOINT, retry_after=0.5
             )
@@ -126,6 +167,7 @@
         )
 
     def _dial(self, instance: models.Instance) -> None:
+        self._dialling.add(instance.name)
         try:
             sock = socket.create_connection(
                 (instance.address, instance.peer_port),
@@ -133,6 +175,8 @@
             )
         except OSError:
             return
+        finally:
+            self._dialling.discard(instance.name)
         sock.settimeout(None)
         if instance.name in self._links:
             sock.close()
@@ -168,15 +212,24 @@
                 if inbox is not None:
                     inbox.put(message)
             case messages.Hello():
+                if source is not self._links.get(message.instance):
+                    self._accepted[message.instance] = source
                 logging.info("%s %s is here.", LOG, message.instance)
             case _:
-                if source.peer is not None:
-                    self._listen(source.peer.instance, message)
+                self._listen_to(source, message)
+
+    def _listen_to(self, source: link.Link, message: messages.Message) -> None:
+        if source.peer is None:
+            return
+        answer = self._listen(source.peer.instance, message)
+        if answer is not None:
+            source.send(answer)
 
     def _close(self, source: link.Link) -> None:
-        for name, known in list(self._links.items()):
-            if known is source:
-                del self._links[name]
+        for links in (self._links, self._accepted):
+            for name, known in list(links.items()):
+                if known is source:
+                    del links[name]
         for (owner, _), inbox in list(self._exchanges.items()):
             if owner is source:
                 inbox.put(link.Closed())
--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -33,32 +33,35 @@
 
 def watch(
     path: str,
+    wait: float,
     addresses: tuple[settings.Listener, ...],
     ticker: clock.Clock,
     deliver: collections.abc.Callable[[Published], None],
-    confirm: collections.abc.Callable[[float], None],
+    confirm: collections.abc.Callable[[float, int], None],
 ) -> None:
     """Follow one published value for ever, one open watch at a time.
 
     Args:
         path: which value.
+        wait: seconds for which a watch may be held open.
         addresses: the platform's addresses, tried in turn.
         ticker: the clock.
         deliver: called with each value that differs from the last one.
         confirm: called after each answer with the clock time at which the
-            question was sent; the answer is at least that fresh.
+            question was sent, since the answer is at least that fresh, and
+            with the version that the platform holds.
     """
     version = 0
     turn = 0
     while True:
         asked = ticker.now()
         address = addresses[turn % len(addresses)]
-        match ask(path, address, version):
+        match ask(path, address, version, wait):
             case result.Ok(published):
-                confirm(asked)
                 if published is not None:
                     version = published.version
                     deliver(published)
+                confirm(asked, version)
             case result.Err(reason):
                 logging.warning("%s %s failed: %s.", LOG, path, reason)
                 turn += 1
@@ -66,7 +69,7 @@
 
 
 def ask(
-    path: str, address: settings.Listener, version: int
+    path: str, address: settings.Listener, version: int, wait: float
 ) -> result.Result[Published | None, str]:
     """Ask once for a value newer than a version.
 
@@ -74,6 +77,7 @@
         path: which value.
         address: where the platform listens.
         version: the version already known; 0 for none.
+        wait: seconds for which the platform may hold the question.
 
     Returns:
         The newer value, None if there was none in time, or the failure.
@@ -82,11 +86,12 @@
         str(address.address),
         address.port,
         connection_timeout=const.CONNECT_SECONDS,
-        network_timeout=const.WATCH_SECONDS + const.CONNECT_SECONDS,
+        network_timeout=wait + const.CONNECT_SECONDS,
     )
-    wait = const.WATCH_SECONDS if version else 0
     try:
-        answer = client.get(f"{path}?after={version}&wait={wait}")
+        answer = client.get(
+            f"{path}?after={version}&wait={wait if version else 0}"
+        )
         body = answer.read()
         if answer.status_code == 304:
             return result.Ok(None)
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -21,8 +21,8 @@
 class Run:
     """The answer of one request as it grows, for one or more readers.
 
-    Messages are kept, so that a repeat of the same request joins the run
-    and reads the answer from its start.
+    Messages are kept until the first reader comes, or for good, so that a
+    repeat of the same request reads the answer from its start.
 
     Args:
         work: the request.
@@ -57,7 +57,9 @@
         if self.ended:
             return
         self.ended = isinstance(message, messages.Finished | messages.Refused)
-        if self.keep:
+        # A refusal can come before its reader does; dropped, it would
+        # leave the caller waiting until its own timeout.
+        if self.keep or not self._readers:
             self._log.append(message)
         for reader in self._readers:
             reader.put(message)
@@ -84,6 +86,8 @@
         inbox: queue.Queue[messages.Message] = queue.Queue()
         for message in self._log:
             inbox.put(message)
+        if not self.keep:
+            self._log.clear()
         self._readers.append(inbox)
         return inbox
 
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -63,6 +63,9 @@
             case models.LeaveOrdered():
                 self._leaving = True
                 return []
+            case models.ReturnOrdered():
+                self._leaving = False
+                return []
             case models.TimePassed():
                 return self._expire(now) + self._start(now)
             case _:
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -34,6 +34,20 @@
     WARM = "warm"
 
 
+class ColdShare(enum.StrEnum):
+    """Part of what a cold start bears that the owner may use.
+
+    The halves belong to two authorities that two instances could hold at
+    the same time; see ``ownership``. Of an odd number the upper half is
+    the larger one.
+    """
+
+    ALL = "all"
+    UPPER_HALF = "upper half"
+    LOWER_HALF = "lower half"
+    NONE = "none"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Limits:
     """Limits of one catalogue entry; None is no limit.
@@ -328,11 +342,14 @@
         suspended: owned ones whose lease is in doubt; nothing may be
             started on one of these while it is cold.
         owners: instance by endpoint, for all endpoints.
+        cold_share: part of what each cold owned endpoint bears that may
+            be used, requests and prompt tokens alike.
     """
 
     owned: frozenset[str]
     suspended: frozenset[str] = frozenset()
     owners: dict[str, str] = dataclasses.field(default_factory=dict)
+    cold_share: ColdShare = ColdShare.ALL
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -359,6 +376,11 @@
     """Nothing came; deadlines and rates are looked at."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReturnOrdered:
+    """This instance is back in service and takes new work again."""
+
+
 Event = (
     RequestArrived
     | RequestLeft
@@ -374,6 +396,7 @@
     | InstanceReported
     | InstanceGone
     | LeaveOrdered
+    | ReturnOrdered
     | TimePassed
 )
 
--- a/citronport/scheduler/ownership.py
+++ b/citronport/scheduler/ownership.py
@@ -1,9 +1,67 @@
-"""Which instance alone sends to an endpoint."""
+"""Which instance alone sends to an endpoint, and how sure it may be of it.
+
+Each endpoint has one owner: the first by rendezvous hash among the
+instances of its data centre (among all where there is none). Views of the
+list differ for a while, so that being first is not enough to feed an
+endpoint in cold start. Two authorities, each of which only one instance
+can hold at a time, divide what a cold start bears:
+
+* the platform: the list was read within the lease and names this instance;
+* the peers: every other instance on the list answered within the lease,
+  and none has a newer list.
+
+An instance that holds both may use all of it. With one alone it may use
+that one's half, since a stranger behind a partition could hold the other.
+With none it starts nothing on a cold endpoint. A new owner waits until
+the lease of any earlier one has run out and the endpoint has shown itself
+idle after that, unless the earlier owner released the endpoint to it.
+"""
 
 import collections.abc
+import dataclasses
 
 import xxhash
 
+from citronport.scheduler import models
+
+LEASE_SECONDS = 5.0
+"""How long one confirmation lasts.
+
+Two reads of the list in a row may be lost before it runs out; a change of
+owner without a release costs this much time.
+"""
+
+TAKEOVER_SECONDS = 6.0
+"""How long a new owner waits: the lease, and a margin for clock rates."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Member:
+    """An instance as far as ownership goes."""
+
+    name: str
+    data_centre: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Held:
+    """An endpoint owned here.
+
+    Attributes:
+        first: whether the list alone, without what instances said of
+            leaving, makes this instance the owner. Announcements reach
+            some and not others, so that two instances could count on one
+            each; only the list can give the right to feed a cold start.
+        since: clock time from which that has been so.
+        released: whether the earlier owner gave the endpoint up.
+        idle: whether it was seen without work after any earlier lease.
+    """
+
+    first: bool
+    since: float
+    released: bool = False
+    idle: bool = False
+
 
 def rank_instances(
     key: str, names: collections.abc.Iterable[str]
@@ -12,11 +70,222 @@
 
     A change of one instance moves only the keys that it held.
     """
-    return sorted(
-        names,
-        key=lambda name: (
-            xxhash.xxh3_64_intdigest(f"{key}/{name}".encode()),
-            name,
-        ),
-        reverse=True,
-    )
+    return sorted(names, key=lambda name: _weigh(key, name), reverse=True)
+
+
+def _weigh(key: str, name: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode()), name
+
+
+class Ownership:
+    """What one instance knows of who owns what.
+
+    Args:
+        instance: name of this instance.
+        now: clock time of its start, seconds.
+    """
+
+    def __init__(self, instance: str, now: float) -> None:
+        self._instance = instance
+        self._members: dict[str, Member] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._endpoints: dict[str, str] = {}
+        self._owners: dict[str, str] = {}
+        self._held: dict[str, _Held] = {}
+        self._platform_at = float("-inf")
+        self._contacts: dict[str, float] = {}
+        self._list_version = 0
+
+    def update_members(
+        self, members: dict[str, Member], version: int, now: float
+    ) -> None:
+        """Take the newest instance list.
+
+        Args:
+            members: instances in service, by name.
+            version: version of the list.
+            now: clock time, seconds.
+        """
+        before = self._members
+        self._members = members
+        self._list_version = version
+        # An answer from before the change confirms the list before it.
+        self._contacts.clear()
+        self._reassign(before, members, now)
+
+    def update_leaving(self, leaving: frozenset[str], now: float) -> None:
+        """Take the names of instances that said they take no new work."""
+        if leaving == self._leaving:
+            return
+        before = self._get_eligible()
+        self._leaving = leaving
+        self._reassign(before, self._get_eligible(), now)
+
+    def update_endpoints(self, endpoints: dict[str, str], now: float) -> None:
+        """Take the endpoints, data centre by name."""
+        changed = {
+            name
+            for name, centre in endpoints.items()
+            if self._endpoints.get(name) != centre
+        }
+        for name in set(self._endpoints) - set(endpoints):
+            self._owners.pop(name, None)
+            self._held.pop(name, None)
+        self._endpoints = dict(endpoints)
+        self._assign(changed, now)
+
+    def note_platform(self, asked: float) -> None:
+        """Note that the platform confirmed the list.
+
+        Args:
+            asked: clock time at which the question was sent. The answer
+                may have lain in a buffer while the process was stopped,
+                so that its arrival says nothing.
+        """
+        self._platform_at = max(self._platform_at, asked)
+
+    def note_contact(
+        self, instance: str, asked: float, list_version: int
+    ) -> None:
+        """Note that another instance answered a question sent at a time."""
+        if list_version == self._list_version:
+            known = self._contacts.get(instance, asked)
+            self._contacts[instance] = max(known, asked)
+
+    def note_release(self, endpoint: str) -> None:
+        """Note that the earlier owner has nothing more at an endpoint."""
+        held = self._held.get(endpoint)
+        if held is not None and held.first:
+            held.released = True
+
+    def note_idle(self, endpoint: str, seen: float) -> None:
+        """Note that an endpoint had no work at a clock time."""
+        held = self._held.get(endpoint)
+        if held is not None and seen > held.since + TAKEOVER_SECONDS:
+            held.idle = True
+
+    def find_owner(self, endpoint: str) -> str | None:
+        """Return the owner of an endpoint as far as this view goes."""
+        return self._owners.get(endpoint)
+
+    def assess(self, now: float) -> models.OwnershipChanged:
+        """Return what this instance may do now."""
+        suspended = frozenset(
+            name
+            for name, held in self._held.items()
+            if not self._is_settled(held, now)
+        )
+        return models.OwnershipChanged(
+            owned=frozenset(self._held),
+            suspended=suspended,
+            owners=self._owners,
+            cold_share=self.assess_share(now),
+        )
+
+    def assess_share(self, now: float) -> models.ColdShare:
+        """Return which part of what a cold start bears may be used."""
+        platform = now - self._platform_at <= LEASE_SECONDS
+        if self._instance not in self._members:
+            platform = False
+        peers = self._has_all_peers(now)
+        if platform and peers:
+            return models.ColdShare.ALL
+        if platform:
+            return models.ColdShare.UPPER_HALF
+        if peers:
+            return models.ColdShare.LOWER_HALF
+        return models.ColdShare.NONE
+
+    def may_feed_cold(self, endpoint: str, now: float) -> bool:
+        """Return whether one more request may go to a cold endpoint.
+
+        Asked between the last wait and the send: a process that was
+        stopped in between finds its lease run out.
+        """
+        held = self._held.get(endpoint)
+        if held is None or not self._is_settled(held, now):
+            return False
+        return self.assess_share(now) != models.ColdShare.NONE
+
+    def _has_all_peers(self, now: float) -> bool:
+        if self._instance not in self._members:
+            return False
+        return all(
+            now - self._contacts.get(name, float("-inf")) <= LEASE_SECONDS
+            for name in self._members
+            if name != self._instance
+        )
+
+    def _is_settled(self, held: _Held, now: float) -> bool:
+        if not held.first:
+            return False
+        if held.released:
+            return True
+        return held.idle and now > held.since + TAKEOVER_SECONDS
+
+    def _get_eligible(self) -> dict[str, Member]:
+        return {
+            name: member
+            for name, member in self._members.items()
+            if name not in self._leaving
+        }
+
+    def _reassign(
+        self, before: dict[str, Member], after: dict[str, Member], now: float
+    ) -> None:
+        gone = before.keys() - after.keys()
+        come = {n for n, m in after.items() if before.get(n) != m}
+        centres = {after[name].data_centre for name in come}
+        centres |= {before[name].data_centre for name in gone}
+        # Only endpoints of the data centres whose instances changed can
+        # get another owner, or those that lean on other data centres:
+        # the work does not grow with the whole fleet.
+        with_own = {member.data_centre for member in after.values()}
+        touched = {
+            name
+            for name, centre in self._endpoints.items()
+            if centre in centres or centre not in with_own
+        }
+        self._assign(touched, now)
+
+    def _assign(
+        self, endpoints: collections.abc.Iterable[str], now: float
+    ) -> None:
+        eligible = _group(self._get_eligible())
+        listed = _group(self._members)
+        for endpoint in endpoints:
+            centre = self._endpoints[endpoint]
+            owner = _find_first(endpoint, centre, eligible)
+            if owner is None:
+                self._owners.pop(endpoint, None)
+                self._held.pop(endpoint, None)
+                continue
+            self._owners[endpoint] = owner
+            first = _find_first(endpoint, centre, listed) == self._instance
+            self._hold(endpoint, owner == self._instance, first, now)
+
+    def _hold(
+        self, endpoint: str, owned: bool, first: bool, now: float
+    ) -> None:
+        if not owned:
+            self._held.pop(endpoint, None)
+            return
+        held = self._held.get(endpoint)
+        if held is None or held.first != first:
+            self._held[endpoint] = _Held(first=first, since=now)
+
+
+def _group(members: dict[str, Member]) -> dict[str, list[str]]:
+    groups: dict[str, list[str]] = {}
+    for name, member in members.items():
+        groups.setdefault(member.data_centre, []).append(name)
+    return groups
+
+
+def _find_first(
+    endpoint: str, centre: str, groups: dict[str, list[str]]
+) -> str | None:
+    names = groups.get(centre)
+    if names is None:
+        names = [name for group in groups.values() for name in group]
+    return max(names, key=lambda n: _weigh(endpoint, n), default=None)
