Run scripted failure scenarios through a fault proxy

Cause: nothing proved the promises under failure. The first scenario, once_answer_lost, showed a real fault on the thin path: the HTTP client library resends a call of an idempotent method, up to six times, when the connection ends before an answer; a service called by PUT ran each time. Ruled out: a resend by the caller's own client (each caller got one 502); a second dispatch by the scheduler (one Dispatch a request). Change: run_call writes the head itself, once, and uses the library only to read the answer; the private attribute of the library is gone with it. The path is quoted again, since a line end in it would smuggle a second request. Proxy, scenario language, runner and checks are new. Conclusion: a dispatch now has one place where bytes leave, after the last wait. POST calls did not double before either.

--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -3,7 +3,9 @@
 import collections.abc
 import dataclasses
 import json
+from urllib import parse
 
+from gevent import socket
 import geventhttpclient
 from geventhttpclient import response as http_response
 import result
@@ -64,21 +66,11 @@
         The size of the answer in bytes, or the failure. ``sent`` is False
         only if not one byte of the request has left.
     """
-    host, port = address.rsplit(":", 1)
-    # One connection a call: a pooled one may be stale, and the library
-    # sends again by itself when it finds that out, which would run a
-    # request twice.
-    client = geventhttpclient.HTTPClient(
-        host,
-        int(port),
-        connection_timeout=const.CONNECT_SECONDS,
-        network_timeout=call.timeout,
-    )
     sent = False
+    sock = None
     try:
         # Connecting can wait for long; nothing has been sent by then.
-        sock = client._connection_pool.get_socket()
-        client._connection_pool.return_socket(sock)
+        sock = _connect(address, call.timeout)
         # A process that was stopped and woken acts on an old view: it
         # would send a request whose caller was already told "not run".
         # The check sits between the last wait and the send, so that no
@@ -88,19 +80,49 @@
                 Failure(sent=False, code=errors.Code.DEADLINE_PASSED_WAITING)
             )
         sent = True
-        headers = {common.HEADER_REQUEST_ID: call.request_id, **call.headers}
-        answer = client.request(call.method, call.path, call.body, headers)
+        sock.sendall(_make_head(address, call) + call.body)
+        answer = http_response.HTTPSocketResponse(sock, method=call.method)
         return _read_answer(answer, call, deliver)
     except Exception:
         # The library raises socket, parser and timeout errors of several
         # families; all that counts is whether the request had been sent.
         return result.Err(Failure(sent=sent, code=errors.Code.ENDPOINT_LOST))
     finally:
-        client.close()
+        if sock is not None:
+            sock.close()
+
+
+def _connect(address: str, timeout: float) -> socket.socket:
+    host, port = address.rsplit(":", 1)
+    sock = socket.create_connection(
+        (host, int(port)), timeout=const.CONNECT_SECONDS
+    )
+    sock.settimeout(timeout)
+    return sock
+
+
+def _make_head(address: str, call: Call) -> bytes:
+    # The library's client sends a call of an idempotent method again, up
+    # to six times, when the connection ends before an answer: a service
+    # that is called by PUT would run it each time. Its response class
+    # only reads, so that what is written here is written once.
+    headers = {
+        "Host": address,
+        common.HEADER_REQUEST_ID: call.request_id,
+        **call.headers,
+        "Content-Length": str(len(call.body)),
+        "Connection": "close",
+    }
+    # The path has been unquoted on its way in; a line end in it would
+    # smuggle a second request to the endpoint.
+    path = parse.quote(call.path, safe="/:@!$&'()*+,;=~", encoding="latin-1")
+    lines = [f"{call.method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
 def _read_answer(
-    answer: http_response.HTTPSocketPoolResponse,
+    answer: http_response.HTTPSocketResponse,
     call: Call,
     deliver: collections.abc.Callable[[messages.Message], None],
 ) -> result.Result[int, Failure]:
@@ -127,7 +149,7 @@
 
 
 def _is_whole(
-    answer: http_response.HTTPSocketPoolResponse,
+    answer: http_response.HTTPSocketResponse,
     call: Call,
     size: int,
     tail: bytes,
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -7,14 +7,18 @@
 import fire  # noqa: E402
 
 from standins import engine  # noqa: E402
+from standins import instance  # noqa: E402
 from standins import platform  # noqa: E402
+from standins import scenario  # noqa: E402
 from standins import service  # noqa: E402
 
 if __name__ == "__main__":
     fire.Fire(
         {
             "engine": engine.serve,
+            "instance": instance.serve,
             "platform": platform.serve,
+            "scenario": scenario.run_file,
             "service": service.serve,
         }
     )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -16,6 +16,9 @@
 from standins import answers
 from standins import journal
 
+TAG_CHARS = 24
+"""The end of a prompt, by which a request is told from others."""
+
 
 class FellOverError(Exception):
     """The engine fell over in cold start and drops what it held."""
@@ -127,7 +130,7 @@
     ) -> collections.abc.Iterator[str]:
         life = self._life
         tokens = max(1, len(prompt) // 4)
-        self._receive(request_id, tokens)
+        self._receive(request_id, tokens, prompt[-TAG_CHARS:])
         finished = False
         try:
             with self._batch:
@@ -144,7 +147,7 @@
             if finished and life == self._life:
                 self._done_cold += 1
 
-    def _receive(self, request_id: str, tokens: int) -> None:
+    def _receive(self, request_id: str, tokens: int, tag: str) -> None:
         self._received += 1
         self._running[request_id] = tokens
         cold = self.cold
@@ -154,6 +157,7 @@
             cold=cold,
             running=len(self._running),
             prompt_tokens=tokens,
+            tag=tag,
         )
         over = len(self._running) > self.shape.cold_concurrency or (
             sum(self._running.values()) > self.shape.cold_prompt_tokens
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -62,6 +62,7 @@
             self._make_service(n, name)
             for n, name in enumerate(layout.services)
         ]
+        self.entries = list(layout.entries)
         self.data_centres = [
             {"name": name, "state": "in"} for name in layout.data_centres
         ]
@@ -133,11 +134,24 @@
             "instance": name,
             "data_centre": instance["data_centre"],
             **listeners,
-            "platform": [{"address": self.platform, "port": PLATFORM_PORT}],
+            "platform": [
+                {
+                    "address": self.publish_address(self.platform),
+                    "port": PLATFORM_PORT,
+                }
+            ],
             "event_file": str(self.folder / f"{name}.events.jsonl"),
         }
         path.write_text(yaml.safe_dump(settings))
-        self.running.start(name, "citronport", "serve", str(path))
+        self.run_instance(name, str(path))
+
+    def run_instance(self, name: str, settings_file: str) -> None:
+        """Start the process of an instance."""
+        self.running.start(name, "citronport", "serve", settings_file)
+
+    def publish_address(self, address: str) -> str:
+        """Return the address under which others reach an address."""
+        return address
 
     def publish_catalogue(self) -> None:
         """Publish the next version of the catalogue."""
@@ -146,8 +160,8 @@
             "version": self.versions[PATH_CATALOGUE],
             "key_salt": KEY_SALT,
             "data_centres": self.data_centres,
-            "endpoints": self.endpoints,
-            "entries": [_hide_key(e) for e in self.layout.entries],
+            "endpoints": [self._publish(e) for e in self.endpoints],
+            "entries": [_hide_key(e) for e in self.entries],
         }
         self._put(PATH_CATALOGUE, yaml.safe_dump(catalogue))
 
@@ -156,7 +170,7 @@
         self.versions[PATH_INSTANCES] += 1
         listed = {
             "version": self.versions[PATH_INSTANCES],
-            "instances": self.instances,
+            "instances": [self._publish(i) for i in self.instances],
         }
         self._put(PATH_INSTANCES, yaml.safe_dump(listed))
 
@@ -169,7 +183,12 @@
 
     def set_platform(self, mode: str) -> None:
         """Take the platform down, make it stale, or bring it up."""
-        self._post(f"/admin/mode?mode={mode}", "")
+        _post(self.platform, PLATFORM_PORT, f"/admin/mode?mode={mode}", "")
+
+    def order_engine(self, name: str, path: str) -> None:
+        """Give an engine's stand-in an order, past all links."""
+        found = next(e for e in self.endpoints if e["name"] == name)
+        _post(found["address"], ENDPOINT_PORT, path, "")
 
     def stop_instances(self, seconds: float = 30.0) -> list[int | None]:
         """Order a graceful shutdown; return the exit codes."""
@@ -181,17 +200,18 @@
 
     def get_callers_addresses(self) -> list[str]:
         """Return where callers may connect."""
-        return [f"{i['address']}:{CALLER_PORT}" for i in self.instances]
+        return [
+            f"{self.publish_address(i['address'])}:{CALLER_PORT}"
+            for i in self.instances
+        ]
 
-    def _put(self, path: str, value: str) -> None:
-        self._post(
-            f"/admin/put?path={path}&version={self.versions[path]}", value
-        )
+    def _publish(self, item: dict[str, Any]) -> dict[str, Any]:
+        return {**item, "address": self.publish_address(item["address"])}
 
-    def _post(self, path: str, body: str) -> None:
-        client = geventhttpclient.HTTPClient(self.platform, PLATFORM_PORT)
-        client.post(path, body).read()
-        client.close()
+    def _put(self, path: str, value: str) -> None:
+        query = f"path={path}&version={self.versions[path]}"
+        order = f"/admin/put?{query}"
+        _post(self.platform, PLATFORM_PORT, order, value)
 
     def _make_instance(self, number: int) -> dict[str, Any]:
         centres = self.layout.data_centres
@@ -243,6 +263,12 @@
         }
 
 
+def _post(address: str, port: int, path: str, body: str) -> None:
+    client = geventhttpclient.HTTPClient(address, port)
+    client.post(path, body).read()
+    client.close()
+
+
 def _hide_key(entry: dict[str, Any]) -> dict[str, Any]:
     shown = {k: v for k, v in entry.items() if k != "key"}
     shown["key_sha256"] = platform_models.hash_key(KEY_SALT, entry["key"])
--- /dev/null
+++ b/standins/scenario.py
@@ -0,0 +1,246 @@
+"""Runs a scenario: processes, proxy, callers, checks."""
+
+import collections.abc
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+import gevent
+
+from standins import fleet as fleet_module
+from standins import processes
+from standins import proxy
+from standins import scenario_callers
+from standins import scenario_checks as checks
+from standins import scenario_expect
+from standins import scenario_fleet
+from standins import scenario_models as models
+
+POLL_SECONDS = 0.05
+
+
+class Runner:
+    """Runs the steps of one scenario.
+
+    Args:
+        scenario: what to run.
+        seed: decides all that is left to chance.
+        subnet: second and third number of the fleet's addresses.
+        tell: takes each line of the trace.
+    """
+
+    def __init__(
+        self,
+        scenario: models.Scenario,
+        seed: int,
+        subnet: str,
+        tell: collections.abc.Callable[[str], None],
+    ) -> None:
+        self.scenario = scenario
+        self.problems: list[str] = []
+        self._seed = seed
+        self._subnet = subnet
+        self._write = tell
+        self._began = time.monotonic()
+        self._ordered: dict[str, float] = {}
+
+    def run(self) -> list[str]:
+        """Run all steps; return what went wrong, empty if nothing did."""
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            processes.Processes(pathlib.Path(folder)) as running,
+        ):
+            links = proxy.Proxy(self._seed)
+            self.running = running
+            layout = fleet_module.Layout(
+                subnet=self._subnet,
+                **dict(self.scenario.layout),
+            )
+            self.fleet = scenario_fleet.ProxiedFleet(layout, running, links)
+            self.callers = scenario_callers.Callers(self.fleet, self.tell)
+            try:
+                self._run_steps()
+            finally:
+                self.callers.stop()
+                links.stop()
+        return self.problems
+
+    def tell(self, text: str) -> None:
+        """Add a line to the trace, with the time since the start."""
+        self._write(f"{time.monotonic() - self._began:8.3f} {text}")
+
+    def fail(self, text: str) -> None:
+        """Note that a promise broke or an expectation failed."""
+        self.tell(f"FAILED {text}")
+        self.problems.append(text)
+
+    def read_arrivals(self) -> list[checks.Arrival]:
+        """Return what the endpoints have received by now."""
+        return checks.read_arrivals(self.fleet.folder, self.endpoints)
+
+    @property
+    def endpoints(self) -> list[str]:
+        """The endpoints' names."""
+        return [e["name"] for e in self.fleet.endpoints]
+
+    def get_order_time(self, name: str) -> float:
+        """Return when a node was ordered out, wall clock time."""
+        return self._ordered[name]
+
+    def _run_steps(self) -> None:
+        self.fleet.start()
+        first = self.fleet.entries[0]["name"]
+        self._wait(models.Wait(served=first))
+        for step in self.scenario.steps:
+            self.tell(f"{step.verb} {_describe(step)}")
+            self._take(step)
+        self._settle()
+
+    def _settle(self) -> None:
+        # Late wrong-doing shows only when all is awake and joined again.
+        for name in [i["name"] for i in self.fleet.instances]:
+            if self.running.is_running(name):
+                self.running.signal(name, signal.SIGCONT)
+        self.fleet.links.heal(lambda source, target: True)
+        for by in {record.by for record in self.callers.records}:
+            if not self.callers.wait(by, 60.0):
+                self.fail(f"{by}: a caller never got its outcome")
+        gevent.sleep(self.scenario.settle)
+        for problem in checks.check_always(
+            self.callers.records,
+            self.read_arrivals(),
+            self.fleet.folder,
+            self.endpoints,
+        ):
+            self.fail(problem)
+
+    def _take(self, step: models.Step) -> None:
+        value = getattr(step, step.verb)
+        match step.verb:
+            case "start":
+                self.fleet.start_instance(value)
+            case "kill":
+                self.running.signal(value, signal.SIGKILL)
+                self.running.wait(value, 5.0)
+            case "freeze":
+                self.running.signal(value, signal.SIGSTOP)
+            case "wake":
+                self.running.signal(value, signal.SIGCONT)
+            case "stop":
+                self.running.signal(value, signal.SIGTERM)
+            case "platform":
+                self.fleet.set_platform(value)
+            case "edit":
+                self._edit(value)
+            case "edits":
+                gevent.joinall([gevent.spawn(self._edit, e) for e in value])
+            case "send":
+                self.callers.send(value)
+            case "wait":
+                self._wait(value)
+            case "expect":
+                scenario_expect.check(self, value)
+            case _:
+                self._strike(step)
+
+    def _strike(self, step: models.Step) -> None:
+        match step.verb:
+            case "cut":
+                self._cut(step.cut)
+            case "partition":
+                self._part(step.partition)
+            case "heal":
+                self._heal(step.heal)
+            case "cold":
+                self.fleet.order_engine(step.cold, "/admin/cold")
+            case "slow":
+                for name, factor in step.slow.items():
+                    self.fleet.order_engine(
+                        name, f"/admin/slow?factor={factor}"
+                    )
+
+    def _cut(self, cut: models.Cut) -> None:
+        fault = proxy.Fault(
+            how=cut.how, seconds=cut.seconds, size=cut.size, share=cut.share
+        )
+        for one in self.fleet.find_names(cut.between):
+            for other in self.fleet.find_names(cut.and_):
+                self.fleet.links.strike(one, other, fault)
+                if not cut.one_way:
+                    self.fleet.links.strike(other, one, fault)
+
+    def _part(self, partition: models.Partition) -> None:
+        fault = proxy.Fault(how=partition.how)
+        groups = [self.fleet.find_names(group) for group in partition.groups]
+        for group in groups:
+            for other in groups:
+                if other is group:
+                    continue
+                for source in group:
+                    for target in other:
+                        self.fleet.links.strike(source, target, fault)
+
+    def _heal(self, name: str) -> None:
+        self.fleet.links.heal(lambda *pair: name == "all" or name in pair)
+
+    def _edit(self, edit: models.Edit) -> None:
+        named = edit.data_centre or edit.endpoint or edit.instance
+        if named and edit.state != "in":
+            self._ordered[named] = time.time()
+        self.fleet.edit(edit)
+
+    def _wait(self, wait: models.Wait) -> None:
+        end = time.monotonic() + wait.seconds
+        if not wait.model_fields_set - {"seconds"}:
+            gevent.sleep(wait.seconds)
+            return
+        while not self._has_happened(wait):
+            if time.monotonic() > end:
+                self.fail(f"never happened: {_describe_model(wait)}")
+                return
+            gevent.sleep(POLL_SECONDS)
+
+    def _has_happened(self, wait: models.Wait) -> bool:
+        if wait.outcomes:
+            return self.callers.wait(wait.outcomes, 0)
+        if wait.received:
+            return self._count_received(wait.received) >= (wait.count or 1)
+        if wait.ended:
+            return not self.running.is_running(wait.ended)
+        names = wait.at or tuple(i["name"] for i in self.fleet.instances)
+        return all(self.callers.is_served(wait.served, n) for n in names)
+
+    def _count_received(self, by: str) -> int:
+        tags = {r.tag for r in self.callers.records if r.by == by}
+        return sum(arrival.tag in tags for arrival in self.read_arrivals())
+
+
+def _describe(step: models.Step) -> str:
+    value = getattr(step, step.verb)
+    if isinstance(value, str | dict):
+        return str(value)
+    if isinstance(value, tuple):
+        return "; ".join(_describe_model(item) for item in value)
+    return _describe_model(value)
+
+
+def _describe_model(model: models.Step) -> str:
+    fields = model.model_dump(exclude_unset=True, mode="json")
+    return ", ".join(f"{name}: {value}" for name, value in fields.items())
+
+
+def run_file(file: str, seed: int = 1, subnet: str = "40.1") -> None:
+    """Run a scenario file; exit 0 if all its expectations held, else 1."""
+    try:
+        scenario = models.read_scenario(pathlib.Path(file))
+    except (OSError, ValueError) as error:
+        print(f"{file}: {error}", file=sys.stderr)
+        sys.exit(2)
+    print(f"promise: {scenario.promise}\nseed: {seed}", flush=True)
+    problems = Runner(
+        scenario, seed, subnet, lambda line: print(line, flush=True)
+    ).run()
+    print(f"{len(problems)} problems", flush=True)
+    sys.exit(1 if problems else 0)
--- /dev/null
+++ b/standins/scenario_callers.py
@@ -0,0 +1,226 @@
+"""The named callers of a scenario and the records that they keep."""
+
+import collections.abc
+import dataclasses
+import itertools
+import json
+import time
+from typing import Any
+
+import gevent
+
+from standins import answers
+from standins import caller
+from standins import engine
+from standins import scenario_fleet
+from standins import scenario_models as models
+
+LOOKUP_SECONDS = 20.0
+"""How long a caller tries to find an entry that answers."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """One sending of a request and what came of it.
+
+    Attributes:
+        began: wall clock time at which it was sent.
+        ended: wall clock time at which its outcome was known.
+        outcome: what the caller got.
+    """
+
+    began: float
+    ended: float
+    outcome: caller.Outcome
+
+
+@dataclasses.dataclass(kw_only=True)
+class Record:
+    """One request of a caller.
+
+    Attributes:
+        by: its group.
+        tag: unique; endpoints' journals name it.
+        tier: class of its catalogue entry.
+        send: how it was sent.
+        expected: the whole answer.
+        attempts: in order.
+    """
+
+    by: str
+    tag: str
+    tier: int
+    send: models.Send
+    expected: str
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+
+    @property
+    def last(self) -> caller.Outcome:
+        """The outcome that the caller is left with."""
+        return self.attempts[-1].outcome
+
+
+class Callers:
+    """Sends the requests of a scenario and keeps all outcomes.
+
+    Args:
+        fleet: where to send.
+        tell: takes one line for each outcome that is no whole answer.
+    """
+
+    def __init__(
+        self,
+        fleet: scenario_fleet.ProxiedFleet,
+        tell: collections.abc.Callable[[str], None],
+    ) -> None:
+        self.records: list[Record] = []
+        self._fleet = fleet
+        self._tell = tell
+        self._tasks: dict[str, list[gevent.Greenlet]] = {}
+        self._numbers = itertools.count(1)
+
+    def send(self, send: models.Send) -> None:
+        """Start a group of requests."""
+        name = send.entry or self._fleet.layout.entries[0]["name"]
+        entry = next(e for e in self._fleet.entries if e["name"] == name)
+        tasks = self._tasks.setdefault(send.by, [])
+        for number in range(send.count):
+            record = self._make_record(send, entry)
+            self.records.append(record)
+            tasks.append(
+                gevent.spawn_later(
+                    number * send.every,
+                    self._run,
+                    record,
+                    entry["key"],
+                    number,
+                )
+            )
+        if send.wait:
+            self.wait(send.by, send.deadline + LOOKUP_SECONDS)
+
+    def wait(self, by: str, seconds: float) -> bool:
+        """Wait for all outcomes of a group; return whether they came."""
+        tasks = self._tasks.get(by, [])
+        gevent.joinall(tasks, timeout=seconds)
+        return all(task.ready() for task in tasks)
+
+    def get_records(self, by: str) -> list[Record]:
+        """Return the requests of a group that have an outcome."""
+        return [r for r in self.records if r.by == by and r.attempts]
+
+    def is_served(self, entry: str, instance: str) -> bool:
+        """Return whether an instance accepts an entry's key."""
+        key = next(e["key"] for e in self._fleet.entries if e["name"] == entry)
+        try:
+            caller.look_up(self._fleet.get_address(instance), key)
+        except OSError:
+            return False
+        return True
+
+    def stop(self) -> None:
+        """End all callers."""
+        for tasks in self._tasks.values():
+            gevent.killall(tasks, block=False)
+
+    def _make_record(self, send: models.Send, entry: dict[str, Any]) -> Record:
+        tag = f"{send.by[:16]}-{next(self._numbers):05d}".rjust(
+            engine.TAG_CHARS, "."
+        )
+        if send.service:
+            body = json.dumps({"tag": tag}).encode()
+            expected = answers.make_receipt(body)
+        else:
+            expected = caller.make_expected(_make_body(send, tag))
+        return Record(
+            by=send.by,
+            tag=tag,
+            tier=entry["class"],
+            send=send,
+            expected=expected,
+        )
+
+    def _run(self, record: Record, key: str, number: int) -> None:
+        send = record.send
+        addresses, ticket = self._find_entries(send, key)
+        headers = _make_headers(record, ticket)
+        for attempt in range(send.repeats + 1):
+            address = addresses[(number + attempt) % len(addresses)]
+            outcome = self._send_once(record, key, address, headers)
+            if not _may_repeat(send, outcome):
+                return
+            gevent.sleep(outcome.retry_after or 0.1)
+
+    def _send_once(
+        self, record: Record, key: str, address: str, headers: dict[str, str]
+    ) -> caller.Outcome:
+        send = record.send
+        path = "/v1/chat/completions"
+        body = _make_body(send, record.tag)
+        if send.service:
+            path = f"/services/{send.to}/call"
+            body = {"tag": record.tag}
+        began = time.time()
+        outcome = caller.send(
+            address,
+            key,
+            path,
+            body,
+            deadline=send.deadline,
+            headers=headers,
+            method=send.method,
+        )
+        record.attempts.append(
+            Attempt(began=began, ended=time.time(), outcome=outcome)
+        )
+        if not outcome.whole:
+            self._tell(
+                f"outcome {record.tag.lstrip('.')} at {address}: "
+                f"status {outcome.status} code {outcome.code} "
+                f"{outcome.ran or 'no refusal'}, "
+                f"{len(outcome.text)} of {len(record.expected)} characters"
+            )
+        return outcome
+
+    def _find_entries(
+        self, send: models.Send, key: str
+    ) -> tuple[list[str], str]:
+        names = [i["name"] for i in self._fleet.instances]
+        asked = [send.at] if send.at else names
+        end = time.monotonic() + LOOKUP_SECONDS
+        for name in itertools.cycle(asked):
+            address = self._fleet.get_address(name)
+            try:
+                found = caller.look_up(address, key)
+            except OSError:
+                if time.monotonic() > end:
+                    return [address], ""
+                gevent.sleep(0.05)
+                continue
+            others = [a for a in found.addresses if a != address]
+            if send.at:
+                return [address, *others], found.ticket
+            return list(found.addresses) or [address], found.ticket
+        raise AssertionError("a cycle has no end")
+
+
+def _make_body(send: models.Send, tag: str) -> dict[str, Any]:
+    filler = "die history " * (send.prompt_chars // 12 + 1)
+    prompt = filler[: max(0, send.prompt_chars - len(tag))] + tag
+    return caller.make_chat(send.to, prompt, send.tokens, stream=send.stream)
+
+
+def _make_headers(record: Record, ticket: str) -> dict[str, str]:
+    headers = {}
+    if record.send.keyed:
+        headers["Idempotency-Key"] = record.tag.lstrip(".")
+        headers["X-Citronport-Ticket"] = ticket
+    if not record.send.idempotent:
+        headers["X-Non-Idempotent"] = "true"
+    return headers
+
+
+def _may_repeat(send: models.Send, outcome: caller.Outcome) -> bool:
+    if outcome.whole:
+        return False
+    return send.keyed or outcome.ran == "not run"
--- /dev/null
+++ b/standins/scenario_checks.py
@@ -0,0 +1,199 @@
+"""Checks over the stand-ins' journals and the callers' records only."""
+
+import collections
+import dataclasses
+import json
+import pathlib
+from typing import Any
+
+from standins import journal
+from standins import scenario_callers as callers
+
+SHED_CODES = frozenset({2101, 2102, 2104})
+"""Refusals for want of capacity."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that an endpoint received."""
+
+    time: float
+    endpoint: str
+    tag: str
+
+
+def read_arrivals(folder: pathlib.Path, endpoints: list[str]) -> list[Arrival]:
+    """Return what all endpoints received, as they wrote it down."""
+    found = []
+    for endpoint in endpoints:
+        for line in journal.read_lines(folder / f"{endpoint}.jsonl"):
+            if line["kind"] != "received":
+                continue
+            tag = line.get("tag") or _read_tag(line)
+            found.append(
+                Arrival(time=line["time"], endpoint=endpoint, tag=tag)
+            )
+    return sorted(found, key=lambda arrival: arrival.time)
+
+
+def _read_tag(line: dict[str, Any]) -> str:
+    try:
+        return json.loads(line["body"])["tag"]
+    except (KeyError, ValueError):
+        return "?"
+
+
+def check_always(
+    records: list[callers.Record],
+    arrivals: list[Arrival],
+    folder: pathlib.Path,
+    endpoints: list[str],
+) -> list[str]:
+    """Return each breach of a promise that holds in every scenario."""
+    return [
+        *check_once(arrivals),
+        *check_not_run(records, arrivals),
+        *check_answers(records),
+        *check_cold(folder, endpoints),
+    ]
+
+
+def check_once(arrivals: list[Arrival]) -> list[str]:
+    """Return the requests that endpoints received more than once."""
+    counts = collections.Counter(arrival.tag for arrival in arrivals)
+    return [
+        f"{tag} was received {count} times"
+        for tag, count in counts.items()
+        if count > 1
+    ]
+
+
+def check_not_run(
+    records: list[callers.Record], arrivals: list[Arrival]
+) -> list[str]:
+    """Return the requests that were called "not run" and were received."""
+    times = {arrival.tag: arrival.time for arrival in arrivals}
+    problems = []
+    for record in records:
+        if record.tag not in times or not record.attempts:
+            continue
+        early = any(
+            attempt.outcome.ran == "not run"
+            and attempt.ended > times[record.tag]
+            for attempt in record.attempts
+        )
+        if early or record.last.ran == "not run":
+            codes = [attempt.outcome.code for attempt in record.attempts]
+            problems.append(f"{record.tag} was received, codes {codes}")
+    return problems
+
+
+def check_answers(records: list[callers.Record]) -> list[str]:
+    """Return the answers that differ from what was asked for."""
+    problems = []
+    for record in records:
+        for attempt in record.attempts:
+            outcome = attempt.outcome
+            if outcome.status != 200:
+                continue
+            if outcome.whole and outcome.text != record.expected:
+                problems.append(f"{record.tag} got a wrong whole answer")
+            if not record.expected.startswith(outcome.text):
+                problems.append(f"{record.tag} got a wrong part")
+    return problems
+
+
+def check_cold(folder: pathlib.Path, endpoints: list[str]) -> list[str]:
+    """Return the cold starts that got more than they bear."""
+    return [
+        f"{endpoint} fell over in cold start"
+        for endpoint in endpoints
+        for line in journal.read_lines(folder / f"{endpoint}.jsonl")
+        if line["kind"] == "cold_overload"
+    ]
+
+
+def check_last_work(
+    arrivals: list[Arrival],
+    endpoints: list[str],
+    ordered: float,
+    within: float,
+) -> tuple[float, list[str]]:
+    """Return the time of the last new work after an order, and breaches.
+
+    Args:
+        arrivals: what all endpoints received.
+        endpoints: those that were to get nothing more.
+        ordered: wall clock time of the order.
+        within: seconds that are allowed.
+    """
+    late = [
+        a.time - ordered
+        for a in arrivals
+        if a.endpoint in endpoints and a.time > ordered
+    ]
+    last = max(late, default=0.0)
+    problems = []
+    if last > within:
+        problems.append(f"new work {last:.2f} s after the order")
+    return last, problems
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Traced:
+    request: str
+    tier: int
+    time: float
+
+
+def check_tier_order(folder: pathlib.Path, names: list[str]) -> list[str]:
+    """Return requests shed after which lower ones were still started.
+
+    A request of a lower tier that was dispatched, anywhere in the fleet,
+    between the arrival and the shedding of one of a higher tier has taken
+    a place that the higher one could have had.
+    """
+    tiers: dict[str, int] = {}
+    arrived: dict[str, float] = {}
+    shed: dict[str, float] = {}
+    started: list[_Traced] = []
+    for line in _read_events(folder, names):
+        if line["event"] == "RequestArrived":
+            tiers[line["request"]] = line["tier"]
+            arrived.setdefault(line["request"], line["time"])
+        for action in line["actions"]:
+            request = action["request"]
+            if action["kind"] == "Dispatch":
+                started.append(
+                    _Traced(
+                        request=request,
+                        tier=tiers[request],
+                        time=line["time"],
+                    )
+                )
+            if action.get("code") in SHED_CODES:
+                shed[request] = line["time"]
+    problems = []
+    for request, time in shed.items():
+        lower = [
+            s
+            for s in started
+            if s.tier > tiers[request] and arrived[request] < s.time < time
+        ]
+        if lower:
+            problems.append(
+                f"tier {tiers[request]} was shed after {len(lower)} of a "
+                f"lower tier were started"
+            )
+    return problems
+
+
+def _read_events(
+    folder: pathlib.Path, names: list[str]
+) -> list[dict[str, Any]]:
+    lines = [
+        line
+        for name in names
+        for line in journal.read_lines(folder / f"{name}.events.jsonl")
+    ]
+    return sorted(lines, key=lambda line: line["time"])
--- /dev/null
+++ b/standins/scenario_expect.py
@@ -0,0 +1,94 @@
+"""Checks the expectations of a scenario's steps."""
+
+import typing
+
+from standins import scenario_checks as checks
+from standins import scenario_models as models
+
+if typing.TYPE_CHECKING:
+    from standins import scenario
+
+
+def check(runner: "scenario.Runner", expect: models.Expect) -> None:
+    """Check one expect step; failures are noted at the runner."""
+    if expect.of:
+        _check_outcomes(runner, expect)
+    if expect.received is not None or expect.received_at_most is not None:
+        _check_received(runner, expect)
+    if expect.last_new_work:
+        _check_last_work(runner, expect)
+    if expect.exit:
+        code = runner.running.wait(expect.exit, expect.within)
+        if code != 0:
+            runner.fail(f"{expect.exit} ended with {code}, not 0")
+    if expect.tier_order:
+        names = [i["name"] for i in runner.fleet.instances]
+        for problem in checks.check_tier_order(runner.fleet.folder, names):
+            runner.fail(problem)
+
+
+def _check_outcomes(runner: "scenario.Runner", expect: models.Expect) -> None:
+    records = runner.callers.get_records(expect.of)
+    sent = sum(r.by == expect.of for r in runner.callers.records)
+    last = [record.last for record in records]
+    whole = sum(outcome.whole for outcome in last)
+    counts = {
+        "whole": whole,
+        "not_run": sum(outcome.ran == "not run" for outcome in last),
+        "cut": sum(
+            not outcome.whole and outcome.status == 200 for outcome in last
+        ),
+    }
+    counts["unknown"] = len(last) - counts["whole"] - counts["not_run"]
+    runner.tell(f"  {expect.of}: {len(last)} of {sent} ended, {counts}")
+    for name, count in counts.items():
+        wanted = getattr(expect, name)
+        if wanted == "all":
+            wanted = sent
+        if wanted is not None and count != wanted:
+            runner.fail(f"{expect.of}: {count} {name}, not {wanted}")
+    if expect.whole_at_least is not None and whole < expect.whole_at_least:
+        runner.fail(f"{expect.of}: {whole} whole, too few")
+    _check_codes(runner, expect)
+
+
+def _check_codes(runner: "scenario.Runner", expect: models.Expect) -> None:
+    if expect.codes is None:
+        return
+    given = {
+        attempt.outcome.code
+        for record in runner.callers.get_records(expect.of)
+        for attempt in record.attempts
+        if attempt.outcome.code is not None
+    }
+    if given - set(expect.codes):
+        runner.fail(f"{expect.of}: codes {sorted(given)}")
+
+
+def _check_received(runner: "scenario.Runner", expect: models.Expect) -> None:
+    tags = {r.tag for r in runner.callers.records if r.by == expect.of}
+    count = sum(arrival.tag in tags for arrival in runner.read_arrivals())
+    runner.tell(f"  {expect.of}: {count} received")
+    if expect.received is not None and count != expect.received:
+        runner.fail(f"{expect.of}: {count} received, not {expect.received}")
+    most = expect.received_at_most
+    if most is not None and count > most:
+        runner.fail(f"{expect.of}: {count} received, more than {most}")
+
+
+def _check_last_work(runner: "scenario.Runner", expect: models.Expect) -> None:
+    named = expect.last_new_work
+    endpoints = [
+        e["name"]
+        for e in runner.fleet.endpoints
+        if named in (e["name"], e["data_centre"])
+    ]
+    last, problems = checks.check_last_work(
+        runner.read_arrivals(),
+        endpoints,
+        runner.get_order_time(named),
+        expect.within,
+    )
+    runner.tell(f"  last new work {last:.3f} s after the order")
+    for problem in problems:
+        runner.fail(problem)
--- /dev/null
+++ b/standins/scenario_fleet.py
@@ -0,0 +1,93 @@
+"""A fleet whose every link runs through the fault proxy."""
+
+from standins import fleet
+from standins import processes
+from standins import proxy
+from standins import scenario_models
+
+PROXY_OFFSET = 5
+"""Added to the second number of an address: where the proxy stands for it."""
+
+
+class ProxiedFleet(fleet.Fleet):
+    """Publishes the proxy's addresses in place of the real ones.
+
+    Args:
+        layout: what stands where.
+        running: its processes.
+        links: the proxy.
+    """
+
+    def __init__(
+        self,
+        layout: fleet.Layout,
+        running: processes.Processes,
+        links: proxy.Proxy,
+    ) -> None:
+        super().__init__(layout, running)
+        self.links = links
+        self._listen("platform", self.platform, (fleet.PLATFORM_PORT,))
+        for endpoint in self.endpoints:
+            address = endpoint["address"]
+            self._listen(endpoint["name"], address, (fleet.ENDPOINT_PORT,))
+        for instance in self.instances:
+            self._listen(
+                instance["name"],
+                instance["address"],
+                (fleet.CALLER_PORT, fleet.PEER_PORT),
+            )
+            links.name_source(instance["address"], instance["name"])
+
+    def run_instance(self, name: str, settings_file: str) -> None:
+        """Start the process of an instance."""
+        self.running.start(name, "standins", "instance", settings_file)
+
+    def publish_address(self, address: str) -> str:
+        """Return the proxy's address for an address."""
+        first, second, *rest = address.split(".")
+        return ".".join([first, str(int(second) + PROXY_OFFSET), *rest])
+
+    def find_names(self, words: tuple[str, ...]) -> list[str]:
+        """Return the node names that names and group names stand for."""
+        groups = {
+            "entries": [i["name"] for i in self.instances],
+            "endpoints": [e["name"] for e in self.endpoints],
+        }
+        return [name for word in words for name in groups.get(word, [word])]
+
+    def get_address(self, name: str) -> str:
+        """Return where callers reach an instance."""
+        found = next(i for i in self.instances if i["name"] == name)
+        address = self.publish_address(found["address"])
+        return f"{address}:{fleet.CALLER_PORT}"
+
+    def edit(self, edit: scenario_models.Edit) -> None:
+        """Publish an operator's edit."""
+        if edit.instance:
+            _set_state(self.instances, edit.instance, edit.state)
+            self.publish_instances()
+            return
+        if edit.data_centre:
+            _set_state(self.data_centres, edit.data_centre, edit.state)
+        if edit.endpoint:
+            _set_state(self.endpoints, edit.endpoint, edit.state)
+        if edit.add_entry:
+            self.entries.append(edit.add_entry)
+        if edit.remove_entry:
+            gone = edit.remove_entry
+            self.entries = [e for e in self.entries if e["name"] != gone]
+        if edit.raw is not None:
+            self.versions[fleet.PATH_CATALOGUE] += 1
+            self._put(fleet.PATH_CATALOGUE, edit.raw)
+            return
+        self.publish_catalogue()
+
+    def _listen(self, name: str, address: str, ports: tuple[int, ...]) -> None:
+        for port in ports:
+            self.links.listen(
+                (self.publish_address(address), port), name, (address, port)
+            )
+
+
+def _set_state(items: list[dict], name: str, state: str) -> None:
+    next(item for item in items if item["name"] == name)["state"] = state
