--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -57,6 +57,7 @@
         self._tasks: dict[str, gevent.Greenlet] = {}
         self._at_endpoint: collections.Counter[str] = collections.Counter()
         self._refused_by: dict[str, tuple[str, ...]] = {}
+        self._refusals: dict[str, errors.Refusal] = {}
 
     def submit(self, run: runs.Run, *, forwarded: bool = False) -> None:
         """Take a run on; its answer comes through the run."""
@@ -156,6 +157,13 @@
         finally:
             self._at_endpoint[action.endpoint] -= 1
 
+    def _occupy(self, run: runs.Run, action: models.Dispatch) -> None:
+        self._at_endpoint[action.endpoint] += 1
+        try:
+            self._dispatch(run, action)
+        finally:
+            self._at_endpoint[action.endpoint] -= 1
+
     def _dispatch(self, run: runs.Run, action: models.Dispatch) -> None:
         request = run.work.request
         first = True
@@ -206,6 +214,7 @@
         run.watch.returned()
         # The other instance said in so many words that it did not run the
         # request, so that it may be decided again here.
+        self._refusals[run.request_id] = refusal
         tried = self._refused_by.get(run.request_id, ())
         self._refused_by[run.request_id] = (*tried, action.instance)
         self.post(
@@ -217,8 +226,14 @@
 
     def _refuse(self, action: models.Refuse) -> None:
         run = self._runs.get(action.request_id)
-        if run is not None:
-            self._finish(run, action.refusal)
+        if run is None:
+            return
+        refusal = action.refusal
+        if refusal.code == errors.Code.NO_ENDPOINT:
+            # Nobody is left to ask; what the last one said tells the
+            # caller more.
+            refusal = self._refusals.get(action.request_id, refusal)
+        self._finish(run, refusal)
 
     def _finish(self, run: runs.Run, refusal: errors.Refusal) -> None:
         run.deliver(messages.Refused(refusal=refusal))
@@ -238,3 +253,4 @@
             run.watch.end(telemetry_module.OUTCOME_LEFT)
         self._tasks.pop(request_id, None)
         self._refused_by.pop(request_id, None)
+        self._refusals.pop(request_id, None)
