Drain until all answers are out, and refuse for a while before the end

Ruled out: a longer sleep before the exit (a guess that cuts the longest). Change: wait for executor, answers to peers and answers to callers; refuse 'not run' for another second; flush the links. SIGTERM is handled from the start. Callers may connect once a catalogue is known.

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -14,6 +14,7 @@
 from citronport import runs
 from citronport import settings as settings_module
 from citronport import trace
+from citronport.callers import activity
 from citronport.callers import home
 from citronport.callers import server as caller_server
 from citronport.endpoints import client as endpoint_client
@@ -35,6 +36,16 @@
 """Pause between two looks at leases; a lease is checked before each send
 to a cold endpoint all the same."""
 
+POLL_SECONDS = 0.05
+"""Pause between two looks at whether a start or a stop has got on."""
+
+READY_SECONDS = 10.0
+"""How long a start waits for a catalogue before callers may connect."""
+
+LINGER_SECONDS = 1.0
+"""How long an idle instance goes on refusing before it ends; several
+reports to each neighbour go out in that time."""
+
 RELEASE_SECONDS = 10.0
 """How long an endpoint that was given up is offered to its new owner."""
 
@@ -92,20 +103,23 @@
 
     def serve(self) -> None:
         """Run until a stop is ordered and the work in progress is done."""
+        gevent.signal_handler(signal.SIGTERM, self.stop)
         listener = self.settings.peers
-        self.peers.serve(str(listener.address), listener.port)
+        peer_server = self.peers.serve(str(listener.address), listener.port)
         callers = self._make_caller_server()
-        callers.start()
         self._watch_platform()
         gevent.spawn(self._watch_endpoints)
         gevent.spawn(self.gossip.serve)
         gevent.spawn(self._assess)
         gevent.spawn(self.executor.serve)
-        gevent.signal_handler(signal.SIGTERM, self.stop)
+        self._wait_until_ready()
+        callers.start()
         logging.info("%s %s is up.", LOG, self.name)
         self._stopped.wait()
         self._drain()
-        callers.stop(timeout=0)
+        callers.stop(timeout=LINGER_SECONDS)
+        peer_server.stop(timeout=0)
+        self.peers.flush(LINGER_SECONDS)
         logging.info("%s %s is down.", LOG, self.name)
 
     def stop(self) -> None:
@@ -114,7 +128,14 @@
         self._stopped.set()
 
     def _make_caller_server(self) -> pywsgi.WSGIServer:
-        application = caller_server.Application(
+        self._activity = activity.Activity(self._make_application())
+        listener = self.settings.callers
+        return caller_server.make_server(
+            str(listener.address), listener.port, self._activity
+        )
+
+    def _make_application(self) -> caller_server.Application:
+        return caller_server.Application(
             self.published,
             self.records,
             self.ticker,
@@ -122,10 +143,6 @@
             self.executor.leave,
             self.gossip.find_silent,
         )
-        listener = self.settings.callers
-        return caller_server.make_server(
-            str(listener.address), listener.port, application
-        )
 
     def _watch_platform(self) -> None:
         gevent.spawn(
@@ -154,15 +171,31 @@
         if version >= mine.get(platform_const.PATH_INSTANCES, 0):
             self.owners.note_platform(asked)
 
+    def _wait_until_ready(self) -> None:
+        # A caller that connects before the first catalogue is here can
+        # only be refused; without a listener it goes to its next address
+        # at once.
+        for _ in range(int(READY_SECONDS / POLL_SECONDS)):
+            known = self.published.fleet and self.published.instances
+            if known or self._stopped.is_set():
+                return
+            self.ticker.sleep(POLL_SECONDS)
+
     def _drain(self) -> None:
         self._set_leaving(True)
-        while not self.executor.is_idle():
-            self.ticker.sleep(0.05)
-        # The endpoints are offered to their new owners before the end, so
-        # that these need not wait for this instance's lease to run out.
+        self._wait_until_idle()
+        # Callers and instances that have not heard of the leave yet still
+        # send; until they have, each gets a refusal that says "not run"
+        # instead of a broken connection, of which nobody knows the outcome.
+        self.ticker.sleep(LINGER_SECONDS)
+        self._wait_until_idle()
         self._update_ownership()
         self._offer_given()
-        self.ticker.sleep(instance_const.REPORT_SECONDS)
+
+    def _wait_until_idle(self) -> None:
+        parts = (self.executor, self.peers, self._activity)
+        while not all(part.is_idle() for part in parts):
+            self.ticker.sleep(POLL_SECONDS)
 
     def _set_leaving(self, leaving: bool) -> None:
         if leaving == self._leaving:
