--- /dev/null
+++ b/citronport/scheduler/const.py
@@ -0,0 +1,87 @@
+"""Constants of the decisions, each with its reason."""
+
+from typing import Final
+
+BACKLOG_SECONDS: Final = (2.0, 1.0, 0.5, 0.3)
+"""Prefill that may lie ahead of a new request at an endpoint, by tier.
+
+An endpoint prefills in the order of arrival, whatever the tier: what a
+lower tier has piled up there is what a higher tier waits for."""
+
+ROOM: Final = (1.0, 0.95, 0.85, 0.7)
+"""Part of an endpoint's concurrency that a tier may fill.
+
+The rest is there at once when a higher tier comes; without it a status
+read waits until a long review gives its place up."""
+
+OVERCOMMIT: Final = 0.5
+"""Part of the concurrency by which a tier may overfill an endpoint.
+
+Only where as many lower requests run there, and only for a request that
+could not be in time otherwise."""
+
+SLOW_START: Final = 0.25
+"""Part of the concurrency that a newly warm endpoint starts with."""
+
+FIRST_TOKEN_SLACK: Final = 3.0
+"""A first token is overdue after its expected time and so many seconds."""
+
+SPEED_GAIN: Final = 0.2
+"""Weight of the newest sample in moving averages of speeds and lengths."""
+
+SLOWEST: Final = 20.0
+"""Bound of the measured slowdown, so that one sample can't remove it."""
+
+DEFAULT_OUTPUT: Final = 100.0
+"""Expected answer tokens of an entry that has not answered yet."""
+
+AFFINE_CANDIDATES: Final = 2
+"""Endpoints that a prefix may live on; a third copy is prefill wasted."""
+
+RANDOM_CANDIDATES: Final = 2
+"""Further endpoints looked at; two of them remove most of the imbalance."""
+
+AFFINITY_BLOCK: Final = 7
+"""Prefix block that chooses the endpoint, counted from 0.
+
+Earlier blocks are the instructions that all of a workspace's requests
+begin with; all of them on one endpoint would overload it."""
+
+RING_POINTS: Final = 24
+"""Points of a mean endpoint on the ring; the spread is about a fifth."""
+
+TRIES: Final = 3
+"""Instances that may say "not run" before the caller is told."""
+
+UNKNOWN_WAIT: Final = 0.5
+"""Seconds taken for the wait at an instance that has not reported."""
+
+COLD_WAIT: Final = 3.0
+"""Seconds added to the wait where only cold endpoints are left."""
+
+SUMMARY_SECONDS: Final = 2.0
+"""An older summary of another instance counts no more."""
+
+PRESSURE: Final = 0.25
+"""Part of a tier's slack that it may wait before lower tiers stop.
+
+The rest is what the lower tiers in progress need to end by themselves."""
+
+HOLD_SECONDS: Final = 3.0
+"""Time without pressure before the next lower tier starts again."""
+
+HOLD_LONGEST: Final = 48.0
+"""Bound of that time; it doubles when pressure comes back soon."""
+
+MAX_QUEUED: Final = 2000
+"""Requests that may wait in one instance; bounds its memory."""
+
+RETRY_SHORTEST: Final = 0.5
+RETRY_LONGEST: Final = 60.0
+"""Bounds of the time to come back, seconds."""
+
+OVERDUE_SECONDS: Final = 1.0
+"""How long after its deadline a forwarded request is given up here."""
+
+MEMORY_ENTRIES: Final = 4096
+"""Catalogue entries whose lengths are remembered."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -1,10 +1,45 @@
-"""The scheduler of one entry instance: events in, actions out."""
+"""The scheduler of one entry instance: events in, actions out.
 
-import collections
+``Scheduler.handle(event, now)`` takes one event of ``models.Event`` with
+the clock time in seconds and returns the actions of ``models.Action`` to
+carry out, in order. ``now`` never goes back. The caller owes:
 
-from citronport import const
+- ``TimePassed`` at least each 50 ms; deadlines are looked at then;
+- ``FirstToken`` and one of ``AnswerFinished`` and ``DispatchFailed`` for
+  each ``Dispatch``, ``AnswerFinished`` also after a ``Cancel``;
+- ``AnswerFinished`` for each ``Forward`` that was answered, and
+  ``RequestArrived`` with ``refused_by`` for one that was refused with
+  "not run";
+- ``summarize()`` at a steady pace, to be handed to the other instances as
+  ``InstanceReported``.
+
+A request that is given up gets its ``Refuse`` in the same step.
+"""
+
+import dataclasses
+
+from citronport import const as common
 from citronport import errors
+from citronport.scheduler import const
+from citronport.scheduler import limits as limits_module
 from citronport.scheduler import models
+from citronport.scheduler import owner as owner_module
+from citronport.scheduler import placement
+from citronport.scheduler import pressure as pressure_module
+from citronport.scheduler import queue
+from citronport.scheduler import refusal
+from citronport.scheduler import routing
+
+GIVEN_UP = (
+    errors.Code.OVERLOADED,
+    errors.Code.DEADLINE_TOO_NEAR,
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Forwarded:
+    request: models.Request
+    instance: str
 
 
 class Scheduler:
@@ -18,14 +53,19 @@
         self.instance = instance
         self.fleet: models.Fleet | None = None
         self._owned: frozenset[str] = frozenset()
+        self._suspended: frozenset[str] = frozenset()
         self._owners: dict[str, str] = {}
-        self._connected: set[str] = set()
-        self._queues: list[collections.OrderedDict[str, models.Request]] = [
-            collections.OrderedDict() for _ in range(const.TIERS)
-        ]
-        self._running: dict[str, tuple[models.Request, str]] = {}
-        self._load: collections.Counter[str] = collections.Counter()
+        self._rings: dict[queue.Group, placement.Ring] = {}
+        self._owner = owner_module.Owner()
+        self._pressure = pressure_module.Pressure()
+        self._router = routing.Router(instance, self._owner, self._pressure)
+        self._limits = limits_module.Limits()
+        self._forwarded: dict[str, _Forwarded] = {}
+        self._deadlines = owner_module.Deadlines()
         self._leaving = False
+        self._floor_since = 0.0
+        self._floor = pressure_module.LOWEST
+        self._now = 0.0
 
     def handle(self, event: models.Event, now: float) -> list[models.Action]:
         """Take one event and return what to do about it.
@@ -37,163 +77,362 @@
         Returns:
             Actions in the order in which to carry them out.
         """
+        self._now = now
+        actions = self._take(event, now)
+        return [*actions, *self._owner.start(self._get_floor(now), now)]
+
+    def _take(self, event: models.Event, now: float) -> list[models.Action]:
         match event:
             case models.RequestArrived():
                 return self._admit(event, now)
             case models.RequestLeft():
-                return self._drop(event.request_id)
+                return self._drop(event.request_id, now)
+            case models.FirstToken():
+                self._owner.give_first_token(event.request_id, now)
             case models.AnswerFinished():
-                self._finish(event.request_id)
-                return self._start(now)
+                self._finish(event, now)
             case models.DispatchFailed():
                 return self._settle_failure(event, now)
+            case models.TimePassed():
+                return self._look(now)
+            case _:
+                return self._learn(event, now)
+        return []
+
+    def _learn(self, event: models.Event, now: float) -> list[models.Action]:
+        match event:
             case models.EndpointConnected():
-                self._connected.add(event.endpoint)
-                return self._start(now)
+                self._owner.connect(event.endpoint, now)
             case models.EndpointLost():
-                self._connected.discard(event.endpoint)
-                return []
+                self._owner.lose(event.endpoint)
+                return self._reroute(now)
+            case models.EndpointReported():
+                self._owner.report(event.endpoint, event.report, now)
+            case models.CacheReported():
+                self._owner.report_cache(event)
             case models.FleetChanged():
-                self.fleet = event.fleet
-                return self._start(now)
+                return self._change_fleet(event.fleet, now)
             case models.OwnershipChanged():
                 self._owned = event.owned
+                self._suspended = event.suspended
                 self._owners = event.owners
-                return self._start(now)
+                return self._apply(now)
+            case models.InstanceReported():
+                self._pressure.take_summary(event.summary, now)
+                self._router.forget_sent(event.summary.instance)
+            case models.InstanceGone():
+                self._pressure.forget(event.instance)
             case models.LeaveOrdered():
                 self._leaving = True
-                return []
-            case models.TimePassed():
-                return self._expire(now) + self._start(now)
-            case _:
-                return []
+        return []
 
     def summarize(self) -> models.InstanceSummary:
         """Return what the other instances are told."""
-        queued = tuple(
-            sum(r.prompt_tokens + r.max_tokens for r in queue.values())
-            for queue in self._queues
-        )
-        running = collections.Counter(
-            r.tier for r, _ in self._running.values()
-        )
+        now = self._now
+        usage = self._limits.summarize(now)
+        owner = self._owner
+        queued = [0] * common.TIERS
+        for waiting in owner.queue.iterate_all():
+            request = waiting.request
+            queued[request.tier] += request.prompt_tokens + request.max_tokens
+        waits = {}
+        free = {}
+        for group in self._rings:
+            names = owner.get_usable(group)
+            if not names:
+                continue
+            ahead = 0.0
+            row = []
+            for tier in range(common.TIERS):
+                ahead += owner.queue.get_cost(group, tier)
+                row.append(round(owner.estimate_wait(group, ahead, now), 3))
+            waits[group[1]] = tuple(row)
+            states = [owner.states[name] for name in names]
+            free[group[1]] = sum(
+                max(0, int(s.limit) - len(s.running)) for s in states
+            )
         return models.InstanceSummary(
             instance=self.instance,
             version=self.fleet.version if self.fleet else 0,
-            queued_tokens=queued,
-            running=tuple(running[t] for t in range(const.TIERS)),
+            queued_tokens=tuple(queued),
+            running=tuple(owner.get_running()),
+            free=free,
+            floor=self._pressure.own_floor,
+            usage={name: told[0] for name, told in usage.items()},
             leaving=self._leaving,
+            waits=waits,
+            rates={name: told[1] for name, told in usage.items()},
+            token_rates={name: told[2] for name, told in usage.items()},
         )
 
     def is_idle(self) -> bool:
         """Return whether nothing waits or runs here."""
-        return not self._running and not any(self._queues)
+        return not (
+            len(self._owner.queue)
+            or sum(self._owner.get_running())
+            or self._forwarded
+        )
+
+    def _change_fleet(
+        self, fleet: models.Fleet, now: float
+    ) -> list[models.Action]:
+        if self.fleet is not None and fleet.version < self.fleet.version:
+            return []
+        known = self.fleet
+        self.fleet = fleet
+        # Most changes are of one owner's limits: the rings stay.
+        if known is None or (known.endpoints, known.data_centres) != (
+            fleet.endpoints,
+            fleet.data_centres,
+        ):
+            self._rings = placement.make_rings(fleet)
+        return self._apply(now)
+
+    def _apply(self, now: float) -> list[models.Action]:
+        if self.fleet is None:
+            return []
+        self._owner.apply(
+            self.fleet, self._rings, self._owned, self._suspended, now
+        )
+        self._router.apply(self.fleet, self._rings, self._owners)
+        return self._reroute(now)
+
+    def _reroute(self, now: float) -> list[models.Action]:
+        """Decide again for what waits for endpoints that are gone."""
+        actions: list[models.Action] = []
+        for waiting in self._owner.queue.iterate_all():
+            request = waiting.request
+            if self._owner.get_usable(queue.get_group(request)):
+                continue
+            self._owner.queue.pop(request.request_id)
+            actions += self._place(request, waiting.forwarded, (), now)
+        return actions
 
     def _admit(
         self, event: models.RequestArrived, now: float
     ) -> list[models.Action]:
         request = event.request
         if self.fleet is None:
-            return [_refuse(request, errors.Code.NO_CATALOGUE, 1.0)]
-        if self._leaving:
-            return [_refuse(request, errors.Code.LEAVING, 0.0)]
-        fitting = self._find_fitting(request)
-        if not fitting:
-            return [_refuse(request, errors.Code.NO_ENDPOINT, 1.0)]
-        if any(name in self._owned for name in fitting):
-            self._queues[request.tier][request.request_id] = request
-            return self._start(now)
-        if event.forwarded:
-            return [_refuse(request, errors.Code.NO_ENDPOINT, 1.0)]
-        owner = self._owners.get(fitting[0])
-        if owner is None or owner in event.refused_by:
-            return [_refuse(request, errors.Code.NO_ENDPOINT, 1.0)]
-        return [models.Forward(request_id=request.request_id, instance=owner)]
-
-    def _find_fitting(self, request: models.Request) -> list[str]:
+            return [refusal.refuse(request, errors.Code.NO_CATALOGUE, 1.0)]
+        if self._leaving and not event.refused_by:
+            return [refusal.refuse(request, errors.Code.LEAVING, 0.0)]
+        if event.refused_by:
+            self._forwarded.pop(request.request_id, None)
+        elif not event.forwarded:
+            refused = self._check_limits(request, now)
+            if refused is not None:
+                return [refused]
+        return self._place(request, event.forwarded, event.refused_by, now)
+
+    def _check_limits(
+        self, request: models.Request, now: float
+    ) -> models.Refuse | None:
         assert self.fleet is not None
+        entry = self.fleet.entries.get(request.entry)
+        if entry is None:
+            return None
+        refused = self._limits.admit(
+            request, entry, self._pressure.get_fresh(now), now
+        )
+        if refused is None:
+            return None
+        return refusal.refuse(request, *refused)
+
+    def _place(
+        self,
+        request: models.Request,
+        forwarded: bool,
+        refused_by: tuple[str, ...],
+        now: float,
+    ) -> list[models.Action]:
+        if self._is_floored(request, now):
+            return self._shed(request, errors.Code.OVERLOADED, now)
+        if forwarded:
+            return self._take_in(request, now, forwarded=True)
+        if len(refused_by) >= const.TRIES:
+            return self._shed(request, errors.Code.OVERLOADED, now)
+        choice = self._router.choose(request, refused_by, now)
+        if choice is None:
+            return self._shed(request, errors.Code.NO_ENDPOINT, now)
+        self._router.record(request, choice)
+        if choice.instance == self.instance:
+            return self._take_in(request, now, forwarded=False)
+        self._forwarded[request.request_id] = _Forwarded(
+            request=request, instance=choice.instance
+        )
+        self._deadlines.add(
+            request.deadline + const.OVERDUE_SECONDS, request.request_id
+        )
         return [
-            e.name
-            for e in self.fleet.endpoints.values()
-            if e.kind == request.kind
-            and request.model in e.models
-            and e.state == models.Service.IN
-            and self.fleet.data_centres.get(e.data_centre) == models.Service.IN
+            models.Forward(
+                request_id=request.request_id, instance=choice.instance
+            )
         ]
 
-    def _start(self, now: float) -> list[models.Action]:
-        actions: list[models.Action] = []
-        for queue in self._queues:
-            for request in list(queue.values()):
-                endpoint = self._choose(request)
-                if endpoint is None:
-                    continue
-                del queue[request.request_id]
-                self._running[request.request_id] = (request, endpoint)
-                self._load[endpoint] += 1
-                actions.append(
-                    models.Dispatch(
-                        request_id=request.request_id, endpoint=endpoint
-                    )
-                )
-        return actions
+    def _take_in(
+        self, request: models.Request, now: float, *, forwarded: bool
+    ) -> list[models.Action]:
+        """Let a request wait here, or refuse it.
+
+        Load: sustained overload. Harm: a queue longer than the deadline
+        only makes answers that nobody waits for. Limit: the work ahead,
+        at the measured speed, must end before the deadline; but as long
+        as a lower tier is served anywhere, that one stops first.
+        """
+        owner = self._owner
+        group = queue.get_group(request)
+        if not owner.get_usable(group):
+            return self._shed(request, errors.Code.NO_ENDPOINT, now)
+        weight = self._get_weight(request)
+        ahead = owner.queue.get_cost_ahead(request, weight)
+        wait = ahead / max(0.01, owner.get_capacity(group))
+        end = now + wait + owner.estimate_service(request)
+        if end > request.deadline and not self._has_lower(request, now):
+            return self._shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
+        made = self._make_room(request, now)
+        if made is None:
+            return self._shed(request, errors.Code.OVERLOADED, now)
+        waiting = queue.Waiting(
+            request=request,
+            since=now,
+            cost=owner.estimate_cost(request),
+            forwarded=forwarded,
+        )
+        owner.queue.push(waiting, weight)
+        self._deadlines.add(
+            request.deadline - owner.estimate_service(request) * 0.5,
+            request.request_id,
+        )
+        self._deadlines.add(request.deadline, request.request_id)
+        return made
+
+    def _make_room(
+        self, request: models.Request, now: float
+    ) -> list[models.Action] | None:
+        owner = self._owner
+        if len(owner.queue) < const.MAX_QUEUED:
+            return []
+        youngest = owner.queue.get_youngest(request.tier)
+        if youngest is None:
+            return None
+        owner.queue.pop(youngest.request.request_id)
+        return self._shed(youngest.request, errors.Code.OVERLOADED, now)
 
-    def _choose(self, request: models.Request) -> str | None:
+    def _get_weight(self, request: models.Request) -> float:
         assert self.fleet is not None
-        free = [
-            name
-            for name in self._find_fitting(request)
-            if name in self._owned
-            and name in self._connected
-            and self._load[name] < self.fleet.endpoints[name].cold_concurrency
-        ]
-        return min(free, key=lambda name: self._load[name], default=None)
+        entry = self.fleet.entries.get(request.entry)
+        return entry.weight if entry else 1.0
 
-    def _drop(self, request_id: str) -> list[models.Action]:
-        for queue in self._queues:
-            if queue.pop(request_id, None) is not None:
-                return []
-        if request_id not in self._running:
+    def _has_lower(self, request: models.Request, now: float) -> bool:
+        running = self._owner.get_running()
+        return self._pressure.has_lower(request.tier, running, now)
+
+    def _get_floor(self, now: float) -> int:
+        floor = self._pressure.get_floor(now)
+        if floor != self._floor:
+            if floor < self._floor:
+                self._floor_since = now
+            self._floor = floor
+        return floor
+
+    def _is_floored(self, request: models.Request, now: float) -> bool:
+        # A short pressure passes while a long request can still wait; one
+        # that lasts would only let it wait until it is too late.
+        if request.tier <= self._get_floor(now):
+            return False
+        slack = request.deadline - now
+        return now - self._floor_since > slack * const.PRESSURE
+
+    def _shed(
+        self, request: models.Request, code: errors.Code, now: float
+    ) -> list[models.Action]:
+        group = queue.get_group(request)
+        ahead = self._owner.queue.get_cost_ahead(request, 1.0)
+        capacity = max(0.1, self._owner.get_capacity(group))
+        wait = ahead / capacity
+        if request.tier > self._get_floor(now):
+            wait += const.HOLD_SECONDS
+        self._limits.finish(request)
+        return [refusal.refuse(request, code, wait)]
+
+    def _drop(self, request_id: str, now: float) -> list[models.Action]:
+        waiting = self._owner.queue.pop(request_id)
+        if waiting is not None:
+            self._limits.finish(waiting.request)
             return []
-        endpoint = self._running[request_id][1]
-        return [models.Cancel(request_id=request_id, endpoint=endpoint)]
+        forwarded = self._forwarded.pop(request_id, None)
+        if forwarded is not None:
+            self._limits.finish(forwarded.request)
+            return [models.Cancel(request_id=request_id, endpoint="")]
+        return self._cancel(request_id, now)
 
-    def _finish(self, request_id: str) -> None:
-        running = self._running.pop(request_id, None)
-        if running is not None:
-            self._load[running[1]] -= 1
+    def _cancel(self, request_id: str, now: float) -> list[models.Action]:
+        request = self._owner.get_request(request_id)
+        place = self._owner.cancel(request_id, now)
+        if request is None or place is None:
+            return []
+        self._limits.finish(request)
+        return [models.Cancel(request_id=request_id, endpoint=place)]
+
+    def _finish(self, event: models.AnswerFinished, now: float) -> None:
+        request = self._owner.finish(
+            event.request_id, now, event.output_tokens
+        )
+        forwarded = self._forwarded.pop(event.request_id, None)
+        if request is None and forwarded is not None:
+            request = forwarded.request
+        if request is not None:
+            self._limits.finish(request)
 
     def _settle_failure(
         self, event: models.DispatchFailed, now: float
     ) -> list[models.Action]:
-        running = self._running.get(event.request_id)
-        self._finish(event.request_id)
-        if running is None:
-            return self._start(now)
-        request = running[0]
+        request = self._owner.fail(event.request_id, now, sent=event.sent)
+        if request is None:
+            return []
         if event.sent or request.deadline <= now:
-            refusal = _refuse(request, event.code, None)
-            return [refusal, *self._start(now)]
-        self._queues[request.tier][request.request_id] = request
-        return self._start(now)
+            self._limits.finish(request)
+            return [refusal.refuse(request, event.code, None)]
+        return self._take_in(request, now, forwarded=False)
 
-    def _expire(self, now: float) -> list[models.Action]:
+    def _look(self, now: float) -> list[models.Action]:
+        self._owner.check(now)
+        self._pressure.update(self._owner.find_pressed(now), now)
         actions: list[models.Action] = []
-        for queue in self._queues:
-            for request in list(queue.values()):
-                if request.deadline > now:
-                    continue
-                del queue[request.request_id]
-                actions.append(
-                    _refuse(request, errors.Code.DEADLINE_PASSED_WAITING, 1.0)
-                )
+        for request_id in self._deadlines.pop_due(now):
+            actions += self._look_at(request_id, now)
         return actions
 
+    def _look_at(self, request_id: str, now: float) -> list[models.Action]:
+        owner = self._owner
+        request = owner.get_request(request_id)
+        if request is not None:
+            if now < request.deadline:
+                return []
+            late = errors.Code.DEADLINE_PASSED_RUNNING
+            return [
+                refusal.refuse(request, late, None),
+                *self._cancel(request_id, now),
+            ]
+        forwarded = self._forwarded.get(request_id)
+        if forwarded is not None:
+            late = errors.Code.DEADLINE_PASSED_RUNNING
+            return [
+                refusal.refuse(forwarded.request, late, None),
+                *self._drop(request_id, now),
+            ]
+        if request_id not in owner.queue:
+            return []
+        return self._give_up(request_id, now)
 
-def _refuse(
-    request: models.Request, code: errors.Code, retry_after: float | None
-) -> models.Refuse:
-    return models.Refuse(
-        request_id=request.request_id,
-        refusal=errors.Refusal(code=code, retry_after=retry_after),
-    )
+    def _give_up(self, request_id: str, now: float) -> list[models.Action]:
+        waiting = self._owner.queue.pop(request_id)
+        assert waiting is not None
+        request = waiting.request
+        if now >= request.deadline:
+            late = errors.Code.DEADLINE_PASSED_WAITING
+            return self._shed(request, late, now)
+        if self._has_lower(request, now):
+            self._owner.queue.push(waiting, self._get_weight(request))
+            return []
+        return self._shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -204,6 +204,9 @@
             when there is no pressure.
         usage: requests in progress by catalogue entry.
         leaving: whether it takes no new work.
+        waits: seconds until a new request would start, by model and tier.
+        rates: requests a second admitted, by limited catalogue entry.
+        token_rates: tokens a second admitted, by limited entry.
     """
 
     instance: str
@@ -215,6 +218,11 @@
     floor: int = 3
     usage: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving: bool = False
+    waits: dict[str, tuple[float, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    token_rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 # Events
--- /dev/null
+++ b/citronport/scheduler/owner.py
@@ -0,0 +1,361 @@
+"""Decides for the endpoints that this instance owns."""
+
+import heapq
+import itertools
+import math
+
+from citronport import const as common
+from citronport.scheduler import budget
+from citronport.scheduler import const
+from citronport.scheduler import estimate
+from citronport.scheduler import models
+from citronport.scheduler import placement
+from citronport.scheduler import queue
+
+HEADS = 6
+"""Workspaces whose first request is looked at for a free place."""
+
+
+class Owner:
+    """Queue, budgets and caches of the owned endpoints."""
+
+    def __init__(self) -> None:
+        self.queue = queue.Queue()
+        self.states: dict[str, budget.State] = {}
+        self.lengths = estimate.Lengths()
+        self._caches: dict[str, estimate.Cache] = {}
+        self._places: dict[str, str] = {}
+        self._connected: dict[str, None] = {}
+        self._members: dict[queue.Group, list[str]] = {}
+        self._rings: dict[queue.Group, placement.Ring] = {}
+        self._running = [0] * common.TIERS
+
+    def apply(
+        self,
+        fleet: models.Fleet,
+        rings: dict[queue.Group, placement.Ring],
+        owned: frozenset[str],
+        suspended: frozenset[str],
+        now: float,
+    ) -> None:
+        """Follow the catalogue and the ownership."""
+        self._rings = rings
+        self._members = {}
+        for name in set(self.states) - owned - set(self._places.values()):
+            del self.states[name]
+            del self._caches[name]
+        for name in sorted(owned & fleet.endpoints.keys()):
+            spec = fleet.endpoints[name]
+            state = self.states.get(name)
+            if state is None:
+                state = budget.make_state(spec, now)
+                state.connected = name in self._connected
+                self.states[name] = state
+                self._caches[name] = estimate.Cache(spec.cache_tokens)
+            state.spec = spec
+            state.suspended = name in suspended
+            if placement.is_in_service(fleet, spec):
+                for model in spec.models:
+                    self._members.setdefault((spec.kind, model), []).append(
+                        name
+                    )
+
+    def connect(self, endpoint: str, now: float) -> None:
+        """A connection came up: a start, cold until shown warm."""
+        self._connected[endpoint] = None
+        if endpoint in self.states:
+            budget.connect(self.states[endpoint], now)
+            self._caches[endpoint].clear()
+
+    def lose(self, endpoint: str) -> None:
+        """A connection broke."""
+        self._connected.pop(endpoint, None)
+        if endpoint in self.states:
+            budget.lose(self.states[endpoint])
+
+    def report(
+        self, endpoint: str, report: models.LoadReport, now: float
+    ) -> None:
+        """A load report came."""
+        if endpoint in self.states:
+            budget.take_report(self.states[endpoint], report, now)
+
+    def report_cache(self, event: models.CacheReported) -> None:
+        """Cache events came."""
+        cache = self._caches.get(event.endpoint)
+        if cache is not None:
+            cache.evict(event.evicted)
+            cache.store(event.stored)
+
+    def get_usable(self, group: queue.Group) -> list[str]:
+        """Return owned endpoints in service that are connected."""
+        return [
+            name
+            for name in self._members.get(group, ())
+            if self.states[name].connected
+        ]
+
+    def get_running(self) -> list[int]:
+        """Return the requests in progress, by tier."""
+        return list(self._running)
+
+    def get_place(self, request_id: str) -> str | None:
+        """Return the endpoint at which a request runs."""
+        return self._places.get(request_id)
+
+    def get_request(self, request_id: str) -> models.Request | None:
+        """Return a request that runs."""
+        place = self._places.get(request_id)
+        if place is None:
+            return None
+        return self.states[place].running[request_id].request
+
+    def estimate_cost(self, request: models.Request) -> float:
+        """Return the work of a request, seconds of a mean endpoint."""
+        ring = self._rings.get(queue.get_group(request))
+        if ring is None:
+            return 0.1
+        return ring.get_cost(
+            self.lengths.get_uncached(request),
+            self.lengths.get_output(request),
+        )
+
+    def estimate_service(self, request: models.Request) -> float:
+        """Return the seconds a request takes once it is started."""
+        ring = self._rings.get(queue.get_group(request))
+        if ring is None:
+            return 0.1
+        names = self.get_usable(queue.get_group(request))
+        decode = max((self.states[n].decode for n in names), default=50.0)
+        prefill = self.lengths.get_uncached(request) / ring.prefill_rate
+        return prefill + self.lengths.get_output(request) / max(1.0, decode)
+
+    def get_capacity(self, group: queue.Group) -> float:
+        """Return the owned capacity, in mean endpoints."""
+        ring = self._rings.get(group)
+        if ring is None:
+            return 0.0
+        total = 0.0
+        for name in self.get_usable(group):
+            state = self.states[name]
+            part = state.spec.prefill_rate / ring.prefill_rate / state.slow
+            if not state.warm:
+                part *= 0.1
+            total += part
+        return total
+
+    def estimate_wait(
+        self, group: queue.Group, ahead: float, now: float
+    ) -> float:
+        """Return the seconds until a request would start.
+
+        Args:
+            group: what it needs.
+            ahead: work that is served before it, seconds.
+            now: clock time, seconds.
+        """
+        names = self.get_usable(group)
+        if not names:
+            return math.inf
+        waits = [budget.get_wait(self.states[n], now) for n in names]
+        cold = not any(self.states[n].warm for n in names)
+        wait = min(waits) + (const.COLD_WAIT if cold else 0.0)
+        return wait + ahead / max(0.01, self.get_capacity(group))
+
+    def start(self, floor: int, now: float) -> list[models.Dispatch]:
+        """Start what may be started, higher tiers first.
+
+        Args:
+            floor: lowest tier that may be started.
+            now: clock time, seconds.
+        """
+        dispatches: list[models.Dispatch] = []
+        if not self.queue:
+            return dispatches
+        waiting = sorted(
+            (tier, group)
+            for group, tier in self.queue.get_groups()
+            if tier <= floor
+        )
+        for tier, group in waiting:
+            if not any(
+                self._has_room(n, tier) for n in self.get_usable(group)
+            ):
+                continue
+            while True:
+                found = self._find_start(group, tier, now)
+                if found is None:
+                    break
+                dispatches.append(self._send(*found, now))
+        return dispatches
+
+    def _has_room(self, name: str, tier: int) -> bool:
+        # A cheap look first: most events find all endpoints full.
+        state = self.states[name]
+        most = state.spec.concurrency * (1 + const.OVERCOMMIT)
+        return len(state.running) < most
+
+    def _find_start(
+        self, group: queue.Group, tier: int, now: float
+    ) -> tuple[models.Request, str] | None:
+        heads = self.queue.iterate_heads(group, tier)
+        for waiting in itertools.islice(heads, HEADS):
+            place = self._choose(waiting, now)
+            if place is not None:
+                return waiting.request, place
+        return None
+
+    def _choose(self, waiting: queue.Waiting, now: float) -> str | None:
+        """Return the endpoint to start on, or None to wait.
+
+        Load: shared documents and unlike engines. Harm: the first free
+        endpoint prefills again what another one holds, or is slower by
+        more than the wait for a better one. The endpoint with the
+        earliest expected first token is taken, its wait included; if that
+        one has no room now, waiting for it is what is best.
+        """
+        request = waiting.request
+        slack = request.deadline - waiting.since
+        urgent = now - waiting.since > slack * const.PRESSURE
+        best: tuple[float, str] | None = None
+        free: tuple[float, str] | None = None
+        for name in self.get_usable(queue.get_group(request)):
+            state = self.states[name]
+            if not state.warm and not budget.may_start(state, request, now):
+                continue
+            score = self._score(state, name, request, now)
+            may = budget.may_start(state, request, now) or (
+                urgent and budget.may_overcommit(state, request)
+            )
+            if best is None or score < best[0]:
+                best = (score, name)
+            if may and (free is None or score < free[0]):
+                free = (score, name)
+        if free is None or best is None:
+            return None
+        if free[1] != best[1] and not urgent:
+            return None
+        return free[1]
+
+    def _score(
+        self,
+        state: budget.State,
+        name: str,
+        request: models.Request,
+        now: float,
+    ) -> float:
+        cached = self._caches[name].count_cached(request)
+        prefill = estimate.get_prefill(state, request, cached)
+        if not state.warm:
+            prefill *= 4
+        output = self.lengths.get_output(request)
+        decode = output / max(1.0, state.decode)
+        return budget.get_wait(state, now) + prefill + decode
+
+    def _send(
+        self, request: models.Request, name: str, now: float
+    ) -> models.Dispatch:
+        self.queue.start(request.request_id)
+        state = self.states[name]
+        cache = self._caches[name]
+        cached = cache.count_cached(request)
+        self.lengths.learn_cached(
+            request.entry, cached / max(1, request.prompt_tokens)
+        )
+        prefill = estimate.get_prefill(state, request, cached)
+        cache.store(request.prefix)
+        budget.record_send(state, request, prefill, now)
+        self._places[request.request_id] = name
+        self._running[request.tier] += 1
+        return models.Dispatch(request_id=request.request_id, endpoint=name)
+
+    def give_first_token(self, request_id: str, now: float) -> None:
+        """The first token of a running request came."""
+        place = self._places.get(request_id)
+        if place is not None:
+            state = self.states[place]
+            budget.record_first_token(state, request_id, now)
+
+    def finish(
+        self, request_id: str, now: float, output_tokens: int
+    ) -> models.Request | None:
+        """A running request is over; return it."""
+        place = self._places.pop(request_id, None)
+        if place is None:
+            return None
+        state = self.states[place]
+        sent = budget.record_end(state, request_id, now, output_tokens)
+        assert sent is not None
+        self._running[sent.request.tier] -= 1
+        if output_tokens:
+            self.lengths.learn_output(sent.request.entry, output_tokens)
+        return sent.request
+
+    def fail(
+        self, request_id: str, now: float, *, sent: bool
+    ) -> models.Request | None:
+        """The dispatch of a request failed; return the request."""
+        place = self._places.pop(request_id, None)
+        if place is None:
+            return None
+        state = self.states[place]
+        entry = budget.record_failure(state, request_id, now, sent=sent)
+        assert entry is not None
+        self._running[entry.request.tier] -= 1
+        if sent and budget.has_cold_start(state.spec):
+            self._caches[place].clear()
+        return entry.request
+
+    def cancel(self, request_id: str, now: float) -> str | None:
+        """A running request is stopped; return its endpoint."""
+        place = self._places.pop(request_id, None)
+        if place is None:
+            return None
+        state = self.states[place]
+        self._running[state.running[request_id].request.tier] -= 1
+        budget.record_cancel(state, request_id, now)
+        return place
+
+    def check(self, now: float) -> None:
+        """Fall back to the cold budget where a first token is overdue."""
+        for state in self.states.values():
+            if (
+                state.warm
+                and budget.has_cold_start(state.spec)
+                and budget.find_overdue(state, now)
+            ):
+                state.slow = min(const.SLOWEST, state.slow * 2)
+                budget.suspect(state, now)
+
+    def find_pressed(self, now: float) -> int | None:
+        """Return the highest tier that waits too long, if any does."""
+        for tier, group in sorted(
+            (tier, group) for group, tier in self.queue.get_groups()
+        ):
+            heads = self.queue.iterate_heads(group, tier)
+            capacity = max(0.01, self.get_capacity(group))
+            wait = self.queue.get_cost(group, tier) / capacity
+            for waiting in itertools.islice(heads, HEADS):
+                slack = waiting.request.deadline - waiting.since
+                waited = now - waiting.since
+                if max(waited, wait) > slack * const.PRESSURE:
+                    return tier
+        return None
+
+
+class Deadlines:
+    """Request ids by a time at which to look at them again."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, str]] = []
+
+    def add(self, time: float, request_id: str) -> None:
+        """Look at a request at a time."""
+        heapq.heappush(self._heap, (time, request_id))
+
+    def pop_due(self, now: float) -> list[str]:
+        """Return the requests whose time has come."""
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            due.append(heapq.heappop(self._heap)[1])
+        return due
--- /dev/null
+++ b/citronport/scheduler/placement.py
@@ -0,0 +1,116 @@
+"""Which endpoints are candidates for a request: few, never all."""
+
+import bisect
+import collections.abc
+
+import xxhash
+
+from citronport.scheduler import const
+from citronport.scheduler import models
+
+
+class Ring:
+    """Endpoints of one model on a hash ring, weighted by their speed.
+
+    Load: thousands of endpoints. Harm: a decision that looks at all of
+    them costs more with each one. A lookup is a binary search; it is
+    built anew only when the set of endpoints changes.
+
+    Attributes:
+        prefill_rate: mean prompt tokens a second.
+        decode_rate: mean answer tokens a second of a full batch.
+    """
+
+    def __init__(self, endpoints: list[models.Endpoint]) -> None:
+        rates = [e.prefill_rate for e in endpoints]
+        mean = sum(rates) / max(1, len(rates))
+        points = []
+        for endpoint in endpoints:
+            weight = endpoint.prefill_rate / mean
+            for number in range(max(1, round(const.RING_POINTS * weight))):
+                spot = hash_text(f"{endpoint.name}/{number}")
+                points.append((spot, endpoint.name))
+        points.sort()
+        self._spots = [spot for spot, _ in points]
+        self._names = [name for _, name in points]
+        self._size = len(endpoints)
+        self.prefill_rate = mean
+        slots = [e.decode_rate * 0.6 * e.concurrency for e in endpoints]
+        self.decode_rate = sum(slots) / max(1, len(slots))
+
+    def get_cost(self, prompt_tokens: float, output_tokens: float) -> float:
+        """Return the seconds of a mean endpoint that a request takes.
+
+        Prefill and decoding go on side by side, so that the scarcer one
+        counts.
+        """
+        prefill = prompt_tokens / max(1.0, self.prefill_rate)
+        return max(prefill, output_tokens / max(1.0, self.decode_rate))
+
+    def find(self, key: int, count: int) -> list[str]:
+        """Return up to ``count`` distinct endpoints that follow a key."""
+        found: list[str] = []
+        at = bisect.bisect_left(self._spots, key)
+        for step in range(len(self._names)):
+            name = self._names[(at + step) % len(self._names)]
+            if name not in found:
+                found.append(name)
+            if len(found) >= min(count, self._size):
+                break
+        return found
+
+
+def hash_text(text: str) -> int:
+    """Return a 64-bit hash of a text, the same on each instance."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def draw_part(text: str) -> float:
+    """Return a number in [0, 1) that depends on a text only."""
+    return hash_text(text) / 2**64
+
+
+def make_rings(
+    fleet: models.Fleet,
+) -> dict[tuple[models.Kind, str], Ring]:
+    """Return a ring for each kind and model, of what is in service."""
+    groups: dict[tuple[models.Kind, str], list[models.Endpoint]] = {}
+    for endpoint in fleet.endpoints.values():
+        if not is_in_service(fleet, endpoint):
+            continue
+        for model in endpoint.models:
+            groups.setdefault((endpoint.kind, model), []).append(endpoint)
+    return {group: Ring(members) for group, members in groups.items()}
+
+
+def is_in_service(fleet: models.Fleet, endpoint: models.Endpoint) -> bool:
+    """Return whether operators let an endpoint have new work."""
+    centre = fleet.data_centres.get(endpoint.data_centre)
+    return endpoint.state == models.Service.IN and centre == models.Service.IN
+
+
+def find_candidates(ring: Ring, request: models.Request) -> list[str]:
+    """Return endpoints to choose from, those with the prefix first.
+
+    Load: documents that several requests share, uneven load. Harm: by
+    load alone each engine prefills each document; by prefix alone one
+    engine gets all of a popular document's requests. Two places for a
+    prefix and two by chance leave a way out at four looks.
+    """
+    found = []
+    if request.prefix:
+        block = min(len(request.prefix) - 1, const.AFFINITY_BLOCK)
+        # The key hashes the block: its own value may not be spread.
+        key = hash_text(str(request.prefix[block]))
+        found = ring.find(key, const.AFFINE_CANDIDATES)
+    chance = ring.find(hash_text(request.request_id), const.RANDOM_CANDIDATES)
+    return list(dict.fromkeys([*found, *chance]))
+
+
+def find_more(
+    ring: Ring, request: models.Request, seen: collections.abc.Container[str]
+) -> list[str]:
+    """Return a few further endpoints when the first ones are no good."""
+    key = hash_text(f"{request.request_id}/more")
+    found = ring.find(key, const.RANDOM_CANDIDATES * 2)
+    return [name for name in found if name not in seen]
--- /dev/null
+++ b/citronport/scheduler/routing.py
@@ -0,0 +1,164 @@
+"""Which instance a request goes to: the owner of a good candidate."""
+
+import collections
+import dataclasses
+import math
+
+from citronport.scheduler import const
+from citronport.scheduler import models
+from citronport.scheduler import owner as owner_module
+from citronport.scheduler import placement
+from citronport.scheduler import pressure as pressure_module
+from citronport.scheduler import queue
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """An instance and what is expected there.
+
+    Attributes:
+        instance: its name.
+        wait: seconds until the request starts there.
+        score: expected seconds until its first token.
+        key: affinity key of the prefix, if it has one.
+        endpoint: the candidate that the instance was chosen for.
+    """
+
+    instance: str
+    wait: float
+    score: float
+    key: int | None
+    endpoint: str
+
+
+class Router:
+    """Chooses among few candidates by the owners' summaries.
+
+    Load: entries with stale views of each other. Harm: all of them send
+    to the owner that was idle a moment ago. Few candidates, of which two
+    by chance, keep them apart, and what this instance sent since the
+    owner's last summary counts as its wait.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        owner: owner_module.Owner,
+        pressure: pressure_module.Pressure,
+    ) -> None:
+        self._instance = instance
+        self._owner = owner
+        self._pressure = pressure
+        self._rings: dict[queue.Group, placement.Ring] = {}
+        self._fleet: models.Fleet | None = None
+        self._owners: dict[str, str] = {}
+        self._sent: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._places: collections.OrderedDict[int, str] = (
+            collections.OrderedDict()
+        )
+
+    def apply(
+        self,
+        fleet: models.Fleet,
+        rings: dict[queue.Group, placement.Ring],
+        owners: dict[str, str],
+    ) -> None:
+        """Follow the catalogue and the ownership."""
+        self._fleet = fleet
+        self._rings = rings
+        self._owners = owners
+
+    def forget_sent(self, instance: str) -> None:
+        """A new summary of an instance counts what was sent to it."""
+        for key in [k for k in self._sent if k[0] == instance]:
+            del self._sent[key]
+
+    def choose(
+        self,
+        request: models.Request,
+        refused_by: tuple[str, ...],
+        now: float,
+    ) -> Choice | None:
+        """Return where to send a request, or None if there is nowhere."""
+        ring = self._rings.get(queue.get_group(request))
+        if ring is None:
+            return None
+        names = placement.find_candidates(ring, request)
+        best = self._choose_among(ring, names, request, refused_by, now)
+        slack = request.deadline - now
+        if best is None or best.score > slack * const.PRESSURE:
+            names += placement.find_more(ring, request, names)
+            best = self._choose_among(ring, names, request, refused_by, now)
+        return best
+
+    def record(self, request: models.Request, choice: Choice) -> None:
+        """Note that a request goes to the chosen instance."""
+        if choice.key is not None:
+            self._places[choice.key] = choice.endpoint
+            self._places.move_to_end(choice.key)
+            if len(self._places) > const.MEMORY_ENTRIES:
+                self._places.popitem(last=False)
+        cost = self._owner.estimate_cost(request)
+        self._sent[choice.instance, request.model] += cost
+
+    def _choose_among(
+        self,
+        ring: placement.Ring,
+        names: list[str],
+        request: models.Request,
+        refused_by: tuple[str, ...],
+        now: float,
+    ) -> Choice | None:
+        key = None
+        if request.prefix:
+            block = min(len(request.prefix) - 1, const.AFFINITY_BLOCK)
+            key = request.prefix[block]
+        best: Choice | None = None
+        for name in names:
+            instance = self._owners.get(name)
+            if instance is None or instance in refused_by:
+                continue
+            wait = self._get_wait(instance, request, now)
+            if wait == math.inf:
+                continue
+            score = wait + self._get_prefill(name, key, request)
+            if best is None or score < best.score:
+                best = Choice(
+                    instance=instance,
+                    wait=wait,
+                    score=score,
+                    key=key,
+                    endpoint=name,
+                )
+        return best
+
+    def _get_prefill(
+        self, name: str, key: int | None, request: models.Request
+    ) -> float:
+        assert self._fleet is not None
+        rate = self._fleet.endpoints[name].prefill_rate
+        known = key is not None and self._places.get(key) == name
+        part = 0.2 if known else 1.0
+        return request.prompt_tokens * part / rate
+
+    def _get_wait(
+        self, instance: str, request: models.Request, now: float
+    ) -> float:
+        group = queue.get_group(request)
+        if instance == self._instance:
+            ahead = sum(
+                self._owner.queue.get_cost(group, t)
+                for t in range(request.tier + 1)
+            )
+            return self._owner.estimate_wait(group, ahead, now)
+        summary = self._pressure.get_peer(instance, now)
+        if summary is None:
+            return const.UNKNOWN_WAIT
+        if summary.leaving:
+            return math.inf
+        waits = summary.waits.get(request.model)
+        if waits is None:
+            return math.inf if summary.waits else const.UNKNOWN_WAIT
+        return waits[request.tier] + self._sent[instance, request.model]
--- /dev/null
+++ b/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the project; run them with ``script/measure NAME``."""
--- /dev/null
+++ b/measures/decisions/aims.py
@@ -0,0 +1,104 @@
+"""The aims, each held against the same run."""
+
+import collections.abc
+from typing import Any
+
+Find = collections.abc.Callable[[str, str], dict[str, Any] | None]
+
+
+def print_aims(rows: list[dict[str, Any]]) -> None:
+    """Print each aim, whether it is met, and the worst figure."""
+    for text, values, met in judge(rows):
+        if values:
+            missed = [v for v in values if not met(v)]
+            word = "met" if not missed else f"MISSED in {len(missed)} runs"
+            print(f"{text}: {word}; all: {[round(v, 3) for v in values]}")
+
+
+def judge(
+    rows: list[dict[str, Any]],
+) -> list[tuple[str, list[float], collections.abc.Callable[[float], bool]]]:
+    """Return for each aim its text, its figures and when one meets it."""
+    own = [r for r in rows if r["policy"] == "citronport"]
+    plain = [r for r in own if not r["variant"]]
+    judged = [
+        (f"{key} is 0", [r[key] for r in plain], lambda v: v == 0)
+        for key in ("cold_overloads", "tier_inversions", "doubled", "lost")
+    ]
+    saturated = [r for r in plain if r["load"] == "saturation"]
+    judged += [
+        (
+            "saturation: top tier at least 0.99 of offered",
+            [_get_part(r, 0) for r in saturated],
+            lambda v: v >= 0.99,
+        ),
+        (
+            "saturation: total at least 0.90 of clairvoyant",
+            [
+                sum(r["goodput_by_tier"]) / sum(o["goodput_by_tier"])
+                for r in saturated
+                for o in _match(rows, r, "clairvoyant")
+            ],
+            lambda v: v >= 0.90,
+        ),
+        (
+            "wasted prefill at most 0.25 of least_reported",
+            [
+                r["wasted_prefill_tokens"] / o["wasted_prefill_tokens"]
+                for r in plain
+                for o in _match(rows, r, "least_reported")
+            ],
+            lambda v: v <= 0.25,
+        ),
+        (
+            "dc_leave_return: top tier at least 0.99 of offered",
+            [_get_part(r, 0) for r in plain if r["load"] == "dc_leave_return"],
+            lambda v: v >= 0.99,
+        ),
+        (
+            "skew: small workspaces at least 0.98 of what they get alone",
+            [
+                sum(_get_small(r)) / sum(_get_small(o))
+                for r in plain
+                for o in own
+                if r["load"] == "skew"
+                and o["variant"] == "alone"
+                and o["seed"] == r["seed"]
+            ],
+            lambda v: v >= 0.98,
+        ),
+        (
+            "slow_endpoint: costs at most 0.05 against going without it",
+            [
+                1 - sum(r["goodput_by_tier"]) / sum(o["goodput_by_tier"])
+                for r in plain
+                for o in own
+                if r["load"] == "slow_endpoint"
+                and o["variant"] == "without"
+                and o["seed"] == r["seed"]
+            ],
+            lambda v: v <= 0.05,
+        ),
+    ]
+    return judged
+
+
+def _match(
+    rows: list[dict[str, Any]], row: dict[str, Any], policy: str
+) -> list[dict[str, Any]]:
+    return [
+        r
+        for r in rows
+        if r["policy"] == policy
+        and r["load"] == row["load"]
+        and r["seed"] == row["seed"]
+    ]
+
+
+def _get_part(row: dict[str, Any], tier: int) -> float:
+    return row["goodput_by_tier"][tier] / max(1, row["offered_by_tier"][tier])
+
+
+def _get_small(row: dict[str, Any]) -> list[int]:
+    by_workspace = row["goodput_by_workspace"]
+    return [n for name, n in by_workspace.items() if name != "ws-1"]
--- /dev/null
+++ b/measures/decisions/baselines.py
@@ -0,0 +1,272 @@
+"""Policies that the project's own is measured against."""
+
+import itertools
+
+from citronport import errors
+from citronport.scheduler import models
+from measures.decisions import engine
+from measures.decisions import loads
+from measures.decisions import site as site_module
+
+TRIES = 3
+
+
+class Simple:
+    """Sends each request at once; keeps no queue and knows no tiers.
+
+    Args:
+        site: the world.
+        by_report: choose the least reported load, not the next in turn.
+    """
+
+    def __init__(self, site: site_module.Site, *, by_report: bool) -> None:
+        self._site = site
+        self._by_report = by_report
+        self._turn = itertools.count()
+        self._reports: dict[str, models.LoadReport] = {}
+        self._lives: dict[str, int] = {}
+        self._requests: dict[str, models.Request] = {}
+        self._places: dict[str, str] = {}
+        self._tries: dict[str, int] = {}
+
+    def arrive(self, arrival: loads.Arrival) -> None:
+        """Send it and give up at its deadline."""
+        request = arrival.request
+        self._requests[request.request_id] = request
+        self._site.clock.at(
+            request.deadline, self._give_up, request.request_id
+        )
+        self._send(request)
+
+    def connect(self, endpoint: str, *, up: bool) -> None:
+        """Use only endpoints that are connected."""
+        self._lives.pop(endpoint, None)
+        if up:
+            self._lives[endpoint] = self._site.engines[endpoint].life
+
+    def report(self, endpoint: str, report: models.LoadReport) -> None:
+        """Believe the report as it is."""
+        self._reports[endpoint] = report
+
+    def publish(self, fleet: models.Fleet) -> None:
+        """Follow the catalogue."""
+        self._fleet = fleet
+
+    def freeze(self, instance: str, seconds: float) -> None:
+        """Not modelled: the baselines have no instances that own a thing."""
+
+    def take_first_token(self, sender: str, request_id: str) -> None:
+        """Nothing depends on it."""
+
+    def finish(
+        self, sender: str, request_id: str, output: int, cached: int
+    ) -> None:
+        """The request is over."""
+        self._requests.pop(request_id, None)
+
+    def fail(self, sender: str, request_id: str, sent: bool) -> None:
+        """Try elsewhere if nothing was sent."""
+        request = self._requests.get(request_id)
+        if request is None:
+            return
+        self._tries[request_id] = self._tries.get(request_id, 0) + 1
+        if sent or self._tries[request_id] >= TRIES:
+            self._requests.pop(request_id)
+            self._site.refuse(request_id, errors.Code.ENDPOINT_LOST)
+            return
+        self._send(request)
+
+    def _give_up(self, request_id: str) -> None:
+        if self._requests.pop(request_id, None) is None:
+            return
+        self._site.refuse(request_id, errors.Code.DEADLINE_PASSED_RUNNING)
+        if request_id in self._places:
+            self._site.cancel(self._places[request_id], request_id)
+
+    def _send(self, request: models.Request) -> None:
+        usable = [
+            name
+            for name, endpoint in self._fleet.endpoints.items()
+            if name in self._lives
+            and request.model in endpoint.models
+            and self._fleet.data_centres[endpoint.data_centre]
+            == models.Service.IN
+        ]
+        if not usable:
+            self._requests.pop(request.request_id)
+            self._site.refuse(request.request_id, errors.Code.NO_ENDPOINT)
+            return
+        place = usable[next(self._turn) % len(usable)]
+        if self._by_report:
+            place = min(usable, key=self._get_load)
+        name = request.request_id
+        self._places[name] = place
+        self._site.send(
+            "any",
+            request,
+            place,
+            self._lives[place],
+            lambda: self._site.ledger.answer(name, self._site.clock.now),
+        )
+
+    def _get_load(self, name: str) -> float:
+        report = self._reports.get(name)
+        if report is None:
+            return 0.0
+        load = report.running + report.queued
+        return load / self._fleet.endpoints[name].concurrency
+
+
+class Clairvoyant:
+    """One queue that knows lengths and true states: the upper limit."""
+
+    LOOK = 60
+
+    def __init__(self, site: site_module.Site) -> None:
+        self._site = site
+        self._waiting: list[models.Request] = []
+        self._running: dict[str, tuple[models.Request, str]] = {}
+        self._sent: dict[str, set[str]] = {e: set() for e in site.engines}
+        self._backlog: dict[str, float] = dict.fromkeys(site.engines, 0.0)
+        self._fleet = site.fleet
+
+    def arrive(self, arrival: loads.Arrival) -> None:
+        """Queue it by tier and deadline."""
+        self._waiting.append(arrival.request)
+        self._waiting.sort(key=lambda r: (r.tier, r.deadline))
+        self._site.clock.at(
+            arrival.request.deadline, self._give_up, arrival.request
+        )
+        self._start()
+
+    def connect(self, endpoint: str, *, up: bool) -> None:
+        """It looks at the true state instead."""
+        self._start()
+
+    def report(self, endpoint: str, report: models.LoadReport) -> None:
+        """It looks at the true state instead."""
+
+    def publish(self, fleet: models.Fleet) -> None:
+        """Follow the catalogue."""
+        self._fleet = fleet
+
+    def freeze(self, instance: str, seconds: float) -> None:
+        """It has no instances."""
+
+    def take_first_token(self, sender: str, request_id: str) -> None:
+        """Nothing depends on it."""
+
+    def finish(
+        self, sender: str, request_id: str, output: int, cached: int
+    ) -> None:
+        """A place is free."""
+        self._free(request_id)
+        self._start()
+
+    def fail(self, sender: str, request_id: str, sent: bool) -> None:
+        """Send again what was not sent."""
+        request = self._free(request_id)
+        if request is not None:
+            self._site.refuse(request_id, errors.Code.ENDPOINT_LOST)
+        self._start()
+
+    def _free(self, request_id: str) -> models.Request | None:
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return None
+        self._sent[running[1]].discard(request_id)
+        return running[0]
+
+    def _give_up(self, request: models.Request) -> None:
+        name = request.request_id
+        if request in self._waiting:
+            self._waiting.remove(request)
+            self._site.refuse(name, errors.Code.DEADLINE_PASSED_RUNNING)
+        elif name in self._running:
+            place = self._running[name][1]
+            self._free(name)
+            self._site.cancel(place, name)
+            self._site.refuse(name, errors.Code.DEADLINE_PASSED_RUNNING)
+            self._start()
+
+    def _start(self) -> None:
+        if not any(self._has_room(e) for e in self._site.engines):
+            return
+        for request in list(self._waiting[: self.LOOK]):
+            best = self._choose(request)
+            if best is None:
+                continue
+            self._waiting.remove(request)
+            self._send(request, best)
+
+    def _has_room(self, name: str) -> bool:
+        target = self._site.engines[name]
+        return target.up and len(self._sent[name]) < target.shape.concurrency
+
+    def _choose(self, request: models.Request) -> str | None:
+        now = self._site.clock.now
+        best: tuple[float, str] | None = None
+        for name, target in self._site.engines.items():
+            if not self._fits(request, name, target):
+                continue
+            end = self._get_end(request, name, target)
+            if end <= request.deadline and (best is None or end < best[0]):
+                best = (end, name)
+        if best is None or best[0] < now:
+            return None
+        return best[1]
+
+    def _fits(
+        self, request: models.Request, name: str, target: engine.Engine
+    ) -> bool:
+        centre = self._fleet.data_centres[target.shape.data_centre]
+        if request.model not in target.shape.models or not self._has_room(
+            name
+        ):
+            return False
+        if centre != models.Service.IN:
+            return False
+        if not target.cold:
+            return True
+        tokens = request.prompt_tokens + sum(
+            self._running[r][0].prompt_tokens for r in self._sent[name]
+        )
+        return (
+            len(self._sent[name]) < target.shape.cold_concurrency
+            and tokens <= target.shape.cold_prompt_tokens
+        )
+
+    def _get_end(
+        self, request: models.Request, name: str, target: engine.Engine
+    ) -> float:
+        now = self._site.clock.now
+        begin = max(now, self._backlog[name])
+        batch = len(self._sent[name]) + 1
+        rate = target.shape.decode_rate / (1 + 0.05 * batch)
+        length = self._site.lengths[request.request_id]
+        decode = length / rate * target.slow
+        return begin + self._get_prefill(request, target) + decode
+
+    def _get_prefill(
+        self, request: models.Request, target: engine.Engine
+    ) -> float:
+        left = request.prompt_tokens - target.get_cached(request.prefix)
+        factor = engine.COLD_FACTOR if target.cold else 1.0
+        return max(1, left) / target.shape.prefill_rate * target.slow * factor
+
+    def _send(self, request: models.Request, place: str) -> None:
+        target = self._site.engines[place]
+        now = self._site.clock.now
+        self._backlog[place] = max(
+            now, self._backlog[place]
+        ) + self._get_prefill(request, target)
+        name = request.request_id
+        self._running[name] = (request, place)
+        self._sent[place].add(name)
+        self._site.send(
+            "any",
+            request,
+            place,
+            target.life,
+            lambda: self._site.ledger.answer(name, self._site.clock.now),
+        )
--- /dev/null
+++ b/measures/decisions/engine.py
@@ -0,0 +1,245 @@
+"""A small fake of an engine on the virtual clock."""
+
+import collections
+import collections.abc
+import dataclasses
+import heapq
+
+from citronport.scheduler import models
+from measures.decisions import timeline
+
+BLOCK_TOKENS = 128
+COLD_FACTOR = 4.0
+"""A cold engine prefills so many times slower."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Job:
+    """One request as an engine holds it.
+
+    Attributes:
+        request: the request.
+        output_tokens: true length of the answer.
+        first_token: called when the first token is there.
+        finished: called with the cached tokens when the answer is whole.
+        cut: called when the engine drops it.
+    """
+
+    request: models.Request
+    output_tokens: int
+    first_token: collections.abc.Callable[[], None]
+    finished: collections.abc.Callable[[int], None]
+    cut: collections.abc.Callable[[], None]
+    prefilled: int = 0
+    cached: int = 0
+    repeated: int = 0
+    over: bool = False
+    sequence: int = 0
+
+
+class Engine:
+    """Batch, serial prefill, shared decoding, prefix cache, cold start.
+
+    Attributes:
+        life: grows with each restart that breaks connections.
+        overloads: times it fell over in cold start.
+        seen: prefix blocks that any engine of the fleet has prefilled.
+    """
+
+    def __init__(
+        self,
+        shape: models.Endpoint,
+        clock: timeline.Timeline,
+        seen: set[int],
+        cold_seconds: float = 8.0,
+    ) -> None:
+        self.shape = shape
+        self.life = 1
+        self.up = True
+        self.slow = 1.0
+        self.overloads = 0
+        self.received_cold = 0
+        self.received = 0
+        self.seen = seen
+        self.broken: collections.abc.Callable[[], None] = lambda: None
+        self._clock = clock
+        self._cold_seconds = cold_seconds
+        self._warm_at = 0.0
+        self._cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._plan = 0
+        self._reset()
+
+    def _reset(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self._waiting: collections.deque[Job] = collections.deque()
+        self._prefills: collections.deque[Job] = collections.deque()
+        self._prefilling: Job | None = None
+        self._decoding: list[tuple[float, int, Job]] = []
+        self._in_batch = 0
+        self._progress = 0.0
+        self._at = self._clock.now
+        self._sequence = 0
+        self._rate_in_force = 0.0
+        self._plan += 1
+
+    @property
+    def cold(self) -> bool:
+        """Whether it is in cold start."""
+        return self._clock.now < self._warm_at
+
+    def turn_cold(self, *, restart: bool, down: float = 0.0) -> None:
+        """Drop all work and the cache and start over, cold.
+
+        Args:
+            restart: whether the connections break, too.
+            down: seconds until it listens again, if they do.
+        """
+        jobs = list(self.jobs.values())
+        self._reset()
+        self._cache.clear()
+        self._warm_at = self._clock.now + down + self._cold_seconds
+        for job in jobs:
+            job.over = True
+            job.cut()
+        if not restart:
+            return
+        self.life += 1
+        self.up = False
+        self.broken()
+        self._clock.after(down, self._rise, self.life)
+
+    def _rise(self, life: int) -> None:
+        if life == self.life:
+            self.up = True
+            self.broken()
+
+    def receive(self, job: Job) -> None:
+        """Take a job in as it comes."""
+        self.received += 1
+        self.jobs[job.request.request_id] = job
+        if self.cold:
+            self.received_cold += 1
+            tokens = sum(j.request.prompt_tokens for j in self.jobs.values())
+            if (
+                len(self.jobs) > self.shape.cold_concurrency
+                or tokens > self.shape.cold_prompt_tokens
+            ):
+                self.overloads += 1
+                self.turn_cold(restart=True, down=1.0)
+                return
+        self._waiting.append(job)
+        self._advance()
+
+    def cancel(self, request_id: str) -> None:
+        """Drop a job; what it prefilled was in vain."""
+        job = self.jobs.pop(request_id, None)
+        if job is None:
+            return
+        self._settle()
+        job.over = True
+        if job in self._waiting:
+            self._waiting.remove(job)
+        else:
+            self._in_batch -= 1
+            if job.prefilled and job is not self._prefilling:
+                self._advance()
+
+    def report(self) -> models.LoadReport:
+        """Return the true state, as a report that is not yet late."""
+        return models.LoadReport(
+            running=self._in_batch,
+            queued=len(self._waiting),
+            cold=self.cold,
+            age=0.0,
+            received=self.received,
+        )
+
+    def get_cached(self, prefix: tuple[int, ...]) -> int:
+        """Return how many prompt tokens the cache holds."""
+        count = 0
+        for block in prefix:
+            if block not in self._cache:
+                break
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def _advance(self) -> None:
+        self._settle()
+        while self._waiting and self._in_batch < self.shape.concurrency:
+            self._in_batch += 1
+            self._prefills.append(self._waiting.popleft())
+        self._start_prefill()
+        self._plan_finish()
+
+    def _start_prefill(self) -> None:
+        while self._prefilling is None and self._prefills:
+            job = self._prefills.popleft()
+            if job.over:
+                continue
+            prefix = job.request.prefix
+            tokens = job.request.prompt_tokens
+            job.cached = min(tokens - 1, self.get_cached(prefix))
+            job.prefilled = tokens - job.cached
+            known = 0
+            for block in prefix:
+                if block not in self.seen:
+                    break
+                known += BLOCK_TOKENS
+            job.repeated = max(0, min(tokens, known) - job.cached)
+            rate = self.shape.prefill_rate / self.slow
+            if self.cold:
+                rate /= COLD_FACTOR
+            self._prefilling = job
+            self._clock.after(
+                job.prefilled / rate, self._end_prefill, job, self.life
+            )
+
+    def _end_prefill(self, job: Job, life: int) -> None:
+        if life != self.life or self._prefilling is not job:
+            return
+        self._settle()
+        self._prefilling = None
+        for block in job.request.prefix:
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+            self.seen.add(block)
+        while len(self._cache) * BLOCK_TOKENS > self.shape.cache_tokens:
+            self._cache.popitem(last=False)
+        if not job.over:
+            self._sequence += 1
+            end = self._progress + job.output_tokens
+            heapq.heappush(self._decoding, (end, self._sequence, job))
+            job.first_token()
+        self._advance()
+
+    def _rate(self) -> float:
+        share = 1 + 0.05 * max(0, self._in_batch - 1)
+        return self.shape.decode_rate / share / self.slow
+
+    def _settle(self) -> None:
+        now = self._clock.now
+        self._progress += (now - self._at) * self._rate_in_force
+        self._at = now
+
+    def _plan_finish(self) -> None:
+        while self._decoding and self._decoding[0][2].over:
+            heapq.heappop(self._decoding)
+        self._rate_in_force = self._rate()
+        self._plan += 1
+        if not self._decoding:
+            return
+        left = max(0.0, self._decoding[0][0] - self._progress)
+        self._clock.after(left / self._rate_in_force, self._finish, self._plan)
+
+    def _finish(self, plan: int) -> None:
+        if plan != self._plan:
+            return
+        self._settle()
+        _, _, job = heapq.heappop(self._decoding)
+        job.over = True
+        self.jobs.pop(job.request.request_id, None)
+        self._in_batch -= 1
+        self._advance()
+        job.finished(job.cached)
--- /dev/null
+++ b/measures/decisions/instances.py
@@ -0,0 +1,233 @@
+"""Seven entry instances, each with a scheduler of the project."""
+
+import collections.abc
+
+from citronport import errors
+from citronport.scheduler import models
+from citronport.scheduler import ownership
+from measures.decisions import loads
+from measures.decisions import site as site_module
+
+NAMES = tuple(f"entry-{n}" for n in range(1, 8))
+SUMMARY_SECONDS = 0.25
+TICK_SECONDS = 0.05
+LEASE_SECONDS = 4.0
+"""A silent owner's endpoints go to others after so long."""
+
+REJOIN_SECONDS = 2.0
+"""A woken instance gets its endpoints back after so long."""
+
+
+class Instances:
+    """Runs schedulers and carries what they tell each other."""
+
+    def __init__(
+        self,
+        site: site_module.Site,
+        make: collections.abc.Callable[[str], object],
+    ) -> None:
+        self._site = site
+        self._clock = site.clock
+        self.schedulers = {name: make(name) for name in NAMES}
+        self._frozen: dict[str, list[models.Event]] = {}
+        self._silent: set[str] = set()
+        self._entry: dict[str, str] = {}
+        self._owner: dict[str, str] = {}
+        self._refused_by: dict[str, tuple[str, ...]] = {}
+        self._requests: dict[str, models.Request] = {}
+        self._lives: dict[str, int] = {}
+        self._settled: set[str] = set()
+        self._clock.after(0.0, self._tick)
+        self._clock.after(0.1, self._speak)
+        self._assign(NAMES)
+
+    def arrive(self, arrival: loads.Arrival) -> None:
+        """A caller sends to the first entry of its workspace."""
+        request = arrival.request
+        usable = [n for n in NAMES if n not in self._silent]
+        ranked = ownership.rank_instances(request.workspace, usable)
+        self._requests[request.request_id] = request
+        self._entry[request.request_id] = ranked[0]
+        self._handle(ranked[0], models.RequestArrived(request=request))
+
+    def connect(self, endpoint: str, *, up: bool) -> None:
+        """Every instance sees the connection."""
+        self._lives[endpoint] = self._site.engines[endpoint].life
+        event: models.Event = models.EndpointLost(endpoint=endpoint)
+        if up:
+            event = models.EndpointConnected(endpoint=endpoint)
+        self._tell_all(event)
+
+    def report(self, endpoint: str, report: models.LoadReport) -> None:
+        """Every instance reads the report."""
+        self._tell_all(
+            models.EndpointReported(endpoint=endpoint, report=report)
+        )
+
+    def publish(self, fleet: models.Fleet) -> None:
+        """Every instance gets the catalogue."""
+        self._tell_all(models.FleetChanged(fleet=fleet))
+
+    def freeze(self, instance: str, seconds: float) -> None:
+        """An instance stops; its lease runs out; it wakes up late."""
+        self._frozen[instance] = []
+        left = [n for n in NAMES if n != instance]
+        self._clock.after(2.0, self._fall_silent, instance)
+        self._clock.after(LEASE_SECONDS, self._assign, left)
+        self._clock.after(seconds, self._wake, instance)
+        self._clock.after(seconds + REJOIN_SECONDS, self._assign, NAMES)
+
+    def take_first_token(self, sender: str, request_id: str) -> None:
+        """See ``site.Policy``."""
+        self._handle(sender, models.FirstToken(request_id=request_id))
+
+    def finish(
+        self, sender: str, request_id: str, output: int, cached: int
+    ) -> None:
+        """See ``site.Policy``."""
+        self._handle(
+            sender,
+            models.AnswerFinished(
+                request_id=request_id,
+                output_tokens=output,
+                cached_tokens=cached,
+            ),
+        )
+        entry = self._entry[request_id]
+        if entry != sender:
+            event = models.AnswerFinished(request_id=request_id)
+            self._clock.after(site_module.HOP, self._handle, entry, event)
+
+    def fail(self, sender: str, request_id: str, sent: bool) -> None:
+        """See ``site.Policy``."""
+        self._handle(
+            sender, models.DispatchFailed(request_id=request_id, sent=sent)
+        )
+
+    def _tell_all(self, event: models.Event) -> None:
+        for name in NAMES:
+            self._handle(name, event)
+
+    def _assign(self, names: collections.abc.Iterable[str]) -> None:
+        names = list(names)
+        owners = {
+            endpoint: ownership.rank_instances(endpoint, names)[0]
+            for endpoint in self._site.engines
+        }
+        self._silent &= set(NAMES) - set(names)
+        for name in NAMES:
+            owned = frozenset(e for e, o in owners.items() if o == name)
+            self._handle(
+                name, models.OwnershipChanged(owned=owned, owners=owners)
+            )
+
+    def _fall_silent(self, instance: str) -> None:
+        if instance in self._frozen:
+            self._silent.add(instance)
+            self._tell_all(models.InstanceGone(instance=instance))
+
+    def _wake(self, instance: str) -> None:
+        missed = self._frozen.pop(instance)
+        # The daemon looks at its lease before anything else.
+        changes = [e for e in missed if isinstance(e, models.OwnershipChanged)]
+        if changes:
+            self._handle(
+                instance,
+                models.OwnershipChanged(
+                    owned=frozenset(), owners=changes[-1].owners
+                ),
+            )
+        for event in missed:
+            if not isinstance(event, models.TimePassed):
+                self._handle(instance, event)
+
+    def _tick(self) -> None:
+        self._tell_all(models.TimePassed())
+        if self._clock.now < loads.SECONDS + site_module.SETTLE:
+            self._clock.after(TICK_SECONDS, self._tick)
+
+    def _speak(self) -> None:
+        for name, scheduler in self.schedulers.items():
+            if name in self._frozen:
+                continue
+            event = models.InstanceReported(summary=scheduler.summarize())
+            for other in NAMES:
+                if other != name:
+                    self._clock.after(
+                        site_module.HOP, self._handle, other, event
+                    )
+        if self._clock.now < loads.SECONDS + site_module.SETTLE:
+            self._clock.after(SUMMARY_SECONDS, self._speak)
+
+    def _handle(self, name: str, event: models.Event) -> None:
+        if name in self._frozen:
+            self._frozen[name].append(event)
+            return
+        actions = self.schedulers[name].handle(event, self._clock.now)
+        for action in actions:
+            self._act(name, action)
+
+    def _act(self, name: str, action: models.Action) -> None:
+        request_id = action.request_id
+        match action:
+            case models.Dispatch():
+                self._dispatch(name, action)
+            case models.Forward():
+                event = models.RequestArrived(
+                    request=self._requests[request_id], forwarded=True
+                )
+                self._clock.after(
+                    site_module.HOP, self._handle, action.instance, event
+                )
+            case models.Cancel():
+                if action.endpoint:
+                    self._site.cancel(action.endpoint, request_id)
+                self._handle(
+                    name, models.AnswerFinished(request_id=request_id)
+                )
+            case models.Refuse():
+                self._refuse(name, action)
+
+    def _dispatch(self, name: str, action: models.Dispatch) -> None:
+        request = self._requests[action.request_id]
+        if action.request_id in self._settled:
+            self._handle(
+                name,
+                models.DispatchFailed(
+                    request_id=action.request_id,
+                    sent=False,
+                    code=errors.Code.DEADLINE_PASSED_WAITING,
+                ),
+            )
+            return
+        self._site.send(
+            name,
+            request,
+            action.endpoint,
+            self._lives[action.endpoint],
+            lambda: self._answer(action.request_id),
+        )
+
+    def _answer(self, request_id: str) -> None:
+        self._settled.add(request_id)
+        self._site.ledger.answer(request_id, self._clock.now)
+
+    def _refuse(self, name: str, action: models.Refuse) -> None:
+        request_id = action.request_id
+        refusal = action.refusal
+        if self._entry[request_id] == name:
+            self._settled.add(request_id)
+            self._site.refuse(request_id, refusal.code)
+            return
+        if refusal.meaning.ran == errors.Ran.OUTCOME_UNKNOWN:
+            self._settled.add(request_id)
+            self._site.refuse(request_id, refusal.code)
+            return
+        tried = (*self._refused_by.get(request_id, ()), name)
+        self._refused_by[request_id] = tried
+        event = models.RequestArrived(
+            request=self._requests[request_id], refused_by=tried
+        )
+        self._clock.after(
+            site_module.HOP, self._handle, self._entry[request_id], event
+        )
--- /dev/null
+++ b/measures/decisions/ledger.py
@@ -0,0 +1,128 @@
+"""What became of each request, and what must never have happened."""
+
+import collections
+import dataclasses
+from typing import Any
+
+from citronport import const
+from citronport import errors
+from citronport.scheduler import models
+from measures.decisions import engine
+
+SHED = (
+    errors.Code.OVERLOADED,
+    errors.Code.DEADLINE_TOO_NEAR,
+    errors.Code.DEADLINE_PASSED_WAITING,
+    errors.Code.NO_ENDPOINT,
+)
+"""Refusals for want of capacity; catalogue limits are not among them."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Record:
+    """One request's way."""
+
+    request: models.Request
+    arrived: float
+    first_token: float | None = None
+    finished: float | None = None
+    code: errors.Code | None = None
+    sends: int = 0
+
+
+class Ledger:
+    """Counts for one run of one policy."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+        self.inversions = 0
+        self.inversion_cases: collections.Counter = collections.Counter()
+        self.wasted = 0
+        self.prefilled = 0
+        self.sent_before_seen = 0
+        self._served = [0] * const.TIERS
+
+    def arrive(self, request: models.Request, now: float) -> None:
+        """A caller sent a request."""
+        self.records[request.request_id] = Record(request=request, arrived=now)
+
+    def send(self, request_id: str) -> None:
+        """An endpoint received a request."""
+        record = self.records[request_id]
+        record.sends += 1
+        self._served[record.request.tier] += 1
+
+    def give_first_token(self, request_id: str, now: float) -> None:
+        """The first token reached the caller."""
+        record = self.records[request_id]
+        if record.first_token is None:
+            record.first_token = now
+
+    def end(self, job: engine.Job, *, whole: bool) -> None:
+        """An endpoint is done with a job."""
+        self._served[job.request.tier] -= 1
+        self.prefilled += job.prefilled
+        self.wasted += job.repeated if whole else job.prefilled
+
+    def answer(self, request_id: str, now: float) -> None:
+        """The whole answer reached the caller."""
+        record = self.records[request_id]
+        if record.code is None:
+            record.finished = now
+
+    def refuse(self, request_id: str, code: errors.Code, now: float) -> None:
+        """The caller got a final refusal."""
+        record = self.records[request_id]
+        if record.code is not None or record.finished is not None:
+            return
+        record.code = code
+        tier = record.request.tier
+        lower = sum(self._served[tier + 1 :])
+        if code in SHED and lower:
+            self.inversions += 1
+            self.inversion_cases[tier, code.name] += 1
+
+    def count_good(self, record: Record) -> bool:
+        """Return whether a request was answered whole in time."""
+        end = record.finished
+        return end is not None and end <= record.request.deadline + 1e-9
+
+    def sum_up(self) -> dict[str, Any]:
+        """Return the figures of the run."""
+        offered = [0] * const.TIERS
+        good = [0] * const.TIERS
+        by_workspace: collections.Counter[str] = collections.Counter()
+        codes: collections.Counter[str] = collections.Counter()
+        waits: list[list[float]] = [[] for _ in range(const.TIERS)]
+        lost = 0
+        for record in self.records.values():
+            tier = record.request.tier
+            offered[tier] += 1
+            if self.count_good(record):
+                good[tier] += 1
+                by_workspace[record.request.workspace] += 1
+            if record.first_token is not None:
+                waits[tier].append(record.first_token - record.arrived)
+            if record.code is not None:
+                codes[record.code.name] += 1
+            elif record.finished is None:
+                lost += 1
+        return {
+            "offered_by_tier": offered,
+            "goodput_by_tier": good,
+            "wasted_prefill_tokens": self.wasted,
+            "prefill_tokens": self.prefilled,
+            "tier_inversions": self.inversions,
+            "doubled": sum(r.sends > 1 for r in self.records.values()),
+            "lost": lost,
+            "p99_first_token_s_by_tier": [_get_p99(w) for w in waits],
+            "refused_by_code": dict(sorted(codes.items())),
+            "goodput_by_workspace": dict(sorted(by_workspace.items())),
+        }
+
+
+def _get_p99(values: list[float]) -> float | None:
+    if not values:
+        return None
+    ranked = sorted(values)
+    return round(ranked[min(len(ranked) - 1, int(len(ranked) * 0.99))], 3)
--- /dev/null
+++ b/measures/decisions/loads.py
@@ -0,0 +1,345 @@
+"""The loads: who sends what when, and what goes wrong meanwhile."""
+
+import collections.abc
+import dataclasses
+import random
+
+from citronport.scheduler import models
+
+SECONDS = 90.0
+"""Length of each load."""
+
+CAPACITY = 36.0
+"""Requests a second of the usual mix that the engines bear, measured."""
+
+LARGE_SHARE = {"ws-1": 0.4, "ws-2": 0.3, "ws-3": 0.1, "ws-4": 0.1, "ws-5": 0.1}
+SKEWED_SHARE = {
+    "ws-1": 0.8,
+    "ws-2": 0.05,
+    "ws-3": 0.05,
+    "ws-4": 0.05,
+    "ws-5": 0.05,
+}
+SYSTEM_BLOCKS = 4
+"""Blocks of 128 tokens that all requests of a workspace begin with."""
+
+MAX_TOKENS = 1024
+"""What callers let an answer take; most answers are far shorter."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Work:
+    """One kind of work; tokens are (lowest, highest)."""
+
+    tier: int
+    share: float
+    blocks: tuple[int, int]
+    output: tuple[int, int]
+    seconds: float
+    model: str = "floor"
+    documents: int = 0
+
+
+MIX = (
+    Work(tier=0, share=0.35, blocks=(1, 2), output=(8, 30), seconds=4),
+    Work(tier=0, share=0.10, blocks=(1, 4), output=(20, 40), seconds=6),
+    Work(tier=1, share=0.30, blocks=(2, 8), output=(40, 120), seconds=15),
+    Work(
+        tier=2,
+        share=0.17,
+        blocks=(20, 40),
+        output=(100, 300),
+        seconds=30,
+        documents=6,
+    ),
+    Work(
+        tier=3,
+        share=0.08,
+        blocks=(60, 140),
+        output=(200, 600),
+        seconds=60,
+        model="draft",
+        documents=4,
+    ),
+)
+"""Status reads and reservations; farmer answers; summaries; long reviews."""
+
+LONG_SHARE = (0.40, 0.05, 0.20, 0.15, 0.20)
+"""Shares of the same kinds where long work meets short work."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request and its true length."""
+
+    time: float
+    request: models.Request
+    output_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """Something that happens at a time.
+
+    Attributes:
+        time: seconds.
+        kind: see ``fleet.Fleet.strike``.
+        target: name of what it hits.
+        value: how hard, or for how long.
+    """
+
+    time: float
+    kind: str
+    target: str = ""
+    value: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Load:
+    """One run's arrivals, faults and engines."""
+
+    name: str
+    arrivals: tuple[Arrival, ...]
+    faults: tuple[Fault, ...] = ()
+    report_lag: float = 0.5
+    without: tuple[str, ...] = ()
+
+
+def make_endpoints() -> dict[str, models.Endpoint]:
+    """Return ten unlike engines in four data centres."""
+    shapes = (
+        *((10_000.0, 60.0, 16, 400_000),) * 3,
+        *((6000.0, 40.0, 12, 200_000),) * 4,
+        *((3000.0, 30.0, 8, 100_000),) * 3,
+    )
+    made = [
+        models.Endpoint(
+            name=f"engine-{number}",
+            kind=models.Kind.ENGINE,
+            # Three engines of the second kind serve short work only.
+            models=("floor",) if number in (3, 5, 7) else ("floor", "draft"),
+            data_centre=f"dc-{number % 4 + 1}",
+            address="127.0.0.1:1",
+            prefill_rate=prefill,
+            decode_rate=decode,
+            concurrency=batch,
+            cold_concurrency=2,
+            cold_prompt_tokens=3000,
+            cache_tokens=cache,
+        )
+        for number, (prefill, decode, batch, cache) in enumerate(shapes)
+    ]
+    return {endpoint.name: endpoint for endpoint in made}
+
+
+def make_fleet(
+    endpoints: dict[str, models.Endpoint], version: int = 1, out: str = ""
+) -> models.Fleet:
+    """Return the catalogue's value."""
+    centres = [f"dc-{n}" for n in range(1, 5)]
+    entries = [
+        models.Entry(
+            name=f"{workspace}-{tier}", workspace=workspace, tier=tier
+        )
+        for workspace in LARGE_SHARE
+        for tier in range(4)
+    ]
+    return models.Fleet(
+        version=version,
+        data_centres={
+            c: models.Service.OUT if c == out else models.Service.IN
+            for c in centres
+        },
+        endpoints=endpoints,
+        entries={entry.name: entry for entry in entries},
+    )
+
+
+def draw(
+    seed: int,
+    rate: collections.abc.Callable[[float], float],
+    shares: dict[str, float] = LARGE_SHARE,
+    mix: tuple[float, ...] = tuple(w.share for w in MIX),
+    seconds: float = SECONDS,
+) -> tuple[Arrival, ...]:
+    """Draw Poisson arrivals; ``rate`` gives requests a second at a time."""
+    source = random.Random(seed)
+    peak = max(rate(t * 0.5) for t in range(int(seconds * 2)))
+    arrivals = []
+    time = 0.0
+    documents: dict[tuple[str, int], list[tuple[int, int]]] = {}
+    while True:
+        time += source.expovariate(peak)
+        if time >= seconds:
+            return tuple(arrivals)
+        if source.random() * peak > rate(time):
+            continue
+        work = source.choices(MIX, mix)[0]
+        workspace = source.choices(list(shares), list(shares.values()))[0]
+        arrivals.append(
+            _draw_one(source, work, workspace, time, len(arrivals), documents)
+        )
+
+
+def _draw_one(
+    source: random.Random,
+    work: Work,
+    workspace: str,
+    time: float,
+    number: int,
+    documents: dict[tuple[str, int], list[tuple[int, int]]],
+) -> Arrival:
+    first = int(workspace.removeprefix("ws-")) * 1_000_000_000
+    prefix = [first + n for n in range(SYSTEM_BLOCKS)]
+    tail = first + 500_000_000 + number * 1000
+    blocks = source.randint(*work.blocks)
+    if work.documents:
+        pool = documents.setdefault((workspace, work.tier), [])
+        if not pool or source.random() < 1 / 4:
+            # A document is used about four times, then others come.
+            pool.append((tail, blocks))
+            del pool[: -work.documents]
+        tail, blocks = source.choice(pool)
+        prefix += [tail + n for n in range(blocks)]
+        prefix += [first + 700_000_000 + number]
+    else:
+        prefix += [tail + n for n in range(blocks)]
+    request = models.Request(
+        request_id=f"r{number}",
+        entry=f"{workspace}-{work.tier}",
+        workspace=workspace,
+        tier=work.tier,
+        model=work.model,
+        prompt_tokens=len(prefix) * 128 + source.randint(1, 127),
+        max_tokens=MAX_TOKENS,
+        prefix=tuple(prefix),
+        deadline=time + work.seconds,
+    )
+    return Arrival(
+        time=time,
+        request=request,
+        output_tokens=source.randint(*work.output),
+    )
+
+
+def _burst(seed: int) -> Load:
+    def rate(time: float) -> float:
+        return CAPACITY * (3.0 if time % 30 > 24 else 0.6)
+
+    return Load(name="burst", arrivals=draw(seed, rate))
+
+
+def _skew(seed: int) -> Load:
+    arrivals = draw(seed, lambda t: CAPACITY * 1.5, SKEWED_SHARE)
+    return Load(name="skew", arrivals=arrivals)
+
+
+def _slow_endpoint(seed: int) -> Load:
+    return Load(
+        name="slow_endpoint",
+        arrivals=draw(seed, lambda t: CAPACITY * 0.7),
+        faults=(Fault(time=15, kind="slow", target="engine-1", value=5),),
+    )
+
+
+def _mixed_lengths(seed: int) -> Load:
+    arrivals = draw(seed, lambda t: CAPACITY * 0.6, mix=LONG_SHARE)
+    return Load(name="mixed_lengths", arrivals=arrivals)
+
+
+def _saturation(seed: int) -> Load:
+    arrivals = draw(seed, lambda t: CAPACITY * 2)
+    return Load(name="saturation", arrivals=arrivals)
+
+
+def _dc_leave_return(seed: int) -> Load:
+    return Load(
+        name="dc_leave_return",
+        arrivals=draw(seed, lambda t: CAPACITY * 0.7),
+        faults=(
+            Fault(time=25, kind="dc_out", target="dc-2"),
+            Fault(time=55, kind="dc_in", target="dc-2"),
+        ),
+    )
+
+
+def _cold_restart(seed: int) -> Load:
+    source = random.Random(seed)
+    faults = tuple(
+        Fault(
+            time=10.0 + 6.0 * number + source.random() * 3,
+            kind="restart" if number % 2 else "cold",
+            target=f"engine-{source.randrange(10)}",
+            value=0.2 + source.random() * 2,
+        )
+        for number in range(12)
+    )
+    return Load(
+        name="cold_restart",
+        arrivals=draw(seed, lambda t: CAPACITY * 0.7),
+        faults=faults,
+    )
+
+
+def _stale_reports(seed: int) -> Load:
+    return Load(
+        name="stale_reports",
+        arrivals=draw(seed, lambda t: CAPACITY * 0.8),
+        faults=(
+            Fault(time=30, kind="reports_off"),
+            Fault(time=60, kind="reports_on"),
+        ),
+        report_lag=10.0,
+    )
+
+
+def _platform_down(seed: int) -> Load:
+    return Load(
+        name="platform_down",
+        arrivals=draw(seed, lambda t: CAPACITY * 0.7),
+        faults=(
+            Fault(time=15, kind="platform_down"),
+            Fault(time=25, kind="dc_out", target="dc-2"),
+            Fault(time=30, kind="restart", target="engine-2", value=20),
+            Fault(time=60, kind="platform_up"),
+            Fault(time=70, kind="dc_in", target="dc-2"),
+        ),
+    )
+
+
+def _late_waker(seed: int) -> Load:
+    return Load(
+        name="late_waker",
+        arrivals=draw(seed, lambda t: CAPACITY * 0.7),
+        faults=(
+            Fault(time=25, kind="freeze", target="entry-2", value=15),
+            Fault(time=33, kind="cold", target="engine-0"),
+            Fault(time=60, kind="freeze", target="entry-5", value=10),
+        ),
+    )
+
+
+LOADS: dict[str, collections.abc.Callable[[int], Load]] = {
+    "burst": _burst,
+    "skew": _skew,
+    "slow_endpoint": _slow_endpoint,
+    "mixed_lengths": _mixed_lengths,
+    "saturation": _saturation,
+    "dc_leave_return": _dc_leave_return,
+    "cold_restart": _cold_restart,
+    "stale_reports": _stale_reports,
+    "platform_down": _platform_down,
+    "late_waker": _late_waker,
+}
+
+
+def leave_out(load: Load, endpoint: str) -> Load:
+    """Return the same load without one engine and without its faults."""
+    return dataclasses.replace(load, faults=(), without=(endpoint,))
+
+
+def keep_small(load: Load) -> Load:
+    """Return what the small workspaces send, alone."""
+    small = ("ws-2", "ws-3", "ws-4", "ws-5")
+    kept = tuple(a for a in load.arrivals if a.request.workspace in small)
+    return dataclasses.replace(load, arrivals=kept)
--- /dev/null
+++ b/measures/decisions/site.py
@@ -0,0 +1,261 @@
+"""What every policy drives: engines, reports, faults and the ledger."""
+
+import collections.abc
+from typing import Protocol
+
+from citronport import errors
+from citronport.scheduler import models
+from measures.decisions import engine
+from measures.decisions import ledger
+from measures.decisions import loads
+from measures.decisions import timeline
+
+START = -15.0
+"""Engines and entries run for so long before the first request."""
+
+SETTLE = 80.0
+"""Seconds after the last arrival, until each request must be settled."""
+
+HOP = 0.001
+"""One way between two data centres, seconds."""
+
+REPORT_SECONDS = 0.5
+
+
+class Policy(Protocol):
+    """What the site tells a policy."""
+
+    def arrive(self, arrival: loads.Arrival) -> None:
+        """A caller sends a request."""
+
+    def connect(self, endpoint: str, *, up: bool) -> None:
+        """The connection to an endpoint came up or broke."""
+
+    def report(self, endpoint: str, report: models.LoadReport) -> None:
+        """A load report came."""
+
+    def publish(self, fleet: models.Fleet) -> None:
+        """A newer catalogue is there."""
+
+    def freeze(self, instance: str, seconds: float) -> None:
+        """An entry instance stops for a while."""
+
+    def take_first_token(self, sender: str, request_id: str) -> None:
+        """The first token of an answer came."""
+
+    def finish(
+        self, sender: str, request_id: str, output: int, cached: int
+    ) -> None:
+        """An answer is whole."""
+
+    def fail(self, sender: str, request_id: str, *, sent: bool) -> None:
+        """A dispatch failed."""
+
+
+class Site:
+    """The world around one policy, for one load."""
+
+    def __init__(self, load: loads.Load) -> None:
+        self.load = load
+        self.clock = timeline.Timeline(START)
+        self.ledger = ledger.Ledger()
+        endpoints = loads.make_endpoints()
+        for name in load.without:
+            del endpoints[name]
+        self.fleet = loads.make_fleet(endpoints)
+        self.lengths = {
+            a.request.request_id: a.output_tokens for a in load.arrivals
+        }
+        seen: set[int] = set()
+        self.engines = {
+            name: engine.Engine(shape, self.clock, seen)
+            for name, shape in endpoints.items()
+        }
+        self._reports_on = True
+        self._platform_on = True
+        self._policy: Policy | None = None
+
+    def run(self, policy: Policy) -> None:
+        """Put a policy through the load, to the end."""
+        self._policy = policy
+        policy.publish(self.fleet)
+        for name, each in self.engines.items():
+            each.broken = lambda name=name: self._tell_connection(name)
+            self.clock.after(HOP, self._tell_connection, name)
+        self.clock.after(0.0, self._sample)
+        for arrival in self.load.arrivals:
+            self.clock.at(arrival.time, self._arrive, arrival)
+        for fault in self.load.faults:
+            self.clock.at(fault.time, self._strike, fault)
+        self.clock.run(loads.SECONDS + SETTLE)
+
+    def send(
+        self,
+        sender: str,
+        request: models.Request,
+        endpoint: str,
+        life: int,
+        give: collections.abc.Callable[[], None],
+    ) -> None:
+        """Send a request on a connection to one life of an engine.
+
+        Args:
+            sender: the instance that sends and is told what happens.
+            request: the request.
+            endpoint: the engine's name.
+            life: the life that the sender is connected to.
+            give: called when the whole answer has reached the sender.
+        """
+        self.clock.after(
+            HOP, self._deliver, sender, request, endpoint, life, give
+        )
+
+    def _deliver(
+        self,
+        sender: str,
+        request: models.Request,
+        endpoint: str,
+        life: int,
+        give: collections.abc.Callable[[], None],
+    ) -> None:
+        assert self._policy is not None
+        policy = self._policy
+        target = self.engines[endpoint]
+        name = request.request_id
+        if not target.up or target.life != life:
+            self.clock.after(HOP, policy.fail, sender, name, False)
+            return
+        job = engine.Job(
+            request=request,
+            output_tokens=self.lengths[name],
+            first_token=lambda: self.clock.after(
+                HOP, self._give_first_token, sender, name
+            ),
+            finished=lambda cached: self._finish(sender, job, give, cached),
+            cut=lambda: self._cut(sender, job),
+        )
+        self.ledger.send(name)
+        target.receive(job)
+
+    def cancel(self, endpoint: str, request_id: str) -> None:
+        """Stop a request at an engine."""
+        self.clock.after(HOP, self._cancel, endpoint, request_id)
+
+    def refuse(self, request_id: str, code: errors.Code) -> None:
+        """Give a caller its final refusal."""
+        self.ledger.refuse(request_id, code, self.clock.now)
+
+    def _cancel(self, endpoint: str, request_id: str) -> None:
+        job = self.engines[endpoint].jobs.get(request_id)
+        if job is not None:
+            self.engines[endpoint].cancel(request_id)
+            self.ledger.end(job, whole=False)
+
+    def _give_first_token(self, sender: str, name: str) -> None:
+        assert self._policy is not None
+        self.ledger.give_first_token(name, self.clock.now)
+        self._policy.take_first_token(sender, name)
+
+    def _finish(
+        self,
+        sender: str,
+        job: engine.Job,
+        give: collections.abc.Callable[[], None],
+        cached: int,
+    ) -> None:
+        assert self._policy is not None
+        late = self.clock.now > job.request.deadline
+        self.ledger.end(job, whole=not late)
+        self.clock.after(HOP, give)
+        self.clock.after(
+            HOP,
+            self._policy.finish,
+            sender,
+            job.request.request_id,
+            job.output_tokens,
+            cached,
+        )
+
+    def _cut(self, sender: str, job: engine.Job) -> None:
+        assert self._policy is not None
+        self.ledger.end(job, whole=False)
+        name = job.request.request_id
+        self.clock.after(HOP, self._fail_sent, sender, name)
+
+    def _fail_sent(self, sender: str, name: str) -> None:
+        assert self._policy is not None
+        self._policy.fail(sender, name, sent=True)
+
+    def _arrive(self, arrival: loads.Arrival) -> None:
+        assert self._policy is not None
+        self.ledger.arrive(arrival.request, self.clock.now)
+        self._policy.arrive(arrival)
+
+    def _tell_connection(self, name: str) -> None:
+        assert self._policy is not None
+        self.clock.after(HOP, self._connect, name, self.engines[name].up)
+
+    def _connect(self, name: str, up: bool) -> None:
+        assert self._policy is not None
+        self._policy.connect(name, up=up)
+
+    def _sample(self) -> None:
+        if self._reports_on:
+            for name, each in self.engines.items():
+                if each.up:
+                    self.clock.after(
+                        self.load.report_lag, self._report, name, each.report()
+                    )
+        if self.clock.now < loads.SECONDS + SETTLE:
+            self.clock.after(REPORT_SECONDS, self._sample)
+
+    def _report(self, name: str, report: models.LoadReport) -> None:
+        assert self._policy is not None
+        if not self.engines[name].up:
+            return
+        late = models.LoadReport(
+            running=report.running,
+            queued=report.queued,
+            cold=report.cold,
+            age=self.load.report_lag,
+            received=report.received,
+        )
+        self._policy.report(name, late)
+
+    def _strike(self, fault: loads.Fault) -> None:
+        assert self._policy is not None
+        match fault.kind:
+            case "slow":
+                self.engines[fault.target].slow = fault.value
+            case "cold":
+                self.engines[fault.target].turn_cold(restart=False)
+            case "restart":
+                self.engines[fault.target].turn_cold(
+                    restart=True, down=fault.value
+                )
+            case "dc_out" | "dc_in":
+                self._change_centre(fault)
+            case "reports_off" | "reports_on":
+                self._reports_on = fault.kind == "reports_on"
+            case "platform_down" | "platform_up":
+                self._platform_on = fault.kind == "platform_up"
+                self._publish()
+            case "freeze":
+                self._policy.freeze(fault.target, fault.value)
+
+    def _change_centre(self, fault: loads.Fault) -> None:
+        out = fault.target if fault.kind == "dc_out" else ""
+        self.fleet = loads.make_fleet(
+            self.fleet.endpoints, self.fleet.version + 1, out
+        )
+        if fault.kind == "dc_in":
+            # A data centre comes back with its engines started anew.
+            for name, endpoint in self.fleet.endpoints.items():
+                if endpoint.data_centre == fault.target:
+                    self.engines[name].turn_cold(restart=True, down=0.1)
+        self._publish()
+
+    def _publish(self) -> None:
+        assert self._policy is not None
+        if self._platform_on:
+            self.clock.after(0.5, self._policy.publish, self.fleet)
