Start the fake engines warm, hold the floor for seconds only

Cause: engines were cold until virtual time 0, and the floor's hold of up to 48 s left idle engines beside queues of lower tiers; the speed sample of an overfilled endpoint counted as slowness (engine-1 at 15.7). Ruled out: lagging reports as such (foreign was 0, states warm).

--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -23,6 +23,7 @@
         prefill: expected seconds of prefill.
         expected: expected time of its first token, clock seconds.
         first_token: when that came.
+        usual: whether it found room, so that its time tells the speed.
     """
 
     request: models.Request
@@ -30,6 +31,7 @@
     prefill: float
     expected: float
     first_token: float | None = None
+    usual: bool = True
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -202,12 +204,14 @@
 ) -> None:
     """Count a request that is sent now."""
     begin = max(now, state.prefill_free)
+    load = len(state.running) + (state.foreign or 0)
     state.prefill_free = begin + prefill
     state.running[request.request_id] = Sent(
         request=request,
         at=now,
         prefill=prefill,
         expected=begin + prefill,
+        usual=load < state.spec.concurrency,
     )
 
 
@@ -217,7 +221,8 @@
     if sent is None or sent.first_token is not None:
         return
     sent.first_token = now
-    _learn_speed(state, sent, now)
+    if sent.usual:
+        _learn_speed(state, sent, now)
     # Prefill is serial: what was sent before is over now, too.
     later = sum(
         s.prefill for s in state.running.values() if s.first_token is None
--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -67,10 +67,10 @@
 
 The rest is what the lower tiers in progress need to end by themselves."""
 
-HOLD_SECONDS: Final = 3.0
+HOLD_SECONDS: Final = 1.0
 """Time without pressure before the next lower tier starts again."""
 
-HOLD_LONGEST: Final = 48.0
+HOLD_LONGEST: Final = 8.0
 """Bound of that time; it doubles when pressure comes back soon."""
 
 MAX_QUEUED: Final = 2000
--- a/measures/decisions/engine.py
+++ b/measures/decisions/engine.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import heapq
+import math
 
 from citronport.scheduler import models
 from measures.decisions import timeline
@@ -64,7 +65,7 @@
         self.broken: collections.abc.Callable[[], None] = lambda: None
         self._clock = clock
         self._cold_seconds = cold_seconds
-        self._warm_at = 0.0
+        self._warm_at = -math.inf
         self._cache: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
