Give waiting requests back, weigh prefill, stop only where no peer is free

Cause: one owner's short queue of tier 0 put the floor to 0 everywhere and left engines idle beside 44 s of tier 1 work; shared documents moved for a second's shorter wait. Ruled out: the hold time alone (floors fell by true local queues).

--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -50,7 +50,7 @@
 RING_POINTS: Final = 24
 """Points of a mean endpoint on the ring; the spread is about a fifth."""
 
-TRIES: Final = 3
+TRIES: Final = 5
 """Instances that may say "not run" before the caller is told."""
 
 UNKNOWN_WAIT: Final = 0.5
@@ -85,3 +85,28 @@
 
 MEMORY_ENTRIES: Final = 4096
 """Catalogue entries whose lengths are remembered."""
+
+PREFILL_WEIGHT: Final = 4.0
+"""Seconds of waiting that a second of prefill is worth.
+
+Prefill is what saturated engines run out of: prefilling again what
+another endpoint holds takes capacity from all who wait."""
+
+LATE: Final = 0.8
+"""Part of the expected decoding that must fit before the deadline.
+
+Lengths are guesses: a request is started only if it could end in time
+when its answer is a little shorter than the mean."""
+
+MOVE_SECONDS: Final = 0.5
+"""A request that waited for so long may go to a less loaded instance."""
+
+MOVE_GAIN: Final = 0.5
+"""The wait there must be shorter than this part of the wait here."""
+
+MOVES: Final = 2
+"""Requests handed back at one look, so that they do not all move at once
+by the same summary."""
+
+COLD_FACTOR: Final = 4.0
+"""Times that prefill is taken to be slower in cold start."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -245,7 +245,9 @@
         refused_by: tuple[str, ...],
         now: float,
     ) -> list[models.Action]:
-        if self._is_floored(request, now):
+        if self._is_floored(request, now) and not self._has_lower(
+            request, now
+        ):
             return self._shed(request, errors.Code.OVERLOADED, now)
         if forwarded:
             return self._take_in(request, now, forwarded=True)
@@ -397,12 +399,27 @@
 
     def _look(self, now: float) -> list[models.Action]:
         self._owner.check(now)
-        self._pressure.update(self._owner.find_pressed(now), now)
+
+        def get_peer_wait(model: str, tier: int) -> float:
+            return self._pressure.get_wait(model, tier, now)
+
+        pressed = self._owner.find_pressed(get_peer_wait, now)
+        self._pressure.update(pressed, now)
         actions: list[models.Action] = []
+        for waiting in self._owner.find_movable(get_peer_wait, now):
+            actions += self._move(waiting, now)
         for request_id in self._deadlines.pop_due(now):
             actions += self._look_at(request_id, now)
         return actions
 
+    def _move(self, waiting: queue.Waiting, now: float) -> list[models.Action]:
+        request = waiting.request
+        self._owner.queue.pop(request.request_id)
+        if waiting.forwarded:
+            # "Not run": the instance that it came from decides again.
+            return self._shed(request, errors.Code.OVERLOADED, now)
+        return self._place(request, False, (self.instance,), now)
+
     def _look_at(self, request_id: str, now: float) -> list[models.Action]:
         owner = self._owner
         request = owner.get_request(request_id)
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -1,5 +1,6 @@
 """Decides for the endpoints that this instance owns."""
 
+import collections.abc
 import heapq
 import itertools
 import math
@@ -224,6 +225,8 @@
             if not state.warm and not budget.may_start(state, request, now):
                 continue
             score = self._score(state, name, request, now)
+            if score is None:
+                continue
             may = budget.may_start(state, request, now) or (
                 urgent and budget.may_overcommit(state, request)
             )
@@ -243,14 +246,18 @@
         name: str,
         request: models.Request,
         now: float,
-    ) -> float:
+    ) -> float | None:
+        """Return the cost of a place, seconds; None if it ends too late."""
         cached = self._caches[name].count_cached(request)
         prefill = estimate.get_prefill(state, request, cached)
         if not state.warm:
-            prefill *= 4
+            prefill *= const.COLD_FACTOR
         output = self.lengths.get_output(request)
         decode = output / max(1.0, state.decode)
-        return budget.get_wait(state, now) + prefill + decode
+        wait = budget.get_wait(state, now)
+        if now + wait + prefill + decode * const.LATE > request.deadline:
+            return None
+        return wait + prefill * const.PREFILL_WEIGHT + decode
 
     def _send(
         self, request: models.Request, name: str, now: float
@@ -327,21 +334,68 @@
                 state.slow = min(const.SLOWEST, state.slow * 2)
                 budget.suspect(state, now)
 
-    def find_pressed(self, now: float) -> int | None:
-        """Return the highest tier that waits too long, if any does."""
+    def find_pressed(
+        self,
+        get_peer_wait: collections.abc.Callable[[str, int], float],
+        now: float,
+    ) -> int | None:
+        """Return the highest tier that waits too long, if any does.
+
+        Args:
+            get_peer_wait: shortest wait at another instance for a model
+                and a tier, seconds; where it is short, the request can
+                move, and nobody has to make room.
+            now: clock time, seconds.
+        """
         for tier, group in sorted(
             (tier, group) for group, tier in self.queue.get_groups()
         ):
-            heads = self.queue.iterate_heads(group, tier)
-            capacity = max(0.01, self.get_capacity(group))
-            wait = self.queue.get_cost(group, tier) / capacity
-            for waiting in itertools.islice(heads, HEADS):
+            wait = self.get_queue_wait(group, tier)
+            for waiting in itertools.islice(
+                self.queue.iterate_heads(group, tier), HEADS
+            ):
                 slack = waiting.request.deadline - waiting.since
-                waited = now - waiting.since
-                if max(waited, wait) > slack * const.PRESSURE:
+                longest = max(now - waiting.since, wait)
+                if longest <= slack * const.PRESSURE:
+                    continue
+                if get_peer_wait(group[1], tier) > longest * const.MOVE_GAIN:
                     return tier
         return None
 
+    def get_queue_wait(self, group: queue.Group, tier: int) -> float:
+        """Return the seconds that the work in a tier takes."""
+        capacity = max(0.01, self.get_capacity(group))
+        return self.queue.get_cost(group, tier) / capacity
+
+    def find_movable(
+        self,
+        get_peer_wait: collections.abc.Callable[[str, int], float],
+        now: float,
+    ) -> list[queue.Waiting]:
+        """Return a few requests that would wait far less elsewhere.
+
+        Load: forwards by summaries a moment old, and endpoints that slow
+        down after the forward. Harm: requests wait behind one endpoint
+        while others are idle.
+        """
+        found = []
+        for tier, group in sorted(
+            (tier, group) for group, tier in self.queue.get_groups()
+        ):
+            wait = self.get_queue_wait(group, tier)
+            for waiting in itertools.islice(
+                self.queue.iterate_tails(group, tier), HEADS
+            ):
+                waited = now - waiting.since
+                if waited < const.MOVE_SECONDS:
+                    continue
+                peer = get_peer_wait(group[1], tier)
+                if peer < max(waited, wait) * const.MOVE_GAIN:
+                    found.append(waiting)
+                if len(found) >= const.MOVES:
+                    return found
+        return found
+
 
 class Deadlines:
     """Request ids by a time at which to look at them again."""
--- a/citronport/scheduler/pressure.py
+++ b/citronport/scheduler/pressure.py
@@ -7,6 +7,8 @@
 part, since only summaries that still come count.
 """
 
+import math
+
 from citronport import const as common
 from citronport.scheduler import const
 from citronport.scheduler import models
@@ -86,6 +88,15 @@
             if now - at <= const.SUMMARY_SECONDS
         ]
 
+    def get_wait(self, model: str, tier: int, now: float) -> float:
+        """Return the shortest wait that another instance tells of."""
+        waits = [
+            summary.waits[model][tier]
+            for summary in self.get_fresh(now)
+            if model in summary.waits and not summary.leaving
+        ]
+        return min(waits, default=math.inf)
+
     def get_floor(self, now: float) -> int:
         """Return the lowest tier that may be started now."""
         floors = [summary.floor for summary in self.get_fresh(now)]
--- a/citronport/scheduler/queue.py
+++ b/citronport/scheduler/queue.py
@@ -113,6 +113,16 @@
         heads = [line[0] for line in lines.values()]
         yield from sorted(heads, key=lambda w: w.tag)
 
+    def iterate_tails(
+        self, group: Group, tier: int
+    ) -> collections.abc.Iterator[Waiting]:
+        """Yield the last of each workspace, most served first."""
+        lines = self._lines.get((group, tier))
+        if not lines:
+            return
+        tails = [line[-1] for line in lines.values()]
+        yield from sorted(tails, key=lambda w: w.tag, reverse=True)
+
     def iterate_all(self) -> collections.abc.Iterator[Waiting]:
         """Yield a snapshot of all that wait."""
         yield from list(self._by_id.values())
--- a/citronport/scheduler/routing.py
+++ b/citronport/scheduler/routing.py
@@ -88,7 +88,7 @@
         names = placement.find_candidates(ring, request)
         best = self._choose_among(ring, names, request, refused_by, now)
         slack = request.deadline - now
-        if best is None or best.score > slack * const.PRESSURE:
+        if best is None or best.wait > slack * const.PRESSURE:
             names += placement.find_more(ring, request, names)
             best = self._choose_among(ring, names, request, refused_by, now)
         return best
@@ -123,7 +123,8 @@
             wait = self._get_wait(instance, request, now)
             if wait == math.inf:
                 continue
-            score = wait + self._get_prefill(name, key, request)
+            prefill = self._get_prefill(name, key, request)
+            score = wait + prefill * const.PREFILL_WEIGHT
             if best is None or score < best.score:
                 best = Choice(
                     instance=instance,
