Use only the share of a cold start that the leases give

Cause: the budget took all that a cold start bears whoever held the endpoint; a process stopped between decision and send fed it on a lapsed lease. Ruled out: suspending the endpoint whenever one authority is missing: a long outage of the platform would leave each restarted endpoint unused. Change: the budget takes the share; the lease is asked again before the first byte.

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -84,6 +84,7 @@
             self.scheduler,
             ticker,
             self._forward,
+            self.owners.may_feed_cold,
             trace.make_event_recorder(self.name, settings.event_file),
         )
         self.gossip = gossip.Gossip(
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -29,6 +29,8 @@
         ticker: the clock.
         forward: hands a run to another instance; it delivers to the run
             and returns the code if the other instance did not run it.
+        may_feed_cold: whether one more request may go to an endpoint in
+            cold start; asked directly before the send.
         record: takes each event and its actions, for the event trace.
     """
 
@@ -39,6 +41,7 @@
         forward: collections.abc.Callable[
             [runs.Run, str], errors.Refusal | None
         ],
+        may_feed_cold: collections.abc.Callable[[str, float], bool],
         record: collections.abc.Callable[
             [models.Event, list[models.Action]], None
         ],
@@ -46,6 +49,7 @@
         self._scheduler = scheduler
         self._ticker = ticker
         self._forward = forward
+        self._may_feed_cold = may_feed_cold
         self._record = record
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
@@ -136,7 +140,13 @@
                 self.post(models.FirstToken(request_id=run.request_id))
 
         def may_send() -> bool:
-            return not run.ended and self._ticker.now() < request.deadline
+            now = self._ticker.now()
+            if run.ended or now >= request.deadline:
+                return False
+            # The lease may have run out in a pause since the decision.
+            return self._scheduler.is_warm(
+                action.endpoint
+            ) or self._may_feed_cold(action.endpoint, now)
 
         fleet = self._scheduler.fleet
         if fleet is None:
--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -42,6 +42,7 @@
         spec: the catalogue's description.
         connected: whether there is a connection.
         suspended: whether the right to send is in doubt.
+        cold_share: part of what a cold start bears that may be used.
         warm: whether it was shown warm since its start.
         since: evidence must be younger than this, clock seconds.
         foreign: requests that others left there; None if not known.
@@ -57,6 +58,7 @@
     spec: models.Endpoint
     connected: bool = False
     suspended: bool = False
+    cold_share: models.ColdShare = models.ColdShare.ALL
     warm: bool = False
     since: float = -math.inf
     foreign: int | None = None
@@ -176,10 +178,28 @@
     spec = state.spec
     if state.suspended or state.foreign:
         return False
-    if len(state.running) >= spec.cold_concurrency:
+    share = state.cold_share
+    if len(state.running) >= take_share(spec.cold_concurrency, share):
         return False
     tokens = sum(s.request.prompt_tokens for s in state.running.values())
-    return tokens + request.prompt_tokens <= spec.cold_prompt_tokens
+    bears = take_share(spec.cold_prompt_tokens, share)
+    return tokens + request.prompt_tokens <= bears
+
+
+def take_share(whole: int, share: models.ColdShare) -> int:
+    """Return the part of a number that a share stands for.
+
+    The two halves add up to the whole, whoever holds them.
+    """
+    match share:
+        case models.ColdShare.ALL:
+            return whole
+        case models.ColdShare.UPPER_HALF:
+            return whole - whole // 2
+        case models.ColdShare.LOWER_HALF:
+            return whole // 2
+        case models.ColdShare.NONE:
+            return 0
 
 
 def may_overcommit(state: State, request: models.Request) -> bool:
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -52,9 +52,7 @@
     def __init__(self, instance: str) -> None:
         self.instance = instance
         self.fleet: models.Fleet | None = None
-        self._owned: frozenset[str] = frozenset()
-        self._suspended: frozenset[str] = frozenset()
-        self._owners: dict[str, str] = {}
+        self._assigned = models.OwnershipChanged(owned=frozenset())
         self._rings: dict[queue.Group, placement.Ring] = {}
         self._owner = owner_module.Owner()
         self._pressure = pressure_module.Pressure()
@@ -113,9 +111,7 @@
             case models.FleetChanged():
                 return self._change_fleet(event.fleet, now)
             case models.OwnershipChanged():
-                self._owned = event.owned
-                self._suspended = event.suspended
-                self._owners = event.owners
+                self._assigned = event
                 return self._apply(now)
             case models.InstanceReported():
                 self._pressure.take_summary(event.summary, now)
@@ -175,6 +171,10 @@
             or self._forwarded
         )
 
+    def is_warm(self, endpoint: str) -> bool:
+        """Return whether an owned endpoint was shown warm."""
+        return self._owner.is_warm(endpoint)
+
     def _change_fleet(
         self, fleet: models.Fleet, now: float
     ) -> list[models.Action]:
@@ -193,10 +193,8 @@
     def _apply(self, now: float) -> list[models.Action]:
         if self.fleet is None:
             return []
-        self._owner.apply(
-            self.fleet, self._rings, self._owned, self._suspended, now
-        )
-        self._router.apply(self.fleet, self._rings, self._owners)
+        self._owner.apply(self.fleet, self._rings, self._assigned, now)
+        self._router.apply(self.fleet, self._rings, self._assigned.owners)
         return self._reroute(now)
 
     def _reroute(self, now: float) -> list[models.Action]:
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -35,11 +35,11 @@
         self,
         fleet: models.Fleet,
         rings: dict[queue.Group, placement.Ring],
-        owned: frozenset[str],
-        suspended: frozenset[str],
+        assigned: models.OwnershipChanged,
         now: float,
     ) -> None:
         """Follow the catalogue and the ownership."""
+        owned = assigned.owned
         self._rings = rings
         self._members = {}
         for name in set(self.states) - owned - set(self._places.values()):
@@ -54,7 +54,8 @@
                 self.states[name] = state
                 self._caches[name] = estimate.Cache(spec.cache_tokens)
             state.spec = spec
-            state.suspended = name in suspended
+            state.suspended = name in assigned.suspended
+            state.cold_share = assigned.cold_share
             if placement.is_in_service(fleet, spec):
                 for model in spec.models:
                     self._members.setdefault((spec.kind, model), []).append(
@@ -68,6 +69,11 @@
             budget.connect(self.states[endpoint], now)
             self._caches[endpoint].clear()
 
+    def is_warm(self, endpoint: str) -> bool:
+        """Return whether an endpoint was shown warm since its start."""
+        state = self.states.get(endpoint)
+        return state is not None and state.warm
+
     def lose(self, endpoint: str) -> None:
         """A connection broke."""
         self._connected.pop(endpoint, None)
--- a/tests/scheduler/test_ownership.py
+++ b/tests/scheduler/test_ownership.py
@@ -5,17 +5,12 @@
 from hypothesis import strategies
 import testtools
 
+from citronport.scheduler import budget
 from citronport.scheduler import models
 from citronport.scheduler import ownership
 
 NAMES = ("entry-1", "entry-2", "entry-3")
 BEARS = 3
-SHARES = {
-    models.ColdShare.ALL: BEARS,
-    models.ColdShare.UPPER_HALF: BEARS - BEARS // 2,
-    models.ColdShare.LOWER_HALF: BEARS // 2,
-    models.ColdShare.NONE: 0,
-}
 
 
 def make_members(names):
@@ -214,7 +209,7 @@
     def send(self):
         """Let all that run send as much as they believe they may."""
         for name, view in self.views.items():
-            share = SHARES[view.assess_share(self.now)]
+            share = budget.take_share(BEARS, view.assess_share(self.now))
             while (
                 name not in self.stopped
                 and view.may_feed_cold("engine", self.now)
