--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -11,6 +11,8 @@
 from citronport import clock
 from citronport import errors
 from citronport import runs
+from citronport import tasks
+from citronport import telemetry as telemetry_module
 from citronport.endpoints import client
 from citronport.endpoints import messages
 from citronport.scheduler import core
@@ -32,6 +34,7 @@
         may_feed_cold: whether one more request may go to an endpoint in
             cold start; asked directly before the send.
         record: takes each event and its actions, for the event trace.
+        telemetry: counts and traces the runs.
     """
 
     def __init__(
@@ -45,12 +48,14 @@
         record: collections.abc.Callable[
             [models.Event, list[models.Action]], None
         ],
+        telemetry: telemetry_module.Telemetry | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._ticker = ticker
         self._forward = forward
         self._may_feed_cold = may_feed_cold
         self._record = record
+        self._telemetry = telemetry or telemetry_module.Telemetry(ticker)
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
@@ -61,6 +66,7 @@
     def submit(self, run: runs.Run, *, forwarded: bool = False) -> None:
         """Take a run on; its answer comes through the run."""
         self._runs[run.request_id] = run
+        run.watch = self._telemetry.watch(run.work, forwarded=forwarded)
         self.post(
             models.RequestArrived(
                 request=run.work.request, forwarded=forwarded
@@ -97,9 +103,16 @@
         self._record(event, actions)
         if isinstance(event, models.AnswerFinished):
             self._forget(event.request_id)
+        if isinstance(event, models.RequestArrived):
+            self._note_decided(event.request.request_id)
         for action in actions:
             self._act(action)
 
+    def _note_decided(self, request_id: str) -> None:
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.watch.decided()
+
     def _act(self, action: models.Action) -> None:
         match action:
             case models.Dispatch():
@@ -119,7 +132,34 @@
     ) -> None:
         run = self._runs.get(request_id)
         if run is not None:
-            self._tasks[request_id] = gevent.spawn(act, run, action)
+            self._tasks[request_id] = gevent.spawn(
+                self._guard, act, run, action
+            )
+
+    def _guard(
+        self,
+        act: collections.abc.Callable,
+        run: runs.Run,
+        action: models.Action,
+    ) -> None:
+        # An unforeseen error would end the task without a word: the
+        # caller would wait for ever, and the endpoint's place stay taken.
+        try:
+            act(run, action)
+        except Exception as error:
+            logging.error(
+                "%s a request died of %s.", LOG, tasks.describe_error(error)
+            )
+            self._telemetry.counts.note_death("request")
+            self._finish(run, errors.Refusal(code=errors.Code.INTERNAL))
+            self.post(models.AnswerFinished(request_id=run.request_id))
+
+    def _occupy(self, run: runs.Run, action: models.Dispatch) -> None:
+        self._at_endpoint[action.endpoint] += 1
+        try:
+            self._dispatch(run, action)
+        finally:
+            self._at_endpoint[action.endpoint] -= 1
 
     def _occupy(self, run: runs.Run, action: models.Dispatch) -> None:
         self._at_endpoint[action.endpoint] += 1
@@ -152,6 +192,7 @@
         if fleet is None:
             return
         address = fleet.endpoints[action.endpoint].address
+        run.watch.dispatched(action.endpoint)
         match client.run_call(address, run.work.call, may_send, deliver):
             case result.Ok(size):
                 run.deliver(messages.Finished(size=size))
@@ -172,6 +213,7 @@
                 )
 
     def _hand_over(self, run: runs.Run, action: models.Forward) -> None:
+        run.watch.forwarded(action.instance)
         refusal = self._forward(run, action.instance)
         if refusal is None:
             self.post(models.AnswerFinished(request_id=run.request_id))
@@ -179,6 +221,7 @@
         if refusal.meaning.ran == errors.Ran.OUTCOME_UNKNOWN:
             self._finish(run, refusal)
             return
+        run.watch.returned()
         # The other instance said in so many words that it did not run the
         # request, so that it may be decided again here.
         self._refusals[run.request_id] = refusal
@@ -215,7 +258,9 @@
         self.post(models.AnswerFinished(request_id=action.request_id))
 
     def _forget(self, request_id: str) -> None:
-        self._runs.pop(request_id, None)
+        run = self._runs.pop(request_id, None)
+        if run is not None:
+            run.watch.end(telemetry_module.OUTCOME_LEFT)
         self._tasks.pop(request_id, None)
         self._refused_by.pop(request_id, None)
         self._refusals.pop(request_id, None)
--- a/citronport/scheduler/ownership.py
+++ b/citronport/scheduler/ownership.py
@@ -24,14 +24,14 @@
 
 from citronport.scheduler import models
 
-LEASE_SECONDS = 5.0
+LEASE_SECONDS = 3.0
 """How long one confirmation lasts.
 
 Two reads of the list in a row may be lost before it runs out; a change of
 owner without a release costs this much time.
 """
 
-TAKEOVER_SECONDS = 6.0
+TAKEOVER_SECONDS = 3.6
 """How long a new owner waits: the lease, and a margin for clock rates."""
 
 
