--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -170,6 +170,8 @@
             'citronport_first_token_seconds_count{tier="1"} 1.0',
             "citronport_catalogue_version 1",
             "citronport_peer_links 1",
+            'citronport_platform_reads_total{outcome="changed",'
+            'path="/v1/catalogue"} 1',
         ):
             self.assertIn(f"{line}\n", body)
 
