Add the demo: both users' workloads on a fleet, checked

Cause: nothing showed the main job whole; script/demo called a command that did not exist. Ruled out: figures from the entries' own event traces, since a promise would then be checked by the word of the process that gave it; journals of the stand-ins and the callers' records are the only sources.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -6,6 +6,7 @@
 
 import fire  # noqa: E402
 
+from standins import demo  # noqa: E402
 from standins import engine  # noqa: E402
 from standins import platform  # noqa: E402
 from standins import service  # noqa: E402
@@ -13,6 +14,7 @@
 if __name__ == "__main__":
     fire.Fire(
         {
+            "demo": demo.run,
             "engine": engine.serve,
             "platform": platform.serve,
             "service": service.serve,
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -13,6 +13,11 @@
         yield word[:5] + " "
 
 
+def hash_prompt(prompt: str) -> str:
+    """Return what a journal keeps of a prompt to tell it from others."""
+    return xxhash.xxh3_128_hexdigest(prompt.encode())
+
+
 def make_text(prompt: str, count: int) -> str:
     """Return the whole answer for a prompt."""
     return "".join(make_tokens(prompt, count))
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -10,6 +10,10 @@
 from standins import answers
 from standins import engine
 
+NOT_RUN = "not run"
+LOST_PAUSE_SECONDS = 0.1
+"""Pause after a connection that broke without an answer."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Outcome:
@@ -26,6 +30,8 @@
         seconds: time to the end.
         first_seconds: time to the first token, None if none came.
         sent_to: the entry that was used.
+        may_retry: whether a refusal lets the same request come again.
+        go_to: entries that a refusal names to use instead.
     """
 
     status: int
@@ -38,6 +44,17 @@
     seconds: float = 0.0
     first_seconds: float | None = None
     sent_to: str = ""
+    may_retry: bool = False
+    go_to: tuple[str, ...] = ()
+
+    @property
+    def is_final(self) -> bool:
+        """Whether it settles the request: an answer, or no hope."""
+        if self.whole:
+            return True
+        if self.ran is None:
+            return False
+        return not self.may_retry or self.ran != NOT_RUN
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -72,6 +89,11 @@
     )
 
 
+def encode_body(body: dict[str, Any]) -> bytes:
+    """Return a body as it is sent."""
+    return json.dumps(body).encode()
+
+
 def make_chat(
     model: str, prompt: str, max_tokens: int, *, stream: bool = True
 ) -> dict[str, Any]:
@@ -109,7 +131,7 @@
         **(headers or {}),
     }
     try:
-        answer = client.request(method, path, json.dumps(body), sent)
+        answer = client.request(method, path, encode_body(body), sent)
         if answer.status_code != 200:
             return _read_refusal(answer, address, started)
         if body.get("stream"):
@@ -138,6 +160,8 @@
         retry_after=error.get("retry_after"),
         seconds=time.monotonic() - started,
         sent_to=address,
+        may_retry=answer.get("x-should-retry") == "true",
+        go_to=tuple(error.get("go_to") or ()),
     )
 
 
@@ -212,6 +236,100 @@
     end = time.monotonic() + patience
     while True:
         outcome = send(address, key, path, body, **options)
-        if outcome.ran != "not run" or time.monotonic() > end:
+        if outcome.ran != NOT_RUN or time.monotonic() > end:
             return outcome
         time.sleep(outcome.retry_after or 0.1)
+
+
+class Caller:
+    """One workspace's client: it keeps the lookup and obeys refusals.
+
+    Args:
+        key: the workspace key.
+        addresses: entries to ask first, "ip:port".
+    """
+
+    def __init__(self, key: str, addresses: list[str]) -> None:
+        self._key = key
+        self._addresses = addresses
+        self._entries: Entries | None = None
+        self._fresh_until = 0.0
+
+    def call(
+        self,
+        path: str,
+        body: dict[str, Any],
+        *,
+        deadline: float,
+        key: str | None = None,
+    ) -> list[Outcome]:
+        """Send a request until it is settled or its deadline is over.
+
+        Args:
+            path: where to send it.
+            body: what to send.
+            deadline: seconds.
+            key: idempotency key of a request that may run only once.
+
+        Returns:
+            What each attempt gave; the last one stands.
+        """
+        end = time.monotonic() + deadline
+        attempts: list[Outcome] = []
+        turn = 0
+        headers: dict[str, str] | None = None
+        while (left := end - time.monotonic()) > 0:
+            entries = self._find_entries()
+            if key is not None and headers is None:
+                # A repeat goes under the first ticket: another one would
+                # make it another request.
+                headers = _make_marks(key, entries.ticket)
+            last = attempts[-1] if attempts else None
+            addresses = (last.go_to if last else ()) or entries.addresses
+            outcome = send(
+                addresses[turn % len(addresses)],
+                self._key,
+                path,
+                body,
+                deadline=left,
+                headers=headers,
+            )
+            attempts.append(outcome)
+            if outcome.is_final:
+                break
+            if outcome.ran is None or outcome.retry_after == 0:
+                turn += 1
+                self._fresh_until = 0.0
+            pause = outcome.retry_after or LOST_PAUSE_SECONDS
+            time.sleep(min(pause, max(0.0, end - time.monotonic())))
+        return attempts
+
+    def _find_entries(self) -> Entries:
+        now = time.monotonic()
+        if self._entries is not None and now < self._fresh_until:
+            return self._entries
+        known = self._entries.addresses if self._entries else ()
+        found = self._ask((*known, *self._addresses))
+        # The ticket comes from the entry that the requests go to: one
+        # from elsewhere costs a hop to its home for each request.
+        first = found.addresses[0]
+        found = self._ask((first, *found.addresses[1:], *self._addresses))
+        self._entries = found
+        self._fresh_until = now + found.keep_seconds
+        return found
+
+    def _ask(self, addresses: tuple[str, ...]) -> Entries:
+        for address in addresses:
+            try:
+                return look_up(address, self._key)
+            except OSError:
+                continue
+        raise OSError("no entry answers")
+
+
+def _make_marks(key: str, ticket: str) -> dict[str, str]:
+    return {
+        "X-Non-Idempotent": "true",
+        "Idempotency-Key": key,
+        "X-Citronport-Ticket": ticket,
+    }
--- /dev/null
+++ b/standins/demo_loads.py
@@ -0,0 +1,317 @@
+"""The two users' workloads and the fleet that the demo runs them on."""
+
+import collections.abc
+import dataclasses
+import random
+from typing import Any
+
+from standins import answers
+from standins import caller
+from standins import fleet
+
+DATA_CENTRES = ("dc-1", "dc-2", "dc-3", "dc-4")
+LEAVING_DATA_CENTRE = "dc-3"
+CHAT_PATH = "/v1/chat/completions"
+
+# Two generations of hardware, three sizes of batch and cache, and models
+# that some engines hold and others do not.
+ENGINES: tuple[dict[str, Any], ...] = (
+    {"name": "small-1", "models": ("small",), "batch": 8},
+    {
+        "name": "small-2",
+        "models": ("small",),
+        "batch": 4,
+        "decode_rate": 120.0,
+    },
+    {
+        "name": "small-3",
+        "models": ("small",),
+        "batch": 8,
+        "prefill_rate": 40000.0,
+        "cold_seconds": 2.0,
+    },
+    {
+        "name": "small-4",
+        "models": ("small",),
+        "batch": 4,
+        "decode_rate": 90.0,
+        "prefill_rate": 9000.0,
+        "cold_concurrency": 2,
+    },
+    {
+        "name": "large-1",
+        "models": ("large",),
+        "batch": 3,
+        "cold_prompt_tokens": 20000,
+    },
+    {
+        "name": "large-2",
+        "models": ("large",),
+        "batch": 2,
+        "decode_rate": 120.0,
+        "cache_tokens": 40000,
+        "cold_prompt_tokens": 14000,
+    },
+    {
+        "name": "large-3",
+        "models": ("large",),
+        "batch": 4,
+        "prefill_rate": 30000.0,
+        "cold_prompt_tokens": 20000,
+        "cold_concurrency": 2,
+    },
+    {
+        "name": "large-4",
+        "models": ("large",),
+        "batch": 2,
+        "decode_rate": 100.0,
+        "prefill_rate": 12000.0,
+        "cold_prompt_tokens": 14000,
+        "cold_seconds": 2.0,
+    },
+    {
+        "name": "both-1",
+        "models": ("small", "large"),
+        "batch": 4,
+        "decode_rate": 160.0,
+        "cold_prompt_tokens": 16000,
+    },
+    {
+        "name": "both-2",
+        "models": ("small", "large"),
+        "batch": 3,
+        "cache_tokens": 30000,
+        "cold_prompt_tokens": 16000,
+    },
+    {
+        "name": "both-3",
+        "models": ("small", "large"),
+        "batch": 6,
+        "decode_rate": 250.0,
+        "prefill_rate": 40000.0,
+        "cache_tokens": 200000,
+        "cold_prompt_tokens": 20000,
+    },
+)
+SERVICES = ("reservations", "customs")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kind:
+    """One kind of work.
+
+    Attributes:
+        name: what it is.
+        user: whose workspaces send it.
+        tier: the class of its catalogue entry.
+        model: model name, or service name.
+        shared: characters of the prompt that a workspace's requests share.
+        own: further characters of the prompt.
+        output: answer tokens; 0 for a plain service.
+        deadline: seconds.
+        rate: requests a second over all workspaces, without overload.
+    """
+
+    name: str
+    user: str
+    tier: int
+    model: str
+    shared: int = 0
+    own: int = 0
+    output: int = 0
+    deadline: float
+    rate: float
+
+
+KINDS = (
+    Kind(
+        name="status read",
+        user="siam",
+        tier=0,
+        model="small",
+        own=200,
+        output=6,
+        deadline=6.0,
+        rate=10.0,
+    ),
+    Kind(
+        name="reservation",
+        user="siam",
+        tier=0,
+        model="reservations",
+        deadline=6.0,
+        rate=5.0,
+    ),
+    Kind(
+        name="farmer answer",
+        user="papadakis",
+        tier=1,
+        model="small",
+        shared=2048,
+        own=300,
+        output=30,
+        deadline=10.0,
+        rate=6.0,
+    ),
+    Kind(
+        name="claim",
+        user="papadakis",
+        tier=1,
+        model="customs",
+        deadline=10.0,
+        rate=2.0,
+    ),
+    Kind(
+        name="drawing tag",
+        user="siam",
+        tier=2,
+        model="small",
+        shared=1024,
+        own=800,
+        output=12,
+        deadline=12.0,
+        rate=3.0,
+    ),
+    Kind(
+        name="billet trial summary",
+        user="siam",
+        tier=2,
+        model="large",
+        own=8000,
+        output=60,
+        deadline=15.0,
+        rate=1.0,
+    ),
+    Kind(
+        name="die history review",
+        user="siam",
+        tier=3,
+        model="large",
+        shared=20000,
+        own=16000,
+        output=200,
+        deadline=25.0,
+        rate=0.6,
+    ),
+    Kind(
+        name="invoice dossier",
+        user="papadakis",
+        tier=3,
+        model="large",
+        shared=28000,
+        own=6000,
+        output=240,
+        deadline=25.0,
+        rate=0.6,
+    ),
+)
+
+# Share of its user's requests that each workspace sends: two are large.
+WORKSPACES = {
+    "siam": {"extruder-1": 0.7, "extruder-2": 0.2, "extruder-3": 0.1},
+    "papadakis": {"thessaly": 0.75, "crete": 0.25},
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Job:
+    """One request of the demo.
+
+    Attributes:
+        number: unique; it is part of the body, so that a journal line can
+            be traced back to the job.
+        kind: what it is.
+        workspace: who sends it.
+        body: what is sent.
+        expected: the one right answer.
+    """
+
+    number: int
+    kind: Kind
+    workspace: str
+    body: dict[str, Any]
+    expected: str
+
+    @property
+    def key(self) -> str:
+        """The workspace key of its catalogue entry."""
+        return make_key(self.workspace, self.kind.tier)
+
+    @property
+    def is_service(self) -> bool:
+        """Whether it goes to a plain service and may run only once."""
+        return not self.kind.output
+
+    @property
+    def path(self) -> str:
+        """Where it is sent."""
+        if self.is_service:
+            return f"/services/{self.kind.model}/submit"
+        return CHAT_PATH
+
+
+def make_key(workspace: str, tier: int) -> str:
+    """Return the plain key of a catalogue entry."""
+    return f"key-{workspace}-{tier}"
+
+
+def make_layout(subnet: str) -> fleet.Layout:
+    """Return the demo's fleet: 7 entries over four data centres."""
+    entries = tuple(
+        {
+            "name": f"{workspace}-{tier}",
+            "owner": workspace,
+            "class": tier,
+            "key": make_key(workspace, tier),
+        }
+        for user, shares in WORKSPACES.items()
+        for workspace in shares
+        for tier in sorted({k.tier for k in KINDS if k.user == user})
+    )
+    return fleet.Layout(
+        subnet=subnet,
+        data_centres=DATA_CENTRES,
+        instances=7,
+        engines=ENGINES,
+        services=SERVICES,
+        entries=entries,
+    )
+
+
+def make_job(kind: Kind, number: int, dice: random.Random) -> Job:
+    """Return a request of a kind from a workspace drawn by its share."""
+    shares = WORKSPACES[kind.user]
+    workspace = dice.choices(list(shares), list(shares.values()))[0]
+    if not kind.output:
+        body = {"workspace": workspace, "number": number}
+        expected = answers.make_receipt(caller.encode_body(body))
+    else:
+        # A die history or a season of receipts is asked about again and
+        # again: a workspace has three, each a prefix of many prompts.
+        subject = f"{workspace} {kind.name} {dice.randrange(3)}"
+        prompt = _fill(subject, kind.shared)
+        prompt += _fill(f"job {number}", kind.own)
+        body = caller.make_chat(kind.model, prompt, kind.output)
+        expected = caller.make_expected(body)
+    return Job(
+        number=number,
+        kind=kind,
+        workspace=workspace,
+        body=body,
+        expected=expected,
+    )
+
+
+def make_arrivals(
+    seconds: float, factor: float, dice: random.Random
+) -> collections.abc.Iterator[tuple[float, Kind]]:
+    """Yield arrivals in order: seconds from the start, and the kind."""
+    rates = [kind.rate * factor for kind in KINDS]
+    now = dice.expovariate(sum(rates))
+    while now < seconds:
+        yield now, dice.choices(KINDS, rates)[0]
+        now += dice.expovariate(sum(rates))
+
+
+def _fill(text: str, length: int) -> str:
+    return (f"{text}; " * (length // (len(text) + 2) + 1))[:length]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -127,7 +127,7 @@
     ) -> collections.abc.Iterator[str]:
         life = self._life
         tokens = max(1, len(prompt) // 4)
-        self._receive(request_id, tokens)
+        self._receive(request_id, prompt, tokens)
         finished = False
         try:
             with self._batch:
@@ -144,13 +144,14 @@
             if finished and life == self._life:
                 self._done_cold += 1
 
-    def _receive(self, request_id: str, tokens: int) -> None:
+    def _receive(self, request_id: str, prompt: str, tokens: int) -> None:
         self._received += 1
         self._running[request_id] = tokens
         cold = self.cold
         self._notes.add(
             "received",
             request=request_id,
+            prompt=answers.hash_prompt(prompt),
             cold=cold,
             running=len(self._running),
             prompt_tokens=tokens,
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,95 @@
+"""The demo's figures: what it calls a broken promise."""
+
+import json
+import pathlib
+import random
+import tempfile
+
+import testtools
+
+from standins import answers
+from standins import caller
+from standins import demo_figures
+from standins import demo_loads
+from standins import engine
+
+STATUS_READ = demo_loads.KINDS[0]
+RESERVATION = demo_loads.KINDS[1]
+
+
+class FiguresTest(testtools.TestCase):
+    """Figures come from the stand-ins' journals and callers' records."""
+
+    def setUp(self):
+        """Make a folder for journals."""
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.dice = random.Random(1)
+
+    def count(self, records, lines):
+        """Write a journal and return the figures."""
+        path = self.folder / "endpoint.jsonl"
+        path.write_text("".join(json.dumps(x) + "\n" for x in lines))
+        absence = demo_figures.Absence(left=100.0, returned=200.0)
+        return demo_figures.count(
+            records, self.folder, absence, frozenset({"endpoint"}), 1.0
+        )
+
+    def make_record(self, kind, **fields):
+        """Return a record of one attempt."""
+        job = demo_loads.make_job(kind, 1, self.dice)
+        outcome = caller.Outcome(**{"status": 200, **fields})
+        return demo_figures.Record(job=job, attempts=[outcome], seconds=1.0)
+
+    def make_line(self, record, request, at=0.0):
+        """Return the journal line of a request that came in."""
+        line = {
+            "time": at,
+            "by": "endpoint",
+            "kind": "received",
+            "request": request,
+        }
+        body = record.job.body
+        if record.job.is_service:
+            return {**line, "body": caller.encode_body(body).decode()}
+        prompt = answers.hash_prompt(engine.make_prompt(body))
+        return {**line, "prompt": prompt}
+
+    def test_right_answer_breaks_nothing(self):
+        """An answer that is right and in time is goodput."""
+        record = self.make_record(STATUS_READ, whole=True)
+        record.attempts[0] = caller.Outcome(
+            status=200, whole=True, text=record.job.expected
+        )
+        figures = self.count([record], [self.make_line(record, "a")])
+        self.assertEqual([], figures.broken)
+        self.assertEqual([1, 0, 0, 0], figures.goodput_by_tier)
+
+    def test_wrong_answer_breaks(self):
+        """A whole answer with other bytes is wrong."""
+        record = self.make_record(STATUS_READ, whole=True, text="other")
+        figures = self.count([record], [self.make_line(record, "a")])
+        self.assertEqual(["answers_wrong: 1"], figures.broken)
+
+    def test_run_after_not_run_is_doubled(self):
+        """A job that reached an endpoint although it "did not run"."""
+        record = self.make_record(RESERVATION, code=1, ran=caller.NOT_RUN)
+        figures = self.count([record], [self.make_line(record, "a")])
+        self.assertEqual(1, figures.doubled)
+
+    def test_second_run_of_a_reservation_is_doubled(self):
+        """Two arrivals of one reservation under two ids."""
+        record = self.make_record(RESERVATION)
+        record.attempts.append(record.attempts[0])
+        lines = [self.make_line(record, request) for request in ("a", "b")]
+        figures = self.count([record], lines)
+        self.assertEqual(1, figures.doubled)
+
+    def test_silence_is_lost_and_late_work_is_seen(self):
+        """No answer at all, and work long after the data centre left."""
+        record = self.make_record(STATUS_READ, status=0)
+        figures = self.count([record], [self.make_line(record, "a", 150.0)])
+        self.assertEqual(1, figures.lost)
+        self.assertEqual(1, figures.late_work)
