Measure the cost of the path

Cause: no figure told what a request or a token costs here. Ruled out: engines that sleep to model work; they would hide the cost of the path behind queues. These answer at once and stream at a fixed pace. Found: an entry's first piece comes after 6.45 s, that is with the whole answer: HTTPSocketResponse.read(n) of the HTTP library waits for n bytes. No stream has been a stream so far. And a call takes 45 ms even direct (714 a second on 32 connections), the mark of Nagle's algorithm against delayed acknowledgements: no side sets TCP_NODELAY.

--- /dev/null
+++ b/measures/path.py
@@ -0,0 +1,278 @@
+"""Cost of the path: CPU time of a request and of a token, by way taken."""
+
+import dataclasses
+import json as json_module
+import os
+import pathlib
+import tempfile
+
+from citronport.scheduler import ownership
+from measures import path_load
+from standins import fleet
+from standins import processes
+
+ENGINES = 4
+BATCH = 512
+"""More than the connections: the measure is of cost, not of queues."""
+
+CONNECTIONS = 32
+WARM_SECONDS = 2.0
+PAUSE_SECONDS = 0.02
+RELAY = "relay"
+KEY = "measure-key"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Figure:
+    """Cost of one way; CPU time is that of the named processes.
+
+    Attributes:
+        way: direct, relay, entry, or forward (two entries, each call at
+            the one that does not own the endpoint).
+        requests_per_second: whole calls in a closed loop.
+        cpu_seconds_per_request: of all processes of the way.
+        tokens_per_second: paced streams side by side.
+        cpu_seconds_per_token: of all processes of the way.
+        p95_gap_seconds: between two pieces of one stream.
+        p95_first_seconds: to the first piece of a stream.
+        failed: calls and streams without a whole answer.
+    """
+
+    way: str
+    requests_per_second: float
+    cpu_seconds_per_request: float
+    tokens_per_second: float
+    cpu_seconds_per_token: float
+    p95_gap_seconds: float
+    p95_first_seconds: float
+    failed: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Way:
+    """One way to measure.
+
+    Attributes:
+        name: see ``Figure.way``.
+        target: where the load goes.
+        processes: whose CPU time counts.
+    """
+
+    name: str
+    target: path_load.Target
+    processes: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Size:
+    """How much load is put on each way."""
+
+    seconds: float
+    streams: int
+    tokens: int
+
+
+class Bench:
+    """The processes of the measure; one entry owns all, or two share."""
+
+    def __init__(
+        self, running: processes.Processes, subnet: str, instances: int
+    ) -> None:
+        self.running = running
+        self.fleet = fleet.Fleet(_make_layout(subnet, instances), running)
+        self.relay = f"127.{subnet}.240:8000"
+
+    def start(self) -> None:
+        """Start the platform, cheap endpoints and entries."""
+        self.fleet.start_platform()
+        for endpoint in self.fleet.endpoints:
+            self.running.start(
+                endpoint["name"],
+                "measures",
+                "path_endpoint",
+                endpoint["address"],
+                str(fleet.ENDPOINT_PORT),
+                str(PAUSE_SECONDS),
+            )
+        for instance in self.fleet.instances:
+            self.fleet.start_instance(instance["name"])
+        for endpoint in self.fleet.endpoints:
+            processes.wait_for_port(endpoint["address"], fleet.ENDPOINT_PORT)
+        for instance in self.fleet.instances:
+            processes.wait_for_port(instance["address"], fleet.CALLER_PORT)
+
+    def start_relay(self) -> None:
+        """Start the bare relay."""
+        host, port = self.relay.rsplit(":", 1)
+        self.running.start(
+            RELAY,
+            "measures",
+            "path_relay",
+            host,
+            port,
+            "+".join(self.get_endpoints()),
+            str(BATCH),
+        )
+        processes.wait_for_port(host, int(port))
+
+    def get_endpoints(self) -> tuple[str, ...]:
+        """Return the endpoints' addresses."""
+        return tuple(
+            f"{e['address']}:{fleet.ENDPOINT_PORT}"
+            for e in self.fleet.endpoints
+        )
+
+    def measure(self, way: Way, size: Size) -> Figure:
+        """Put the load on a way and return its cost."""
+        path_load.call_in_loop(way.target, CONNECTIONS, WARM_SECONDS)
+        before = self._read_cpu(way)
+        calls = path_load.call_in_loop(way.target, CONNECTIONS, size.seconds)
+        between = self._read_cpu(way)
+        streams = path_load.read_streams(way.target, size.streams, size.tokens)
+        after = self._read_cpu(way)
+        return Figure(
+            way=way.name,
+            requests_per_second=round(calls.count / calls.seconds, 1),
+            cpu_seconds_per_request=(between - before) / max(1, calls.count),
+            tokens_per_second=round(streams.count / streams.seconds, 1),
+            cpu_seconds_per_token=(after - between) / max(1, streams.count),
+            p95_gap_seconds=round(streams.p95_gap, 4),
+            p95_first_seconds=round(streams.p95_first, 4),
+            failed=calls.failed + streams.failed,
+        )
+
+    def _read_cpu(self, way: Way) -> float:
+        pids = [self.running.get_pid(name) for name in way.processes]
+        return sum(_read_cpu(pid) for pid in pids)
+
+
+def _read_cpu(pid: int) -> float:
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    # The name in brackets may hold blanks; the fields are counted from
+    # its end: user and system time are the 12th and 13th after it.
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _make_layout(subnet: str, instances: int) -> fleet.Layout:
+    engines = tuple(
+        {
+            "name": f"engine-{n}",
+            "models": ("any", f"only-{n}"),
+            "batch": BATCH,
+            "cold_concurrency": BATCH,
+            "cold_prompt_tokens": 10_000_000,
+            "prefill_rate": 10_000_000.0,
+            "decode_rate": 10_000.0,
+        }
+        for n in range(ENGINES)
+    )
+    entry = {"name": "measure", "owner": "measure", "class": 0, "key": KEY}
+    return fleet.Layout(
+        subnet=subnet,
+        data_centres=("dc-1",),
+        instances=instances,
+        engines=engines,
+        services=(),
+        entries=(entry,),
+        trace_events=False,
+    )
+
+
+def _make_target(addresses: tuple[str, ...], model: str) -> path_load.Target:
+    return path_load.Target(addresses=addresses, model=model, key=KEY)
+
+
+def _measure_one_entry(
+    folder: pathlib.Path, subnet: str, size: Size
+) -> list[Figure]:
+    with processes.Processes(folder) as running:
+        bench = Bench(running, subnet, 1)
+        bench.start()
+        bench.start_relay()
+        endpoints = bench.get_endpoints()
+        names = tuple(e["name"] for e in bench.fleet.endpoints)
+        entries = tuple(bench.fleet.get_callers_addresses())
+        ways = (
+            Way(
+                name="direct",
+                target=_make_target(endpoints, "any"),
+                processes=names,
+            ),
+            Way(
+                name="relay",
+                target=_make_target((bench.relay,), "any"),
+                processes=(RELAY,),
+            ),
+            Way(
+                name="entry",
+                target=_make_target(entries, "any"),
+                processes=("entry-1",),
+            ),
+        )
+        return [bench.measure(way, size) for way in ways]
+
+
+def _measure_forward(
+    folder: pathlib.Path, subnet: str, size: Size
+) -> list[Figure]:
+    with processes.Processes(folder) as running:
+        bench = Bench(running, subnet, 2)
+        bench.start()
+        names = [i["name"] for i in bench.fleet.instances]
+        owner = ownership.rank_instances("engine-0", names)[0]
+        other = bench.fleet.get_callers_addresses()[1 - names.index(owner)]
+        way = Way(
+            name="forward",
+            target=_make_target((other,), "only-0"),
+            processes=tuple(names),
+        )
+        return [bench.measure(way, size)]
+
+
+def run(
+    json: str | None = None,
+    subnet: str = "71.1",
+    seconds: float = 6.0,
+    streams: int = 200,
+    tokens: int = 300,
+) -> None:
+    """Measure the cost of the path, print it and write it.
+
+    Args:
+        json: file that gets the figures.
+        subnet: second and third number of the loopback addresses.
+        seconds: how long calls are sent on each way.
+        streams: streams side by side on each way.
+        tokens: tokens of each stream.
+    """
+    size = Size(seconds=seconds, streams=streams, tokens=tokens)
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        figures = _measure_one_entry(folder, str(subnet), size)
+        figures += _measure_forward(folder, str(subnet), size)
+    _print_figures(figures)
+    if json:
+        listed = [dataclasses.asdict(figure) for figure in figures]
+        text = json_module.dumps(listed, indent=2)
+        pathlib.Path(json).write_text(text + "\n")
+
+
+def _print_figures(figures: list[Figure]) -> None:
+    floor = next(f for f in figures if f.way == RELAY)
+    print(
+        "way      calls/s  CPU ms/call  to relay  tokens/s  "
+        "CPU us/token  to relay  p95 gap ms  p95 first ms  failed"
+    )
+    for f in figures:
+        call = f.cpu_seconds_per_request
+        token = f.cpu_seconds_per_token
+        print(
+            f"{f.way:8} {f.requests_per_second:7.0f}  {call * 1e3:11.3f}  "
+            f"{call / floor.cpu_seconds_per_request:8.2f}  "
+            f"{f.tokens_per_second:8.0f}  {token * 1e6:12.1f}  "
+            f"{token / floor.cpu_seconds_per_token:8.2f}  "
+            f"{f.p95_gap_seconds * 1e3:10.1f}  "
+            f"{f.p95_first_seconds * 1e3:12.1f}  {f.failed:6}"
+        )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -33,6 +33,7 @@
         engines: shapes (fields of ``engine.Shape``), with "models".
         services: service names.
         entries: catalogue entries; "key" is the plain key.
+        trace_events: whether entries write their event traces.
     """
 
     subnet: str
@@ -41,6 +42,7 @@
     engines: tuple[dict[str, Any], ...]
     services: tuple[str, ...]
     entries: tuple[dict[str, Any], ...]
+    trace_events: bool = True
 
 
 class Fleet:
@@ -134,8 +136,9 @@
             "data_centre": instance["data_centre"],
             **listeners,
             "platform": [{"address": self.platform, "port": PLATFORM_PORT}],
-            "event_file": str(self.folder / f"{name}.events.jsonl"),
         }
+        if self.layout.trace_events:
+            settings["event_file"] = str(self.folder / f"{name}.events.jsonl")
         path.write_text(yaml.safe_dump(settings))
         self.running.start(name, "citronport", "serve", str(path))
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -53,6 +53,10 @@
         except subprocess.TimeoutExpired:
             return None
 
+    def get_pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._running[name].pid
+
     def is_running(self, name: str) -> bool:
         """Return whether a process runs."""
         return self._running[name].poll() is None
