Stream answers, keep connections, watch each endpoint's start

Cause: the HTTP library's reader waits for as many bytes as were asked for, so that a stream reached the caller only with its end; no side set TCP_NODELAY; each call dialled anew; every instance polled every endpoint, and a restart was seen at the next poll, half a second late. Ruled out: reading one byte at a time (a call of the library for each byte); the library's client on kept connections (sends again by itself when one is stale); a separate heartbeat protocol (the load report's own connection ends with the process and costs nothing more). The executor checks, directly before the first byte, that the start is the one it decided for, by asking the watch's socket; a cancelled request's place is free only when the engine says so. core.py: the polling of all endpoints went into endpoints/watch.py. Stand-ins: the engine's work outlives a connection for 4 s, can be resumed and cancelled at once, publishes cache events with gaps, tells usage and its start; TCP_NODELAY everywhere. tests/test_path.py takes its subnet by process id: two worktrees at the same fixed one answered each other's calls. Proofs, with the safeguard out on a scratch copy, each fails: socket not asked in is_current -> test_end_is_seen_before_the_watch_has_its_turn; no resume -> test_cut_stream_goes_on_where_it_was_cut; id not compared -> test_crossed_resume_is_refused; no may_send -> test_call_past_its_check_is_not_sent; start not compared in the pool -> test_kept_connection_belongs_to_one_start; gap not told -> test_cache_events_tell_their_gaps; no cancel at the deadline -> test_call_ends_at_its_deadline_and_stops_the_engine.

--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 from gevent import pywsgi
+from gevent import socket
 import result
 import xxhash
 
@@ -448,4 +449,10 @@
     address: str, port: int, application: Application
 ) -> pywsgi.WSGIServer:
     """Return a server for callers; ``start`` makes it listen."""
-    return pywsgi.WSGIServer((address, port), application, log=None)
+    server = pywsgi.WSGIServer((address, port), application, log=None)
+    server.init_socket()
+    # Accepted sockets take this over from the listening one. Without it a
+    # small write waits for the acknowledgement of the one before, which a
+    # caller may hold back for 40 ms: each token would come that late.
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return server
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -8,7 +8,6 @@
 from absl import logging
 import gevent
 from gevent import event as gevent_event
-import result
 
 from citronport import clock
 from citronport import errors
@@ -16,8 +15,7 @@
 from citronport import settings as settings_module
 from citronport.callers import home
 from citronport.callers import server as caller_server
-from citronport.endpoints import client as endpoint_client
-from citronport.endpoints import const as endpoint_const
+from citronport.endpoints import watch
 from citronport.executor import Executor
 from citronport.instances import const as instance_const
 from citronport.instances import messages
@@ -59,10 +57,14 @@
             self._take_run,
             self._take_message,
         )
+        self.watches = watch.Watches(ticker, self._post)
         self.executor = Executor(
-            self.scheduler, ticker, self._forward, self._record
+            self.scheduler,
+            ticker,
+            self._forward,
+            self._record,
+            self.watches.is_current,
         )
-        self._connected: set[str] = set()
         self._stopped = gevent_event.Event()
         self._event_file = (
             open(settings.event_file, "a", buffering=1)
@@ -101,7 +103,6 @@
                 self.published.offer,
                 lambda asked: None,
             )
-        gevent.spawn(self._watch_endpoints)
         gevent.spawn(self._speak)
         gevent.spawn(self.executor.serve)
         gevent.signal_handler(signal.SIGTERM, self._stopped.set)
@@ -139,38 +140,10 @@
             e for e, i in owners.items() if i == self.settings.instance
         )
         self.executor.post(models.OwnershipChanged(owned=owned, owners=owners))
+        self.watches.assign({e: fleet.endpoints[e].address for e in owned})
 
-    def _watch_endpoints(self) -> None:
-        while True:
-            fleet = self.published.fleet
-            if fleet is not None:
-                gevent.joinall(
-                    [
-                        gevent.spawn(self._read_load, e)
-                        for e in fleet.endpoints.values()
-                    ]
-                )
-            self.ticker.sleep(endpoint_const.REPORT_SECONDS)
-
-    def _read_load(self, endpoint: models.Endpoint) -> None:
-        match endpoint_client.read_load(endpoint.address):
-            case result.Ok(report):
-                if endpoint.name not in self._connected:
-                    self._connected.add(endpoint.name)
-                    self.executor.post(
-                        models.EndpointConnected(endpoint=endpoint.name)
-                    )
-                self.executor.post(
-                    models.EndpointReported(
-                        endpoint=endpoint.name, report=report
-                    )
-                )
-            case result.Err(_):
-                if endpoint.name in self._connected:
-                    self._connected.discard(endpoint.name)
-                    self.executor.post(
-                        models.EndpointLost(endpoint=endpoint.name)
-                    )
+    def _post(self, event: models.Event) -> None:
+        self.executor.post(event)
 
     def _speak(self) -> None:
         while True:
--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -1,18 +1,24 @@
-"""Sends requests to endpoints and reads their answers and reports."""
+"""Sends requests to endpoints and reads their answers."""
 
 import collections.abc
 import dataclasses
-import json
+import re
+import time
 
-import geventhttpclient
+import gevent
 from geventhttpclient import response as http_response
 import result
 
 from citronport import const as common
 from citronport import errors
+from citronport.endpoints import connection as endpoint_connection
 from citronport.endpoints import const
 from citronport.endpoints import messages
-from citronport.scheduler import models
+from citronport.endpoints import pool
+
+_OUTPUT_TOKENS = re.compile(rb'"completion_tokens": ?(\d+)')
+_CACHED_TOKENS = re.compile(rb'"cached_tokens": ?(\d+)')
+_LOST = (OSError, http_response.HTTPParseError)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -38,6 +44,22 @@
     timeout: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Whole:
+    """What a whole answer came to.
+
+    Attributes:
+        size: bytes.
+        output_tokens: length of the answer, 0 if the endpoint does not
+            tell.
+        cached_tokens: prompt tokens that the endpoint had in its cache.
+    """
+
+    size: int
+    output_tokens: int = 0
+    cached_tokens: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Failure:
     """Why a dispatch gave no whole answer."""
@@ -46,138 +68,213 @@
     code: errors.Code
 
 
-def run_call(
-    address: str,
-    call: Call,
-    may_send: collections.abc.Callable[[], bool],
-    deliver: collections.abc.Callable[[messages.Message], None],
-) -> result.Result[int, Failure]:
-    """Send a call once and deliver its answer piece by piece.
+class _CrossedError(Exception):
+    """The endpoint offers another stream than the one that was cut."""
 
-    Args:
-        address: "ip:port" of the endpoint.
-        call: what to send.
-        may_send: asked after the last wait before the first byte is sent.
-        deliver: takes each piece of the answer.
 
-    Returns:
-        The size of the answer in bytes, or the failure. ``sent`` is False
-        only if not one byte of the request has left.
-    """
-    host, port = address.rsplit(":", 1)
-    # One connection a call: a pooled one may be stale, and the library
-    # sends again by itself when it finds that out, which would run a
-    # request twice.
-    client = geventhttpclient.HTTPClient(
-        host,
-        int(port),
-        connection_timeout=const.CONNECT_SECONDS,
-        network_timeout=call.timeout,
-    )
-    sent = False
-    try:
-        # Connecting can wait for long; nothing has been sent by then.
-        sock = client._connection_pool.get_socket()
-        client._connection_pool.return_socket(sock)
-        # A process that was stopped and woken acts on an old view: it
-        # would send a request whose caller was already told "not run".
-        # The check sits between the last wait and the send, so that no
-        # pause before it can pass unnoticed.
-        if not may_send():
-            return result.Err(
-                Failure(sent=False, code=errors.Code.DEADLINE_PASSED_WAITING)
+class _FaultError(Exception):
+    """The endpoint answered with an error."""
+
+
+class Client:
+    """Sends calls on kept connections, each call once."""
+
+    def __init__(self) -> None:
+        self._pool = pool.Pool()
+
+    def run_call(
+        self,
+        address: str,
+        start: int,
+        call: Call,
+        may_send: collections.abc.Callable[[], bool],
+        deliver: collections.abc.Callable[[messages.Message], None],
+    ) -> result.Result[Whole, Failure]:
+        """Send a call once and deliver its answer piece by piece.
+
+        Args:
+            address: "ip:port" of the endpoint.
+            start: the endpoint's start that the call was decided for.
+            call: what to send.
+            may_send: asked after the last wait before the first byte is
+                sent.
+            deliver: takes each piece of the answer.
+
+        Returns:
+            What the answer came to, or the failure. ``sent`` is False
+            only if not one byte of the request has left.
+        """
+        end = time.monotonic() + call.timeout
+        try:
+            request = _make_request(address, call)
+            # Connecting can wait for long; nothing has been sent by then.
+            opened = self._pool.take(address, start)
+        except (*_LOST, ValueError):
+            return _fail(errors.Code.ENDPOINT_LOST, sent=False)
+        try:
+            # A process that was stopped and woken acts on an old view: it
+            # would send a request whose caller was already told "not
+            # run", or one that was decided for a warm start of an
+            # endpoint that is cold again. The check sits between the last
+            # wait and the send, so that no pause before it can pass
+            # unnoticed, and the connection belongs to one start for ever.
+            if not may_send():
+                return _fail(errors.Code.DEADLINE_PASSED_WAITING, sent=False)
+            opened.send(request)
+            return result.Ok(self._read(address, opened, call, deliver, end))
+        except _FaultError:
+            return _fail(errors.Code.ENDPOINT_FAULT, sent=True)
+        except (*_LOST, _CrossedError):
+            if time.monotonic() < end:
+                return _fail(errors.Code.ENDPOINT_LOST, sent=True)
+            # Without the order the engine would go on for an answer that
+            # nobody gets.
+            gevent.spawn(cancel, address, call.request_id)
+            return _fail(errors.Code.DEADLINE_PASSED_RUNNING, sent=True)
+        finally:
+            self._pool.give_back(address, opened)
+
+    def _read(
+        self,
+        address: str,
+        opened: endpoint_connection.Connection,
+        call: Call,
+        deliver: collections.abc.Callable[[messages.Message], None],
+        end: float,
+    ) -> Whole:
+        reader = _Reader(call, deliver)
+        try:
+            reader.begin(opened, end)
+            reader.read(opened, end)
+        except _LOST:
+            if not reader.resumable:
+                raise
+            opened.close()
+            _resume(address, reader, end)
+        return reader.finish()
+
+
+class _Reader:
+    """Reads one answer, over one connection or several."""
+
+    def __init__(
+        self,
+        call: Call,
+        deliver: collections.abc.Callable[[messages.Message], None],
+    ) -> None:
+        self.call = call
+        self.resumable = False
+        self.size = 0
+        self._deliver = deliver
+        self._tail = b""
+        self._status = 0
+
+    def begin(
+        self, opened: endpoint_connection.Connection, end: float
+    ) -> None:
+        """Read the head of the answer."""
+        answer = opened.read_head(end - time.monotonic())
+        if answer.status_code >= 500:
+            raise _FaultError
+        self._status = answer.status_code
+        self.resumable = const.HEADER_RESUMABLE in answer
+        content_type = answer.get("content-type", "application/json")
+        self._deliver(
+            messages.Started(
+                status=answer.status_code, content_type=str(content_type)
             )
-        sent = True
-        headers = {common.HEADER_REQUEST_ID: call.request_id, **call.headers}
-        answer = client.request(call.method, call.path, call.body, headers)
-        return _read_answer(answer, call, deliver)
-    except Exception:
-        # The library raises socket, parser and timeout errors of several
-        # families; all that counts is whether the request had been sent.
-        return result.Err(Failure(sent=sent, code=errors.Code.ENDPOINT_LOST))
-    finally:
-        client.close()
-
-
-def _read_answer(
-    answer: http_response.HTTPSocketPoolResponse,
-    call: Call,
-    deliver: collections.abc.Callable[[messages.Message], None],
-) -> result.Result[int, Failure]:
-    if answer.status_code >= 500:
-        return result.Err(Failure(sent=True, code=errors.Code.ENDPOINT_FAULT))
-    deliver(
-        messages.Started(
-            status=answer.status_code,
-            content_type=answer.get("content-type", "application/json"),
         )
-    )
-    size = 0
-    tail = b""
+
+    def read(self, opened: endpoint_connection.Connection, end: float) -> None:
+        """Read pieces to the end of the body."""
+        while data := opened.read(end - time.monotonic()):
+            self._deliver(messages.Chunk(offset=self.size, data=data))
+            self.size += len(data)
+            self._tail = (self._tail + data)[-const.TAIL_BYTES :]
+
+    def finish(self) -> Whole:
+        """Check that the answer is whole.
+
+        Raises:
+            ConnectionResetError: it is not.
+        """
+        # A cut connection can look like a clean end of the body: a stream
+        # is whole only with its closing event.
+        ended = self._tail.rstrip().endswith(const.STREAM_END)
+        if self.call.stream and self._status == 200 and not ended:
+            raise ConnectionResetError("closed within the stream")
+        return Whole(
+            size=self.size,
+            output_tokens=_find_number(_OUTPUT_TOKENS, self._tail),
+            cached_tokens=_find_number(_CACHED_TOKENS, self._tail),
+        )
+
+
+def _resume(address: str, reader: _Reader, end: float) -> None:
+    """Read the rest of a cut stream, from where it was cut.
+
+    Nothing is run again: the engine goes on with the stream that it has,
+    or says that it has none.
+    """
+    until = min(end, time.monotonic() + const.RESUME_SECONDS)
     while True:
-        data = answer.read(const.READ_BYTES)
-        if not data:
-            break
-        deliver(messages.Chunk(offset=size, data=bytes(data)))
-        size += len(data)
-        tail = (tail + data)[-64:]
-    if not _is_whole(answer, call, size, tail):
-        return result.Err(Failure(sent=True, code=errors.Code.ENDPOINT_LOST))
-    return result.Ok(size)
-
-
-def _is_whole(
-    answer: http_response.HTTPSocketPoolResponse,
-    call: Call,
-    size: int,
-    tail: bytes,
-) -> bool:
-    # A cut connection can look like a clean end of the body: a stream is
-    # whole only with its closing event, any other answer only with all
-    # the bytes that its head announced.
-    if call.stream and answer.status_code == 200:
-        return tail.rstrip().endswith(const.STREAM_END)
-    announced = answer.get("content-length")
-    return announced is None or int(announced) == size
-
-
-def read_load(address: str) -> result.Result[models.LoadReport, str]:
-    """Ask an endpoint for its load report."""
-    match _get_json(address, const.PATH_LOAD):
-        case result.Ok(raw):
-            return result.Ok(
-                models.LoadReport(
-                    running=int(raw.get("running", 0)),
-                    queued=int(raw.get("queued", 0)),
-                    cold=bool(raw.get("cold", False)),
-                    age=float(raw.get("age", 0.0)),
-                    received=int(raw.get("received", 0)),
-                )
-            )
-        case result.Err(reason):
-            return result.Err(reason)
+        try:
+            _read_rest(address, reader, end)
+            return
+        except _LOST:
+            if time.monotonic() + const.RESUME_PAUSE_SECONDS > until:
+                raise
+        gevent.sleep(const.RESUME_PAUSE_SECONDS)
 
 
-def cancel(address: str, request_id: str) -> None:
-    """Tell an endpoint to stop a request; a lost order does no harm."""
-    _get_json(address, f"{const.PATH_CANCEL}?id={request_id}")
+def _read_rest(address: str, reader: _Reader, end: float) -> None:
+    request_id = reader.call.request_id
+    path = f"{const.PATH_RESUME}?id={request_id}&offset={reader.size}"
+    opened = endpoint_connection.dial(address)
+    try:
+        opened.send(endpoint_connection.make_request(address, "GET", path))
+        answer = opened.read_head(end - time.monotonic())
+        # An answer of another request, or one that starts elsewhere,
+        # would give the caller a stream with a seam in it.
+        if (
+            answer.status_code != 200
+            or answer.get(common.HEADER_REQUEST_ID) != request_id
+            or answer.get(const.HEADER_OFFSET) != str(reader.size)
+        ):
+            raise _CrossedError
+        reader.read(opened, end)
+    finally:
+        opened.close()
 
 
-def _get_json(address: str, path: str) -> result.Result[dict, str]:
-    host, port = address.rsplit(":", 1)
-    client = geventhttpclient.HTTPClient(
-        host,
-        int(port),
-        connection_timeout=const.CONNECT_SECONDS,
-        network_timeout=const.CONNECT_SECONDS,
-    )
+def cancel(address: str, request_id: str) -> None:
+    """Have an endpoint stop a request; return when it says it has."""
+    path = f"{const.PATH_CANCEL}?id={request_id}"
     try:
-        answer = client.get(path)
-        body = answer.read()
-        if answer.status_code != 200:
-            return result.Err(f"status {answer.status_code}")
-        return result.Ok(json.loads(body))
-    except Exception as error:
-        return result.Err(type(error).__name__)
+        opened = endpoint_connection.dial(address)
+    except OSError:
+        return
+    try:
+        opened.send(endpoint_connection.make_request(address, "GET", path))
+        opened.read_head(const.CONNECT_SECONDS)
+    except _LOST:
+        # The closed connection of the call stops it as well, only later.
+        return
     finally:
-        client.close()
+        opened.close()
+
+
+def _make_request(address: str, call: Call) -> bytes:
+    headers = {common.HEADER_REQUEST_ID: call.request_id, **call.headers}
+    return endpoint_connection.make_request(
+        address, call.method, call.path, call.body, headers
+    )
+
+
+def _fail(code: errors.Code, *, sent: bool) -> result.Err[Failure]:
+    return result.Err(Failure(sent=sent, code=code))
+
+
+def _find_number(pattern: re.Pattern[bytes], tail: bytes) -> int:
+    found = pattern.findall(tail)
+    return int(found[-1]) if found else 0
--- /dev/null
+++ b/citronport/endpoints/pool.py
@@ -0,0 +1,55 @@
+"""Keeps connections to endpoints between two requests."""
+
+import time
+
+from citronport.endpoints import connection
+from citronport.endpoints import const
+
+
+class Pool:
+    """Unused connections, by address; the newest is used first.
+
+    A kept connection saves about a third of the cost of a short request.
+    It belongs to one start of its endpoint: a process that starts again
+    has none of the old connections, so that nothing reaches it on one.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[connection.Connection]] = {}
+        self._next_sweep = 0.0
+
+    def take(self, address: str, start: int) -> connection.Connection:
+        """Return a connection to one start of an endpoint.
+
+        Raises:
+            OSError: the endpoint cannot be reached.
+        """
+        idle = self._idle.get(address, [])
+        oldest = time.monotonic() - const.IDLE_SECONDS
+        while idle:
+            kept = idle.pop()
+            fresh = kept.start == start and kept.idle_since > oldest
+            if fresh and kept.is_quiet():
+                return kept
+            kept.close()
+        return connection.dial(address, start)
+
+    def give_back(self, address: str, used: connection.Connection) -> None:
+        """Keep a connection whose answer came whole, close any other."""
+        idle = self._idle.setdefault(address, [])
+        now = time.monotonic()
+        if used.may_be_kept() and len(idle) < const.IDLE_CONNECTIONS:
+            used.idle_since = now
+            idle.append(used)
+        else:
+            used.close()
+        if now > self._next_sweep:
+            self._next_sweep = now + const.IDLE_SECONDS
+            self._sweep(now - const.IDLE_SECONDS)
+
+    def _sweep(self, oldest: float) -> None:
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0].idle_since < oldest:
+                idle.pop(0).close()
+            if not idle:
+                del self._idle[address]
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -1,6 +1,8 @@
 """The task that owns the scheduler and carries out its actions."""
 
 import collections.abc
+import dataclasses
+from typing import Any
 
 from absl import logging
 import gevent
@@ -29,6 +31,7 @@
         forward: hands a run to another instance; it delivers to the run
             and returns the code if the other instance did not run it.
         record: takes each event and its actions, for the event trace.
+        is_current: tells whether a start of an endpoint still runs.
     """
 
     def __init__(
@@ -41,11 +44,15 @@
         record: collections.abc.Callable[
             [models.Event, list[models.Action]], None
         ],
+        is_current: collections.abc.Callable[[str, int], bool],
     ) -> None:
         self._scheduler = scheduler
         self._ticker = ticker
         self._forward = forward
         self._record = record
+        self._is_current = is_current
+        self._client = client.Client()
+        self._starts: dict[str, int] = {}
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
@@ -84,15 +91,23 @@
     def _step(self, event: models.Event) -> None:
         actions = self._scheduler.handle(event, self._ticker.now())
         self._record(event, actions)
-        if isinstance(event, models.AnswerFinished):
-            self._forget(event.request_id)
+        match event:
+            case models.AnswerFinished():
+                self._forget(event.request_id)
+            case models.EndpointConnected():
+                # What the scheduler decides from here on is meant for
+                # this start of the endpoint.
+                self._starts[event.endpoint] = event.start
         for action in actions:
             self._act(action)
 
     def _act(self, action: models.Action) -> None:
         match action:
             case models.Dispatch():
-                self._spawn(action.request_id, self._dispatch, action)
+                # Read here, in the step that decided: a start that is
+                # handled later is another one.
+                start = self._starts.get(action.endpoint, 0)
+                self._spawn(action.request_id, self._dispatch, action, start)
             case models.Forward():
                 self._spawn(action.request_id, self._hand_over, action)
             case models.Refuse():
@@ -104,13 +119,15 @@
         self,
         request_id: str,
         act: collections.abc.Callable,
-        action: models.Action,
+        *details: Any,
     ) -> None:
         run = self._runs.get(request_id)
         if run is not None:
-            self._tasks[request_id] = gevent.spawn(act, run, action)
+            self._tasks[request_id] = gevent.spawn(act, run, *details)
 
-    def _dispatch(self, run: runs.Run, action: models.Dispatch) -> None:
+    def _dispatch(
+        self, run: runs.Run, action: models.Dispatch, start: int
+    ) -> None:
         request = run.work.request
         first = True
 
@@ -122,16 +139,26 @@
                 self.post(models.FirstToken(request_id=run.request_id))
 
         def may_send() -> bool:
-            return not run.ended and self._ticker.now() < request.deadline
+            if run.ended or self._ticker.now() >= request.deadline:
+                return False
+            return self._is_current(action.endpoint, start)
 
         fleet = self._scheduler.fleet
         if fleet is None:
             return
         address = fleet.endpoints[action.endpoint].address
-        match client.run_call(address, run.work.call, may_send, deliver):
-            case result.Ok(size):
-                run.deliver(messages.Finished(size=size))
-                self.post(models.AnswerFinished(request_id=run.request_id))
+        left = request.deadline - self._ticker.now()
+        call = dataclasses.replace(run.work.call, timeout=left)
+        match self._client.run_call(address, start, call, may_send, deliver):
+            case result.Ok(whole):
+                run.deliver(messages.Finished(size=whole.size))
+                self.post(
+                    models.AnswerFinished(
+                        request_id=run.request_id,
+                        output_tokens=whole.output_tokens,
+                        cached_tokens=whole.cached_tokens,
+                    )
+                )
             case result.Err(failure):
                 logging.warning(
                     "%s dispatch to %s failed: %s.",
@@ -178,9 +205,18 @@
     def _cancel(self, action: models.Cancel) -> None:
         task = self._tasks.get(action.request_id)
         if task is not None:
-            # Closing the connection is what stops the endpoint's work.
             task.kill(block=False)
         self._forget(action.request_id)
+        gevent.spawn(self._stop_work, action)
+
+    def _stop_work(self, action: models.Cancel) -> None:
+        # The place counts as taken until the endpoint says that it is
+        # free: one in cold start would else get the next request while
+        # it still works at this one.
+        fleet = self._scheduler.fleet
+        if fleet is not None and action.endpoint in fleet.endpoints:
+            address = fleet.endpoints[action.endpoint].address
+            client.cancel(address, action.request_id)
         self.post(models.AnswerFinished(request_id=action.request_id))
 
     def _forget(self, request_id: str) -> None:
--- a/citronport/instances/link.py
+++ b/citronport/instances/link.py
@@ -35,6 +35,9 @@
             ["Link", messages.Message | Closed], None
         ],
     ) -> None:
+        # Without it a small write waits for the acknowledgement of the
+        # one before, which the other side may hold back for 40 ms.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self._deliver = deliver
         self._outbox: queue.Queue[bytes | None] = queue.Queue()
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -282,9 +282,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EndpointConnected:
-    """The connection to an endpoint came up: a start, cold until shown."""
+    """The connection to an endpoint came up: a start, cold until shown.
+
+    Attributes:
+        endpoint: its name.
+        start: number of the start, unique in this process.
+    """
 
     endpoint: str
+    start: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/measures/path_endpoint.py
+++ b/measures/path_endpoint.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 import gevent
-from gevent import pywsgi
+
+from standins import listener
 
 WHOLE = json.dumps(
     {
@@ -93,6 +94,4 @@
 
 def serve(address: str, port: int, pause: float) -> None:
     """Serve until killed."""
-    pywsgi.WSGIServer(
-        (address, port), Endpoint(pause), log=None
-    ).serve_forever()
+    listener.serve(address, port, Endpoint(pause))
--- a/measures/path_relay.py
+++ b/measures/path_relay.py
@@ -4,9 +4,10 @@
 import itertools
 from typing import Any
 
-from gevent import pywsgi
 import geventhttpclient
 
+from standins import listener
+
 EVENT_END = b"\n\n"
 
 
@@ -68,4 +69,4 @@
         concurrency: connections kept to each.
     """
     relay = Relay(endpoints.split("+"), concurrency)
-    pywsgi.WSGIServer((address, port), relay, log=None).serve_forever()
+    listener.serve(address, port, relay)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -186,28 +186,24 @@
 
 def _read_stream(answer: Any, address: str, started: float) -> Outcome:
     parts: list[str] = []
-    rest = b""
     answer_id = None
     first = None
     done = False
     error: dict[str, Any] = {}
     try:
-        while data := answer.read(4096):
-            events = (rest + bytes(data)).split(b"\n\n")
-            rest = events.pop()
-            for event in events:
-                if event == b"data: [DONE]":
-                    done = True
-                    continue
-                chunk = json.loads(event.removeprefix(b"data: "))
-                if "error" in chunk:
-                    error = chunk["error"]
-                    continue
-                answer_id = chunk["id"]
-                content = chunk["choices"][0]["delta"].get("content")
-                if content:
-                    first = first or time.monotonic() - started
-                    parts.append(content)
+        while event := answer.readline(b"\n\n"):
+            if event.rstrip() == b"data: [DONE]":
+                done = True
+                continue
+            chunk = json.loads(event.removeprefix(b"data: "))
+            if "error" in chunk:
+                error = chunk["error"]
+                continue
+            answer_id = chunk["id"]
+            content = chunk["choices"][0]["delta"].get("content")
+            if content:
+                first = first or time.monotonic() - started
+                parts.append(content)
     except Exception:
         done = False
     return Outcome(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,17 +4,20 @@
 import collections.abc
 import dataclasses
 import json
+import secrets
 import time
 from typing import Any
 import urllib.parse
 
 import gevent
 from gevent import lock
-from gevent import pywsgi
 
 from citronport.callers import models as chat_models
 from standins import answers
+from standins import engine_cache
+from standins import engine_stream
 from standins import journal
+from standins import listener
 
 
 class FellOverError(Exception):
@@ -35,23 +38,30 @@
     cold_concurrency: int = 1
     cold_prompt_tokens: int = 2000
     report_lag: float = 0.5
+    cache_gap_every: int = 50
+    keep_seconds: float = 4.0
 
 
 class Engine:
-    """Admits requests as they come and falls over when overfed cold."""
+    """Admits requests as they come and falls over when overfed cold.
+
+    Each request runs in a task of its own, which a broken connection does
+    not end at once: its stream can be taken up again from an offset.
+    """
 
     def __init__(self, shape: Shape, notes: journal.Journal) -> None:
         self.shape = shape
         self._notes = notes
-        self._cache: collections.OrderedDict[int, int] = (
-            collections.OrderedDict()
+        self._start = secrets.token_hex(8)
+        self._cache = engine_cache.Cache(
+            shape.cache_tokens, shape.cache_gap_every
         )
         self._prefill = lock.Semaphore(1)
         self._batch = lock.Semaphore(shape.batch)
         self._slow = 1.0
         self._running: dict[str, int] = {}
         self._received = 0
-        self._cancelled: set[str] = set()
+        self._streams: dict[str, engine_stream.Stream] = {}
         self._life = 0
         self._reports: collections.deque[tuple[float, dict[str, Any]]] = (
             collections.deque(maxlen=200)
@@ -75,24 +85,36 @@
 
     def __call__(self, environ, start_response):  # noqa: ANN001, ANN204
         """Answer one HTTP request."""
-        path = environ["PATH_INFO"]
-        query = urllib.parse.parse_qs(environ["QUERY_STRING"])
-        if path == "/load":
-            return _answer(start_response, self._report())
-        if path == "/cancel":
-            self._cancelled.add(query["id"][0])
-            return _answer(start_response, {})
-        if path == "/admin/cold":
-            self.turn_cold()
-            return _answer(start_response, {})
-        if path == "/admin/slow":
-            self._slow = float(query["factor"][0])
-            return _answer(start_response, {})
+        query = {
+            name: values[0]
+            for name, values in urllib.parse.parse_qs(
+                environ["QUERY_STRING"]
+            ).items()
+        }
+        match environ["PATH_INFO"]:
+            case "/load":
+                return _answer(start_response, self._report(query))
+            case "/cancel":
+                self._cancel(query["id"])
+                return _answer(start_response, {})
+            case "/resume":
+                return self._resume(query, start_response)
+            case "/admin/cold":
+                self.turn_cold()
+                return _answer(start_response, {})
+            case "/admin/slow":
+                self._slow = float(query["factor"])
+                return _answer(start_response, {})
+            case "/admin/cut":
+                for stream in self._streams.values():
+                    stream.cut()
+                return _answer(start_response, {})
         return self._complete(environ, start_response)
 
-    def _report(self) -> dict[str, Any]:
+    def _report(self, query: dict[str, str]) -> dict[str, Any]:
         now = time.monotonic()
         current = {
+            "start": self._start,
             "running": len(self._running),
             "queued": max(0, len(self._running) - self.shape.batch),
             "cold": self.cold,
@@ -101,48 +123,101 @@
         self._reports.append((now, current))
         late = now - self.shape.report_lag
         old = [r for t, r in self._reports if t <= late]
-        return {**(old[-1] if old else current), "age": self.shape.report_lag}
+        after = int(query.get("cache_after", 0))
+        return {
+            **(old[-1] if old else current),
+            "age": self.shape.report_lag,
+            "cache": {"events": self._cache.get_events(after, late)},
+        }
+
+    def _cancel(self, request_id: str) -> None:
+        stream = self._streams.get(request_id)
+        if stream is not None:
+            stream.cancel()
 
     def _complete(self, environ, start_response):  # noqa: ANN001, ANN202
         body = json.loads(environ["wsgi.input"].read())
         request_id = environ.get("HTTP_X_REQUEST_ID", "none")
+        stream = engine_stream.Stream(request_id)
+        self._streams[request_id] = stream
+        stream.run(self._work, stream, body)
+        if body.get("stream"):
+            return self._hand_out(stream, 0, start_response)
+        return _answer(start_response, json.loads(stream.read_whole()))
+
+    def _resume(self, query, start_response):  # noqa: ANN001, ANN202
+        stream = self._streams.get(query["id"])
+        offset = int(query["offset"])
+        if stream is None or offset > stream.size:
+            start_response("404 Unknown", [("Content-Length", "0")])
+            return []
+        return self._hand_out(stream, offset, start_response)
+
+    def _hand_out(self, stream, offset, start_response):  # noqa: ANN001, ANN202
+        start_response(
+            "200 OK",
+            [
+                ("Content-Type", "text/event-stream"),
+                ("X-Resumable", "true"),
+                ("X-Request-Id", stream.request_id),
+                ("X-Offset", str(offset)),
+            ],
+        )
+        return stream.read(offset, self.shape.keep_seconds)
+
+    def _work(self, stream: engine_stream.Stream, body: dict) -> None:
+        request_id = stream.request_id
         prompt = make_prompt(body)
         count = body.get("max_completion_tokens") or body.get("max_tokens", 16)
-        if not body.get("stream"):
-            text = "".join(self._generate(request_id, body, prompt, count))
-            return _answer(start_response, _whole(request_id, body, text))
-        start_response("200 OK", [("Content-Type", "text/event-stream")])
-        return self._stream(request_id, body, prompt, count)
-
-    def _stream(
-        self, request_id: str, body: dict, prompt: str, count: int
-    ) -> collections.abc.Iterator[bytes]:
-        for token in self._generate(request_id, body, prompt, count):
-            yield _event(request_id, body, {"content": token}, None)
-        yield _event(request_id, body, {}, "stop")
-        yield b"data: [DONE]\n\n"
+        texts = []
+        for token in self._generate(stream, body, prompt, count):
+            if body.get("stream"):
+                event = _event(request_id, body, {"content": token}, None)
+                stream.add(event)
+            else:
+                texts.append(token)
+        usage = _make_usage(prompt, count, stream.cached)
+        if body.get("stream"):
+            stream.add(_event(request_id, body, {}, "stop", usage))
+            stream.add(b"data: [DONE]\n\n")
+        else:
+            whole = _whole(request_id, body, "".join(texts), usage)
+            stream.add(json.dumps(whole).encode())
+        stream.finish()
+        gevent.spawn_later(
+            self.shape.keep_seconds, self._streams.pop, request_id, None
+        )
 
     def _generate(
-        self, request_id: str, body: dict, prompt: str, count: int
+        self,
+        stream: engine_stream.Stream,
+        body: dict,
+        prompt: str,
+        count: int,
     ) -> collections.abc.Iterator[str]:
         life = self._life
+        request_id = stream.request_id
         tokens = max(1, len(prompt) // 4)
-        self._receive(request_id, prompt, tokens)
         finished = False
         try:
+            self._receive(request_id, prompt, tokens)
             with self._batch:
-                self._prefill_prompt(request_id, body["model"], prompt, tokens)
+                stream.cached = self._prefill_prompt(
+                    request_id, body["model"], prompt, tokens
+                )
                 for token in answers.make_tokens(prompt, count):
-                    self._check_alive(request_id, life)
+                    self._check_alive(life)
                     gevent.sleep(self._decode_seconds())
                     yield token
             finished = True
         finally:
-            self._running.pop(request_id, None)
+            if not finished:
+                self._streams.pop(request_id, None)
+            if life == self._life:
+                self._running.pop(request_id, None)
+                self._done_cold += finished
             kind = "finished" if finished else "stopped"
             self._notes.add(kind, request=request_id, output=count)
-            if finished and life == self._life:
-                self._done_cold += 1
 
     def _receive(self, request_id: str, prompt: str, tokens: int) -> None:
         self._received += 1
@@ -164,34 +239,23 @@
             self.turn_cold()
             raise FellOverError
 
-    def _check_alive(self, request_id: str, life: int) -> None:
+    def _check_alive(self, life: int) -> None:
         if life != self._life:
             raise FellOverError
-        if request_id in self._cancelled:
-            self._cancelled.discard(request_id)
-            raise FellOverError
 
     def _prefill_prompt(
         self, request_id: str, model: str, prompt: str, tokens: int
-    ) -> None:
+    ) -> int:
         blocks = chat_models.hash_prefix(model, prompt)
-        known = 0
-        for block in blocks:
-            if block not in self._cache:
-                break
-            known += 1
-        cached = min(tokens, known * 128)
+        cached = min(tokens, self._cache.count_known(blocks))
         with self._prefill:
             work = (tokens - cached) / self.shape.prefill_rate
             gevent.sleep(work * self._slow * (4 if self.cold else 1))
-        for block in blocks:
-            self._cache[block] = 128
-            self._cache.move_to_end(block)
-        while len(self._cache) * 128 > self.shape.cache_tokens:
-            self._cache.popitem(last=False)
+        self._cache.add(blocks)
         self._notes.add(
             "prefilled", request=request_id, tokens=tokens, cached=cached
         )
+        return cached
 
     def _decode_seconds(self) -> float:
         share = 1 + 0.05 * max(0, len(self._running) - 1)
@@ -206,8 +270,20 @@
     )
 
 
+def _make_usage(prompt: str, count: int, cached: int) -> dict[str, Any]:
+    return {
+        "prompt_tokens": max(1, len(prompt) // 4),
+        "completion_tokens": count,
+        "prompt_tokens_details": {"cached_tokens": cached},
+    }
+
+
 def _event(
-    request_id: str, body: dict, delta: dict, finish: str | None
+    request_id: str,
+    body: dict,
+    delta: dict,
+    finish: str | None,
+    usage: dict | None = None,
 ) -> bytes:
     chunk = {
         "id": request_id,
@@ -216,10 +292,14 @@
         "model": body["model"],
         "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
     }
+    if usage is not None:
+        chunk["usage"] = usage
     return b"data: " + json.dumps(chunk).encode() + b"\n\n"
 
 
-def _whole(request_id: str, body: dict, text: str) -> dict[str, Any]:
+def _whole(
+    request_id: str, body: dict, text: str, usage: dict
+) -> dict[str, Any]:
     message = {"role": "assistant", "content": text}
     return {
         "id": request_id,
@@ -227,6 +307,7 @@
         "created": 0,
         "model": body["model"],
         "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+        "usage": usage,
     }
 
 
@@ -249,6 +330,4 @@
     engine = Engine(
         Shape(**shape), journal.Journal(record_file, shape["name"])
     )
-    pywsgi.WSGIServer(
-        (address, port), engine, log=None, error_log=None
-    ).serve_forever()
+    listener.serve(address, port, engine)
--- /dev/null
+++ b/standins/engine_stream.py
@@ -0,0 +1,107 @@
+"""A stream that outlives the connection it is read from."""
+
+import collections.abc
+import time
+
+import gevent
+from gevent import event
+
+CHECK_SECONDS = 0.5
+
+
+class CutError(Exception):
+    """The connection ends without the end of the answer."""
+
+
+class Stream:
+    """The bytes of one answer as they grow, and the task that makes them."""
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+        self.cached = 0
+        self._data = bytearray()
+        self._finished = False
+        self._task: gevent.Greenlet | None = None
+        self._readers = 0
+        self._cuts = 0
+        self._changed = event.Event()
+
+    @property
+    def size(self) -> int:
+        """Bytes so far."""
+        return len(self._data)
+
+    def run(self, work: collections.abc.Callable, *details: object) -> None:
+        """Start the task that fills the stream."""
+        self._task = gevent.spawn(work, *details)
+        self._task.link(lambda _: self._changed.set())
+
+    def add(self, data: bytes) -> None:
+        """Add bytes."""
+        self._data += data
+        self._changed.set()
+
+    def finish(self) -> None:
+        """Mark the stream as whole."""
+        self._finished = True
+        self._changed.set()
+
+    def cancel(self) -> None:
+        """Stop the task; return when it has stopped."""
+        if self._task is not None:
+            self._task.kill()
+
+    def cut(self) -> None:
+        """End the connections that read it, but not the work."""
+        self._cuts += 1
+        self._changed.set()
+
+    def read_whole(self) -> bytes:
+        """Wait for the end and return all.
+
+        Raises:
+            CutError: the task stopped before the end.
+        """
+        if self._task is not None:
+            self._task.join()
+        if not self._finished:
+            raise CutError
+        return bytes(self._data)
+
+    def read(
+        self, offset: int, keep_seconds: float
+    ) -> collections.abc.Iterator[bytes]:
+        """Yield what comes from an offset on.
+
+        Args:
+            offset: bytes to leave out.
+            keep_seconds: how long the work goes on without a reader.
+        """
+        cuts = self._cuts
+        self._readers += 1
+        try:
+            while True:
+                if cuts != self._cuts:
+                    raise CutError
+                data = bytes(self._data[offset:])
+                offset += len(data)
+                if data:
+                    yield data
+                elif self._finished:
+                    return
+                elif self._task is None or self._task.dead:
+                    raise CutError
+                else:
+                    self._changed.clear()
+                    self._changed.wait()
+        finally:
+            self._readers -= 1
+            if not self._readers and not self._finished:
+                gevent.spawn(self._give_up, time.monotonic() + keep_seconds)
+
+    def _give_up(self, end: float) -> None:
+        while not self._readers and not self._finished:
+            if time.monotonic() > end:
+                self.cancel()
+                return
+            gevent.sleep(CHECK_SECONDS)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,10 +6,10 @@
 
 import gevent
 from gevent import event
-from gevent import pywsgi
 import msgpack
 
 from standins import journal
+from standins import listener
 
 DOWN = "down"
 STALE = "stale"
@@ -87,4 +87,4 @@
 def serve(address: str, port: int, record_file: str | None = None) -> None:
     """Serve until killed."""
     application = Platform(journal.Journal(record_file, "platform"))
-    pywsgi.WSGIServer((address, port), application, log=None).serve_forever()
+    listener.serve(address, port, application)
--- a/standins/service.py
+++ b/standins/service.py
@@ -3,10 +3,10 @@
 import json
 
 import gevent
-from gevent import pywsgi
 
 from standins import answers
 from standins import journal
+from standins import listener
 
 
 class Service:
@@ -58,4 +58,4 @@
 ) -> None:
     """Serve until killed."""
     application = Service(journal.Journal(record_file, name), seconds)
-    pywsgi.WSGIServer((address, port), application, log=None).serve_forever()
+    listener.serve(address, port, application)
--- /dev/null
+++ b/tests/endpoints/test_client.py
@@ -0,0 +1,236 @@
+"""How calls reach endpoints: once, piece by piece, resumed, cancelled."""
+
+import json
+
+import gevent
+from gevent import event
+from gevent import pywsgi
+from gevent import server
+import result
+import testtools
+
+from citronport import errors
+from citronport.endpoints import client
+from citronport.endpoints import connection
+from citronport.endpoints import messages
+from citronport.endpoints import pool
+from standins import caller
+from standins import engine
+
+ADDRESS = "127.72.0.1"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+END = b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"
+
+
+class Notes:
+    """A journal in memory."""
+
+    def __init__(self):
+        self.kinds = []
+
+    def add(self, kind, **_):
+        """Keep the kind of a line."""
+        self.kinds.append(kind)
+
+
+class ClientTest(testtools.TestCase):
+    """Calls of one client to an endpoint on a socket of this process."""
+
+    def setUp(self):
+        """Make a client."""
+        super().setUp()
+        self.client = client.Client()
+        self.pieces = []
+
+    def serve(self, handle):
+        """Serve connections with a function; return the address."""
+        listening = server.StreamServer((ADDRESS, 0), handle)
+        listening.start()
+        self.addCleanup(listening.stop, 1)
+        return f"{ADDRESS}:{listening.server_port}"
+
+    def serve_engine(self, **shape):
+        """Serve the stand-in engine; return it and its address."""
+        self.notes = Notes()
+        fast = {"name": "engine", "cold_seconds": 0.0, "decode_rate": 500.0}
+        made = engine.Engine(engine.Shape(**fast, **shape), self.notes)
+        listening = pywsgi.WSGIServer(
+            (ADDRESS, 0), made, log=None, error_log=None
+        )
+        listening.start()
+        self.addCleanup(listening.stop, 1)
+        return made, f"{ADDRESS}:{listening.server_port}"
+
+    def call(self, address, *, deliver=None, body=b"{}", **options):
+        """Run one call and return its result."""
+        fields = {
+            "request_id": "request-1",
+            "method": "POST",
+            "path": "/v1/chat/completions",
+            "body": body,
+            "headers": {},
+            "stream": True,
+            "timeout": 10.0,
+        }
+        return self.client.run_call(
+            address,
+            1,
+            client.Call(**{**fields, **options}),
+            lambda: True,
+            deliver or self.pieces.append,
+        )
+
+    def join(self):
+        """Return the answer's bytes; check that it has no seam."""
+        joined = b""
+        for piece in self.pieces:
+            if isinstance(piece, messages.Chunk):
+                self.assertEqual(len(joined), piece.offset)
+                joined += piece.data
+        return joined
+
+    def test_first_piece_comes_before_the_end(self):
+        """The endpoint ends its stream only when the first piece is here."""
+        came = event.Event()
+
+        def handle(sock, _):
+            sock.recv(65536)
+            sock.sendall(CHUNKED + b"6\r\ndata: \r\n")
+            came.wait(5)
+            sock.sendall(END)
+
+        def deliver(message):
+            if isinstance(message, messages.Chunk):
+                came.set()
+            self.pieces.append(message)
+
+        self.assertTrue(self.call(self.serve(handle), deliver=deliver).is_ok())
+        self.assertEqual(b"data: data: [DONE]\n\n", self.join())
+
+    def test_cut_stream_goes_on_where_it_was_cut(self):
+        """The caller sees one whole answer; the engine ran it once.
+
+        The connection to the engine breaks in the middle of the stream.
+        The client asks for the rest by the bytes it has, on a new
+        connection; the engine goes on with the stream that it kept.
+        """
+        made, address = self.serve_engine()
+        body = caller.make_chat("small", "how warm?", 40)
+
+        def deliver(message):
+            self.pieces.append(message)
+            if len(self.pieces) in (5, 15):
+                for stream in made._streams.values():
+                    stream.cut()
+
+        encoded = caller.encode_body(body)
+        answer = self.call(address, deliver=deliver, body=encoded)
+        self.assertEqual(40, answer.unwrap().output_tokens)
+        events = [e for e in self.join().split(b"\n\n") if e][:-1]
+        tokens = [
+            json.loads(e.removeprefix(b"data: "))["choices"][0]["delta"]
+            for e in events
+        ]
+        text = "".join(token.get("content", "") for token in tokens)
+        self.assertEqual(caller.make_expected(body), text)
+        self.assertEqual(1, self.notes.kinds.count("received"))
+
+    def test_crossed_resume_is_refused(self):
+        """The rest that is offered belongs to another request.
+
+        The caller gets what came before the cut and then a refusal that
+        says "outcome unknown", never a byte of the other answer.
+        """
+
+        def handle(sock, _):
+            if sock.recv(65536).startswith(b"POST"):
+                marks = b"X-Resumable: true\r\n"
+                sock.sendall(CHUNKED.replace(HEAD, HEAD + marks))
+                sock.sendall(b"6\r\ndata: \r\n")
+            else:
+                marks = b"X-Request-Id: request-2\r\nX-Offset: 6\r\n"
+                sock.sendall(CHUNKED.replace(HEAD, HEAD + marks) + END)
+
+        answer = self.call(self.serve(handle))
+        lost = client.Failure(sent=True, code=errors.Code.ENDPOINT_LOST)
+        self.assertEqual(result.Err(lost), answer)
+        self.assertEqual(b"data: ", self.join())
+
+    def test_call_is_never_sent_again(self):
+        """A kept connection ends as soon as the second call is sent.
+
+        The library's own client would send a PUT again, and a plain
+        service would run it twice. Here the outcome is unknown.
+        """
+        arrived = []
+
+        def handle(sock, _):
+            arrived.append(sock.recv(65536))
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            arrived.append(sock.recv(65536))
+
+        address = self.serve(handle)
+        options = {"method": "PUT", "stream": False}
+        self.assertTrue(self.call(address, **options).is_ok())
+        second = self.call(address, **options)
+        self.assertTrue(second.unwrap_err().sent)
+        self.assertEqual(2, len(arrived))
+
+    def test_call_past_its_check_is_not_sent(self):
+        """Not one byte leaves when the check says no after connecting."""
+        arrived = []
+        address = self.serve(lambda sock, _: arrived.append(sock.recv(9)))
+        self.client.run_call(
+            address,
+            1,
+            client.Call(
+                request_id="request-1",
+                method="POST",
+                path="/",
+                body=b"{}",
+                headers={},
+                stream=False,
+                timeout=5.0,
+            ),
+            lambda: False,
+            self.pieces.append,
+        )
+        gevent.sleep(0)
+        gevent.sleep(0.01)
+        self.assertNotIn(b"POST", b"".join(arrived))
+
+    def test_call_ends_at_its_deadline_and_stops_the_engine(self):
+        """The answer would take 10 s; the caller waits for 0.2 s."""
+        _, address = self.serve_engine(prefill_rate=0.1)
+        body = caller.encode_body(caller.make_chat("small", "how?", 4))
+        answer = self.call(address, body=body, timeout=0.2)
+        self.assertEqual(
+            errors.Code.DEADLINE_PASSED_RUNNING, answer.unwrap_err().code
+        )
+        with gevent.Timeout(5):
+            while "stopped" not in self.notes.kinds:
+                gevent.sleep(0.01)
+
+    def test_kept_connection_belongs_to_one_start(self):
+        """A connection to an earlier start is never used for a later one."""
+        address = self.serve(lambda sock, _: sock.recv(9))
+        kept = pool.Pool()
+        first = kept.take(address, 1)
+        first.may_be_kept = lambda: True
+        kept.give_back(address, first)
+        self.assertIs(first, kept.take(address, 1))
+        kept.give_back(address, first)
+        self.assertIsNot(first, kept.take(address, 2))
+
+    def test_smuggled_header_is_not_sent(self):
+        """A header value with a line end makes no second request."""
+        self.assertRaises(
+            ValueError,
+            connection.make_request,
+            "127.0.0.1:1",
+            "POST",
+            "/",
+            b"",
+            {"X-Request-Id": "a\r\nContent-Length: 0\r\n\r\nGET /"},
+        )
--- /dev/null
+++ b/tests/endpoints/test_watch.py
@@ -0,0 +1,99 @@
+"""How the start of an endpoint is watched."""
+
+import json
+
+import gevent
+from gevent import queue
+from gevent import server
+import testtools
+
+from citronport import clock
+from citronport.endpoints import watch
+from citronport.scheduler import models
+
+ADDRESS = "127.72.0.2"
+NAME = "engine-1"
+
+
+class WatchTest(testtools.TestCase):
+    """One endpoint on a socket of this process is watched."""
+
+    def setUp(self):
+        """Start the endpoint and its watch."""
+        super().setUp()
+        self.report = {"start": "one", "running": 3, "cold": True}
+        self.connections = []
+        listening = server.StreamServer((ADDRESS, 0), self.handle)
+        listening.start()
+        self.addCleanup(listening.stop, 1)
+        self.events = queue.Queue()
+        self.watches = watch.Watches(clock.RuntimeClock(), self.events.put)
+        address = f"{ADDRESS}:{listening.server_port}"
+        self.watches.assign({NAME: address})
+        self.addCleanup(self.watches.assign, {})
+
+    def handle(self, sock, _):
+        """Answer load reports on one connection."""
+        self.connections.append(sock)
+        while sock.recv(65536):
+            body = json.dumps(self.report).encode()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            sock.sendall(head.encode() + body)
+
+    def wait_for(self, kind):
+        """Return the next event of a kind."""
+        while True:
+            found = self.events.get(timeout=5)
+            if isinstance(found, kind):
+                return found
+
+    def test_report_comes_after_the_start(self):
+        """A start is told first, then its load."""
+        start = self.events.get(timeout=5).start
+        self.assertTrue(self.watches.is_current(NAME, start))
+        report = self.events.get(timeout=5).report
+        self.assertEqual((3, True), (report.running, report.cold))
+
+    def test_end_is_seen_before_the_watch_has_its_turn(self):
+        """The endpoint's process ends and another one takes its address.
+
+        A dispatch that was decided for the warm process stands between
+        connecting and sending. The check asks the socket itself, so that
+        it sees the end although no other task has run since; then the
+        loss and the new start are told in order.
+        """
+        start = self.wait_for(models.EndpointConnected).start
+        self.wait_for(models.EndpointReported)
+        self.connections[0].shutdown(2)
+        self.assertFalse(self.watches.is_current(NAME, start))
+        self.wait_for(models.EndpointLost)
+        later = self.wait_for(models.EndpointConnected).start
+        self.assertNotEqual(start, later)
+        self.assertFalse(self.watches.is_current(NAME, start))
+
+    def test_other_start_behind_the_same_connection(self):
+        """A report that names another start is a loss and a start."""
+        self.wait_for(models.EndpointConnected)
+        self.report = {"start": "two"}
+        self.wait_for(models.EndpointLost)
+        self.wait_for(models.EndpointConnected)
+
+    def test_cache_events_tell_their_gaps(self):
+        """Number 2 never comes: the event after it says so."""
+        events = [{"number": 1, "stored": [7], "evicted": []}]
+        self.report["cache"] = {"events": events}
+        first = self.wait_for(models.CacheReported)
+        self.assertEqual(((7,), False), (first.stored, first.gap))
+        events[:] = [{"number": 3, "stored": [], "evicted": [7]}]
+        later = self.wait_for(models.CacheReported)
+        while not later.evicted:
+            later = self.wait_for(models.CacheReported)
+        self.assertTrue(later.gap)
+
+    def test_endpoint_no_longer_owned_is_left_alone(self):
+        """Its connection ends, and no start counts as current."""
+        start = self.wait_for(models.EndpointConnected).start
+        self.watches.assign({})
+        self.wait_for(models.EndpointLost)
+        gevent.sleep(0)
+        self.assertFalse(self.watches.is_current(NAME, start))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,5 +1,6 @@
 """The whole path as separate processes."""
 
+import os
 import pathlib
 import tempfile
 
@@ -11,7 +12,8 @@
 from standins import processes
 
 LAYOUT = fleet.Layout(
-    subnet="31.1",
+    # By process, so that two runs on one machine do not meet.
+    subnet=f"31.{os.getpid() % 250 + 1}",
     data_centres=("dc-1", "dc-2"),
     instances=3,
     engines=(
