Set one timeout around a call, not one for each read

Cause: samples of an entry under streams (signal timer, 2 ms of CPU time) showed a sixth of its time in gevent's Timeout: each recv with a socket timeout makes, starts and stops one. Ruled out: no timeout at all; the deadline must end a read. Change: endpoints/connection.py waits without end, client.py sets one gevent.Timeout around the call, watch.py one around each report. A call that could not be sent says so with a "not run" code also when its deadline has passed.

--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -68,6 +68,13 @@
     code: errors.Code
 
 
+# The code is for a call that has no time left to be decided again; one
+# that says "outcome unknown" would be wrong for what was never sent.
+_NOT_SENT = result.Err(
+    Failure(sent=False, code=errors.Code.DEADLINE_PASSED_WAITING)
+)
+
+
 class _CrossedError(Exception):
     """The endpoint offers another stream than the one that was cut."""
 
@@ -105,53 +112,59 @@
             only if not one byte of the request has left.
         """
         end = time.monotonic() + call.timeout
-        try:
-            request = _make_request(address, call)
-            # Connecting can wait for long; nothing has been sent by then.
-            opened = self._pool.take(address, start)
-        except (*_LOST, ValueError):
-            return _fail(errors.Code.ENDPOINT_LOST, sent=False)
-        try:
-            # A process that was stopped and woken acts on an old view: it
-            # would send a request whose caller was already told "not
-            # run", or one that was decided for a warm start of an
-            # endpoint that is cold again. The check sits between the last
-            # wait and the send, so that no pause before it can pass
-            # unnoticed, and the connection belongs to one start for ever.
-            if not may_send():
-                return _fail(errors.Code.DEADLINE_PASSED_WAITING, sent=False)
-            opened.send(request)
-            return result.Ok(self._read(address, opened, call, deliver, end))
-        except _FaultError:
-            return _fail(errors.Code.ENDPOINT_FAULT, sent=True)
-        except (*_LOST, _CrossedError):
-            if time.monotonic() < end:
-                return _fail(errors.Code.ENDPOINT_LOST, sent=True)
-            # Without the order the engine would go on for an answer that
-            # nobody gets.
-            gevent.spawn(cancel, address, call.request_id)
-            return _fail(errors.Code.DEADLINE_PASSED_RUNNING, sent=True)
-        finally:
-            self._pool.give_back(address, opened)
-
-    def _read(
-        self,
-        address: str,
-        opened: endpoint_connection.Connection,
-        call: Call,
-        deliver: collections.abc.Callable[[messages.Message], None],
-        end: float,
-    ) -> Whole:
-        reader = _Reader(call, deliver)
-        try:
-            reader.begin(opened, end)
-            reader.read(opened, end)
-        except _LOST:
-            if not reader.resumable:
-                raise
-            opened.close()
-            _resume(address, reader, end)
-        return reader.finish()
+        with gevent.Timeout(call.timeout, TimeoutError("deadline")):
+            try:
+                request = _make_request(address, call)
+                # Connecting can wait for long; nothing has been sent.
+                opened = self._pool.take(address, start)
+            except (*_LOST, ValueError):
+                return _NOT_SENT
+            try:
+                # A process that was stopped and woken acts on an old
+                # view: it would send a request whose caller was already
+                # told "not run", or one that was decided for a warm start
+                # of an endpoint that is cold again. The check sits
+                # between the last wait and the send, so that no pause
+                # before it can pass unnoticed, and the connection belongs
+                # to one start for ever.
+                if not may_send():
+                    return _NOT_SENT
+                opened.send(request)
+                return result.Ok(_read(address, opened, call, deliver, end))
+            except _FaultError:
+                return _fail(errors.Code.ENDPOINT_FAULT)
+            except (*_LOST, _CrossedError):
+                return _settle_loss(address, call, end)
+            finally:
+                self._pool.give_back(address, opened)
+
+
+def _settle_loss(address: str, call: Call, end: float) -> result.Err[Failure]:
+    if time.monotonic() < end:
+        return _fail(errors.Code.ENDPOINT_LOST)
+    # Without the order the engine would go on for an answer that nobody
+    # gets.
+    gevent.spawn(cancel, address, call.request_id)
+    return _fail(errors.Code.DEADLINE_PASSED_RUNNING)
+
+
+def _read(
+    address: str,
+    opened: endpoint_connection.Connection,
+    call: Call,
+    deliver: collections.abc.Callable[[messages.Message], None],
+    end: float,
+) -> Whole:
+    reader = _Reader(call, deliver)
+    try:
+        reader.begin(opened)
+        reader.read(opened)
+    except _LOST:
+        if not reader.resumable:
+            raise
+        opened.close()
+        _resume(address, reader, end)
+    return reader.finish()
 
 
 class _Reader:
@@ -169,11 +182,9 @@
         self._tail = b""
         self._status = 0
 
-    def begin(
-        self, opened: endpoint_connection.Connection, end: float
-    ) -> None:
+    def begin(self, opened: endpoint_connection.Connection) -> None:
         """Read the head of the answer."""
-        answer = opened.read_head(end - time.monotonic())
+        answer = opened.read_head()
         if answer.status_code >= 500:
             raise _FaultError
         self._status = answer.status_code
@@ -185,9 +196,9 @@
             )
         )
 
-    def read(self, opened: endpoint_connection.Connection, end: float) -> None:
+    def read(self, opened: endpoint_connection.Connection) -> None:
         """Read pieces to the end of the body."""
-        while data := opened.read(end - time.monotonic()):
+        while data := opened.read():
             self._deliver(messages.Chunk(offset=self.size, data=data))
             self.size += len(data)
             self._tail = (self._tail + data)[-const.TAIL_BYTES :]
@@ -219,7 +230,7 @@
     until = min(end, time.monotonic() + const.RESUME_SECONDS)
     while True:
         try:
-            _read_rest(address, reader, end)
+            _read_rest(address, reader)
             return
         except _LOST:
             if time.monotonic() + const.RESUME_PAUSE_SECONDS > until:
@@ -227,13 +238,13 @@
         gevent.sleep(const.RESUME_PAUSE_SECONDS)
 
 
-def _read_rest(address: str, reader: _Reader, end: float) -> None:
+def _read_rest(address: str, reader: _Reader) -> None:
     request_id = reader.call.request_id
     path = f"{const.PATH_RESUME}?id={request_id}&offset={reader.size}"
     opened = endpoint_connection.dial(address)
     try:
         opened.send(endpoint_connection.make_request(address, "GET", path))
-        answer = opened.read_head(end - time.monotonic())
+        answer = opened.read_head()
         # An answer of another request, or one that starts elsewhere,
         # would give the caller a stream with a seam in it.
         if (
@@ -242,7 +253,7 @@
             or answer.get(const.HEADER_OFFSET) != str(reader.size)
         ):
             raise _CrossedError
-        reader.read(opened, end)
+        reader.read(opened)
     finally:
         opened.close()
 
@@ -256,7 +267,8 @@
         return
     try:
         opened.send(endpoint_connection.make_request(address, "GET", path))
-        opened.read_head(const.CONNECT_SECONDS)
+        with gevent.Timeout(const.CONNECT_SECONDS, TimeoutError("cancel")):
+            opened.read_head()
     except _LOST:
         # The closed connection of the call stops it as well, only later.
         return
@@ -271,8 +283,8 @@
     )
 
 
-def _fail(code: errors.Code, *, sent: bool) -> result.Err[Failure]:
-    return result.Err(Failure(sent=sent, code=code))
+def _fail(code: errors.Code) -> result.Err[Failure]:
+    return result.Err(Failure(sent=True, code=code))
 
 
 def _find_number(pattern: re.Pattern[bytes], tail: bytes) -> int:
--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -34,7 +34,9 @@
 
     The library's client sends again by itself when a kept connection
     turns out to be stale, which would run a request twice; here a send
-    that fails has failed.
+    that fails has failed. Nothing here ends by itself: the caller sets one
+    timeout around all its steps, since one for each read costs more than
+    the read.
 
     Args:
         sock: a connected socket.
@@ -56,34 +58,32 @@
         self._answer = Answer()
         self._sock.sendall(request)
 
-    def read_head(self, seconds: float) -> Answer:
+    def read_head(self) -> Answer:
         """Wait for the head of the answer.
 
         Raises:
-            OSError: the connection broke, or the time is over.
+            OSError: the connection broke.
             geventhttpclient.response.HTTPParseError: not HTTP.
         """
-        end = time.monotonic() + seconds
         answer = self._answer
         while not answer.headers_complete or answer.status_code < 200:
-            if not self._receive(end):
+            if not self._receive():
                 raise ConnectionResetError("closed before the answer")
         return answer
 
-    def read(self, seconds: float) -> bytes:
+    def read(self) -> bytes:
         """Wait for the next piece of the body.
 
         Returns:
             What came, or nothing at the end of the body.
 
         Raises:
-            OSError: the connection broke, or the time is over.
+            OSError: the connection broke.
             geventhttpclient.response.HTTPParseError: not HTTP.
         """
-        end = time.monotonic() + seconds
         answer = self._answer
         while not (data := answer.take()) and not answer.message_complete:
-            if not self._receive(end):
+            if not self._receive():
                 # A body without a length ends with the connection; any
                 # other one that ends here was cut.
                 if "content-length" in answer or _is_chunked(answer):
@@ -119,11 +119,7 @@
         """Close it; the endpoint sees that nobody waits for an answer."""
         self._sock.close()
 
-    def _receive(self, end: float) -> bool:
-        left = end - time.monotonic()
-        if left <= 0:
-            raise TimeoutError("no answer in time")
-        self._sock.settimeout(left)
+    def _receive(self) -> bool:
         data = self._sock.recv(const.READ_BYTES)
         self._answer.feed(data)
         return bool(data)
@@ -139,6 +135,7 @@
     sock = socket.create_connection(
         (host, int(port)), timeout=const.CONNECT_SECONDS
     )
+    sock.settimeout(None)
     # A small write would else wait for the acknowledgement of the one
     # before it, which the other side may hold back for 40 ms.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/citronport/endpoints/watch.py
+++ b/citronport/endpoints/watch.py
@@ -72,7 +72,9 @@
         try:
             self._opened = connection.dial(self.address)
             while True:
-                self._take_report(self._ask(self._opened))
+                with gevent.Timeout(const.CONNECT_SECONDS, TimeoutError()):
+                    raw = self._ask(self._opened)
+                self._take_report(raw)
                 if self._opened.wait_until_closed(const.REPORT_SECONDS):
                     return
         except (OSError, http_response.HTTPParseError, ValueError) as error:
@@ -85,9 +87,9 @@
     def _ask(self, opened: connection.Connection) -> dict[str, Any]:
         path = f"{const.PATH_LOAD}?cache_after={self._cache_number}"
         opened.send(connection.make_request(self.address, "GET", path))
-        answer = opened.read_head(const.CONNECT_SECONDS)
+        answer = opened.read_head()
         parts = []
-        while data := opened.read(const.CONNECT_SECONDS):
+        while data := opened.read():
             parts.append(data)
         raw = json.loads(b"".join(parts))
         if answer.status_code != 200 or not isinstance(raw, dict):
