--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -4,6 +4,7 @@
 import dataclasses
 import re
 import time
+from urllib import parse
 
 import gevent
 from geventhttpclient import response as http_response
@@ -278,8 +279,11 @@
 
 def _make_request(address: str, call: Call) -> bytes:
     headers = {common.HEADER_REQUEST_ID: call.request_id, **call.headers}
+    # The path has been unquoted on its way in; a line end in it would
+    # smuggle a second request to the endpoint.
+    path = parse.quote(call.path, safe="/:@!$&'()*+,;=~", encoding="latin-1")
     return endpoint_connection.make_request(
-        address, call.method, call.path, call.body, headers
+        address, call.method, path, call.body, headers
     )
 
 
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -34,6 +34,20 @@
     WARM = "warm"
 
 
+class ColdShare(enum.StrEnum):
+    """Part of what a cold start bears that the owner may use.
+
+    The halves belong to two authorities that two instances could hold at
+    the same time; see ``ownership``. Of an odd number the upper half is
+    the larger one.
+    """
+
+    ALL = "all"
+    UPPER_HALF = "upper half"
+    LOWER_HALF = "lower half"
+    NONE = "none"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Limits:
     """Limits of one catalogue entry; None is no limit.
@@ -204,6 +218,9 @@
             when there is no pressure.
         usage: requests in progress by catalogue entry.
         leaving: whether it takes no new work.
+        waits: seconds until a new request would start, by model and tier.
+        rates: requests a second admitted, by limited catalogue entry.
+        token_rates: tokens a second admitted, by limited entry.
     """
 
     instance: str
@@ -215,6 +232,11 @@
     floor: int = 3
     usage: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving: bool = False
+    waits: dict[str, tuple[float, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    token_rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 # Events
@@ -334,11 +356,14 @@
         suspended: owned ones whose lease is in doubt; nothing may be
             started on one of these while it is cold.
         owners: instance by endpoint, for all endpoints.
+        cold_share: part of what each cold owned endpoint bears that may
+            be used, requests and prompt tokens alike.
     """
 
     owned: frozenset[str]
     suspended: frozenset[str] = frozenset()
     owners: dict[str, str] = dataclasses.field(default_factory=dict)
+    cold_share: ColdShare = ColdShare.ALL
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -365,6 +390,11 @@
     """Nothing came; deadlines and rates are looked at."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReturnOrdered:
+    """This instance is back in service and takes new work again."""
+
+
 Event = (
     RequestArrived
     | RequestLeft
@@ -380,6 +410,7 @@
     | InstanceReported
     | InstanceGone
     | LeaveOrdered
+    | ReturnOrdered
     | TimePassed
 )
 
--- a/measures/__init__.py
+++ b/measures/__init__.py
@@ -1,1 +1,1 @@
-"""Measures: each prints a table and writes its figures as JSON."""
+"""Measurements of the project; run them with ``script/measure NAME``."""
--- a/measures/__main__.py
+++ b/measures/__main__.py
@@ -1,20 +1,26 @@
-"""Command line of the measures."""
+"""Runs one measurement: ``python -m measures NAME [--json FILE] ...``."""
 
-import gevent.monkey
+import importlib
+import sys
 
-gevent.monkey.patch_all()
+import fire
 
-import fire  # noqa: E402
 
-from measures import path  # noqa: E402
-from measures import path_endpoint  # noqa: E402
-from measures import path_relay  # noqa: E402
+def run() -> None:
+    """Run the measurement that the first argument names.
+
+    Each measurement is a package here with a function ``run``, whose
+    parameters are its flags.
+    """
+    if len(sys.argv) < 2 or sys.argv[1].startswith("-"):
+        sys.exit("usage: script/measure NAME [--json FILE] ...")
+    name = sys.argv[1]
+    try:
+        module = importlib.import_module(f"measures.{name}")
+    except ModuleNotFoundError:
+        sys.exit(f"there is no measurement {name!r}")
+    fire.Fire(module.run, command=sys.argv[2:], name=f"measure {name}")
+
 
 if __name__ == "__main__":
-    fire.Fire(
-        {
-            "path": path.run,
-            "path_endpoint": path_endpoint.serve,
-            "path_relay": path_relay.serve,
-        }
-    )
+    run()
--- a/measures/path_endpoint.py
+++ b/measures/path_endpoint.py
@@ -92,6 +92,6 @@
     return [data]
 
 
-def serve(address: str, port: int, pause: float) -> None:
+def run(address: str, port: int, pause: float) -> None:
     """Serve until killed."""
     listener.serve(address, port, Endpoint(pause))
--- a/measures/path_relay.py
+++ b/measures/path_relay.py
@@ -59,7 +59,7 @@
         yield event
 
 
-def serve(address: str, port: int, endpoints: str, concurrency: int) -> None:
+def run(address: str, port: int, endpoints: str, concurrency: int) -> None:
     """Serve until killed.
 
     Args:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,7 +8,9 @@
 
 from standins import demo  # noqa: E402
 from standins import engine  # noqa: E402
+from standins import instance  # noqa: E402
 from standins import platform  # noqa: E402
+from standins import scenario  # noqa: E402
 from standins import service  # noqa: E402
 
 if __name__ == "__main__":
@@ -16,7 +18,9 @@
         {
             "demo": demo.run,
             "engine": engine.serve,
+            "instance": instance.serve,
             "platform": platform.serve,
+            "scenario": scenario.run_file,
             "service": service.serve,
         }
     )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,6 +19,9 @@
 from standins import journal
 from standins import listener
 
+TAG_CHARS = 24
+"""The end of a prompt, by which a request is told from others."""
+
 
 class FellOverError(Exception):
     """The engine fell over in cold start and drops what it held."""
@@ -230,6 +233,7 @@
             cold=cold,
             running=len(self._running),
             prompt_tokens=tokens,
+            tag=prompt[-TAG_CHARS:],
         )
         over = len(self._running) > self.shape.cold_concurrency or (
             sum(self._running.values()) > self.shape.cold_prompt_tokens
