--- a/citronport/core.py
+++ b/citronport/core.py
@@ -6,7 +6,6 @@
 import gevent
 from gevent import event as gevent_event
 from gevent import pywsgi
-import result
 
 from citronport import assignment
 from citronport import clock
@@ -22,8 +21,7 @@
 from citronport.callers import const as caller_const
 from citronport.callers import home
 from citronport.callers import server as caller_server
-from citronport.endpoints import client as endpoint_client
-from citronport.endpoints import const as endpoint_const
+from citronport.endpoints import watch
 from citronport.instances import const as instance_const
 from citronport.instances import gossip
 from citronport.instances import messages
@@ -76,12 +74,14 @@
         self.telemetry = telemetry.Telemetry(ticker, self._tracer)
         self.tasks = tasks.Supervisor(ticker, self.telemetry.counts.note_death)
         self.peers = self._make_peers()
+        self.watches = watch.Watches(ticker, self._take_endpoint_event)
         self.executor = executor.Executor(
             self.scheduler,
             ticker,
             self._forward,
             self.owners.may_feed_cold,
             trace.make_event_recorder(self.name, settings.event_file),
+            self.watches.is_current,
             self.telemetry,
         )
         self.gossip = gossip.Gossip(
@@ -99,6 +99,7 @@
             self.executor.post,
             self.executor.count_running,
             self.peers.send,
+            self._watch_owned,
         )
         self._connected: set[str] = set()
         self._reports: dict[str, models.LoadReport] = {}
@@ -218,7 +219,6 @@
                 self.published.offer,
                 confirm,
             )
-        self.tasks.keep("load reports", self._watch_endpoints)
         self.tasks.keep("peer reports", self.gossip.serve)
         self.tasks.require("assignment", self.assignment.serve)
         self.tasks.require("executor", self.executor.serve)
@@ -279,36 +279,28 @@
         self.owners.update_leaving(names, self.ticker.now())
         self.gossip.report()
 
-    def _watch_endpoints(self) -> None:
-        while True:
-            fleet = self.published.fleet
-            owned = self.assignment.current.owned
-            if fleet is not None:
-                gevent.joinall(
-                    [
-                        gevent.spawn(self._read_load, fleet.endpoints[name])
-                        for name in owned
-                        if name in fleet.endpoints
-                    ]
-                )
-            self.ticker.sleep(endpoint_const.REPORT_SECONDS)
+    def _watch_owned(self) -> None:
+        fleet = self.published.fleet
+        if fleet is None:
+            return
+        self.watches.assign(
+            {
+                name: fleet.endpoints[name].address
+                for name in self.assignment.current.owned
+                if name in fleet.endpoints
+            }
+        )
 
-    def _read_load(self, endpoint: models.Endpoint) -> None:
-        name = endpoint.name
-        match endpoint_client.read_load(endpoint.address):
-            case result.Ok(report):
-                self._reports[name] = report
-                if name not in self._connected:
-                    self._connected.add(name)
-                    self.executor.post(models.EndpointConnected(endpoint=name))
-                self.assignment.note_report(name, report)
-                self.executor.post(
-                    models.EndpointReported(endpoint=name, report=report)
-                )
-            case result.Err(_):
-                if name in self._connected:
-                    self._connected.discard(name)
-                    self.executor.post(models.EndpointLost(endpoint=name))
+    def _take_endpoint_event(self, event: models.Event) -> None:
+        match event:
+            case models.EndpointConnected():
+                self._connected.add(event.endpoint)
+            case models.EndpointLost():
+                self._connected.discard(event.endpoint)
+            case models.EndpointReported():
+                self._reports[event.endpoint] = event.report
+                self.assignment.note_report(event.endpoint, event.report)
+        self.executor.post(event)
 
     def _take_message(
         self, sender: str, message: messages.Message
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -2,6 +2,8 @@
 
 import collections
 import collections.abc
+import dataclasses
+from typing import Any
 
 from absl import logging
 import gevent
@@ -34,6 +36,7 @@
         may_feed_cold: whether one more request may go to an endpoint in
             cold start; asked directly before the send.
         record: takes each event and its actions, for the event trace.
+        is_current: tells whether a start of an endpoint still runs.
         telemetry: counts and traces the runs.
     """
 
@@ -48,6 +51,7 @@
         record: collections.abc.Callable[
             [models.Event, list[models.Action]], None
         ],
+        is_current: collections.abc.Callable[[str, int], bool],
         telemetry: telemetry_module.Telemetry | None = None,
     ) -> None:
         self._scheduler = scheduler
@@ -56,6 +60,9 @@
         self._may_feed_cold = may_feed_cold
         self._record = record
         self._telemetry = telemetry or telemetry_module.Telemetry(ticker)
+        self._is_current = is_current
+        self._client = client.Client()
+        self._starts: dict[str, int] = {}
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
@@ -101,10 +108,15 @@
     def _step(self, event: models.Event) -> None:
         actions = self._scheduler.handle(event, self._ticker.now())
         self._record(event, actions)
-        if isinstance(event, models.AnswerFinished):
-            self._forget(event.request_id)
-        if isinstance(event, models.RequestArrived):
-            self._note_decided(event.request.request_id)
+        match event:
+            case models.AnswerFinished():
+                self._forget(event.request_id)
+            case models.EndpointConnected():
+                # What the scheduler decides from here on is meant for
+                # this start of the endpoint.
+                self._starts[event.endpoint] = event.start
+            case models.RequestArrived():
+                self._note_decided(event.request.request_id)
         for action in actions:
             self._act(action)
 
@@ -116,7 +128,10 @@
     def _act(self, action: models.Action) -> None:
         match action:
             case models.Dispatch():
-                self._spawn(action.request_id, self._occupy, action)
+                # Read here, in the step that decided: a start that is
+                # handled later is another one.
+                start = self._starts.get(action.endpoint, 0)
+                self._spawn(action.request_id, self._occupy, action, start)
             case models.Forward():
                 self._spawn(action.request_id, self._hand_over, action)
             case models.Refuse():
@@ -128,24 +143,28 @@
         self,
         request_id: str,
         act: collections.abc.Callable,
-        action: models.Action,
+        *details: Any,
     ) -> None:
         run = self._runs.get(request_id)
         if run is not None:
-            self._tasks[request_id] = gevent.spawn(
-                self._guard, act, run, action
-            )
+            task = gevent.spawn(self._guard, act, run, *details)
+            self._tasks[request_id] = task
+            task.rawlink(lambda ended: self._end_task(request_id, ended))
+
+    def _end_task(self, request_id: str, task: gevent.Greenlet) -> None:
+        if self._tasks.get(request_id) is task:
+            del self._tasks[request_id]
 
     def _guard(
         self,
         act: collections.abc.Callable,
         run: runs.Run,
-        action: models.Action,
+        *details: Any,
     ) -> None:
         # An unforeseen error would end the task without a word: the
         # caller would wait for ever, and the endpoint's place stay taken.
         try:
-            act(run, action)
+            act(run, *details)
         except Exception as error:
             logging.error(
                 "%s a request died of %s.", LOG, tasks.describe_error(error)
@@ -154,21 +173,18 @@
             self._finish(run, errors.Refusal(code=errors.Code.INTERNAL))
             self.post(models.AnswerFinished(request_id=run.request_id))
 
-    def _occupy(self, run: runs.Run, action: models.Dispatch) -> None:
-        self._at_endpoint[action.endpoint] += 1
-        try:
-            self._dispatch(run, action)
-        finally:
-            self._at_endpoint[action.endpoint] -= 1
-
-    def _occupy(self, run: runs.Run, action: models.Dispatch) -> None:
+    def _occupy(
+        self, run: runs.Run, action: models.Dispatch, start: int
+    ) -> None:
         self._at_endpoint[action.endpoint] += 1
         try:
-            self._dispatch(run, action)
+            self._dispatch(run, action, start)
         finally:
             self._at_endpoint[action.endpoint] -= 1
 
-    def _dispatch(self, run: runs.Run, action: models.Dispatch) -> None:
+    def _dispatch(
+        self, run: runs.Run, action: models.Dispatch, start: int
+    ) -> None:
         request = run.work.request
         first = True
 
@@ -183,6 +199,8 @@
             now = self._ticker.now()
             if run.ended or now >= request.deadline:
                 return False
+            if not self._is_current(action.endpoint, start):
+                return False
             # The lease may have run out in a pause since the decision.
             return self._scheduler.is_warm(
                 action.endpoint
@@ -193,10 +211,18 @@
             return
         address = fleet.endpoints[action.endpoint].address
         run.watch.dispatched(action.endpoint)
-        match client.run_call(address, run.work.call, may_send, deliver):
-            case result.Ok(size):
-                run.deliver(messages.Finished(size=size))
-                self.post(models.AnswerFinished(request_id=run.request_id))
+        left = request.deadline - self._ticker.now()
+        call = dataclasses.replace(run.work.call, timeout=left)
+        match self._client.run_call(address, start, call, may_send, deliver):
+            case result.Ok(whole):
+                run.deliver(messages.Finished(size=whole.size))
+                self.post(
+                    models.AnswerFinished(
+                        request_id=run.request_id,
+                        output_tokens=whole.output_tokens,
+                        cached_tokens=whole.cached_tokens,
+                    )
+                )
             case result.Err(failure):
                 logging.warning(
                     "%s dispatch to %s failed: %s.",
@@ -220,6 +246,7 @@
             return
         if refusal.meaning.ran == errors.Ran.OUTCOME_UNKNOWN:
             self._finish(run, refusal)
+            self.post(models.AnswerFinished(request_id=run.request_id))
             return
         run.watch.returned()
         # The other instance said in so many words that it did not run the
@@ -252,15 +279,25 @@
     def _cancel(self, action: models.Cancel) -> None:
         task = self._tasks.get(action.request_id)
         if task is not None:
-            # Closing the connection is what stops the endpoint's work.
             task.kill(block=False)
         self._forget(action.request_id)
+        gevent.spawn(self._stop_work, action)
+
+    def _stop_work(self, action: models.Cancel) -> None:
+        # The place counts as taken until the endpoint says that it is
+        # free: one in cold start would else get the next request while
+        # it still works at this one.
+        fleet = self._scheduler.fleet
+        if fleet is not None and action.endpoint in fleet.endpoints:
+            address = fleet.endpoints[action.endpoint].address
+            self._at_endpoint[action.endpoint] += 1
+            client.cancel(address, action.request_id)
+            self._at_endpoint[action.endpoint] -= 1
         self.post(models.AnswerFinished(request_id=action.request_id))
 
     def _forget(self, request_id: str) -> None:
         run = self._runs.pop(request_id, None)
         if run is not None:
             run.watch.end(telemetry_module.OUTCOME_LEFT)
-        self._tasks.pop(request_id, None)
         self._refused_by.pop(request_id, None)
         self._refusals.pop(request_id, None)
