Hand out owners as a value, not as a shared mapping

Change: the mapping is replaced on change. Cost: one copy for each change of the list or catalogue. Result: script/test test_ownership passes as before.

--- a/citronport/scheduler/ownership.py
+++ b/citronport/scheduler/ownership.py
@@ -128,8 +128,13 @@
             for name, centre in endpoints.items()
             if self._endpoints.get(name) != centre
         }
-        for name in set(self._endpoints) - set(endpoints):
-            self._owners.pop(name, None)
+        gone = self._endpoints.keys() - endpoints.keys()
+        self._owners = {
+            name: owner
+            for name, owner in self._owners.items()
+            if name not in gone
+        }
+        for name in gone:
             self._held.pop(name, None)
         self._endpoints = dict(endpoints)
         self._assign(changed, now)
@@ -251,6 +256,9 @@
     def _assign(
         self, endpoints: collections.abc.Iterable[str], now: float
     ) -> None:
+        # What was handed out stays as it was: a shared mapping would hide
+        # from the other side that an owner changed.
+        self._owners = dict(self._owners)
         eligible = _group(self._get_eligible())
         listed = _group(self._members)
         for endpoint in endpoints:
