--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -50,8 +50,13 @@
 RING_POINTS: Final = 24
 """Points of a mean endpoint on the ring; the spread is about a fifth."""
 
-TRIES: Final = 5
-"""Instances that may say "not run" before the caller is told."""
+TRIES: Final = 8
+"""Times that instances may say "not run" before the caller is told.
+
+Bounds the hops of a request that no owner can serve in time."""
+
+AVOIDED: Final = 2
+"""Instances that refused last and are not asked again at once."""
 
 UNKNOWN_WAIT: Final = 0.5
 """Seconds taken for the wait at an instance that has not reported."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -253,7 +253,10 @@
             return self._take_in(request, now, forwarded=True)
         if len(refused_by) >= const.TRIES:
             return self._shed(request, errors.Code.OVERLOADED, now)
-        choice = self._router.choose(request, refused_by, now)
+        avoided = refused_by[-const.AVOIDED :]
+        choice = self._router.choose(request, avoided, now)
+        if choice is None and avoided:
+            choice = self._router.choose(request, (), now)
         if choice is None:
             return self._shed(request, errors.Code.NO_ENDPOINT, now)
         self._router.record(request, choice)
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -382,15 +382,17 @@
         for tier, group in sorted(
             (tier, group) for group, tier in self.queue.get_groups()
         ):
-            wait = self.get_queue_wait(group, tier)
+            ahead = sum(self.queue.get_cost(group, t) for t in range(tier + 1))
+            wait = self.estimate_wait(group, ahead, now)
+            if get_peer_wait(group[1], tier) > wait * const.MOVE_GAIN:
+                continue
             for waiting in itertools.islice(
                 self.queue.iterate_tails(group, tier), HEADS
             ):
-                waited = now - waiting.since
-                if waited < const.MOVE_SECONDS:
+                left = waiting.request.deadline - now
+                if now - waiting.since < const.MOVE_SECONDS:
                     continue
-                peer = get_peer_wait(group[1], tier)
-                if peer < max(waited, wait) * const.MOVE_GAIN:
+                if wait > left * const.PRESSURE:
                     found.append(waiting)
                 if len(found) >= const.MOVES:
                     return found
