--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -115,3 +115,7 @@
 
 COLD_FACTOR: Final = 4.0
 """Times that prefill is taken to be slower in cold start."""
+
+PATIENCE: Final = 0.3
+"""Part of its slack that a request waits for the endpoint that holds its
+prefix, before any other one will do."""
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -236,7 +236,8 @@
                 free = (score, name)
         if free is None or best is None:
             return None
-        if free[1] != best[1] and not urgent:
+        patient = now - waiting.since < slack * const.PATIENCE
+        if free[1] != best[1] and patient:
             return None
         return free[1]
 
@@ -392,7 +393,7 @@
                 left = waiting.request.deadline - now
                 if now - waiting.since < const.MOVE_SECONDS:
                     continue
-                if wait > left * const.PRESSURE:
+                if wait > left * const.PATIENCE:
                     found.append(waiting)
                 if len(found) >= const.MOVES:
                     return found
