--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -34,6 +34,7 @@
         services: service names.
         entries: catalogue entries; "key" is the plain key.
         traced: whether the instances write their spans to files.
+        trace_events: whether entries write their event traces.
     """
 
     subnet: str
@@ -43,6 +44,7 @@
     services: tuple[str, ...]
     entries: tuple[dict[str, Any], ...]
     traced: bool = False
+    trace_events: bool = True
 
 
 class Fleet:
@@ -142,10 +144,11 @@
                     "port": PLATFORM_PORT,
                 }
             ],
-            "event_file": str(self.folder / f"{name}.events.jsonl"),
         }
         if self.layout.traced:
             settings["trace_file"] = str(self.folder / f"{name}.spans.jsonl")
+        if self.layout.trace_events:
+            settings["event_file"] = str(self.folder / f"{name}.events.jsonl")
         path.write_text(yaml.safe_dump(settings))
         self.run_instance(name, str(path))
 
