--- a/citronport/commands.py
+++ b/citronport/commands.py
@@ -21,7 +21,7 @@
   check settings FILE         check a settings file
   check catalogue FILE        check a catalogue before it is published
   status [ADDRESS...]         show the fleet: [--settings=FILE] [--json]
-  drain ADDRESS               have an instance finish its work and stop
+  drain ADDRESS [--wait]      have an instance finish its work and stop
   version                     print the version
 
 An ADDRESS is the operators' "ip:port" of an instance.
@@ -31,7 +31,7 @@
   citronport serve docs/examples/settings.yaml
   citronport status 127.0.0.1:8002
   citronport status --settings=docs/examples/settings.yaml --json
-  citronport drain 127.0.0.1:8002
+  citronport drain 127.0.0.1:8002 --wait
 
 citronport COMMAND --help tells more. Exit codes: 0 done, 1 failed,
 2 wrong use.
@@ -113,13 +113,16 @@
             as_json=json,
         )
 
-    def drain(self, address: str) -> orders.Drain:
+    def drain(self, address: str, *, wait: bool = False) -> orders.Drain:
         """Have an instance finish its work and stop, as SIGTERM does.
 
         Args:
             address: operators' "ip:port" of the instance.
+            wait: return when the process has ended.
         """
-        return orders.Drain(address=_check_address(address))
+        if not isinstance(wait, bool):
+            raise UsageError("--wait takes no value")
+        return orders.Drain(address=_check_address(address), wait=wait)
 
     def version(self) -> orders.ShowVersion:
         """Print the version."""
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -113,7 +113,7 @@
         # Before anything listens: a stop that came in between would end the
         # process at once and cut the first callers.
         gevent.signal_handler(signal.SIGTERM, self.stop)
-        self.tasks.report_unhandled()
+        self.tasks.report_unhandled(caller_server.StreamCutError)
         listener = self.settings.peers
         peer_server = self.peers.serve(str(listener.address), listener.port)
         operators = self._make_operator_server()
@@ -188,6 +188,7 @@
                 summarize=self.scheduler.summarize,
                 get_owned=lambda: self.assignment.current.owned,
                 count_running=self.executor.count_running,
+                is_warm=self.scheduler.is_warm,
                 is_linked=lambda n: self.peers.get_incarnation(n) is not None,
                 is_leaving=lambda: self._leaving,
                 connected=self._connected,
--- a/citronport/documents.py
+++ b/citronport/documents.py
@@ -1,13 +1,19 @@
 """YAML texts that people edit: read strictly, faults named by line."""
 
 from typing import Any
+from typing import TypeVar
 
 import pydantic
 import pydantic_core
 import result
 import yaml
 
+MAX_FAULTS = 10
+"""Faults told in one line; a missing key in 6,000 endpoints is one fault
+to the reader."""
+
 Place = tuple[int | str, ...]
+Model = TypeVar("Model", bound=pydantic.BaseModel)
 
 # The loader written in C reads a catalogue of 0.8 MB in 1.1 s instead of 6.5
 # s; it is missing only where PyYAML was built without libyaml.
@@ -60,20 +66,40 @@
     )
 
 
-def describe_errors(text: str, error: pydantic.ValidationError) -> str:
-    """Return one line that names each fault by line and place.
+def check(text: str, model: type[Model]) -> result.Result[Model, str]:
+    """Check a YAML text whole.
 
     Args:
-        text: the YAML text that was checked.
-        error: what the check found.
+        text: YAML.
+        model: what it has to hold.
+
+    Returns:
+        The model, or one line that names each fault by line and place.
     """
+    match load(text):
+        case result.Err(reason):
+            return result.Err(reason)
+        case result.Ok(raw):
+            pass
+    if not isinstance(raw, dict):
+        return result.Err("line 1: a mapping is needed at the top")
+    try:
+        return result.Ok(model.model_validate(raw))
+    except pydantic.ValidationError as error:
+        return result.Err(_describe_errors(text, error))
+
+
+def _describe_errors(text: str, error: pydantic.ValidationError) -> str:
     root = yaml.compose(text, Loader=_Base)
     parts = []
-    for item in error.errors(include_url=False):
+    faults = error.errors(include_url=False)
+    for item in faults[:MAX_FAULTS]:
         place = item.get("ctx", {}).get("place", item["loc"])
         name = ".".join(str(step) for step in place) or "(top)"
         line = _find_line(root, place)
         parts.append(f"line {line}: {name}: {_describe(item)}")
+    if len(faults) > MAX_FAULTS:
+        parts.append(f"and {len(faults) - MAX_FAULTS} more")
     return "; ".join(parts)
 
 
--- a/citronport/operators/client.py
+++ b/citronport/operators/client.py
@@ -2,6 +2,9 @@
 
 import collections.abc
 import dataclasses
+import errno
+import os
+import time
 
 from gevent import pool
 import geventhttpclient
@@ -11,6 +14,9 @@
 from citronport.operators import const
 from citronport.operators import models
 
+REFUSED = os.strerror(errno.ECONNREFUSED)
+"""Reason of an address at which nothing listens."""
+
 _STATUS = pydantic.TypeAdapter(models.Status)
 
 Progress = collections.abc.Callable[[int, int], None]
@@ -50,6 +56,26 @@
     return _call(address, "POST", const.PATH_DRAIN).map(lambda _: None)
 
 
+def wait_for_end(
+    address: str, note_left: collections.abc.Callable[[int], None]
+) -> bool:
+    """Wait until a draining instance has ended; return whether it has.
+
+    Args:
+        address: operators' "ip:port" of the instance.
+        note_left: called with the requests in progress, again and again.
+    """
+    end = time.monotonic() + const.DRAIN_SECONDS
+    while time.monotonic() < end:
+        match _ask(address):
+            case (_, models.Status() as status):
+                note_left(sum(tier.running for tier in status.tiers))
+            case (_, models.Unreachable(reason=reason)) if reason == REFUSED:
+                return True
+        time.sleep(const.POLL_SECONDS)
+    return False
+
+
 def _ask(address: str) -> tuple[str, models.Answer]:
     match _call(address, "GET", const.PATH_STATUS):
         case result.Err(reason):
--- a/citronport/operators/const.py
+++ b/citronport/operators/const.py
@@ -18,4 +18,11 @@
 """Instances asked at once: 510 answer within seconds, and the command
 stays far from the usual limit of open files."""
 
+DRAIN_SECONDS: Final = 660.0
+"""How long to wait for the end of a drain: the longest deadline of a
+request, and a minute."""
+
+POLL_SECONDS: Final = 0.5
+"""Pause between two looks at an instance that drains."""
+
 MAX_STATUS_BYTES: Final = 4_000_000
--- a/citronport/operators/metrics.py
+++ b/citronport/operators/metrics.py
@@ -86,9 +86,7 @@
         registry, "endpoint_running", "Requests in progress there."
     )
     connected = _gauge(registry, "endpoint_connected", "1 while it answers.")
-    cold = _gauge(
-        registry, "endpoint_cold", "1 while it reports a cold start."
-    )
+    cold = _gauge(registry, "endpoint_cold", "1 until it was shown warm.")
     for endpoint in status.endpoints:
         labels = {"endpoint": endpoint.name.translate(_UNSAFE)}
         running.set(labels, endpoint.running)
--- a/citronport/operators/status.py
+++ b/citronport/operators/status.py
@@ -26,6 +26,7 @@
         summarize: work waiting and in progress, by tier.
         get_owned: names of the endpoints that this instance owns.
         count_running: requests of this instance at an endpoint.
+        is_warm: whether an owned endpoint was shown warm.
         is_linked: whether a link to an instance is open.
         is_leaving: whether no new work is taken.
         connected: names of the endpoints that answer.
@@ -40,6 +41,7 @@
     summarize: collections.abc.Callable[[], decisions.InstanceSummary]
     get_owned: collections.abc.Callable[[], frozenset[str]]
     count_running: collections.abc.Callable[[str], int]
+    is_warm: collections.abc.Callable[[str], bool]
     is_linked: collections.abc.Callable[[str], bool]
     is_leaving: collections.abc.Callable[[], bool]
     connected: set[str]
@@ -133,7 +135,7 @@
             data_centre=endpoint.data_centre,
             listed=str(endpoint.state),
             connected=endpoint.name in parts.connected,
-            cold=report.cold if report else True,
+            cold=not parts.is_warm(endpoint.name),
             running=parts.count_running(endpoint.name),
             concurrency=endpoint.concurrency,
             reported_running=report.running if report else 0,
--- a/citronport/orders.py
+++ b/citronport/orders.py
@@ -57,6 +57,7 @@
     """Stop an instance gracefully."""
 
     address: str
+    wait: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -175,4 +176,16 @@
             return fail(f"{order.address}: {reason}", EXIT_FAILED)
         case result.Ok(_):
             print(f"{order.address} is leaving")
-            return 0
+    if not order.wait:
+        return 0
+    if operator_client.wait_for_end(order.address, _show_left):
+        print(f"{order.address} has ended")
+        return 0
+    return fail(f"{order.address} has not ended", EXIT_FAILED)
+
+
+def _show_left(running: int) -> None:
+    if sys.stderr.isatty():
+        print(
+            f"{running} requests in progress\033[K", end="\r", file=sys.stderr
+        )
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -123,23 +123,13 @@
 
 
 def parse_catalogue(text: str) -> result.Result[CatalogueModel, str]:
-    """Check a catalogue whole.
+    """Check the YAML text of a catalogue; see ``documents.check``."""
+    return documents.check(text, CatalogueModel)
 
-    Args:
-        text: YAML.
 
-    Returns:
-        The catalogue, or one line that names each fault by line and place.
-    """
-    match documents.load(text):
-        case result.Err(reason):
-            return result.Err(reason)
-        case result.Ok(raw):
-            pass
-    try:
-        return result.Ok(CatalogueModel.model_validate(raw))
-    except pydantic.ValidationError as error:
-        return result.Err(documents.describe_errors(text, error))
+def parse_instances(text: str) -> result.Result[InstanceListModel, str]:
+    """Check the YAML text of an instance list; see ``documents.check``."""
+    return documents.check(text, InstanceListModel)
 
 
 def make_fleet(catalogue: CatalogueModel) -> decisions.Fleet:
--- a/citronport/platform/store.py
+++ b/citronport/platform/store.py
@@ -5,7 +5,6 @@
 
 from absl import logging
 import result
-import yaml
 
 from citronport.platform import client
 from citronport.platform import const
@@ -88,12 +87,10 @@
                 return False
 
     def _take_instances(self, published: client.Published) -> bool:
-        try:
-            listed = models.InstanceListModel.model_validate(
-                yaml.safe_load(published.value)
-            )
-        except (ValueError, yaml.YAMLError) as error:
-            logging.error("%s instance list refused: %s.", LOG, error)
-            return False
-        self.instances = models.make_instances(listed)
-        return True
+        match models.parse_instances(published.value):
+            case result.Ok(listed):
+                self.instances = models.make_instances(listed)
+                return True
+            case result.Err(reason):
+                logging.error("%s instance list refused: %s.", LOG, reason)
+                return False
--- a/citronport/settings.py
+++ b/citronport/settings.py
@@ -114,17 +114,7 @@
 
 def parse_settings(text: str) -> result.Result[Settings, str]:
     """Check the text of a settings file; see ``read_settings``."""
-    match documents.load(text):
-        case result.Err(reason):
-            return result.Err(reason)
-        case result.Ok(raw):
-            pass
-    if not isinstance(raw, dict):
-        return result.Err("line 1: a mapping is needed at the top")
-    try:
-        return result.Ok(Settings.model_validate(raw))
-    except pydantic.ValidationError as error:
-        return result.Err(documents.describe_errors(text, error))
+    return documents.check(text, Settings)
 
 
 def read_text(path: pathlib.Path) -> result.Result[str, str]:
--- a/citronport/tasks.py
+++ b/citronport/tasks.py
@@ -35,6 +35,7 @@
     ) -> None:
         self._ticker = ticker
         self._note = note
+        self._expected: tuple[type[Exception], ...] = ()
 
     def keep(
         self,
@@ -65,12 +66,16 @@
         """
         return gevent.spawn(self._run_once, name, act, arguments)
 
-    def report_unhandled(self) -> None:
+    def report_unhandled(self, *expected: type[Exception]) -> None:
         """Log and count other tasks that die, without their values.
 
         gevent prints a traceback with the error's text, which may hold a
         caller's content; only the kind and the place go into the log.
+
+        Args:
+            expected: errors that are raised to end a task on purpose.
         """
+        self._expected = expected
         gevent.get_hub().print_exception = self._report
 
     def _run_again(
@@ -111,7 +116,9 @@
         value: BaseException,
         trace: types.TracebackType | None,
     ) -> None:
-        if value is None or isinstance(value, KeyboardInterrupt):
+        if value is None or isinstance(
+            value, (KeyboardInterrupt, *self._expected)
+        ):
             return
         self._tell("unnamed", value.with_traceback(trace))
 
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -41,10 +41,10 @@
     return answer.status_code, body.decode()
 
 
-def run_status(*arguments):
-    """Run the status command; return exit code and output."""
+def run_program(*arguments):
+    """Run a command; return exit code and output."""
     done = subprocess.run(
-        [sys.executable, "-m", "citronport", "status", *arguments],
+        [sys.executable, "-m", "citronport", *arguments],
         capture_output=True,
         text=True,
         timeout=60,
@@ -140,7 +140,7 @@
         An operator asks while one of two instances is dead: the dead one
         is a line of the table, and the command succeeds.
         """
-        code, output = run_status(self.operators[0], "--json")
+        code, output = run_program("status", self.operators[0], "--json")
         self.assertEqual(0, code, output)
         shown = json.loads(output)
         self.assertEqual(2, len(shown["instances"]))
@@ -150,13 +150,13 @@
         )
         self.assertEqual(2, whole)
         self.stop(signal.SIGKILL, "entry-2")
-        code, output = run_status(self.operators[0])
+        code, output = run_program("status", self.operators[0])
         self.assertEqual(0, code, output)
         lines = output.splitlines()
         self.assertIn("serving", next(n for n in lines if "entry-1" in n))
         self.assertIn("unreachable", next(n for n in lines if "entry-2" in n))
         self.assertNotIn("\033", output)
-        code, _ = run_status(self.operators[1])
+        code, _ = run_program("status", self.operators[1])
         self.assertEqual(1, code)
 
     def test_metrics_count_goodput_and_refusals(self):
@@ -180,6 +180,10 @@
         self.assertEqual(200, call(self.operators[0], "/ready")[0])
         self.assertEqual(405, call(self.operators[0], "/drain")[0])
         self.assertEqual(404, call(self.operators[0], "/other")[0])
-        code, _ = call(self.operators[0], "/drain", "POST")
-        self.assertEqual(202, code)
+        code, output = run_program("drain", self.operators[0], "--wait")
+        self.assertEqual(0, code)
+        self.assertIn("is leaving", output)
+        self.assertIn("has ended", output)
         self.assertEqual(0, self.fleet.running.wait("entry-1", 20))
+        code, _ = run_program("drain", self.operators[0])
+        self.assertEqual(1, code)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -130,6 +130,11 @@
             "class: 2", "class: 9", f"line {line}: entries.1.class:"
         )
 
+    def test_many_faults(self):
+        """A fault of each of many endpoints does not fill the log."""
+        wrong = "\n".join("  - {}" for _ in range(5))
+        self.check_fault("endpoints:\n", f"endpoints:\n{wrong}\n", "more")
+
     def test_missing_value(self):
         """The line of the entry that lacks a value is named."""
         line = find_line(CATALOGUE, "- name: reviews")
