--- /dev/null
+++ b/citronport/callers/application.py
@@ -0,0 +1,171 @@
+"""Routes what callers ask to what answers it."""
+
+import collections.abc
+import dataclasses
+import urllib.parse
+
+import result
+
+from citronport import clock
+from citronport import errors
+from citronport import runs
+from citronport.callers import answers
+from citronport.callers import const
+from citronport.callers import home
+from citronport.callers import lookup
+from citronport.callers import marks
+from citronport.callers import submissions
+from citronport.platform import models as platform_models
+from citronport.platform import store
+from citronport.scheduler import models as decisions
+
+
+class Application:
+    """The WSGI application for callers.
+
+    Args:
+        published: catalogue and instance list.
+        records: issues the tickets.
+        ticker: the clock.
+        take: returns the run of a submission; see ``keeper.Keeper.take``.
+        directory: knows which entries to use.
+    """
+
+    def __init__(
+        self,
+        published: store.Store,
+        records: home.Home,
+        ticker: clock.Clock,
+        take: collections.abc.Callable[[runs.Work], runs.Run],
+        directory: lookup.Directory,
+    ) -> None:
+        self._published = published
+        self._records = records
+        self._ticker = ticker
+        self._take = take
+        self._directory = directory
+
+    def __call__(
+        self,
+        environ: marks.Environ,
+        start_response: answers.StartResponse,
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer one HTTP request."""
+        target = marks.read_target(environ)
+        match self._find_entry(environ):
+            case result.Err(refusal):
+                return self._refuse(environ, start_response, refusal)
+            case result.Ok(entry):
+                pass
+        match (environ["REQUEST_METHOD"], target.name):
+            case ("GET", const.PATH_LOOKUP):
+                return self._answer_lookup(environ, start_response, entry)
+            case ("GET", const.PATH_MODELS):
+                return answers.answer_json(start_response, self._list_models())
+            case ("POST", const.PATH_CHAT):
+                return self._answer_work(environ, start_response, entry)
+        if submissions.get_service(target) is not None:
+            return self._answer_work(environ, start_response, entry)
+        refusal = errors.Refusal(code=errors.Code.UNKNOWN_PATH)
+        return self._refuse(environ, start_response, refusal)
+
+    def _find_entry(
+        self, environ: marks.Environ
+    ) -> result.Result[decisions.Entry, errors.Refusal]:
+        fleet = self._published.fleet
+        if fleet is None:
+            return result.Err(
+                errors.Refusal(code=errors.Code.NO_CATALOGUE, retry_after=1)
+            )
+        scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+        accounts = self._published.accounts
+        hashed = platform_models.hash_key(accounts.salt, key.strip())
+        name = accounts.entries.get(hashed)
+        if scheme.lower() != "bearer" or name is None:
+            return result.Err(errors.Refusal(code=errors.Code.UNKNOWN_KEY))
+        return result.Ok(fleet.entries[name])
+
+    def _answer_lookup(
+        self,
+        environ: marks.Environ,
+        start_response: answers.StartResponse,
+        entry: decisions.Entry,
+    ) -> list[bytes]:
+        if self._directory.is_leaving():
+            # A ticket of this instance would be worth nothing soon.
+            refusal = errors.Refusal(code=errors.Code.LEAVING)
+            return self._refuse(environ, start_response, refusal)
+        query = urllib.parse.parse_qs(environ["QUERY_STRING"])
+        entries = self._directory.find(
+            entry.workspace,
+            model=query.get("model", [""])[0],
+            caller=query.get("caller", [""])[0],
+        )
+        ticket = self._records.issue(self._ticker.now())
+        body = {
+            "entries": list(entries),
+            "keep_seconds": const.LOOKUP_KEEP_SECONDS,
+            "ticket": str(ticket),
+            "ticket_seconds": const.TICKET_LIFETIME_SECONDS,
+        }
+        return answers.answer_json(start_response, body)
+
+    def _list_models(self) -> dict:
+        fleet = self._published.fleet
+        names = {
+            model
+            for endpoint in (fleet.endpoints.values() if fleet else ())
+            if endpoint.kind == decisions.Kind.ENGINE
+            for model in endpoint.models
+        }
+        listed = [
+            {
+                "id": name,
+                "object": "model",
+                "created": 0,
+                "owned_by": "citronport",
+            }
+            for name in sorted(names)
+        ]
+        return {"object": "list", "data": listed}
+
+    def _answer_work(
+        self,
+        environ: marks.Environ,
+        start_response: answers.StartResponse,
+        entry: decisions.Entry,
+    ) -> collections.abc.Iterable[bytes]:
+        now = self._ticker.now()
+        target = marks.read_target(environ)
+        match submissions.parse(environ, target, entry, now):
+            case result.Err(refusal):
+                return self._refuse(environ, start_response, refusal)
+            case result.Ok(work):
+                pass
+        run = self._take(work)
+        return answers.answer_run(
+            start_response, run, run.read(), self._complete
+        )
+
+    def _refuse(
+        self,
+        environ: marks.Environ,
+        start_response: answers.StartResponse,
+        refusal: errors.Refusal,
+    ) -> list[bytes]:
+        return answers.answer_refusal(
+            start_response,
+            self._complete(refusal),
+            close=not environ["wsgi.input"].whole,
+        )
+
+    def _complete(self, refusal: errors.Refusal) -> errors.Refusal:
+        if refusal.code != errors.Code.LEAVING or refusal.go_to:
+            return refusal
+        others = self._directory.list_others()
+        # There is somewhere else to go at once; if not, this instance or
+        # another one may be back soon.
+        retry_after = 0.0 if others else const.ALONE_RETRY_SECONDS
+        return dataclasses.replace(
+            refusal, go_to=others, retry_after=retry_after
+        )
--- /dev/null
+++ b/citronport/callers/bodies.py
@@ -0,0 +1,132 @@
+"""Reads the body of a request within its limits."""
+
+import collections.abc
+import io
+
+import gevent
+from gevent import pywsgi
+from gevent import socket
+import result
+
+from citronport import errors
+from citronport.callers import connections
+from citronport.callers import const
+
+_READ_BYTES = 65536
+_YIELD_READS = 4096
+
+
+class FramingError(OSError):
+    """A chunked body spends too much on its framing."""
+
+
+class _MeteredFile:
+    """Counts the single bytes that the reader of chunks asks for."""
+
+    def __init__(self, file: io.BufferedReader) -> None:
+        self._file = file
+        self._reads = 0
+
+    def read(self, size: int) -> bytes:
+        """Read as the file does."""
+        if size == 1:
+            self._count()
+        return self._file.read(size)
+
+    def _count(self) -> None:
+        self._reads += 1
+        if self._reads > const.MAX_FRAMING_READS:
+            raise FramingError("too many small chunks")
+        # Bytes that are here already are read without a turn of the loop.
+        if self._reads % _YIELD_READS == 0:
+            gevent.sleep(0)
+
+
+class Body:
+    """The body of one request, not yet read.
+
+    Args:
+        file: where it comes from.
+        length: announced bytes, None without an announcement.
+        chunked: whether it comes in chunks.
+        continue_to: where "100 Continue" is to be sent first, if at all.
+        held: the bounds over all callers.
+        on_whole: called once the body has been read.
+    """
+
+    def __init__(
+        self,
+        file: io.BufferedReader,
+        length: int | None,
+        *,
+        chunked: bool,
+        continue_to: socket.socket | None,
+        held: connections.Connections,
+        on_whole: collections.abc.Callable[[], None],
+    ) -> None:
+        self._length = length
+        self._input = pywsgi.Input(
+            _MeteredFile(file) if chunked else file,
+            length,
+            socket=continue_to,
+            chunked_input=chunked,
+        )
+        self._held = held
+        self._on_whole = on_whole
+        self._reserved = 0
+        self.whole = not chunked and not length
+
+    def read_whole(self) -> result.Result[bytes, errors.Refusal]:
+        """Return the body, or why it can't be taken."""
+        limits = self._held.limits
+        if (self._length or 0) > limits.body_bytes:
+            return _refuse(errors.Code.BODY_TOO_LARGE)
+        timeout = gevent.Timeout(limits.body_seconds)
+        try:
+            with timeout:
+                return self._read()
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            return _refuse(errors.Code.BODY_TOO_SLOW)
+        except TimeoutError:
+            return _refuse(errors.Code.BODY_TOO_SLOW)
+        except (OSError, ValueError):
+            # Bad chunks, or an end before the announced length.
+            return _refuse(errors.Code.MALFORMED, "framing of the body")
+
+    def release(self) -> None:
+        """Give back what the body took of the budget."""
+        self._held.release(self._reserved)
+        self._reserved = 0
+
+    def _read(self) -> result.Result[bytes, errors.Refusal]:
+        parts: list[bytes] = []
+        size = 0
+        while data := self._input.read(_READ_BYTES):
+            size += len(data)
+            if size > self._held.limits.body_bytes:
+                return _refuse(errors.Code.BODY_TOO_LARGE)
+            if not self._held.reserve(len(data)):
+                return result.Err(
+                    errors.Refusal(
+                        code=errors.Code.TOO_MANY_CALLERS,
+                        retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
+                    )
+                )
+            self._reserved += len(data)
+            parts.append(data)
+        self.whole = True
+        self._on_whole()
+        return result.Ok(b"".join(parts))
+
+    def _discard(self) -> None:
+        # Called by pywsgi, which would read an unread body to its end
+        # however long that is; the handler closes the connection instead.
+        pass
+
+
+def _refuse(
+    code: errors.Code, detail: str = ""
+) -> result.Result[bytes, errors.Refusal]:
+    return result.Err(errors.Refusal(code=code, detail=detail))
--- /dev/null
+++ b/citronport/callers/connections.py
@@ -0,0 +1,113 @@
+"""Open connections of callers, and the bounds on what they hold."""
+
+import collections
+import contextlib
+import dataclasses
+import resource
+import socket
+
+from citronport.callers import const
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """What one caller, and all together, can make this process hold.
+
+    ``const`` gives the reason for each value; tests use smaller ones.
+    """
+
+    connections: int = const.MAX_CONNECTIONS
+    idle_seconds: float = const.IDLE_SECONDS
+    head_seconds: float = const.HEAD_SECONDS
+    body_bytes: int = const.MAX_BODY_BYTES
+    body_seconds: float = const.BODY_SECONDS
+    bodies_bytes: int = const.BODY_BUDGET_BYTES
+    send_seconds: float = const.SEND_SECONDS
+
+
+def make_limits() -> Limits:
+    """Return the limits that the process can keep.
+
+    Half of the file descriptors stay free for endpoints and instances.
+    """
+    files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return Limits(connections=min(const.MAX_CONNECTIONS, files // 2))
+
+
+class Connections:
+    """Counts connections and makes room by closing idle ones.
+
+    Args:
+        limits: the bounds.
+    """
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self._open: set[socket.socket] = set()
+        self._idle: dict[
+            str, collections.OrderedDict[socket.socket, None]
+        ] = {}
+        self._body_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open)
+
+    def is_idle(self) -> bool:
+        """Return whether no open connection carries a request."""
+        return len(self._open) == sum(map(len, self._idle.values()))
+
+    def enter(self, sock: socket.socket) -> bool:
+        """Take a new connection on; return False if there is no room."""
+        if len(self._open) >= self.limits.connections:
+            self._close_idle()
+        if len(self._open) >= self.limits.connections:
+            return False
+        self._open.add(sock)
+        return True
+
+    def exit(self, sock: socket.socket, address: str) -> None:
+        """Note that a connection is closed."""
+        self._open.discard(sock)
+        self.set_busy(sock, address)
+
+    def set_idle(self, sock: socket.socket, address: str) -> None:
+        """Note that a connection waits for its next request."""
+        waiting = self._idle.setdefault(address, collections.OrderedDict())
+        waiting[sock] = None
+
+    def set_busy(self, sock: socket.socket, address: str) -> None:
+        """Note that a connection carries a request."""
+        waiting = self._idle.get(address)
+        if waiting is None:
+            return
+        waiting.pop(sock, None)
+        if not waiting:
+            del self._idle[address]
+
+    def reserve(self, size: int) -> bool:
+        """Take bytes from the budget of all bodies, if there are so many."""
+        if self._body_bytes + size > self.limits.bodies_bytes:
+            return False
+        self._body_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Give bytes back to the budget."""
+        self._body_bytes -= size
+
+    def _close_idle(self) -> None:
+        # Load: a caller that opens connections and sends nothing. Harm:
+        # nobody else could connect. Closing the oldest idle connection of
+        # the address that has most of them meets that caller first; an
+        # idle connection that is closed costs its owner one connect.
+        address = max(
+            self._idle, key=lambda a: len(self._idle[a]), default=None
+        )
+        if address is None:
+            return
+        sock = next(iter(self._idle[address]))
+        self.exit(sock, address)
+        with contextlib.suppress(OSError):
+            # Wakes the task that reads from it, which then closes it.
+            sock.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/citronport/callers/heads.py
@@ -0,0 +1,107 @@
+"""Checks of a request's head before anything else looks at it.
+
+A head that two programs can read in two ways lets a caller hide a second
+request in the body of the first (request smuggling). What is ambiguous is
+refused, not repaired.
+"""
+
+import re
+import string
+
+import result
+
+from citronport import const as common
+from citronport import errors
+from citronport.callers import const
+
+_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+_TARGET_CHARS = frozenset(string.ascii_letters + string.digits) | frozenset(
+    "-._~:/?#[]@!$&'()*+,;=%"
+)
+_SINGLE = frozenset(
+    name.lower().encode()
+    for name in (
+        "Authorization",
+        "Content-Length",
+        "Content-Type",
+        "Host",
+        "Transfer-Encoding",
+        common.HEADER_DEADLINE,
+        common.HEADER_IDEMPOTENCY_KEY,
+        common.HEADER_NON_IDEMPOTENT,
+        common.HEADER_TICKET,
+    )
+)
+
+
+class HeadError(ValueError):
+    """A head is refused.
+
+    Attributes:
+        refusal: what to tell the caller.
+    """
+
+    def __init__(self, refusal: errors.Refusal) -> None:
+        super().__init__(refusal.code.name)
+        self.refusal = refusal
+
+
+def check_request_line(line: str) -> result.Result[None, errors.Refusal]:
+    """Check method, target and version of a request line."""
+    if len(line) >= const.MAX_LINE_BYTES:
+        return result.Err(errors.Refusal(code=errors.Code.HEAD_TOO_LARGE))
+    words = line.removesuffix("\r\n").split(" ")
+    if len(words) != 3 or not line.endswith("\r\n"):
+        return _refuse("request line")
+    method, target, version = words
+    # An answer that breaks off looks whole to a caller of HTTP/1.0, which
+    # has no chunks.
+    if version != "HTTP/1.1":
+        return _refuse("HTTP/1.1 is needed")
+    if method not in const.METHODS:
+        return _refuse("method")
+    if not target.startswith("/") or not _TARGET_CHARS.issuperset(target):
+        return _refuse("target")
+    return result.Ok(None)
+
+
+def check_headers(lines: list[bytes]) -> result.Result[None, errors.Refusal]:
+    """Check the header lines of a request, without the closing empty one."""
+    seen: dict[bytes, bytes] = {}
+    for line in lines:
+        name, colon, value = line.removesuffix(b"\r\n").partition(b":")
+        lowered = name.lower()
+        if not (
+            line.endswith(b"\r\n")
+            and colon
+            and _NAME.fullmatch(name)
+            and _VALUE.fullmatch(value)
+        ):
+            return _refuse("header line")
+        if lowered in seen and lowered in _SINGLE:
+            return _refuse(f"{lowered.decode()} stands twice")
+        seen[lowered] = value.strip()
+    return _check_framing(seen)
+
+
+def _check_framing(
+    seen: dict[bytes, bytes],
+) -> result.Result[None, errors.Refusal]:
+    length = seen.get(b"content-length")
+    encoding = seen.get(b"transfer-encoding")
+    if b"host" not in seen:
+        return _refuse("host is missing")
+    if length is not None and encoding is not None:
+        return _refuse("content-length and transfer-encoding")
+    if encoding is not None and encoding.lower() != b"chunked":
+        return _refuse("transfer-encoding")
+    if length is not None and not re.fullmatch(rb"[0-9]{1,15}", length):
+        return _refuse("content-length")
+    return result.Ok(None)
+
+
+def _refuse(detail: str) -> result.Result[None, errors.Refusal]:
+    return result.Err(
+        errors.Refusal(code=errors.Code.BAD_HEADER, detail=detail)
+    )
--- a/citronport/callers/home.py
+++ b/citronport/callers/home.py
@@ -1,138 +1,236 @@
-"""Tickets and the record of requests that this incarnation has taken.
+"""The record of keyed requests that this incarnation has taken.
 
-A ticket names the incarnation that issued it. Only that incarnation may
-start requests under it, so that a repeat at any entry finds the first run
-or learns that its outcome is unknown. Nothing is written outside the
-process: a ticket dies with its incarnation.
+Pure: no socket, no task; the time is handed in. ``keeper`` acts on what is
+decided here.
 """
 
+import collections
 import dataclasses
-import secrets
 
 import result
 
 from citronport import errors
 from citronport import runs
 from citronport.callers import const
+from citronport.callers import tickets
 
+RecordKey = tuple[str, str, str]
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Ticket:
-    """Names the home of the requests that a caller sends under it.
-
-    Attributes:
-        instance: name of the home.
-        incarnation: unique for each start of the home's process.
-        issued: seconds after the home's start.
-    """
 
-    instance: str
-    incarnation: str
-    issued: int
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Join:
+    """The request has a run; read that run's answer from its start."""
 
-    def __str__(self) -> str:
-        """Return the form that goes into a header."""
-        return f"{self.instance}.{self.incarnation}.{self.issued}"
+    run: runs.Run
 
 
-def parse_ticket(text: str) -> result.Result[Ticket, errors.Refusal]:
-    """Return the ticket of a header value."""
-    parts = text.rsplit(".", 2)
-    if len(parts) != 3 or not all(parts) or not parts[2].isdecimal():
-        return result.Err(
-            errors.Refusal(code=errors.Code.BAD_HEADER, detail="ticket")
-        )
-    return result.Ok(
-        Ticket(instance=parts[0], incarnation=parts[1], issued=int(parts[2]))
-    )
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Start:
+    """The request has no run; start one here and add it."""
 
 
-def make_incarnation() -> str:
-    """Return a name that no other start of a process gets."""
-    return secrets.token_hex(8)
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GoHome:
+    """Another instance holds the record of this request."""
 
+    instance: str
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Identity:
-    """What makes two submissions the same request.
-
-    Attributes:
-        entry: catalogue entry that the key belongs to.
-        key: the caller's idempotency key.
-        ticket: ticket text, empty without one.
-        body_hash: hash of method, path and body.
-    """
 
-    entry: str
-    key: str
-    ticket: str
-    body_hash: int
+Verdict = Join | Start | GoHome
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Record:
-    body_hash: int
+    identity: tickets.Identity
     run: runs.Run
-    expires: float
+    ended: float | None = None
+    alone_since: float | None = None
 
 
 class Home:
-    """Remembers each keyed request for as long as a repeat can be taken."""
+    """Remembers each keyed request for as long as a repeat can be taken.
+
+    Args:
+        instance: name of this instance.
+        incarnation: of this process.
+        started: clock time of its start, seconds.
+        max_records: see ``const.MAX_RECORDS``.
+        answer_bytes: see ``const.ANSWER_BUDGET_BYTES``.
+    """
 
-    def __init__(self, instance: str, incarnation: str, now: float) -> None:
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        started: float,
+        *,
+        max_records: int = const.MAX_RECORDS,
+        answer_bytes: int = const.ANSWER_BUDGET_BYTES,
+    ) -> None:
         self.instance = instance
         self.incarnation = incarnation
-        self._started = now
-        self._records: dict[tuple[str, str, str], _Record] = {}
+        self._started = started
+        self._max_records = max_records
+        self._answer_bytes = answer_bytes
+        self._running: dict[RecordKey, _Record] = {}
+        self._ended: collections.OrderedDict[RecordKey, _Record] = (
+            collections.OrderedDict()
+        )
+        self._answers: collections.deque[_Record] = collections.deque()
+        self._ended_bytes = 0
 
-    def issue(self, now: float) -> Ticket:
+    def issue(self, now: float) -> tickets.Ticket:
         """Return a ticket for requests that are to start here."""
-        return Ticket(
+        return tickets.Ticket(
             instance=self.instance,
             incarnation=self.incarnation,
             issued=int(now - self._started),
         )
 
-    def check(self, ticket: Ticket, now: float) -> errors.Refusal | None:
-        """Return why a request may not start under a ticket, if so."""
-        if ticket.incarnation != self.incarnation:
-            return errors.Refusal(code=errors.Code.HOME_GONE)
-        age = now - self._started - ticket.issued
-        # A record is kept for two lifetimes. Past the first one no
-        # request starts under the ticket any more, so that a record can
-        # be dropped without a repeat running a second time.
-        if age > const.TICKET_LIFETIME_SECONDS:
-            return errors.Refusal(code=errors.Code.TICKET_EXPIRED)
-        return None
-
-    def find(
-        self, identity: Identity, now: float
-    ) -> result.Result[runs.Run | None, errors.Refusal]:
-        """Return the earlier run of a request, None if there is none."""
+    def decide(
+        self, identity: tickets.Identity, now: float
+    ) -> result.Result[Verdict, errors.Refusal]:
+        """Decide what becomes of a keyed submission.
+
+        Args:
+            identity: of the submission.
+            now: clock time, seconds.
+
+        Returns:
+            What to do, or why the request can neither start nor be joined.
+        """
+        ticket = identity.ticket
+        if ticket is not None and ticket.instance != self.instance:
+            return result.Ok(GoHome(instance=ticket.instance))
+        # The records of an earlier incarnation died with it: the request
+        # may have run, so that it may not start again here.
+        if ticket is not None and ticket.incarnation != self.incarnation:
+            return result.Err(errors.Refusal(code=errors.Code.HOME_GONE))
+        record = self._find(identity)
+        if record is not None:
+            return _join(record, identity)
+        if ticket is not None and not self._accepts(ticket, now):
+            return result.Err(errors.Refusal(code=errors.Code.TICKET_EXPIRED))
+        # Load: more keyed requests than the sizes this is made for. Harm:
+        # memory without bound; dropping a record early would let a repeat
+        # run twice, so that new requests wait instead.
+        if len(self._running) + len(self._ended) >= self._max_records:
+            return result.Err(
+                errors.Refusal(
+                    code=errors.Code.TOO_MANY_KEYS,
+                    retry_after=const.FULL_RETRY_SECONDS,
+                )
+            )
+        return result.Ok(Start())
+
+    def add(self, identity: tickets.Identity, run: runs.Run) -> None:
+        """Remember a run that was started after ``Start``."""
+        key = _make_key(identity)
+        self._running[key] = _Record(identity=identity, run=run)
+
+    def settle(self, run: runs.Run, now: float) -> None:
+        """Note that a run has come to its end."""
+        assert run.work.identity is not None
+        key = _make_key(run.work.identity)
+        record = self._running.get(key)
+        if record is None or record.run is not run:
+            return
+        del self._running[key]
+        # A run that was refused as "not run" is no obstacle to the next
+        # one: the caller was told that it may send the request again.
+        if run.was_not_run:
+            return
+        record.ended = now
+        self._ended[key] = record
+        self._answers.append(record)
+        self._ended_bytes += run.kept_bytes
+
+    def sweep(self, now: float) -> list[runs.Run]:
+        """Drop what no repeat can need; return runs to give up.
+
+        Meant to be called about once a second.
+        """
         self._expire(now)
-        record = self._records.get(
-            (identity.entry, identity.ticket, identity.key)
-        )
-        if record is None:
-            return result.Ok(None)
-        if record.body_hash != identity.body_hash:
-            return result.Err(errors.Refusal(code=errors.Code.KEY_REUSED))
-        return result.Ok(record.run)
-
-    def add(self, identity: Identity, run: runs.Run, now: float) -> None:
-        """Remember a run; it is found until no repeat can come."""
-        key = (identity.entry, identity.ticket, identity.key)
-        self._records[key] = _Record(
-            body_hash=identity.body_hash,
-            run=run,
-            expires=now + 2 * const.TICKET_LIFETIME_SECONDS,
-        )
+        self._trim_answers()
+        return [
+            record.run
+            for record in self._running.values()
+            if _is_abandoned(record, now)
+        ]
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._running) + len(self._ended)
+
+    def _find(self, identity: tickets.Identity) -> _Record | None:
+        key = _make_key(identity)
+        return self._running.get(key) or self._ended.get(key)
+
+    def _accepts(self, ticket: tickets.Ticket, now: float) -> bool:
+        # A ticket from the future was not issued here; its record would
+        # be dropped while it could still start requests.
+        age = now - self._started - ticket.issued
+        return 0 <= age <= const.TICKET_LIFETIME_SECONDS
 
     def _expire(self, now: float) -> None:
-        # Records are in order of their expiry, so that each call looks
+        # Records stand in the order of their end, so that each call looks
         # only at those it drops.
-        while self._records:
-            first = next(iter(self._records))
-            if self._records[first].expires > now:
+        while self._ended:
+            key = next(iter(self._ended))
+            if not self._is_over(self._ended[key], now):
                 return
-            del self._records[first]
+            self._forget_answer(self._ended.pop(key))
+
+    def _is_over(self, record: _Record, now: float) -> bool:
+        assert record.ended is not None
+        if now - record.ended <= const.RECORD_KEEP_SECONDS:
+            return False
+        # The rule that keeps a request from starting twice: a record
+        # outlives its ticket, by the same test that lets one start.
+        ticket = record.identity.ticket
+        return ticket is None or not self._accepts(ticket, now)
+
+    def _trim_answers(self) -> None:
+        # Oldest ends go first, since a repeat mostly comes within seconds;
+        # answers in progress only if nothing else is left.
+        growing = sum(r.run.kept_bytes for r in self._running.values())
+        while self._answers and self._is_over_budget(growing):
+            self._forget_answer(self._answers.popleft())
+        for record in self._running.values():
+            if not self._is_over_budget(growing):
+                return
+            growing -= record.run.kept_bytes
+            record.run.forget_answer()
+
+    def _is_over_budget(self, growing: int) -> bool:
+        return self._ended_bytes + growing > self._answer_bytes
+
+    def _forget_answer(self, record: _Record) -> None:
+        self._ended_bytes -= record.run.kept_bytes
+        record.run.forget_answer()
+
+
+def _join(
+    record: _Record, identity: tickets.Identity
+) -> result.Result[Verdict, errors.Refusal]:
+    if record.identity.body_hash != identity.body_hash:
+        return result.Err(errors.Refusal(code=errors.Code.KEY_REUSED))
+    if not record.run.answer_kept:
+        return result.Err(errors.Refusal(code=errors.Code.ANSWER_NOT_KEPT))
+    return result.Ok(Join(run=record.run))
+
+
+def _is_abandoned(record: _Record, now: float) -> bool:
+    # A caller whose link broke repeats within seconds, so that its run
+    # goes on for a while; after that the work is for nobody. What may run
+    # only once is finished: stopped half-way it could not be repeated.
+    if record.run.has_readers or not record.run.work.request.idempotent:
+        record.alone_since = None
+        return False
+    if record.alone_since is None:
+        record.alone_since = now
+    return now - record.alone_since >= const.LINGER_SECONDS
+
+
+def _make_key(identity: tickets.Identity) -> RecordKey:
+    return (identity.entry, str(identity.ticket or ""), identity.key)
--- /dev/null
+++ b/citronport/callers/marks.py
@@ -0,0 +1,123 @@
+"""What the head of a request says besides its path."""
+
+import dataclasses
+from typing import Any
+
+import result
+
+from citronport import const as common
+from citronport import errors
+from citronport.callers import const
+from citronport.callers import tickets
+
+Environ = dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Target:
+    """Where a request goes.
+
+    Attributes:
+        path: path and query as they came, without a ticket before them.
+        ticket: text of the ticket that stood before the path, or empty.
+    """
+
+    path: str
+    ticket: str
+
+    @property
+    def name(self) -> str:
+        """The path without its query."""
+        return self.path.partition("?")[0]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Marks:
+    """What the headers say of a request.
+
+    Attributes:
+        seconds: time until the deadline.
+        key: the caller's idempotency key, empty without one.
+        ticket: None without one.
+        idempotent: False if it may run at most once.
+    """
+
+    seconds: float
+    key: str
+    ticket: tickets.Ticket | None
+    idempotent: bool
+
+
+def read_target(environ: Environ) -> Target:
+    """Return the target of a request, as it stood in the request line.
+
+    The decoded path of WSGI may hold line ends, which would end up in the
+    request to the endpoint.
+    """
+    raw = environ[const.ENVIRON_TARGET]
+    if not raw.startswith(const.PREFIX_TICKET):
+        return Target(path=raw, ticket="")
+    ticket, _, rest = raw.removeprefix(const.PREFIX_TICKET).partition("/")
+    return Target(path=f"/{rest}", ticket=ticket)
+
+
+def read_marks(
+    environ: Environ, target: Target
+) -> result.Result[Marks, errors.Refusal]:
+    """Return the marks of a request, or which header is wrong."""
+    seconds = _read_deadline(environ)
+    if seconds is None:
+        return result.Err(_bad_header(common.HEADER_DEADLINE))
+    key = get_header(environ, common.HEADER_IDEMPOTENCY_KEY)
+    if len(key) > const.MAX_KEY_CHARS:
+        return result.Err(_bad_header(common.HEADER_IDEMPOTENCY_KEY))
+    match _read_ticket(environ, target):
+        case result.Err(refusal):
+            return result.Err(refusal)
+        case result.Ok(ticket):
+            pass
+    marked = get_header(environ, common.HEADER_NON_IDEMPOTENT)
+    if marked.lower() not in const.MARK_VALUES:
+        return result.Err(_bad_header(common.HEADER_NON_IDEMPOTENT))
+    idempotent = not const.MARK_VALUES[marked.lower()]
+    # Without a ticket a repeat at another entry, or at the next
+    # incarnation of this one, could not be told from a new request.
+    if not idempotent and not (key and ticket):
+        return result.Err(errors.Refusal(code=errors.Code.TICKET_NEEDED))
+    return result.Ok(
+        Marks(seconds=seconds, key=key, ticket=ticket, idempotent=idempotent)
+    )
+
+
+def get_header(environ: Environ, name: str) -> str:
+    """Return a header's value, empty if it is not there."""
+    return environ.get("HTTP_" + name.upper().replace("-", "_"), "").strip()
+
+
+def _read_ticket(
+    environ: Environ, target: Target
+) -> result.Result[tickets.Ticket | None, errors.Refusal]:
+    text = get_header(environ, common.HEADER_TICKET)
+    if text and target.ticket and text != target.ticket:
+        return result.Err(_bad_header(common.HEADER_TICKET))
+    text = text or target.ticket
+    if not text:
+        return result.Ok(None)
+    return tickets.parse_ticket(text)
+
+
+def _read_deadline(environ: Environ) -> float | None:
+    text = get_header(environ, common.HEADER_DEADLINE)
+    if not text:
+        return common.DEFAULT_DEADLINE
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    if not 0 < seconds <= common.MAX_DEADLINE:
+        return None
+    return seconds
+
+
+def _bad_header(name: str) -> errors.Refusal:
+    return errors.Refusal(code=errors.Code.BAD_HEADER, detail=name)
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -1,451 +1,284 @@
-"""Takes requests from callers over HTTP and gives them their answers."""
+"""Speaks HTTP/1.1 with callers, and bounds what each may cost."""
 
 import collections.abc
-import dataclasses
-import json
-import math
-import secrets
+import contextlib
+import io
 from typing import Any
 
 from absl import logging
+import gevent
 from gevent import pywsgi
+from gevent import socket
 import result
-import xxhash
 
-from citronport import clock
-from citronport import const as common
 from citronport import errors
-from citronport import runs
+from citronport.callers import answers
+from citronport.callers import bodies
+from citronport.callers import connections
 from citronport.callers import const
-from citronport.callers import home
-from citronport.callers import lookup
-from citronport.callers import models
-from citronport.endpoints import client as endpoint_client
-from citronport.endpoints import messages
-from citronport.platform import models as platform_models
-from citronport.platform import store
-from citronport.scheduler import models as decisions
+from citronport.callers import heads
+from citronport.callers import presence
 
 LOG = "callers:"
+_HEAD_END = b"\r\n\r\n"
+_QUIET = (presence.CallerGone, answers.StreamCutError, OSError)
 
-StartResponse = collections.abc.Callable[..., Any]
-Environ = dict[str, Any]
 
+class Handler(pywsgi.WSGIHandler):
+    """Serves one connection, a request after the other.
 
-class StreamCutError(Exception):
-    """The answer ended early; the connection must end uncleanly."""
+    Replaces pywsgi's reading of heads, which takes ambiguous ones, has no
+    time limit and logs what the caller sent.
+    """
 
+    server: "Server"
+
+    def handle_one_request(self) -> bool | None:
+        """Serve a request; return None to close the connection."""
+        try:
+            if not self._wait_for_request():
+                return None
+            self._read_head()
+        except heads.HeadError as error:
+            self._refuse(error.refusal)
+            return None
+        except OSError:
+            return None
+        self.environ = self.get_environ()
+        self.application = self.server.application
+        self.handle_one_response()
+        self.wsgi_input.release()
+        if not self.wsgi_input.whole:
+            self._discard_rest()
+            return None
+        return None if self.close_connection else True
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment of the head that has been read."""
+        environ = self.server.get_environ()
+        path, _, query = self.path.partition("?")
+        environ["REQUEST_METHOD"] = self.command
+        environ["PATH_INFO"] = path
+        environ["QUERY_STRING"] = query
+        environ["SERVER_PROTOCOL"] = self.request_version
+        environ["REMOTE_ADDR"] = self.client_address[0]
+        environ[const.ENVIRON_TARGET] = self.path
+        for name, value in self._fields.items():
+            environ["HTTP_" + name.upper().replace("-", "_")] = value
+        environ["CONTENT_TYPE"] = self._fields.get("content-type", "")
+        self.wsgi_input = self._make_body()
+        environ["wsgi.input"] = self.wsgi_input
+        return environ
+
+    def run_application(self) -> None:
+        """Run the application; stop when the caller leaves."""
+        self._watch: presence.Watch | None = None
+        try:
+            super().run_application()
+        finally:
+            if self._watch is not None:
+                self._watch.stop()
+
+    def handle_error(self, kind: type, error: Any, traceback: Any) -> None:
+        """Close the connection after a failure while answering."""
+        self.close_connection = True
+        if issubclass(kind, _QUIET):
+            return
+        # The message of an unexpected error may hold the caller's content.
+        while traceback.tb_next is not None:
+            traceback = traceback.tb_next
+        code = traceback.tb_frame.f_code
+        logging.error(
+            "%s internal error: %s in %s line %d.",
+            LOG,
+            kind.__name__,
+            code.co_name,
+            traceback.tb_lineno,
+        )
+        if not self.response_length:
+            self._refuse(errors.Refusal(code=errors.Code.INTERNAL))
+
+    def log_request(self) -> None:
+        """Keep no access log: paths may hold a ticket."""
+
+    def _wait_for_request(self) -> bool:
+        held = self.server.connections
+        address = self.client_address[0]
+        self.socket.settimeout(held.limits.idle_seconds)
+        held.set_idle(self.socket, address)
+        try:
+            return bool(self.rfile.peek(1))
+        finally:
+            held.set_busy(self.socket, address)
+
+    def _read_head(self) -> None:
+        limits = self.server.connections.limits
+        self.socket.settimeout(limits.send_seconds)
+        # Most heads come in one piece and need no timer.
+        if _HEAD_END in self.rfile.peek(1):
+            self._parse_head()
+            return
+        timeout = gevent.Timeout(limits.head_seconds)
+        try:
+            with timeout:
+                self._parse_head()
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            _raise_refusal(errors.Code.HEAD_TOO_SLOW)
+
+    def _parse_head(self) -> None:
+        line = self._read_line()
+        if line == b"\r\n":
+            # One empty line before a request is allowed by RFC 9112.
+            line = self._read_line()
+        text = line.decode("latin-1")
+        _raise_if_refused(heads.check_request_line(text))
+        lines = self._read_header_lines()
+        _raise_if_refused(heads.check_headers(lines))
+        self.requestline = text
+        self.command, self.path, self.request_version = text.split()
+        self._fields = _join_fields(lines)
+        connection = self._fields.get("connection", "").lower()
+        self.close_connection = "close" in connection
+        self.response_length = 0
+
+    def _read_header_lines(self) -> list[bytes]:
+        lines: list[bytes] = []
+        size = 0
+        while (line := self._read_line()) != b"\r\n":
+            size += len(line)
+            lines.append(line)
+            if (
+                size > const.MAX_HEAD_BYTES
+                or len(lines) > const.MAX_HEADERS
+                or len(line) >= const.MAX_LINE_BYTES
+            ):
+                _raise_refusal(errors.Code.HEAD_TOO_LARGE)
+        return lines
+
+    def _read_line(self) -> bytes:
+        line = self.rfile.readline(const.MAX_LINE_BYTES)
+        if not line:
+            raise ConnectionResetError
+        return line
+
+    def _make_body(self) -> bodies.Body:
+        length = self._fields.get("content-length")
+        waits = self._fields.get("expect", "").lower() == "100-continue"
+        return bodies.Body(
+            self.rfile,
+            int(length) if length else None,
+            chunked="transfer-encoding" in self._fields,
+            continue_to=self.socket if waits else None,
+            held=self.server.connections,
+            on_whole=self._start_watch,
+        )
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Submission:
-    """A request as it came, checked.
+    def _start_watch(self) -> None:
+        serving = gevent.getcurrent()
 
-    Attributes:
-        work: the request.
-        identity: None without an idempotency key.
-        ticket: None without one.
-    """
+        def end() -> None:
+            serving.kill(presence.CallerGone, block=False)
 
-    work: runs.Work
-    identity: home.Identity | None
-    ticket: home.Ticket | None
+        self._watch = presence.Watch(self.socket, end)
 
+    def _refuse(self, refusal: errors.Refusal) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.sendall(_render(refusal))
+        self._discard_rest()
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Marks:
-    """What the headers say of a request.
+    def _discard_rest(self) -> None:
+        _discard(self.socket)
 
-    Attributes:
-        seconds: time until the deadline.
-        key: the caller's idempotency key, empty without one.
-        ticket: None without one.
-        idempotent: False if it may run at most once.
-    """
 
-    seconds: float
-    key: str
-    ticket: home.Ticket | None
-    idempotent: bool
+class Server(pywsgi.WSGIServer):
+    """Takes connections of callers within their limits."""
 
+    handler_class = Handler
+    connections: connections.Connections
+    _refusing = 0
 
-class Application:
-    """The WSGI application for callers.
+    def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        """Serve a connection, or refuse it if there is no room."""
+        if not self.connections.enter(sock):
+            self._refuse(sock)
+            return
+        try:
+            super().handle(sock, address)
+        finally:
+            self.connections.exit(sock, address[0])
 
-    Args:
-        published: catalogue and instance list.
-        records: the home of keyed requests.
-        ticker: the clock.
-        submit: starts a run here.
-        forward: hands a run to the instance of its ticket; see
-            ``instances.peers.Peers.forward``.
-    """
+    def is_idle(self) -> bool:
+        """Return whether no connection carries a request."""
+        return self.connections.is_idle()
 
-    def __init__(
-        self,
-        published: store.Store,
-        records: home.Home,
-        ticker: clock.Clock,
-        submit: collections.abc.Callable[[runs.Run], None],
-        leave: collections.abc.Callable[[runs.Run], None],
-        dead: collections.abc.Callable[[], frozenset[str]],
-    ) -> None:
-        self._published = published
-        self._records = records
-        self._ticker = ticker
-        self._submit = submit
-        self._leave = leave
-        self._dead = dead
-
-    def __call__(
-        self, environ: Environ, start_response: StartResponse
-    ) -> collections.abc.Iterable[bytes]:
-        """Answer one HTTP request."""
-        path = environ["PATH_INFO"]
-        match self._find_entry(environ):
-            case result.Err(refusal):
-                return _answer_refusal(start_response, refusal)
-            case result.Ok(entry):
-                pass
-        if path == const.PATH_LOOKUP:
-            return self._answer_lookup(start_response, entry)
-        if path == const.PATH_MODELS:
-            return self._answer_models(start_response)
-        if path == const.PATH_CHAT or path.startswith(const.PREFIX_SERVICES):
-            return self._answer_request(environ, start_response, entry)
-        return _answer_refusal(
-            start_response, errors.Refusal(code=errors.Code.UNKNOWN_PATH)
+    def _refuse(self, sock: socket.socket) -> None:
+        if self._refusing >= const.MAX_REFUSING:
+            return
+        self._refusing += 1
+        refusal = errors.Refusal(
+            code=errors.Code.TOO_MANY_CALLERS,
+            retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
         )
+        with contextlib.suppress(OSError):
+            sock.settimeout(const.DISCARD_SECONDS)
+            sock.sendall(_render(refusal))
+        _discard(sock)
+        self._refusing -= 1
 
-    def _find_entry(
-        self, environ: Environ
-    ) -> result.Result[decisions.Entry, errors.Refusal]:
-        fleet = self._published.fleet
-        if fleet is None:
-            return result.Err(
-                errors.Refusal(code=errors.Code.NO_CATALOGUE, retry_after=1)
-            )
-        scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
-        accounts = self._published.accounts
-        hashed = platform_models.hash_key(accounts.salt, key.strip())
-        name = accounts.entries.get(hashed)
-        if scheme.lower() != "bearer" or name is None:
-            return result.Err(errors.Refusal(code=errors.Code.UNKNOWN_KEY))
-        return result.Ok(fleet.entries[name])
-
-    def _answer_lookup(
-        self, start_response: StartResponse, entry: decisions.Entry
-    ) -> list[bytes]:
-        fleet = self._published.fleet
-        ordered = lookup.order_instances(
-            entry.workspace,
-            self._published.instances,
-            fleet.data_centres if fleet else {},
-            self._dead(),
-        )
-        ticket = self._records.issue(self._ticker.now())
-        body = {
-            "entries": [f"{i.address}:{i.caller_port}" for i in ordered],
-            "keep_seconds": const.LOOKUP_KEEP_SECONDS,
-            "ticket": str(ticket),
-            "ticket_seconds": const.TICKET_LIFETIME_SECONDS,
-        }
-        return _answer_json(start_response, "200 OK", body)
-
-    def _answer_models(self, start_response: StartResponse) -> list[bytes]:
-        fleet = self._published.fleet
-        names = {
-            model
-            for endpoint in (fleet.endpoints.values() if fleet else ())
-            if endpoint.kind == decisions.Kind.ENGINE
-            for model in endpoint.models
-        }
-        listed = [
-            {
-                "id": n,
-                "object": "model",
-                "created": 0,
-                "owned_by": "citronport",
-            }
-            for n in sorted(names)
-        ]
-        return _answer_json(
-            start_response, "200 OK", {"object": "list", "data": listed}
-        )
 
-    def _answer_request(
-        self,
-        environ: Environ,
-        start_response: StartResponse,
-        entry: decisions.Entry,
-    ) -> collections.abc.Iterable[bytes]:
-        match self._parse(environ, entry):
-            case result.Err(refusal):
-                return _answer_refusal(start_response, refusal)
-            case result.Ok(submission):
-                pass
-        match self._find_run(submission):
-            case result.Err(refusal):
-                return _answer_refusal(start_response, refusal)
-            case result.Ok(run):
-                return _answer_run(start_response, run)
-
-    def _find_run(
-        self, submission: Submission
-    ) -> result.Result[runs.Run, errors.Refusal]:
-        now = self._ticker.now()
-        identity = submission.identity
-        if identity is None:
-            return result.Ok(self._start(submission.work, keep=False))
-        match self._records.find(identity, now):
-            case result.Err(refusal):
-                return result.Err(refusal)
-            case result.Ok(known) if known is not None:
-                return result.Ok(known)
-        if submission.ticket is not None:
-            refusal = self._records.check(submission.ticket, now)
-            if refusal is not None:
-                return result.Err(refusal)
-        run = self._start(submission.work, keep=True)
-        self._records.add(identity, run, now)
-        return result.Ok(run)
-
-    def _start(self, work: runs.Work, *, keep: bool) -> runs.Run:
-        run = runs.Run(work, self._leave, keep=keep)
-        self._submit(run)
-        return run
-
-    def _parse(
-        self, environ: Environ, entry: decisions.Entry
-    ) -> result.Result[Submission, errors.Refusal]:
-        match _read_marks(environ):
-            case result.Err(refusal):
-                return result.Err(refusal)
-            case result.Ok(marks):
-                pass
-        match _read_body(environ):
-            case result.Err(refusal):
-                return result.Err(refusal)
-            case result.Ok(body):
-                pass
-        match self._make_work(environ, entry, body, marks):
-            case result.Err(refusal):
-                return result.Err(refusal)
-            case result.Ok(work):
-                identity = _make_identity(entry, work, marks)
-                return result.Ok(
-                    Submission(
-                        work=work, identity=identity, ticket=marks.ticket
-                    )
-                )
-
-    def _make_work(
-        self,
-        environ: Environ,
-        entry: decisions.Entry,
-        body: bytes,
-        marks: Marks,
-    ) -> result.Result[runs.Work, errors.Refusal]:
-        path = environ["PATH_INFO"]
-        request_id = secrets.token_hex(12)
-        chat = None
-        if path == const.PATH_CHAT:
-            match models.parse_chat(body):
-                case result.Err(refusal):
-                    return result.Err(refusal)
-                case result.Ok(chat):
-                    pass
-        model = chat.model if chat else path.split("/")[2]
-        request = decisions.Request(
-            request_id=request_id,
-            entry=entry.name,
-            workspace=entry.workspace,
-            tier=entry.tier,
-            model=model,
-            kind=decisions.Kind.ENGINE if chat else decisions.Kind.SERVICE,
-            prompt_tokens=chat.prompt_tokens if chat else 0,
-            max_tokens=chat.max_tokens if chat else 0,
-            prefix=chat.prefix if chat else (),
-            deadline=self._ticker.now() + marks.seconds,
-            idempotent=marks.idempotent,
-        )
-        call = endpoint_client.Call(
-            request_id=request_id,
-            method=environ["REQUEST_METHOD"],
-            path=path,
-            body=body,
-            headers={
-                "Content-Type": environ.get("CONTENT_TYPE", "application/json")
-            },
-            stream=chat.stream if chat else False,
-            timeout=marks.seconds,
-        )
-        return result.Ok(runs.Work(request=request, call=call))
-
-
-def _get_header(environ: Environ, name: str) -> str:
-    return environ.get("HTTP_" + name.upper().replace("-", "_"), "").strip()
-
-
-def _bad_header(name: str) -> errors.Refusal:
-    return errors.Refusal(code=errors.Code.BAD_HEADER, detail=name)
-
-
-def _read_deadline(environ: Environ) -> float | None:
-    text = _get_header(environ, common.HEADER_DEADLINE)
-    if not text:
-        return common.DEFAULT_DEADLINE
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    if not 0 < seconds <= common.MAX_DEADLINE:
-        return None
-    return seconds
-
-
-def _read_marks(environ: Environ) -> result.Result[Marks, errors.Refusal]:
-    seconds = _read_deadline(environ)
-    if seconds is None:
-        return result.Err(_bad_header(common.HEADER_DEADLINE))
-    ticket = None
-    text = _get_header(environ, common.HEADER_TICKET)
-    if text:
-        match home.parse_ticket(text):
-            case result.Err(refusal):
-                return result.Err(refusal)
-            case result.Ok(ticket):
-                pass
-    key = _get_header(environ, common.HEADER_IDEMPOTENCY_KEY)
-    marked = _get_header(environ, common.HEADER_NON_IDEMPOTENT)
-    idempotent = marked.lower() not in ("1", "true", "yes")
-    # Without a ticket a repeat at another entry, or at the next
-    # incarnation of this one, could not be told from a new request.
-    if not idempotent and not (key and ticket):
-        return result.Err(errors.Refusal(code=errors.Code.TICKET_NEEDED))
-    return result.Ok(
-        Marks(seconds=seconds, key=key, ticket=ticket, idempotent=idempotent)
+def make_server(
+    address: str,
+    port: int,
+    application: collections.abc.Callable,
+    limits: connections.Limits | None = None,
+) -> Server:
+    """Return a server for callers; ``start`` makes it listen."""
+    server = Server((address, port), application, log=None, error_log=None)
+    server.connections = connections.Connections(
+        limits or connections.make_limits()
     )
+    return server
 
 
-def _make_identity(
-    entry: decisions.Entry, work: runs.Work, marks: Marks
-) -> home.Identity | None:
-    if not marks.key:
-        return None
-    call = work.call
-    content = f"{call.method} {call.path} ".encode() + call.body
-    return home.Identity(
-        entry=entry.name,
-        key=marks.key,
-        ticket=str(marks.ticket or ""),
-        body_hash=xxhash.xxh3_64_intdigest(content),
-    )
+def _join_fields(lines: list[bytes]) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for line in lines:
+        name, _, value = line.decode("latin-1").partition(":")
+        key = name.lower()
+        # WSGI writes "-" as "_": two names must not become one there.
+        if "_" in key:
+            continue
+        text = value.strip()
+        fields[key] = f"{fields[key]},{text}" if key in fields else text
+    return fields
 
 
-def _read_body(environ: Environ) -> result.Result[bytes, errors.Refusal]:
-    announced = environ.get("CONTENT_LENGTH") or "0"
-    if int(announced) > const.MAX_BODY_BYTES:
-        return result.Err(errors.Refusal(code=errors.Code.BODY_TOO_LARGE))
-    body = environ["wsgi.input"].read(const.MAX_BODY_BYTES + 1)
-    if len(body) > const.MAX_BODY_BYTES:
-        return result.Err(errors.Refusal(code=errors.Code.BODY_TOO_LARGE))
-    return result.Ok(body)
-
-
-def _answer_json(
-    start_response: StartResponse, status: str, body: dict[str, Any]
-) -> list[bytes]:
-    data = json.dumps(body).encode()
-    start_response(
-        status,
-        [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(data))),
-        ],
-    )
-    return [data]
-
-
-def describe_refusal(refusal: errors.Refusal) -> dict[str, Any]:
-    """Return a refusal in the form that OpenAI-style clients read."""
-    meaning = refusal.meaning
-    text = meaning.text
-    if refusal.detail:
-        text = f"{text}: {refusal.detail}"
-    return {
-        "error": {
-            "message": text,
-            "type": "citronport_refusal",
-            "code": int(refusal.code),
-            "name": refusal.code.name.lower(),
-            "ran": str(meaning.ran),
-            "retry_after": refusal.retry_after,
-            "go_to": list(refusal.go_to),
-        }
-    }
-
-
-def _answer_refusal(
-    start_response: StartResponse, refusal: errors.Refusal
-) -> list[bytes]:
-    meaning = refusal.meaning
-    data = json.dumps(describe_refusal(refusal)).encode()
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(data))),
-        (common.HEADER_CODE, str(int(refusal.code))),
-        (common.HEADER_RAN, str(meaning.ran)),
-        (common.HEADER_SHOULD_RETRY, "true" if meaning.may_retry else "false"),
-    ]
-    if refusal.retry_after is not None:
-        # The header takes whole seconds; the exact time is in the body.
-        headers.append(("Retry-After", str(math.ceil(refusal.retry_after))))
-    if refusal.go_to:
-        headers.append((common.HEADER_GO_TO, ", ".join(refusal.go_to)))
-    start_response(f"{meaning.status} Refused", headers)
-    return [data]
-
-
-def _answer_run(
-    start_response: StartResponse, run: runs.Run
-) -> collections.abc.Iterator[bytes]:
-    started = False
-    for message in run.read():
-        match message:
-            case messages.Started():
-                started = True
-                start_response(
-                    f"{message.status} OK",
-                    [
-                        ("Content-Type", message.content_type),
-                        (common.HEADER_REQUEST_ID, run.request_id),
-                    ],
-                )
-            case messages.Chunk():
-                yield message.data
-            case messages.Refused() if not started:
-                yield from _answer_refusal(start_response, message.refusal)
-            case messages.Refused():
-                yield from _cut_stream(run, message.refusal)
-            case messages.Finished():
-                return
-
-
-def _cut_stream(
-    run: runs.Run, refusal: errors.Refusal
-) -> collections.abc.Iterator[bytes]:
-    # A truncated answer with a clean end looks whole to the caller. A
-    # stream of events gets an error event first; then the connection ends
-    # without the closing chunk, which every HTTP client reports.
-    if run.work.call.stream:
-        event = json.dumps(describe_refusal(refusal))
-        yield f"data: {event}\n\n".encode()
-    logging.warning("%s answer cut: %s.", LOG, refusal.code.name)
-    raise StreamCutError(refusal.code.name)
+def _render(refusal: errors.Refusal) -> bytes:
+    status, headers, data = answers.render_refusal(refusal)
+    lines = [f"HTTP/1.1 {status}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines += ["Connection: close", "", ""]
+    return "\r\n".join(lines).encode() + data
 
 
-def make_server(
-    address: str, port: int, application: Application
-) -> pywsgi.WSGIServer:
-    """Return a server for callers; ``start`` makes it listen."""
-    return pywsgi.WSGIServer((address, port), application, log=None)
+def _discard(sock: socket.socket) -> None:
+    left = const.DISCARD_BYTES
+    with (
+        contextlib.suppress(OSError),
+        gevent.Timeout(const.DISCARD_SECONDS, False),
+    ):
+        sock.shutdown(socket.SHUT_WR)
+        while left > 0 and (data := sock.recv(io.DEFAULT_BUFFER_SIZE)):
+            left -= len(data)
+
+
+def _raise_refusal(code: errors.Code) -> None:
+    raise heads.HeadError(errors.Refusal(code=code))
+
+
+def _raise_if_refused(checked: result.Result[None, errors.Refusal]) -> None:
+    match checked:
+        case result.Err(refusal):
+            raise heads.HeadError(refusal)
--- /dev/null
+++ b/citronport/callers/submissions.py
@@ -0,0 +1,110 @@
+"""Turns an HTTP request into checked work."""
+
+import secrets
+import urllib.parse
+
+import result
+import xxhash
+
+from citronport import errors
+from citronport import runs
+from citronport.callers import const
+from citronport.callers import marks
+from citronport.callers import models
+from citronport.callers import tickets
+from citronport.endpoints import client as endpoint_client
+from citronport.scheduler import models as decisions
+
+
+def parse(
+    environ: marks.Environ,
+    target: marks.Target,
+    entry: decisions.Entry,
+    now: float,
+) -> result.Result[runs.Work, errors.Refusal]:
+    """Read and check a request for an endpoint.
+
+    Args:
+        environ: of WSGI; the body is read from it.
+        target: where the request goes.
+        entry: the catalogue entry it came in under.
+        now: clock time, seconds.
+    """
+    match marks.read_marks(environ, target):
+        case result.Err(refusal):
+            return result.Err(refusal)
+        case result.Ok(marked):
+            pass
+    match environ["wsgi.input"].read_whole():
+        case result.Err(refusal):
+            return result.Err(refusal)
+        case result.Ok(body):
+            pass
+    chat = None
+    if target.name == const.PATH_CHAT:
+        match models.parse_chat(body):
+            case result.Err(refusal):
+                return result.Err(refusal)
+            case result.Ok(chat):
+                pass
+    request = _make_request(target, entry, chat, marked, now)
+    call = endpoint_client.Call(
+        request_id=request.request_id,
+        method=environ["REQUEST_METHOD"],
+        path=target.path,
+        body=body,
+        headers={
+            "Content-Type": environ["CONTENT_TYPE"] or "application/json"
+        },
+        stream=chat.stream if chat else False,
+        timeout=marked.seconds,
+    )
+    identity = _make_identity(entry, call, marked)
+    return result.Ok(runs.Work(request=request, call=call, identity=identity))
+
+
+def get_service(target: marks.Target) -> str | None:
+    """Return the name of the service at a path, None if there is none."""
+    segments = urllib.parse.unquote(target.name).split("/")
+    # A step upwards would leave the paths that are the service's own.
+    if any(segment in (".", "..") for segment in segments):
+        return None
+    if not target.name.startswith(const.PREFIX_SERVICES) or not segments[2]:
+        return None
+    return segments[2]
+
+
+def _make_request(
+    target: marks.Target,
+    entry: decisions.Entry,
+    chat: models.Chat | None,
+    marked: marks.Marks,
+    now: float,
+) -> decisions.Request:
+    return decisions.Request(
+        request_id=secrets.token_hex(12),
+        entry=entry.name,
+        workspace=entry.workspace,
+        tier=entry.tier,
+        model=chat.model if chat else get_service(target) or "",
+        kind=decisions.Kind.ENGINE if chat else decisions.Kind.SERVICE,
+        prompt_tokens=chat.prompt_tokens if chat else 0,
+        max_tokens=chat.max_tokens if chat else 0,
+        prefix=chat.prefix if chat else (),
+        deadline=now + marked.seconds,
+        idempotent=marked.idempotent,
+    )
+
+
+def _make_identity(
+    entry: decisions.Entry, call: endpoint_client.Call, marked: marks.Marks
+) -> tickets.Identity | None:
+    if not marked.key:
+        return None
+    content = f"{call.method} {call.path} ".encode() + call.body
+    return tickets.Identity(
+        entry=entry.name,
+        key=marked.key,
+        ticket=marked.ticket,
+        body_hash=xxhash.xxh3_64_intdigest(content),
+    )
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -14,8 +14,12 @@
 from citronport import errors
 from citronport import runs
 from citronport import settings as settings_module
+from citronport.callers import application as caller_application
 from citronport.callers import home
+from citronport.callers import keeper
+from citronport.callers import lookup
 from citronport.callers import server as caller_server
+from citronport.callers import tickets
 from citronport.endpoints import client as endpoint_client
 from citronport.endpoints import const as endpoint_const
 from citronport.executor import Executor
@@ -47,7 +51,7 @@
         self.ticker = ticker
         self.published = store.Store()
         self.scheduler = scheduler_core.Scheduler(settings.instance)
-        incarnation = home.make_incarnation()
+        incarnation = tickets.make_incarnation()
         self.records = home.Home(settings.instance, incarnation, ticker.now())
         self.peers = peers.Peers(
             messages.Hello(
@@ -62,6 +66,23 @@
         self.executor = Executor(
             self.scheduler, ticker, self._forward, self._record
         )
+        self.directory = lookup.Directory(
+            self.published,
+            settings.instance,
+            lambda: self._stopped.is_set(),
+            lambda: frozenset(),
+            lambda model: frozenset(),
+        )
+        self.keeper = keeper.Keeper(
+            self.records,
+            ticker,
+            self.executor.submit,
+            self.executor.leave,
+            lambda run, instance: self.peers.forward(
+                run, instance, instance_const.ROLE_HOME
+            ),
+            self.directory.is_leaving,
+        )
         self._connected: set[str] = set()
         self._stopped = gevent_event.Event()
         self._event_file = (
@@ -75,18 +96,16 @@
         """Run until a stop is ordered and the work in progress is done."""
         listeners = self.settings
         self.peers.serve(str(listeners.peers.address), listeners.peers.port)
-        application = caller_server.Application(
-            self.published,
-            self.records,
-            self.ticker,
-            self.executor.submit,
-            self.executor.leave,
-            lambda: frozenset(),
-        )
         callers = caller_server.make_server(
             str(listeners.callers.address),
             listeners.callers.port,
-            application,
+            caller_application.Application(
+                self.published,
+                self.records,
+                self.ticker,
+                self.keeper.take,
+                self.directory,
+            ),
         )
         callers.start()
         for path in (
@@ -104,16 +123,19 @@
         gevent.spawn(self._watch_endpoints)
         gevent.spawn(self._speak)
         gevent.spawn(self.executor.serve)
+        gevent.spawn(self.keeper.sweep_forever)
         gevent.signal_handler(signal.SIGTERM, self._stopped.set)
         logging.info("%s %s is up.", LOG, self.settings.instance)
         self._stopped.wait()
-        self._drain()
+        self._drain(callers)
         callers.stop(timeout=0)
         logging.info("%s %s is down.", LOG, self.settings.instance)
 
-    def _drain(self) -> None:
+    def _drain(self, callers: caller_server.Server) -> None:
         self.executor.post(models.LeaveOrdered())
-        while not self.executor.is_idle():
+        # The last bytes of an answer are still to be written when its run
+        # has ended.
+        while not (self.executor.is_idle() and callers.is_idle()):
             self.ticker.sleep(0.05)
 
     def _apply(self, path: str) -> None:
@@ -210,12 +232,14 @@
                 )
 
     def _take_run(self, work: runs.Work, role: str) -> runs.Run:
+        if role == instance_const.ROLE_HOME:
+            return self.keeper.take(work, forwarded=True)
         run = runs.Run(work, self.executor.leave)
         self.executor.submit(run, forwarded=True)
         return run
 
     def _forward(self, run: runs.Run, instance: str) -> errors.Refusal | None:
-        return self.peers.forward(run, instance, "owner")
+        return self.peers.forward(run, instance, instance_const.ROLE_OWNER)
 
     def _record(
         self, event: models.Event, actions: list[models.Action]
--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -22,12 +22,17 @@
     BODY_TOO_SLOW = 1006
     BAD_HEADER = 1007
     TOO_MANY_CALLERS = 1008
+    HEAD_TOO_SLOW = 1009
+    HEAD_TOO_LARGE = 1010
     TICKET_NEEDED = 1101
     TICKET_EXPIRED = 1102
     HOME_GONE = 1103
     KEY_REUSED = 1104
     ANSWER_NOT_KEPT = 1105
     HOME_UNREACHABLE = 1106
+    TOO_MANY_KEYS = 1107
+    ABANDONED = 1108
+    ABANDONED_WAITING = 1109
     RATE_LIMIT = 2001
     CONCURRENCY_LIMIT = 2002
     TOKEN_LIMIT = 2003
@@ -75,6 +80,8 @@
     Code.TOO_MANY_CALLERS: _not_run(
         503, "too many open connections", may_retry=True
     ),
+    Code.HEAD_TOO_SLOW: _not_run(408, "the request head came too slowly"),
+    Code.HEAD_TOO_LARGE: _not_run(431, "the request head is too large"),
     Code.TICKET_NEEDED: _not_run(
         428, "a non-idempotent request needs a ticket and an idempotency key"
     ),
@@ -91,6 +98,19 @@
     Code.HOME_UNREACHABLE: _unknown(
         409, "the instance that holds this request cannot be reached"
     ),
+    Code.TOO_MANY_KEYS: _not_run(
+        503,
+        "too many keyed requests are remembered here",
+        may_retry=True,
+    ),
+    Code.ABANDONED: _unknown(
+        409, "the request was stopped, for its caller had gone"
+    ),
+    Code.ABANDONED_WAITING: _not_run(
+        503,
+        "the request was dropped while it waited, for its caller had gone",
+        may_retry=True,
+    ),
     Code.RATE_LIMIT: _not_run(
         429, "the request rate is over the limit", may_retry=True
     ),
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -82,12 +82,22 @@
             self._step(event)
 
     def _step(self, event: models.Event) -> None:
+        # A request that came back from another instance after its caller
+        # had left must not reach the scheduler: its run is gone, and the
+        # place that it would take were never given back.
+        if (
+            isinstance(event, models.RequestArrived)
+            and event.request.request_id not in self._runs
+        ):
+            return
         actions = self._scheduler.handle(event, self._ticker.now())
         self._record(event, actions)
         if isinstance(event, models.AnswerFinished):
             self._forget(event.request_id)
         for action in actions:
             self._act(action)
+        if isinstance(event, models.RequestLeft):
+            self._abandon(event.request_id)
 
     def _act(self, action: models.Action) -> None:
         match action:
@@ -180,9 +190,27 @@
         if task is not None:
             # Closing the connection is what stops the endpoint's work.
             task.kill(block=False)
-        self._forget(action.request_id)
+        run = self._runs.get(action.request_id)
+        if run is not None:
+            # A repeat may have joined since the last caller left.
+            self._finish(run, errors.Refusal(code=errors.Code.ABANDONED))
         self.post(models.AnswerFinished(request_id=action.request_id))
 
+    def _abandon(self, request_id: str) -> None:
+        run = self._runs.get(request_id)
+        if run is None:
+            return
+        # The scheduler had nothing to cancel: the request waited here, or
+        # another instance decides on it and hears of this when the task
+        # that waits for it ends.
+        task = self._tasks.get(request_id)
+        if task is None or task.ready():
+            code = errors.Code.ABANDONED_WAITING
+        else:
+            task.kill(block=False)
+            code = errors.Code.ABANDONED
+        self._finish(run, errors.Refusal(code=code, retry_after=None))
+
     def _forget(self, request_id: str) -> None:
         self._runs.pop(request_id, None)
         self._tasks.pop(request_id, None)
--- a/citronport/instances/messages.py
+++ b/citronport/instances/messages.py
@@ -33,16 +33,19 @@
 
     Attributes:
         stream: number of the exchange, unique on this connection.
-        role: "home" to look for an earlier run first, "owner" to run it.
+        role: ``const.ROLE_HOME`` or ``const.ROLE_OWNER``.
         request: fields of ``scheduler.models.Request``; its deadline is
             seconds from now, since clocks differ.
         call: fields of ``endpoints.client.Call``.
+        identity: fields of ``callers.tickets.Identity``; None without a
+            key, and to an owner.
     """
 
     stream: int
     role: str
     request: dict[str, Any]
     call: dict[str, Any]
+    identity: dict[str, Any] | None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/citronport/instances/peers.py
+++ b/citronport/instances/peers.py
@@ -14,6 +14,7 @@
 from citronport import clock
 from citronport import errors
 from citronport import runs
+from citronport.callers import tickets
 from citronport.endpoints import client as endpoint_client
 from citronport.endpoints import messages as answers
 from citronport.instances import const
@@ -97,9 +98,7 @@
         """
         chosen = self._links.get(instance)
         if chosen is None or chosen.peer is None:
-            return errors.Refusal(
-                code=errors.Code.NO_ENDPOINT, retry_after=0.5
-            )
+            return _make_unreachable(role)
         key = (chosen, next(self._numbers))
         inbox: queue.Queue[messages.Message | link.Closed] = queue.Queue()
         self._exchanges[key] = inbox
@@ -123,6 +122,11 @@
             role=role,
             request=request,
             call=dataclasses.asdict(work.call),
+            identity=(
+                dataclasses.asdict(work.identity)
+                if work.identity and role == const.ROLE_HOME
+                else None
+            ),
         )
 
     def _dial(self, instance: models.Instance) -> None:
@@ -195,6 +199,7 @@
         work = runs.Work(
             request=models.Request(**request),
             call=endpoint_client.Call(**message.call),
+            identity=_make_identity(message.identity),
         )
         run = self._submit(work, message.role)
         key = (source, message.stream)
@@ -207,6 +212,22 @@
         self._served.pop(key, None)
 
 
+def _make_unreachable(role: str) -> errors.Refusal:
+    # Nothing was sent. Still, an earlier copy of a request that belongs to
+    # its home may have run there.
+    if role == const.ROLE_HOME:
+        return errors.Refusal(code=errors.Code.HOME_UNREACHABLE)
+    return errors.Refusal(code=errors.Code.NO_ENDPOINT, retry_after=0.5)
+
+
+def _make_identity(fields: dict[str, Any] | None) -> tickets.Identity | None:
+    if fields is None:
+        return None
+    ticket = fields["ticket"]
+    named = tickets.Ticket(**ticket) if ticket else None
+    return tickets.Identity(**{**fields, "ticket": named})
+
+
 def _relay(
     inbox: queue.Queue[messages.Message | link.Closed], run: runs.Run
 ) -> errors.Refusal | None:
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -5,6 +5,8 @@
 
 from gevent import queue
 
+from citronport import errors
+from citronport.callers import tickets
 from citronport.endpoints import client
 from citronport.endpoints import messages
 from citronport.scheduler import models
@@ -12,10 +14,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Work:
-    """A request with the bytes that go to the endpoint."""
+    """A request with the bytes that go to the endpoint.
+
+    Attributes:
+        request: as the decisions see it.
+        call: as the endpoint sees it.
+        identity: None without an idempotency key.
+    """
 
     request: models.Request
     call: client.Call
+    identity: tickets.Identity | None = None
 
 
 class Run:
@@ -29,6 +38,7 @@
         leave: called when the last reader has gone before the end.
         keep: whether the run goes on without readers, because a repeat
             may come.
+        settle: called once the run has ended.
     """
 
     def __init__(
@@ -37,11 +47,16 @@
         leave: collections.abc.Callable[["Run"], None],
         *,
         keep: bool = False,
+        settle: collections.abc.Callable[["Run"], None] | None = None,
     ) -> None:
         self.work = work
         self.ended = False
         self.keep = keep
+        self.kept_bytes = 0
+        self.answer_kept = keep
+        self.was_not_run = False
         self._leave = leave
+        self._settle = settle
         self._log: list[messages.Message] = []
         self._readers: list[queue.Queue[messages.Message]] = []
 
@@ -57,10 +72,28 @@
         if self.ended:
             return
         self.ended = isinstance(message, messages.Finished | messages.Refused)
-        if self.keep:
+        if isinstance(message, messages.Refused):
+            ran = message.refusal.meaning.ran
+            self.was_not_run = ran == errors.Ran.NOT_RUN
+        if self.answer_kept:
             self._log.append(message)
+        if self.answer_kept and isinstance(message, messages.Chunk):
+            self.kept_bytes += len(message.data)
         for reader in self._readers:
             reader.put(message)
+        if self.ended and self._settle is not None:
+            self._settle(self)
+
+    @property
+    def has_readers(self) -> bool:
+        """Whether somebody waits for the answer."""
+        return bool(self._readers)
+
+    def forget_answer(self) -> None:
+        """Free the kept answer; nobody can join the run any more."""
+        self._log.clear()
+        self.kept_bytes = 0
+        self.answer_kept = False
 
     def read(self) -> collections.abc.Iterator[messages.Message]:
         """Yield the answer from its start to its end.
--- /dev/null
+++ b/tests/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the caller side."""
--- /dev/null
+++ b/tests/callers/fleets.py
@@ -0,0 +1,63 @@
+"""A small fleet of processes for the tests of the caller side."""
+
+import pathlib
+import tempfile
+
+from standins import caller
+from standins import fleet
+from standins import journal
+from standins import processes
+
+KEY = "key-1"
+CHAT = "/v1/chat/completions"
+BOOK = "/services/reservations/book"
+
+
+def start_fleet(test, subnet, *, instances=2):
+    """Start a fleet that ends with a test; return it once it serves."""
+    folder = tempfile.TemporaryDirectory()
+    test.addCleanup(folder.cleanup)
+    running = processes.Processes(pathlib.Path(folder.name))
+    test.addCleanup(running.__exit__)
+    layout = fleet.Layout(
+        subnet=subnet,
+        data_centres=("dc-1", "dc-2"),
+        instances=instances,
+        engines=(
+            {
+                "name": "engine-1",
+                "models": ("small",),
+                "cold_seconds": 0.0,
+                "cold_requests": 0,
+                "decode_rate": 100.0,
+                "report_lag": 0.0,
+            },
+        ),
+        services=("reservations",),
+        entries=({"name": "shop", "owner": "shop", "class": 0, "key": KEY},),
+    )
+    started = fleet.Fleet(layout, running)
+    started.start()
+    body = caller.make_chat("small", "hello", 1)
+    for address in started.get_callers_addresses():
+        caller.send_patiently(address, KEY, CHAT, body)
+        # Looks at the peers' links too: a ticket of each serves at each.
+        for other in started.get_callers_addresses():
+            headers = make_headers(other, "warm-up")
+            caller.send_patiently(address, KEY, CHAT, body, headers=headers)
+    return started
+
+
+def make_headers(address, key):
+    """Return the headers of a keyed request whose home is an entry."""
+    return {
+        "Idempotency-Key": key,
+        "X-Citronport-Ticket": caller.look_up(address, KEY).ticket,
+    }
+
+
+def count_lines(started, name, kind, **fields):
+    """Return how many lines of a stand-in's record match."""
+    lines = journal.read_lines(started.folder / f"{name}.jsonl")
+    wanted = {"kind": kind, **fields}
+    return sum(wanted.items() <= line.items() for line in lines)
--- /dev/null
+++ b/tests/callers/test_home.py
@@ -0,0 +1,259 @@
+"""The record of keyed requests: each one starts at most once."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+import result
+import testtools
+
+from citronport import clock
+from citronport import errors
+from citronport import runs
+from citronport.callers import const
+from citronport.callers import home
+from citronport.callers import tickets
+from citronport.endpoints import client
+from citronport.endpoints import messages
+from citronport.scheduler import models
+
+NAMES = ("entry-1", "entry-2")
+KINDS = strategies.sampled_from(
+    ("send", "repeat", "repeat", "arrive", "end", "wait", "restart")
+)
+
+
+def make_work(identity=None, *, idempotent=True):
+    """Return work of which only the identity counts."""
+    request = models.Request(
+        request_id="request",
+        entry="entry",
+        workspace="workspace",
+        tier=0,
+        model="small",
+        deadline=1e9,
+        idempotent=idempotent,
+    )
+    call = client.Call(
+        request_id="request",
+        method="POST",
+        path="/",
+        body=b"",
+        headers={},
+        stream=True,
+        timeout=1,
+    )
+    return runs.Work(request=request, call=call, identity=identity)
+
+
+def refuse(run, code):
+    """End a run with a refusal."""
+    run.deliver(messages.Refused(refusal=errors.Refusal(code=code)))
+
+
+class Node:
+    """One instance: its records and what it started."""
+
+    def __init__(self, name, ticker, **bounds):
+        self.ticker = ticker
+        incarnation = tickets.make_incarnation()
+        self.records = home.Home(name, incarnation, ticker.now(), **bounds)
+
+    def submit(self, identity, **marks):
+        """Return the verdict; a started run is added as the keeper does."""
+        verdict = self.records.decide(identity, self.ticker.now())
+        if verdict != result.Ok(home.Start()):
+            return verdict
+        run = runs.Run(
+            make_work(identity, **marks),
+            lambda run: None,
+            keep=True,
+            settle=lambda run: self.records.settle(run, self.ticker.now()),
+        )
+        self.records.add(identity, run)
+        return run
+
+
+class Walk:
+    """Two entries, their callers, and copies on the way between them."""
+
+    def __init__(self):
+        self.ticker = clock.ManualClock()
+        self.nodes = {}
+        self.wires = []
+        self.sent = []
+        self.started = collections.defaultdict(list)
+        for name in NAMES:
+            self.restart(name)
+
+    def step(self, kind, number):
+        """Do one thing; the number chooses among those possible."""
+        name = NAMES[number % 2]
+        match kind:
+            case "send":
+                ticket = self.nodes[name].records.issue(self.ticker.now())
+                identity = tickets.Identity(
+                    entry="entry", key="key", ticket=ticket, body_hash=1
+                )
+                self.sent.append(identity)
+                self.submit(NAMES[number // 2 % 2], identity)
+            case "repeat" if self.sent:
+                identity = self.sent[-1 - number // 2 % len(self.sent)]
+                self.submit(name, identity)
+            case "arrive" if self.wires:
+                self.submit(*self.wires.pop(number % len(self.wires)))
+            case "end":
+                self.end(number)
+            case "restart":
+                self.restart(name)
+            case "wait":
+                self.ticker.advance((1, 99, 200, 301)[number % 4])
+                for node in self.nodes.values():
+                    node.records.sweep(self.ticker.now())
+
+    def submit(self, name, identity):
+        """Hand a copy to an entry; note what it starts."""
+        outcome = self.nodes[name].submit(identity)
+        match outcome:
+            case runs.Run():
+                self.started[identity].append(outcome)
+            case result.Ok(home.GoHome(instance=instance)):
+                self.wires.append((instance, identity))
+
+    def end(self, number):
+        """Let a run end: whole, not run, or unknown."""
+        live = [r for rs in self.started.values() for r in rs if not r.ended]
+        if not live:
+            return
+        run = live[number % len(live)]
+        match number % 3:
+            case 0:
+                run.deliver(messages.Finished(size=0))
+            case 1:
+                refuse(run, errors.Code.OVERLOADED)
+            case 2:
+                refuse(run, errors.Code.ENDPOINT_LOST)
+
+    def restart(self, name):
+        """Replace an entry by a new process."""
+        self.nodes[name] = Node(name, self.ticker)
+
+
+class InterleavingTest(testtools.TestCase):
+    """At most one run for each entry, ticket and key, in any order."""
+
+    @hypothesis.settings(
+        max_examples=400, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(
+        steps=strategies.lists(
+            strategies.tuples(KINDS, strategies.integers(0, 11)),
+            min_size=10,
+            max_size=40,
+        )
+    )
+    def test_request_starts_once(self, steps):
+        """A repeat never starts what may have run.
+
+        The caller sees one answer or "outcome unknown". Sends, repeats at
+        either entry, restarts, ends and time come in any order; a copy on
+        its way home arrives at any later moment, as behind a process that
+        is frozen. What was refused as "not run" may start again.
+        """
+        walk = Walk()
+        for kind, number in steps:
+            walk.step(kind, number)
+            for started in walk.started.values():
+                ran = sum(not run.was_not_run for run in started)
+                self.assertLessEqual(ran, 1)
+
+
+class HomeTest(testtools.TestCase):
+    """Single rules of the record."""
+
+    def setUp(self):
+        """Make an instance with small bounds."""
+        super().setUp()
+        self.ticker = clock.ManualClock()
+        self.node = Node("e", self.ticker, max_records=2, answer_bytes=10)
+
+    def make_identity(self, key="key-1", *, ticket=True, body_hash=1):
+        """Return an identity under a fresh ticket, or without one."""
+        issued = self.node.records.issue(self.ticker.now())
+        return tickets.Identity(
+            entry="entry",
+            key=key,
+            ticket=issued if ticket else None,
+            body_hash=body_hash,
+        )
+
+    def assert_code(self, code, outcome):
+        """Check that a submission was refused."""
+        self.assertEqual(code, outcome.unwrap_err().code)
+
+    def test_other_body_under_a_used_key(self):
+        """A key that comes with another body is refused."""
+        self.node.submit(self.make_identity())
+        outcome = self.node.submit(self.make_identity(body_hash=2))
+        self.assert_code(errors.Code.KEY_REUSED, outcome)
+
+    def test_ticket_from_the_future(self):
+        """A ticket that was never issued starts nothing."""
+        ticket = self.node.records.issue(self.ticker.now() + 5)
+        identity = tickets.Identity(
+            entry="entry", key="key", ticket=ticket, body_hash=1
+        )
+        outcome = self.node.submit(identity)
+        self.assert_code(errors.Code.TICKET_EXPIRED, outcome)
+
+    def test_long_run_is_found_after_its_ticket_expired(self):
+        """A repeat joins a run of 600 s, and its end for a while."""
+        identity = self.make_identity()
+        run = self.node.submit(identity)
+        self.ticker.advance(600)
+        self.node.records.sweep(self.ticker.now())
+        joined = result.Ok(home.Join(run=run))
+        self.assertEqual(joined, self.node.submit(identity))
+        run.deliver(messages.Finished(size=0))
+        self.ticker.advance(const.RECORD_KEEP_SECONDS)
+        self.node.records.sweep(self.ticker.now())
+        self.assertEqual(joined, self.node.submit(identity))
+        self.ticker.advance(1)
+        self.node.records.sweep(self.ticker.now())
+        outcome = self.node.submit(identity)
+        self.assert_code(errors.Code.TICKET_EXPIRED, outcome)
+
+    def test_memory_is_bounded(self):
+        """Old answers go first; a full record refuses as "not run"."""
+        first = self.make_identity("key-1")
+        second = self.make_identity("key-2")
+        for identity in (first, second):
+            run = self.node.submit(identity)
+            run.deliver(messages.Chunk(offset=0, data=b"12345678"))
+            run.deliver(messages.Finished(size=8))
+        self.node.records.sweep(self.ticker.now())
+        outcome = self.node.submit(first)
+        self.assert_code(errors.Code.ANSWER_NOT_KEPT, outcome)
+        self.assertTrue(self.node.submit(second).is_ok())
+        outcome = self.node.submit(self.make_identity("key-3"))
+        self.assert_code(errors.Code.TOO_MANY_KEYS, outcome)
+        self.ticker.advance(const.RECORD_KEEP_SECONDS + 1)
+        self.node.records.sweep(self.ticker.now())
+        self.assertEqual(0, len(self.node.records))
+
+    def test_abandoned_run_is_given_up_after_a_while(self):
+        """A run without readers goes on for the linger time only.
+
+        A caller whose link broke is back within seconds; later the work
+        is for nobody. What may run only once goes on to its end.
+        """
+        run = self.node.submit(self.make_identity())
+        self.node.submit(self.make_identity("key-2"), idempotent=False)
+        inbox = run.attach()
+        for _ in range(2):
+            self.assertEqual([], self.node.records.sweep(self.ticker.now()))
+            self.ticker.advance(const.LINGER_SECONDS)
+        run.detach(inbox)
+        self.assertEqual([], self.node.records.sweep(self.ticker.now()))
+        self.ticker.advance(const.LINGER_SECONDS)
+        self.assertEqual([run], self.node.records.sweep(self.ticker.now()))
