Bound hostile and broken callers, each by a named limit

Cause: pywsgi has no limit on the time of a head or body, reads an unread body to its end, takes a head with two lengths, does not see a caller leave while the handler waits, and accepts connections without bound. Ruled out: a Pool as pywsgi's spawn (idle connections of one caller would lock all others out); a greenlet that reads each socket (a task a request).

--- a/citronport/callers/connections.py
+++ b/citronport/callers/connections.py
@@ -43,7 +43,8 @@
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
-        self._open: set[socket.socket] = set()
+        self._open: dict[socket.socket, str] = {}
+        self._held: collections.Counter[str] = collections.Counter()
         self._idle: dict[
             str, collections.OrderedDict[socket.socket, None]
         ] = {}
@@ -57,22 +58,40 @@
         """Return whether no open connection carries a request."""
         return len(self._open) == sum(map(len, self._idle.values()))
 
-    def enter(self, sock: socket.socket) -> bool:
+    def enter(self, sock: socket.socket, address: str) -> bool:
         """Take a new connection on; return False if there is no room."""
+        # Load: one address that holds connections busy, by heads that it
+        # sends byte by byte. Harm: nothing is idle, so that no room can
+        # be made for others. Half of all is far more than the callers
+        # behind one address translation need.
+        if self._held[address] >= self._get_share():
+            self._close_idle(address)
         if len(self._open) >= self.limits.connections:
-            self._close_idle()
-        if len(self._open) >= self.limits.connections:
+            self._close_idle(self._find_idlest())
+        if (
+            self._held[address] >= self._get_share()
+            or len(self._open) >= self.limits.connections
+        ):
             return False
-        self._open.add(sock)
+        self._open[sock] = address
+        self._held[address] += 1
         return True
 
-    def exit(self, sock: socket.socket, address: str) -> None:
+    def exit(self, sock: socket.socket) -> None:
         """Note that a connection is closed."""
-        self._open.discard(sock)
+        address = self._open.pop(sock, None)
+        if address is None:
+            return
         self.set_busy(sock, address)
+        self._held[address] -= 1
+        if not self._held[address]:
+            del self._held[address]
 
     def set_idle(self, sock: socket.socket, address: str) -> None:
         """Note that a connection waits for its next request."""
+        if sock not in self._open:
+            # Closed to make room, and not yet ended by its task.
+            return
         waiting = self._idle.setdefault(address, collections.OrderedDict())
         waiting[sock] = None
 
@@ -96,18 +115,22 @@
         """Give bytes back to the budget."""
         self._body_bytes -= size
 
-    def _close_idle(self) -> None:
+    def _get_share(self) -> int:
+        return max(1, self.limits.connections // 2)
+
+    def _find_idlest(self) -> str:
         # Load: a caller that opens connections and sends nothing. Harm:
         # nobody else could connect. Closing the oldest idle connection of
         # the address that has most of them meets that caller first; an
         # idle connection that is closed costs its owner one connect.
-        address = max(
-            self._idle, key=lambda a: len(self._idle[a]), default=None
-        )
-        if address is None:
+        return max(self._idle, key=lambda a: len(self._idle[a]), default="")
+
+    def _close_idle(self, address: str) -> None:
+        waiting = self._idle.get(address)
+        if not waiting:
             return
-        sock = next(iter(self._idle[address]))
-        self.exit(sock, address)
+        sock = next(iter(waiting))
+        self.exit(sock)
         with contextlib.suppress(OSError):
             # Wakes the task that reads from it, which then closes it.
             sock.shutdown(socket.SHUT_RDWR)
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -201,13 +201,13 @@
 
     def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
         """Serve a connection, or refuse it if there is no room."""
-        if not self.connections.enter(sock):
+        if not self.connections.enter(sock, address[0]):
             self._refuse(sock)
             return
         try:
             super().handle(sock, address)
         finally:
-            self.connections.exit(sock, address[0])
+            self.connections.exit(sock)
 
     def is_idle(self) -> bool:
         """Return whether no connection carries a request."""
--- a/tests/callers/test_identity.py
+++ b/tests/callers/test_identity.py
@@ -112,7 +112,7 @@
             (errors.Code.HOME_UNREACHABLE, errors.Code.INSTANCE_LOST), outcome
         )
         self.fleet.start_instance("entry-1")
-        with gevent.Timeout(20):
+        with gevent.Timeout(20, AssertionError("home is not gone")):
             while outcome.code != errors.Code.HOME_GONE:
                 self.assert_unknown((outcome.code,), outcome)
                 gevent.sleep(0.1)
