--- a/citronport/callers/const.py
+++ b/citronport/callers/const.py
@@ -139,6 +139,10 @@
 
 MIN_WINDOW: Final = 2
 
+OWNERS_KEEP_SECONDS: Final = 1.0
+"""How long the owners of a model's endpoints are kept; a look at 5,100
+endpoints takes about a millisecond."""
+
 GO_TO_ADDRESSES: Final = 8
 """Addresses in a refusal; a header of all 510 would be 11 KB."""
 
--- a/citronport/callers/lookup.py
+++ b/citronport/callers/lookup.py
@@ -1,11 +1,13 @@
 """Which entries a caller should use, in order."""
 
+import collections
 import collections.abc
 import math
 import secrets
 
 import xxhash
 
+from citronport import clock
 from citronport.callers import const
 from citronport.platform import store
 from citronport.scheduler import models
@@ -18,26 +20,33 @@
     Args:
         published: catalogue and instance list.
         instance: name of this instance.
-        is_stopping: whether this instance was ordered to stop.
+        is_leaving: whether this instance takes no new work.
         get_dead: names of instances that are out of reach.
-        get_owners: instances that own an endpoint with a model.
+        get_owners: instance by endpoint.
+        ticker: the clock.
     """
 
     def __init__(
         self,
         published: store.Store,
         instance: str,
-        is_stopping: collections.abc.Callable[[], bool],
+        is_leaving: collections.abc.Callable[[], bool],
         get_dead: collections.abc.Callable[[], frozenset[str]],
-        get_owners: collections.abc.Callable[[str], frozenset[str]],
+        get_owners: collections.abc.Callable[[], dict[str, str]],
+        ticker: clock.Clock,
     ) -> None:
         self._published = published
         self._instance = instance
-        self._is_stopping = is_stopping
+        self._is_leaving = is_leaving
         self._get_dead = get_dead
         self._get_owners = get_owners
+        self._ticker = ticker
         self._ranked: dict[str, list[str]] = {}
         self._ranked_for: tuple[str, ...] = ()
+        self._weights: collections.Counter[str] = collections.Counter()
+        self._weighed_for: models.Fleet | None = None
+        self._serving: dict[str, set[str]] = {}
+        self._serving_since = -math.inf
 
     def find(
         self, workspace: str, *, model: str = "", caller: str = ""
@@ -54,26 +63,15 @@
         ranked = self._rank(workspace, usable)
         size = self._get_window(workspace, len(ranked))
         window = rotate(ranked[:size], caller or secrets.token_hex(4))
-        owners = self._get_owners(model) if model else frozenset()
+        owners = self._find_owners(model)
         # An entry that owns a fitting endpoint sends to it by itself; each
         # other one relays every byte of the answer a second time.
         window.sort(key=lambda name: name not in owners)
         return self._get_addresses([*window, *ranked[size:]])
 
     def is_leaving(self) -> bool:
-        """Return whether this instance takes no new work.
-
-        Callers keep a lookup for longer than the few seconds in which a
-        data centre has to be free of new work, so that entries in one
-        that was taken out send them away.
-        """
-        if self._is_stopping():
-            return True
-        me = self._published.instances.get(self._instance)
-        # An instance that is not listed yet is only new.
-        return me is not None and not is_in_service(
-            me, self._get_data_centres()
-        )
+        """Return whether this instance takes no new work."""
+        return self._is_leaving()
 
     def list_others(self) -> tuple[str, ...]:
         """Return where to go instead of here, in an order by chance."""
@@ -89,7 +87,7 @@
             for name, instance in self._published.instances.items()
             if is_in_service(instance, data_centres)
             and name not in dead
-            and not (name == self._instance and self._is_stopping())
+            and not (name == self._instance and self._is_leaving())
         )
 
     def _get_data_centres(self) -> dict[str, models.Service]:
@@ -108,16 +106,23 @@
             )
         return self._ranked[workspace]
 
+    def _find_owners(self, model: str) -> set[str]:
+        # All endpoints are looked at once a second, not once a lookup; an
+        # owner that has changed since costs a hop and nothing else.
+        now = self._ticker.now()
+        if now - self._serving_since >= const.OWNERS_KEEP_SECONDS:
+            owners = self._get_owners()
+            self._serving = map_owners(self._published.fleet, owners)
+            self._serving_since = now
+        return self._serving.get(model, set())
+
     def _get_window(self, workspace: str, instances: int) -> int:
         fleet = self._published.fleet
-        if fleet is None:
-            return instances
-        weights: dict[str, float] = {}
-        for entry in fleet.entries.values():
-            weights[entry.workspace] = (
-                weights.get(entry.workspace, 0.0) + entry.weight
-            )
-        share = weights.get(workspace, 0.0) / (sum(weights.values()) or 1.0)
+        if fleet is not self._weighed_for:
+            self._weights = sum_weights(fleet)
+            self._weighed_for = fleet
+        total = sum(self._weights.values()) or 1.0
+        share = self._weights[workspace] / total
         return get_window(share, instances)
 
     def _get_addresses(self, names: list[str]) -> tuple[str, ...]:
@@ -136,6 +141,29 @@
     return instance.state == models.Service.IN == place
 
 
+def sum_weights(fleet: models.Fleet | None) -> collections.Counter[str]:
+    """Return the weight of each workspace over its catalogue entries."""
+    weights: collections.Counter[str] = collections.Counter()
+    for entry in fleet.entries.values() if fleet else ():
+        weights[entry.workspace] += entry.weight
+    return weights
+
+
+def map_owners(
+    fleet: models.Fleet | None, owners: dict[str, str]
+) -> dict[str, set[str]]:
+    """Return, by model, the instances that own an endpoint with it."""
+    serving: dict[str, set[str]] = {}
+    for endpoint in fleet.endpoints.values() if fleet else ():
+        place = fleet.data_centres.get(endpoint.data_centre)
+        owner = owners.get(endpoint.name)
+        if owner is None or not endpoint.state == models.Service.IN == place:
+            continue
+        for model in endpoint.models:
+            serving.setdefault(model, set()).add(owner)
+    return serving
+
+
 def get_window(share: float, instances: int) -> int:
     """Return over how many entries a workspace is spread.
 
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -30,8 +30,8 @@
 class Run:
     """The answer of one request as it grows, for one or more readers.
 
-    Messages are kept, so that a repeat of the same request joins the run
-    and reads the answer from its start.
+    Messages are kept until the first reader comes, or for good, so that a
+    repeat of the same request reads the answer from its start.
 
     Args:
         work: the request.
@@ -75,7 +75,10 @@
         if isinstance(message, messages.Refused):
             ran = message.refusal.meaning.ran
             self.was_not_run = ran == errors.Ran.NOT_RUN
-        if self.answer_kept:
+        # A refusal can come before its reader does; dropped, it would
+        # leave the caller waiting until its own timeout.
+        early = not self.keep and not self._readers
+        if self.answer_kept or early:
             self._log.append(message)
         if self.answer_kept and isinstance(message, messages.Chunk):
             self.kept_bytes += len(message.data)
@@ -117,6 +120,8 @@
         inbox: queue.Queue[messages.Message] = queue.Queue()
         for message in self._log:
             inbox.put(message)
+        if not self.keep:
+            self._log.clear()
         self._readers.append(inbox)
         return inbox
 
--- a/tests/callers/test_hostile.py
+++ b/tests/callers/test_hostile.py
@@ -81,7 +81,8 @@
             "entry-1",
             lambda: False,
             lambda: frozenset(),
-            lambda model: frozenset(),
+            dict,
+            ticker,
         )
         keeping = keeper.Keeper(
             records,
--- /dev/null
+++ b/tests/callers/test_lookup.py
@@ -0,0 +1,116 @@
+"""Which entries callers are sent to."""
+
+import collections
+
+import testtools
+
+from citronport import clock
+from citronport.callers import lookup
+from citronport.platform import store
+from citronport.scheduler import models
+
+
+def make_published(instances):
+    """Return a fleet of three data centres and three workspaces."""
+    published = store.Store()
+    published.instances = {
+        f"entry-{n}": models.Instance(
+            name=f"entry-{n}",
+            data_centre=f"dc-{n % 3}",
+            address=f"127.50.20.{n}",
+            caller_port=8000,
+            peer_port=8001,
+        )
+        for n in range(instances)
+    }
+    weights = {"large": 8.0, "small-1": 1.0, "small-2": 1.0}
+    published.fleet = models.Fleet(
+        version=1,
+        data_centres={f"dc-{n}": models.Service.IN for n in range(3)},
+        endpoints={
+            "engine": models.Endpoint(
+                name="engine",
+                kind=models.Kind.ENGINE,
+                models=("m",),
+                data_centre="dc-0",
+                address="127.50.20.200:1",
+            )
+        },
+        entries={
+            name: models.Entry(
+                name=name, workspace=name, tier=0, weight=weight
+            )
+            for name, weight in weights.items()
+        },
+    )
+    return published
+
+
+class DirectoryTest(testtools.TestCase):
+    """Order and members of the answers."""
+
+    def setUp(self):
+        """Make a directory of twelve entries."""
+        super().setUp()
+        self.published = make_published(12)
+        self.leaving = False
+        self.dead = frozenset()
+        self.owners = {}
+        self.directory = lookup.Directory(
+            self.published,
+            "entry-0",
+            lambda: self.leaving,
+            lambda: self.dead,
+            lambda: self.owners,
+            clock.ManualClock(),
+        )
+
+    def count_first(self, workspace):
+        """Return how many of 300 callers begin at each entry."""
+        return collections.Counter(
+            self.directory.find(workspace, caller=str(n))[0]
+            for n in range(300)
+        )
+
+    def test_spread_follows_the_share_of_the_workspace(self):
+        """A large workspace gets all entries, a small one a few."""
+        self.assertEqual(12, len(self.count_first("large")))
+        small = self.count_first("small-1")
+        self.assertEqual(3, len(small))
+        self.assertGreater(min(small.values()), 60)
+
+    def test_a_caller_keeps_its_entry(self):
+        """The same caller gets the same order each time."""
+        orders = {
+            self.directory.find("large", caller="press-4") for _ in range(5)
+        }
+        self.assertEqual(1, len(orders))
+
+    def test_who_is_out_is_left_out(self):
+        """Leaving and dead entries and data centres out are not named."""
+        self.dead = frozenset({"entry-1"})
+        self.leaving = True
+        self.published.fleet.data_centres["dc-2"] = models.Service.OUT
+        found = self.directory.find("large")
+        numbers = {address.split(":")[0].split(".")[-1] for address in found}
+        self.assertEqual({"3", "4", "6", "7", "9", "10"}, numbers)
+        self.assertEqual(6, len(self.directory.list_others()))
+
+    def test_owners_of_a_model_come_first(self):
+        """Inside its window a caller begins at an entry that owns."""
+        chosen = next(iter(self.count_first("small-1")))
+        name = f"entry-{chosen.split(':')[0].split('.')[-1]}"
+        self.owners = {"engine": name}
+        self.directory = lookup.Directory(
+            self.published,
+            "entry-0",
+            lambda: False,
+            lambda: frozenset(),
+            lambda: self.owners,
+            clock.ManualClock(),
+        )
+        firsts = {
+            self.directory.find("small-1", model="m", caller=str(n))[0]
+            for n in range(20)
+        }
+        self.assertEqual({chosen}, firsts)
