--- a/citronport/core.py
+++ b/citronport/core.py
@@ -237,6 +237,7 @@
                 self.ticker,
                 self.published.offer,
                 confirm,
+                self.telemetry.counts.note_read,
             )
         self.tasks.keep("peer reports", self.gossip.serve)
         self.tasks.keep("keeper", self.keeper.sweep_forever)
--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -38,6 +38,7 @@
     ticker: clock.Clock,
     deliver: collections.abc.Callable[[Published], None],
     confirm: collections.abc.Callable[[float, int], None],
+    note: collections.abc.Callable[[str, str], None],
 ) -> None:
     """Follow one published value for ever, one open watch at a time.
 
@@ -50,6 +51,7 @@
         confirm: called after each answer with the clock time at which the
             question was sent, since the answer is at least that fresh, and
             with the version that the platform holds.
+        note: called with the path and the outcome of each question.
     """
     version = 0
     turn = 0
@@ -58,11 +60,13 @@
         address = addresses[turn % len(addresses)]
         match ask(path, address, version, wait):
             case result.Ok(published):
+                note(path, "unchanged" if published is None else "changed")
                 if published is not None:
                     version = published.version
                     deliver(published)
                 confirm(asked, version)
             case result.Err(reason):
+                note(path, "failed")
                 logging.warning("%s %s failed: %s.", LOG, path, reason)
                 turn += 1
                 ticker.sleep(const.RETRY_SECONDS)
