Trace a request that goes home, and leave cut answers to their server

Cause: a request that the keeper hands to its home never passed the executor here: its trace began anew at the home. Since the callers' server handles the errors of its own handlers, the Supervisor's list of expected errors had no use any more (StreamCutError never reaches the hub). Ruled out: a hook in callers/keeper.py: core hands it the forward function. Change: core._send_home watches the run without counting it (its home does); report_unhandled takes no expected errors. Conclusion: partial: no test follows a request home yet.

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -117,9 +117,7 @@
             ticker,
             self.executor.submit,
             self.executor.leave,
-            lambda run, instance: self.peers.forward(
-                run, instance, instance_const.ROLE_HOME
-            ),
+            self._send_home,
             lambda: self._leaving,
         )
         self._connected: set[str] = set()
@@ -134,7 +132,7 @@
         # Before anything listens: a stop that came in between would end the
         # process at once and cut the first callers.
         gevent.signal_handler(signal.SIGTERM, self.stop)
-        self.tasks.report_unhandled(caller_server.StreamCutError)
+        self.tasks.report_unhandled()
         listener = self.settings.peers
         peer_server = self.peers.serve(str(listener.address), listener.port)
         operators = self._make_operator_server()
@@ -336,5 +334,12 @@
         self.executor.submit(run, forwarded=True)
         return run
 
+    def _send_home(
+        self, run: runs.Run, instance: str
+    ) -> errors.Refusal | None:
+        run.watch = self.telemetry.watch(run.work, forwarded=True)
+        run.watch.forwarded(instance)
+        return self.peers.forward(run, instance, instance_const.ROLE_HOME)
+
     def _forward(self, run: runs.Run, instance: str) -> errors.Refusal | None:
         return self.peers.forward(run, instance, instance_const.ROLE_OWNER)
--- a/citronport/tasks.py
+++ b/citronport/tasks.py
@@ -35,7 +35,6 @@
     ) -> None:
         self._ticker = ticker
         self._note = note
-        self._expected: tuple[type[Exception], ...] = ()
 
     def keep(
         self,
@@ -66,16 +65,12 @@
         """
         return gevent.spawn(self._run_once, name, act, arguments)
 
-    def report_unhandled(self, *expected: type[Exception]) -> None:
+    def report_unhandled(self) -> None:
         """Log and count other tasks that die, without their values.
 
         gevent prints a traceback with the error's text, which may hold a
         caller's content; only the kind and the place go into the log.
-
-        Args:
-            expected: errors that are raised to end a task on purpose.
         """
-        self._expected = expected
         gevent.get_hub().print_exception = self._report
 
     def _run_again(
@@ -116,9 +111,7 @@
         value: BaseException,
         trace: types.TracebackType | None,
     ) -> None:
-        if value is None or isinstance(
-            value, (KeyboardInterrupt, *self._expected)
-        ):
+        if value is None or isinstance(value, KeyboardInterrupt):
             return
         self._tell("unnamed", value.with_traceback(trace))
 
