Keep what a run delivers until its reader attaches

Cause: a forwarded request that its owner refuses at once (leaving) was refused before the task that sends the answer back had attached to the run. The refusal was lost; the caller hung until the owner's process ended and was then told "outcome unknown". Ruled out: the link (the Submit arrived, the owner's event trace shows the Refuse), the home (it waits for a message that never came). Change: a run keeps what it delivers until the first reader attaches.

--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -41,6 +41,7 @@
         self.work = work
         self.ended = False
         self.keep = keep
+        self._attached = False
         self._leave = leave
         self._log: list[messages.Message] = []
         self._readers: list[queue.Queue[messages.Message]] = []
@@ -57,7 +58,9 @@
         if self.ended:
             return
         self.ended = isinstance(message, messages.Finished | messages.Refused)
-        if self.keep:
+        # A refusal can come before the task that reads the answer has
+        # attached; without this the reader would wait for ever.
+        if self.keep or not self._attached:
             self._log.append(message)
         for reader in self._readers:
             reader.put(message)
@@ -84,6 +87,9 @@
         inbox: queue.Queue[messages.Message] = queue.Queue()
         for message in self._log:
             inbox.put(message)
+        if not self.keep:
+            self._log.clear()
+        self._attached = True
         self._readers.append(inbox)
         return inbox
 
