Give a forwarded request its final answer at its deadline

Cause: the home of a forwarded request waited for the owner without any bound. Over a link that had gone dead without a word its callers got nothing until their own clients gave up, eight seconds past the deadline. Conclusion: no request outlives its deadline at its home.

--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -19,6 +19,10 @@
 TICK_SECONDS = 0.05
 """Longest time between two looks at deadlines."""
 
+FORWARD_GRACE_SECONDS = 0.25
+"""How long past a deadline the owner's own refusal, which can say "not
+run", may take to come."""
+
 
 class Executor:
     """Feeds events to the scheduler, one at a time, and acts on them.
@@ -148,7 +152,7 @@
                 )
 
     def _hand_over(self, run: runs.Run, action: models.Forward) -> None:
-        refusal = self._forward(run, action.instance)
+        refusal = self._forward_in_time(run, action.instance)
         if refusal is None:
             self.post(models.AnswerFinished(request_id=run.request_id))
             return
@@ -166,6 +170,19 @@
             )
         )
 
+    def _forward_in_time(
+        self, run: runs.Run, instance: str
+    ) -> errors.Refusal | None:
+        # A link can go dead without a word: the caller would wait for as
+        # long as the link stays silent. Past the deadline it gets its
+        # final answer here. The request may have run, so that it says
+        # "outcome unknown" and is never sent a second time.
+        left = run.work.request.deadline - self._ticker.now()
+        refusal = errors.Refusal(code=errors.Code.DEADLINE_PASSED_RUNNING)
+        with gevent.Timeout(max(0.0, left) + FORWARD_GRACE_SECONDS, False):
+            refusal = self._forward(run, instance)
+        return refusal
+
     def _refuse(self, action: models.Refuse) -> None:
         run = self._runs.get(action.request_id)
         if run is not None:
