--- a/standins/scenario_fleet.py
+++ b/standins/scenario_fleet.py
@@ -1,6 +1,7 @@
 """A fleet whose every link runs through the fault proxy."""
 
 from citronport.scheduler import ownership
+from standins import caller
 from standins import fleet
 from standins import processes
 from standins import proxy
@@ -9,6 +10,12 @@
 PROXY_OFFSET = 5
 """Added to the second number of an address: where the proxy stands for it."""
 
+ABSENT = (
+    f"HTTP/1.1 {caller.STATUS_ABSENT} Nobody listens\r\n"
+    "Content-Length: 2\r\nConnection: close\r\n\r\n{}"
+).encode()
+"""What the proxy says in place of a refused connection."""
+
 
 class ProxiedFleet(fleet.Fleet):
     """Publishes the proxy's addresses in place of the real ones.
@@ -109,7 +116,10 @@
     def _listen(self, name: str, address: str, ports: tuple[int, ...]) -> None:
         for port in ports:
             self.links.listen(
-                (self.publish_address(address), port), name, (address, port)
+                (self.publish_address(address), port),
+                name,
+                (address, port),
+                ABSENT if port == fleet.CALLER_PORT else b"",
             )
 
 
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -11,11 +11,12 @@
 from standins import caller
 from standins import fleet
 from standins import processes
+from tests import addresses
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BINARY = ROOT / "dist" / "citronport"
 LAYOUT = fleet.Layout(
-    subnet="60.3",
+    subnet=addresses.choose_subnet(1),
     data_centres=("dc-1",),
     instances=1,
     engines=({"name": "engine-1", "models": ("small",), "cold_seconds": 0.1},),
