--- a/citronport/core.py
+++ b/citronport/core.py
@@ -7,13 +7,18 @@
 from gevent import event as gevent_event
 from gevent import pywsgi
 
+from citronport import assignment
 from citronport import clock
 from citronport import errors
 from citronport import executor
 from citronport import runs
 from citronport import settings as settings_module
+from citronport import spans
+from citronport import tasks
+from citronport import telemetry
 from citronport import trace
 from citronport.callers import activity
+from citronport.callers import const as caller_const
 from citronport.callers import home
 from citronport.callers import server as caller_server
 from citronport.endpoints import watch
@@ -21,6 +26,8 @@
 from citronport.instances import gossip
 from citronport.instances import messages
 from citronport.instances import peers
+from citronport.operators import server as operator_server
+from citronport.operators import status
 from citronport.platform import client as platform_client
 from citronport.platform import const as platform_const
 from citronport.platform import store
@@ -30,23 +37,17 @@
 
 LOG = "core:"
 
-ASSESS_SECONDS = 0.25
-"""Pause between two looks at leases; a lease is checked before each send
-to a cold endpoint all the same."""
-
 POLL_SECONDS = 0.05
 """Pause between two looks at whether a start or a stop has got on."""
 
-READY_SECONDS = 10.0
-"""How long a start waits for a catalogue before callers may connect."""
+READY_SECONDS = 5.0
+"""How long a start waits for a catalogue and for its endpoints before
+callers may connect; an endpoint that is down must not hold it up."""
 
 LINGER_SECONDS = 1.0
 """How long an idle instance goes on refusing before it ends; several
 reports to each neighbour go out in that time."""
 
-RELEASE_SECONDS = 10.0
-"""How long an endpoint that was given up is offered to its new owner."""
-
 
 class Daemon:
     """One entry instance.
@@ -62,29 +63,26 @@
         self.settings = settings
         self.ticker = ticker
         self.name = settings.instance
-        now = ticker.now()
-        incarnation = home.make_incarnation()
+        self.incarnation = home.make_incarnation()
         self.published = store.Store()
         self.scheduler = scheduler_core.Scheduler(self.name)
-        self.owners = ownership.Ownership(self.name, now)
-        self.records = home.Home(self.name, incarnation, now)
-        self.peers = peers.Peers(
-            messages.Hello(
-                protocol=instance_const.PROTOCOL,
-                instance=self.name,
-                incarnation=incarnation,
-            ),
-            ticker,
-            self._take_run,
-            self._take_message,
+        self.owners = ownership.Ownership(self.name, ticker.now())
+        self.records = home.Home(self.name, self.incarnation, ticker.now())
+        self._tracer = spans.make_tracer(
+            self.name, settings.trace_file, settings.trace_share
         )
+        self.telemetry = telemetry.Telemetry(ticker, self._tracer)
+        self.tasks = tasks.Supervisor(ticker, self.telemetry.counts.note_death)
+        self.peers = self._make_peers()
         self.watches = watch.Watches(ticker, self._take_endpoint_event)
         self.executor = executor.Executor(
             self.scheduler,
             ticker,
             self._forward,
+            self.owners.may_feed_cold,
             trace.make_event_recorder(self.name, settings.event_file),
             self.watches.is_current,
+            self.telemetry,
         )
         self.gossip = gossip.Gossip(
             self.peers,
@@ -94,22 +92,33 @@
             self.scheduler.summarize,
             self.executor.post,
         )
+        self.assignment = assignment.Assignment(
+            self.owners,
+            self.published,
+            ticker,
+            self._take_assigned,
+            self.executor.count_running,
+            self.peers.send,
+        )
+        self._connected: set[str] = set()
+        self._reports: dict[str, models.LoadReport] = {}
         self._stopped = gevent_event.Event()
         self._leaving = False
-        self._assigned: models.OwnershipChanged | None = None
-        self._given: dict[str, float] = {}
+        self.status = self._make_status_reader()
         self.published.listen(self._apply)
 
     def serve(self) -> None:
         """Run until a stop is ordered and the work in progress is done."""
+        # Before anything listens: a stop that came in between would end the
+        # process at once and cut the first callers.
         gevent.signal_handler(signal.SIGTERM, self.stop)
+        self.tasks.report_unhandled()
         listener = self.settings.peers
         peer_server = self.peers.serve(str(listener.address), listener.port)
+        operators = self._make_operator_server()
+        operators.start()
         callers = self._make_caller_server()
-        self._watch_platform()
-        gevent.spawn(self.gossip.serve)
-        gevent.spawn(self._assess)
-        gevent.spawn(self.executor.serve)
+        self._start_tasks()
         self._wait_until_ready()
         callers.start()
         logging.info("%s %s is up.", LOG, self.name)
@@ -125,15 +134,20 @@
         logging.info("%s %s is leaving.", LOG, self.name)
         self._stopped.set()
 
-    def _make_caller_server(self) -> pywsgi.WSGIServer:
-        self._activity = activity.Activity(self._make_application())
-        listener = self.settings.callers
-        return caller_server.make_server(
-            str(listener.address), listener.port, self._activity
+    def _make_peers(self) -> peers.Peers:
+        return peers.Peers(
+            messages.Hello(
+                protocol=instance_const.PROTOCOL,
+                instance=self.name,
+                incarnation=self.incarnation,
+            ),
+            self.ticker,
+            self._take_run,
+            self._take_message,
         )
 
-    def _make_application(self) -> caller_server.Application:
-        return caller_server.Application(
+    def _make_caller_server(self) -> pywsgi.WSGIServer:
+        application = caller_server.Application(
             self.published,
             self.records,
             self.ticker,
@@ -141,44 +155,87 @@
             self.executor.leave,
             self.gossip.find_silent,
         )
+        self._activity = activity.Activity(
+            telemetry.Listener(
+                application,
+                self.telemetry.counts,
+                self._tracer,
+                caller_const.PATH_LOOKUP,
+            )
+        )
+        listener = self.settings.callers
+        return caller_server.make_server(
+            str(listener.address), listener.port, self._activity
+        )
 
-    def _watch_platform(self) -> None:
-        gevent.spawn(
-            platform_client.watch,
-            platform_const.PATH_CATALOGUE,
-            platform_const.WATCH_SECONDS,
-            self.settings.platform,
-            self.ticker,
-            self.published.offer,
-            lambda asked, version: None,
+    def _make_operator_server(self) -> pywsgi.WSGIServer:
+        return operator_server.make_server(
+            self.settings.operators,
+            operator_server.Application(
+                self.status.read, self.telemetry.counts, self.stop
+            ),
         )
-        gevent.spawn(
-            platform_client.watch,
-            platform_const.PATH_INSTANCES,
-            platform_const.CONFIRM_SECONDS,
-            self.settings.platform,
-            self.ticker,
-            self.published.offer,
-            self._confirm_list,
+
+    def _make_status_reader(self) -> status.Reader:
+        return status.Reader(
+            status.Parts(
+                settings=self.settings,
+                incarnation=self.incarnation,
+                ticker=self.ticker,
+                published=self.published,
+                counts=self.telemetry.counts,
+                summarize=self.scheduler.summarize,
+                get_owned=lambda: self.assignment.current.owned,
+                count_running=self.executor.count_running,
+                is_linked=lambda n: self.peers.get_incarnation(n) is not None,
+                is_leaving=lambda: self._leaving,
+                connected=self._connected,
+                reports=self._reports,
+            )
         )
 
-    def _confirm_list(self, asked: float, version: int) -> None:
-        # A stale platform confirms an older list; that says nothing of
-        # the one in force here.
-        mine = self.published.get_versions()
-        if version >= mine.get(platform_const.PATH_INSTANCES, 0):
-            self.owners.note_platform(asked)
+    def _start_tasks(self) -> None:
+        watches = (
+            (
+                platform_const.PATH_CATALOGUE,
+                platform_const.WATCH_SECONDS,
+                lambda asked, version: None,
+            ),
+            (
+                platform_const.PATH_INSTANCES,
+                platform_const.CONFIRM_SECONDS,
+                self.assignment.confirm_list,
+            ),
+        )
+        for path, wait, confirm in watches:
+            self.tasks.keep(
+                f"watch {path}",
+                platform_client.watch,
+                path,
+                wait,
+                self.settings.platform,
+                self.ticker,
+                self.published.offer,
+                confirm,
+            )
+        self.tasks.keep("peer reports", self.gossip.serve)
+        self.tasks.require("assignment", self.assignment.serve)
+        self.tasks.require("executor", self.executor.serve)
 
     def _wait_until_ready(self) -> None:
-        # A caller that connects before the first catalogue is here can
-        # only be refused; without a listener it goes to its next address
-        # at once.
+        # A caller that connects before the first catalogue or the first
+        # endpoint is here can only be refused; without a listener it goes
+        # to its next address at once.
         for _ in range(int(READY_SECONDS / POLL_SECONDS)):
-            known = self.published.fleet and self.published.instances
-            if known or self._stopped.is_set():
+            if self._is_ready() or self._stopped.is_set():
                 return
             self.ticker.sleep(POLL_SECONDS)
 
+    def _is_ready(self) -> bool:
+        if not (self.published.fleet and self.published.instances):
+            return False
+        return self.assignment.current.owned <= self._connected
+
     def _drain(self) -> None:
         self._set_leaving(True)
         self._wait_until_idle()
@@ -187,111 +244,62 @@
         # instead of a broken connection, of which nobody knows the outcome.
         self.ticker.sleep(LINGER_SECONDS)
         self._wait_until_idle()
-        self._update_ownership()
-        self._offer_given()
+        self.assignment.assess()
 
     def _wait_until_idle(self) -> None:
         parts = (self.executor, self.peers, self._activity)
         while not all(part.is_idle() for part in parts):
             self.ticker.sleep(POLL_SECONDS)
 
+    def _apply(self, path: str) -> None:
+        self.assignment.apply(path)
+        if not self._stopped.is_set():
+            self._set_leaving(self._is_out())
+
+    def _is_out(self) -> bool:
+        me = self.published.instances.get(self.name)
+        if me is not None and me.state != models.Service.IN:
+            return True
+        fleet = self.published.fleet
+        if fleet is None:
+            return False
+        centre = fleet.data_centres.get(self.settings.data_centre)
+        return centre in (models.Service.OUT, models.Service.LEAVING)
+
     def _set_leaving(self, leaving: bool) -> None:
         if leaving == self._leaving:
             return
         self._leaving = leaving
         order = models.LeaveOrdered() if leaving else models.ReturnOrdered()
         self.executor.post(order)
+        # The executor takes the order before the report tells of it.
         gevent.sleep(0)
         names = frozenset({self.name}) if leaving else frozenset()
         self.owners.update_leaving(names, self.ticker.now())
         self.gossip.report()
 
-    def _apply(self, path: str) -> None:
-        now = self.ticker.now()
-        fleet = self.published.fleet
-        instances = self.published.instances
-        if path == platform_const.PATH_CATALOGUE and fleet is not None:
-            self.owners.update_endpoints(
-                {e.name: e.data_centre for e in fleet.endpoints.values()}, now
-            )
-            self.executor.post(models.FleetChanged(fleet=fleet))
-        else:
-            members = {
-                i.name: ownership.Member(
-                    name=i.name, data_centre=i.data_centre
-                )
-                for i in instances.values()
-                if i.state == models.Service.IN
-            }
-            version = self.published.get_versions()[path]
-            self.owners.update_members(members, version, now)
-        self._update_leaving()
-        self._update_ownership()
-
-    def _update_leaving(self) -> None:
-        if self._stopped.is_set():
-            return
-        fleet = self.published.fleet
-        me = self.published.instances.get(self.name)
-        ordered = me is not None and me.state != models.Service.IN
-        if fleet is not None:
-            centre = fleet.data_centres.get(self.settings.data_centre)
-            ordered = ordered or centre in (
-                models.Service.OUT,
-                models.Service.LEAVING,
-            )
-        self._set_leaving(ordered)
-
-    def _assess(self) -> None:
-        while True:
-            self._update_ownership()
-            self._offer_given()
-            self.ticker.sleep(ASSESS_SECONDS)
-
-    def _update_ownership(self) -> None:
-        assigned = self.owners.assess(self.ticker.now())
-        self._watch_owned(assigned.owned)
-        if assigned == self._assigned:
-            return
-        if self._assigned is not None:
-            for endpoint in self._assigned.owned - assigned.owned:
-                self._given[endpoint] = self.ticker.now()
-        self._assigned = assigned
-        self.executor.post(assigned)
-
-    def _offer_given(self) -> None:
-        version = self.published.get_versions().get(
-            platform_const.PATH_INSTANCES, 0
-        )
-        now = self.ticker.now()
-        for endpoint, since in list(self._given.items()):
-            owner = self.owners.find_owner(endpoint)
-            if owner == self.name or now - since > RELEASE_SECONDS:
-                del self._given[endpoint]
-            elif owner and not self.executor.count_running(endpoint):
-                release = messages.Release(
-                    endpoint=endpoint, list_version=version
-                )
-                self.peers.send(owner, release)
-
-    def _watch_owned(self, owned: frozenset[str]) -> None:
+    def _take_assigned(self, event: models.Event) -> None:
+        self.executor.post(event)
         fleet = self.published.fleet
         if fleet is None:
             return
         self.watches.assign(
             {
                 name: fleet.endpoints[name].address
-                for name in owned
+                for name in self.assignment.current.owned
                 if name in fleet.endpoints
             }
         )
 
     def _take_endpoint_event(self, event: models.Event) -> None:
-        if isinstance(event, models.EndpointReported):
-            report = event.report
-            if not report.running and not report.queued:
-                seen = self.ticker.now() - report.age
-                self.owners.note_idle(event.endpoint, seen)
+        match event:
+            case models.EndpointConnected():
+                self._connected.add(event.endpoint)
+            case models.EndpointLost():
+                self._connected.discard(event.endpoint)
+            case models.EndpointReported():
+                self._reports[event.endpoint] = event.report
+                self.assignment.note_report(event.endpoint, event.report)
         self.executor.post(event)
 
     def _take_message(
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -13,6 +13,8 @@
 from citronport import clock
 from citronport import errors
 from citronport import runs
+from citronport import tasks
+from citronport import telemetry as telemetry_module
 from citronport.endpoints import client
 from citronport.endpoints import messages
 from citronport.scheduler import core
@@ -31,8 +33,11 @@
         ticker: the clock.
         forward: hands a run to another instance; it delivers to the run
             and returns the code if the other instance did not run it.
+        may_feed_cold: whether one more request may go to an endpoint in
+            cold start; asked directly before the send.
         record: takes each event and its actions, for the event trace.
         is_current: tells whether a start of an endpoint still runs.
+        telemetry: counts and traces the runs.
     """
 
     def __init__(
@@ -42,18 +47,22 @@
         forward: collections.abc.Callable[
             [runs.Run, str], errors.Refusal | None
         ],
+        may_feed_cold: collections.abc.Callable[[str, float], bool],
         record: collections.abc.Callable[
             [models.Event, list[models.Action]], None
         ],
         is_current: collections.abc.Callable[[str, int], bool],
+        telemetry: telemetry_module.Telemetry | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._ticker = ticker
         self._forward = forward
+        self._may_feed_cold = may_feed_cold
         self._record = record
         self._is_current = is_current
         self._client = client.Client()
         self._starts: dict[str, int] = {}
+        self._telemetry = telemetry or telemetry_module.Telemetry(ticker)
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
@@ -64,6 +73,7 @@
     def submit(self, run: runs.Run, *, forwarded: bool = False) -> None:
         """Take a run on; its answer comes through the run."""
         self._runs[run.request_id] = run
+        run.watch = self._telemetry.watch(run.work, forwarded=forwarded)
         self.post(
             models.RequestArrived(
                 request=run.work.request, forwarded=forwarded
@@ -105,9 +115,16 @@
                 # What the scheduler decides from here on is meant for
                 # this start of the endpoint.
                 self._starts[event.endpoint] = event.start
+            case models.RequestArrived():
+                self._note_decided(event.request.request_id)
         for action in actions:
             self._act(action)
 
+    def _note_decided(self, request_id: str) -> None:
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.watch.decided()
+
     def _act(self, action: models.Action) -> None:
         match action:
             case models.Dispatch():
@@ -130,7 +147,27 @@
     ) -> None:
         run = self._runs.get(request_id)
         if run is not None:
-            self._tasks[request_id] = gevent.spawn(act, run, *details)
+            self._tasks[request_id] = gevent.spawn(
+                self._guard, act, run, *details
+            )
+
+    def _guard(
+        self,
+        act: collections.abc.Callable,
+        run: runs.Run,
+        *details: Any,
+    ) -> None:
+        # An unforeseen error would end the task without a word: the
+        # caller would wait for ever, and the endpoint's place stay taken.
+        try:
+            act(run, *details)
+        except Exception as error:
+            logging.error(
+                "%s a request died of %s.", LOG, tasks.describe_error(error)
+            )
+            self._telemetry.counts.note_death("request")
+            self._finish(run, errors.Refusal(code=errors.Code.INTERNAL))
+            self.post(models.AnswerFinished(request_id=run.request_id))
 
     def _occupy(
         self, run: runs.Run, action: models.Dispatch, start: int
@@ -155,9 +192,15 @@
                 self.post(models.FirstToken(request_id=run.request_id))
 
         def may_send() -> bool:
-            if run.ended or self._ticker.now() >= request.deadline:
+            now = self._ticker.now()
+            if run.ended or now >= request.deadline:
+                return False
+            if not self._is_current(action.endpoint, start):
                 return False
-            return self._is_current(action.endpoint, start)
+            # The lease may have run out in a pause since the decision.
+            return self._scheduler.is_warm(
+                action.endpoint
+            ) or self._may_feed_cold(action.endpoint, now)
 
         fleet = self._scheduler.fleet
         if fleet is None:
@@ -165,6 +208,7 @@
         address = fleet.endpoints[action.endpoint].address
         left = request.deadline - self._ticker.now()
         call = dataclasses.replace(run.work.call, timeout=left)
+        run.watch.dispatched(action.endpoint)
         match self._client.run_call(address, start, call, may_send, deliver):
             case result.Ok(whole):
                 run.deliver(messages.Finished(size=whole.size))
@@ -191,6 +235,7 @@
                 )
 
     def _hand_over(self, run: runs.Run, action: models.Forward) -> None:
+        run.watch.forwarded(action.instance)
         refusal = self._forward(run, action.instance)
         if refusal is None:
             self.post(models.AnswerFinished(request_id=run.request_id))
@@ -198,6 +243,7 @@
         if refusal.meaning.ran == errors.Ran.OUTCOME_UNKNOWN:
             self._finish(run, refusal)
             return
+        run.watch.returned()
         # The other instance said in so many words that it did not run the
         # request, so that it may be decided again here.
         self._refusals[run.request_id] = refusal
@@ -245,7 +291,9 @@
         self.post(models.AnswerFinished(request_id=action.request_id))
 
     def _forget(self, request_id: str) -> None:
-        self._runs.pop(request_id, None)
+        run = self._runs.pop(request_id, None)
+        if run is not None:
+            run.watch.end(telemetry_module.OUTCOME_LEFT)
         self._tasks.pop(request_id, None)
         self._refused_by.pop(request_id, None)
         self._refusals.pop(request_id, None)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -34,6 +34,7 @@
         services: service names.
         entries: catalogue entries; "key" is the plain key.
         trace_events: whether entries write their event traces.
+        traced: whether the instances write their spans to files.
     """
 
     subnet: str
@@ -43,6 +44,7 @@
     services: tuple[str, ...]
     entries: tuple[dict[str, Any], ...]
     trace_events: bool = True
+    traced: bool = False
 
 
 class Fleet:
@@ -145,6 +147,8 @@
         }
         if self.layout.trace_events:
             settings["event_file"] = str(self.folder / f"{name}.events.jsonl")
+        if self.layout.traced:
+            settings["trace_file"] = str(self.folder / f"{name}.spans.jsonl")
         path.write_text(yaml.safe_dump(settings))
         self.run_instance(name, str(path))
 
@@ -224,6 +228,7 @@
             "address": f"127.{self.layout.subnet}.{number + 1}",
             "caller_port": CALLER_PORT,
             "peer_port": PEER_PORT,
+            "operator_port": OPERATOR_PORT,
             "state": "in",
         }
 
