Measure the path only once all endpoints are warm

Cause: a new owner waits for the earlier one's lease, and starts are cold at first: calls sent then are refused and would be counted as failed. Change: each way is warmed up until a round of calls has no refusal.

--- a/measures/path.py
+++ b/measures/path.py
@@ -17,6 +17,7 @@
 
 CONNECTIONS = 32
 WARM_SECONDS = 2.0
+WARM_ROUNDS = 15
 PAUSE_SECONDS = 0.02
 RELAY = "relay"
 KEY = "measure-key"
@@ -122,9 +123,23 @@
             for e in self.fleet.endpoints
         )
 
+    def warm_up(self, way: Way) -> None:
+        """Send calls until none is refused: all endpoints are warm.
+
+        Raises:
+            TimeoutError: some still are after a while.
+        """
+        for _ in range(WARM_ROUNDS):
+            rate = path_load.call_in_loop(
+                way.target, CONNECTIONS, WARM_SECONDS
+            )
+            if rate.count and not rate.failed:
+                return
+        raise TimeoutError(f"{way.name} goes on refusing calls")
+
     def measure(self, way: Way, size: Size) -> Figure:
         """Put the load on a way and return its cost."""
-        path_load.call_in_loop(way.target, CONNECTIONS, WARM_SECONDS)
+        self.warm_up(way)
         before = self._read_cpu(way)
         calls = path_load.call_in_loop(way.target, CONNECTIONS, size.seconds)
         between = self._read_cpu(way)
