--- a/citronport/assignment.py
+++ b/citronport/assignment.py
@@ -27,6 +27,7 @@
         post: takes events for the scheduler.
         count_running: returns how many requests are at an endpoint.
         send: sends a message to another instance.
+        follow: called when the owned endpoints may have changed.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         post: collections.abc.Callable[[models.Event], None],
         count_running: collections.abc.Callable[[str], int],
         send: collections.abc.Callable[[str, messages.Message], None],
+        follow: collections.abc.Callable[[], None],
     ) -> None:
         self._owners = owners
         self._published = published
@@ -44,6 +46,7 @@
         self._post = post
         self._count_running = count_running
         self._send = send
+        self._follow = follow
         self._given: dict[str, float] = {}
         self.current = models.OwnershipChanged(owned=frozenset())
 
@@ -69,6 +72,7 @@
             )
             self._post(models.FleetChanged(fleet=fleet))
         self.assess()
+        self._follow()
 
     def confirm_list(self, asked: float, version: int) -> None:
         """Note an answer of the platform about the instance list.
@@ -92,6 +96,7 @@
                 self._given[endpoint] = self._ticker.now()
             self.current = assigned
             self._post(assigned)
+            self._follow()
         self._offer_given()
 
     def _offer_given(self) -> None:
--- a/citronport/callers/lookup.py
+++ b/citronport/callers/lookup.py
@@ -1,36 +1,190 @@
 """Which entries a caller should use, in order."""
 
+import collections
+import collections.abc
+import math
+import secrets
+
+import xxhash
+
+from citronport import clock
+from citronport.callers import const
+from citronport.platform import store
 from citronport.scheduler import models
 from citronport.scheduler import ownership
 
 
-def order_instances(
-    workspace: str,
-    instances: dict[str, models.Instance],
-    data_centres: dict[str, models.Service],
-    dead: frozenset[str],
-) -> list[models.Instance]:
-    """Return the entries for a workspace, best first.
+class Directory:
+    """Answers lookups; needs nothing that load can slow down.
+
+    Args:
+        published: catalogue and instance list.
+        instance: name of this instance.
+        is_leaving: whether this instance takes no new work.
+        get_dead: names of instances that are out of reach.
+        get_owners: instance by endpoint.
+        ticker: the clock.
+    """
+
+    def __init__(
+        self,
+        published: store.Store,
+        instance: str,
+        is_leaving: collections.abc.Callable[[], bool],
+        get_dead: collections.abc.Callable[[], frozenset[str]],
+        get_owners: collections.abc.Callable[[], dict[str, str]],
+        ticker: clock.Clock,
+    ) -> None:
+        self._published = published
+        self._instance = instance
+        self._is_leaving = is_leaving
+        self._get_dead = get_dead
+        self._get_owners = get_owners
+        self._ticker = ticker
+        self._ranked: dict[str, list[str]] = {}
+        self._ranked_for: tuple[str, ...] = ()
+        self._weights: collections.Counter[str] = collections.Counter()
+        self._weighed_for: models.Fleet | None = None
+        self._serving: dict[str, set[str]] = {}
+        self._serving_since = -math.inf
+
+    def find(
+        self, workspace: str, *, model: str = "", caller: str = ""
+    ) -> tuple[str, ...]:
+        """Return addresses ("ip:port") for a caller, best first.
+
+        Args:
+            workspace: the caller's workspace.
+            model: what it is going to use, if it says so.
+            caller: any text that stays the same for one caller; without
+                it, each lookup may give another order.
+        """
+        usable = self._list_usable()
+        ranked = self._rank(workspace, usable)
+        size = self._get_window(workspace, len(ranked))
+        window = rotate(ranked[:size], caller or secrets.token_hex(4))
+        owners = self._find_owners(model)
+        # An entry that owns a fitting endpoint sends to it by itself; each
+        # other one relays every byte of the answer a second time.
+        window.sort(key=lambda name: name not in owners)
+        return self._get_addresses([*window, *ranked[size:]])
+
+    def is_leaving(self) -> bool:
+        """Return whether this instance takes no new work."""
+        return self._is_leaving()
+
+    def list_others(self) -> tuple[str, ...]:
+        """Return where to go instead of here, in an order by chance."""
+        names = [n for n in self._list_usable() if n != self._instance]
+        others = rotate(names, secrets.token_hex(4))
+        return self._get_addresses(others[: const.GO_TO_ADDRESSES])
+
+    def _list_usable(self) -> tuple[str, ...]:
+        data_centres = self._get_data_centres()
+        dead = self._get_dead()
+        return tuple(
+            name
+            for name, instance in self._published.instances.items()
+            if is_in_service(instance, data_centres)
+            and name not in dead
+            and not (name == self._instance and self._is_leaving())
+        )
+
+    def _get_data_centres(self) -> dict[str, models.Service]:
+        fleet = self._published.fleet
+        return fleet.data_centres if fleet else {}
+
+    def _rank(self, workspace: str, usable: tuple[str, ...]) -> list[str]:
+        # Ranking costs a hash for each instance: once for each workspace
+        # and change of the list, not once a lookup.
+        if usable != self._ranked_for:
+            self._ranked = {}
+            self._ranked_for = usable
+        if workspace not in self._ranked:
+            self._ranked[workspace] = ownership.rank_instances(
+                workspace, usable
+            )
+        return self._ranked[workspace]
 
-    Load: many workspaces of unlike size. Harm: a workspace that is spread
-    over all entries finds none of its prefixes in the caches behind them;
-    all callers on one entry overload it. The rendezvous order keeps each
-    workspace on the same first entries and spreads workspaces.
+    def _find_owners(self, model: str) -> set[str]:
+        # All endpoints are looked at once a second, not once a lookup; an
+        # owner that has changed since costs a hop and nothing else.
+        now = self._ticker.now()
+        if now - self._serving_since >= const.OWNERS_KEEP_SECONDS:
+            owners = self._get_owners()
+            self._serving = map_owners(self._published.fleet, owners)
+            self._serving_since = now
+        return self._serving.get(model, set())
+
+    def _get_window(self, workspace: str, instances: int) -> int:
+        fleet = self._published.fleet
+        if fleet is not self._weighed_for:
+            self._weights = sum_weights(fleet)
+            self._weighed_for = fleet
+        total = sum(self._weights.values()) or 1.0
+        share = self._weights[workspace] / total
+        return get_window(share, instances)
+
+    def _get_addresses(self, names: list[str]) -> tuple[str, ...]:
+        listed = self._published.instances
+        return tuple(
+            f"{listed[name].address}:{listed[name].caller_port}"
+            for name in names
+        )
+
+
+def is_in_service(
+    instance: models.Instance, data_centres: dict[str, models.Service]
+) -> bool:
+    """Return whether an instance and its data centre are in service."""
+    place = data_centres.get(instance.data_centre, models.Service.IN)
+    return instance.state == models.Service.IN == place
+
+
+def sum_weights(fleet: models.Fleet | None) -> collections.Counter[str]:
+    """Return the weight of each workspace over its catalogue entries."""
+    weights: collections.Counter[str] = collections.Counter()
+    for entry in fleet.entries.values() if fleet else ():
+        weights[entry.workspace] += entry.weight
+    return weights
+
+
+def map_owners(
+    fleet: models.Fleet | None, owners: dict[str, str]
+) -> dict[str, set[str]]:
+    """Return, by model, the instances that own an endpoint with it."""
+    serving: dict[str, set[str]] = {}
+    for endpoint in fleet.endpoints.values() if fleet else ():
+        place = fleet.data_centres.get(endpoint.data_centre)
+        owner = owners.get(endpoint.name)
+        if owner is None or not endpoint.state == models.Service.IN == place:
+            continue
+        for model in endpoint.models:
+            serving.setdefault(model, set()).add(owner)
+    return serving
+
+
+def get_window(share: float, instances: int) -> int:
+    """Return over how many entries a workspace is spread.
+
+    Load: workspaces of unlike size, a few of them large. Harm: a large one
+    kept on few entries overloads them; a small one spread over all has
+    its prefixes looked for by entries that never saw them. Limit: twice
+    the entries that its share of the weight makes up, so that a
+    workspace that sends double its share still finds room; never fewer
+    than two, so that the loss of one entry leaves a known one.
 
     Args:
-        workspace: the caller's workspace.
-        instances: the published list.
-        data_centres: state by name; an instance in one that is not in
-            service is left out.
-        dead: names out of reach.
+        share: of all workspaces' weight, 0 to 1.
+        instances: entries in service.
     """
-    usable = [
-        name
-        for name, instance in instances.items()
-        if instance.state == models.Service.IN
-        and name not in dead
-        and data_centres.get(instance.data_centre, models.Service.IN)
-        == models.Service.IN
-    ]
-    ranked = ownership.rank_instances(workspace, usable)
-    return [instances[name] for name in ranked]
+    wanted = math.ceil(const.WINDOW_SPARE * share * instances)
+    return min(instances, max(const.MIN_WINDOW, wanted))
+
+
+def rotate(names: collections.abc.Sequence[str], caller: str) -> list[str]:
+    """Return names in order, starting at the one that a caller hits."""
+    if not names:
+        return []
+    start = xxhash.xxh3_64_intdigest(caller.encode()) % len(names)
+    return [*names[start:], *names[:start]]
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -17,10 +17,13 @@
 from citronport import tasks
 from citronport import telemetry
 from citronport import trace
-from citronport.callers import activity
+from citronport.callers import application as caller_application
 from citronport.callers import const as caller_const
 from citronport.callers import home
+from citronport.callers import keeper
+from citronport.callers import lookup
 from citronport.callers import server as caller_server
+from citronport.callers import tickets
 from citronport.endpoints import watch
 from citronport.instances import const as instance_const
 from citronport.instances import gossip
@@ -63,7 +66,7 @@
         self.settings = settings
         self.ticker = ticker
         self.name = settings.instance
-        self.incarnation = home.make_incarnation()
+        self.incarnation = tickets.make_incarnation()
         self.published = store.Store()
         self.scheduler = scheduler_core.Scheduler(self.name)
         self.owners = ownership.Ownership(self.name, ticker.now())
@@ -96,9 +99,28 @@
             self.owners,
             self.published,
             ticker,
-            self._take_assigned,
+            self.executor.post,
             self.executor.count_running,
             self.peers.send,
+            self._watch_owned,
+        )
+        self.directory = lookup.Directory(
+            self.published,
+            self.name,
+            lambda: self._leaving,
+            self.gossip.find_silent,
+            lambda: self.assignment.current.owners,
+            ticker,
+        )
+        self.keeper = keeper.Keeper(
+            self.records,
+            ticker,
+            self.executor.submit,
+            self.executor.leave,
+            lambda run, instance: self.peers.forward(
+                run, instance, instance_const.ROLE_HOME
+            ),
+            lambda: self._leaving,
         )
         self._connected: set[str] = set()
         self._reports: dict[str, models.LoadReport] = {}
@@ -123,7 +145,7 @@
         callers.start()
         logging.info("%s %s is up.", LOG, self.name)
         self._stopped.wait()
-        self._drain()
+        self._drain(callers)
         callers.stop(timeout=LINGER_SECONDS)
         peer_server.stop(timeout=0)
         self.peers.flush(LINGER_SECONDS)
@@ -146,26 +168,24 @@
             self._take_message,
         )
 
-    def _make_caller_server(self) -> pywsgi.WSGIServer:
-        application = caller_server.Application(
+    def _make_caller_server(self) -> caller_server.Server:
+        application = caller_application.Application(
             self.published,
             self.records,
             self.ticker,
-            self.executor.submit,
-            self.executor.leave,
-            self.gossip.find_silent,
+            self.keeper.take,
+            self.directory,
         )
-        self._activity = activity.Activity(
+        listener = self.settings.callers
+        return caller_server.make_server(
+            str(listener.address),
+            listener.port,
             telemetry.Listener(
                 application,
                 self.telemetry.counts,
                 self._tracer,
                 caller_const.PATH_LOOKUP,
-            )
-        )
-        listener = self.settings.callers
-        return caller_server.make_server(
-            str(listener.address), listener.port, self._activity
+            ),
         )
 
     def _make_operator_server(self) -> pywsgi.WSGIServer:
@@ -217,8 +237,10 @@
                 self.ticker,
                 self.published.offer,
                 confirm,
+                self.telemetry.counts.note_read,
             )
         self.tasks.keep("peer reports", self.gossip.serve)
+        self.tasks.keep("keeper", self.keeper.sweep_forever)
         self.tasks.require("assignment", self.assignment.serve)
         self.tasks.require("executor", self.executor.serve)
 
@@ -236,18 +258,18 @@
             return False
         return self.assignment.current.owned <= self._connected
 
-    def _drain(self) -> None:
+    def _drain(self, callers: caller_server.Server) -> None:
         self._set_leaving(True)
-        self._wait_until_idle()
+        self._wait_until_idle(callers)
         # Callers and instances that have not heard of the leave yet still
         # send; until they have, each gets a refusal that says "not run"
         # instead of a broken connection, of which nobody knows the outcome.
         self.ticker.sleep(LINGER_SECONDS)
-        self._wait_until_idle()
+        self._wait_until_idle(callers)
         self.assignment.assess()
 
-    def _wait_until_idle(self) -> None:
-        parts = (self.executor, self.peers, self._activity)
+    def _wait_until_idle(self, callers: caller_server.Server) -> None:
+        parts = (self.executor, self.peers, callers)
         while not all(part.is_idle() for part in parts):
             self.ticker.sleep(POLL_SECONDS)
 
@@ -278,8 +300,7 @@
         self.owners.update_leaving(names, self.ticker.now())
         self.gossip.report()
 
-    def _take_assigned(self, event: models.Event) -> None:
-        self.executor.post(event)
+    def _watch_owned(self) -> None:
         fleet = self.published.fleet
         if fleet is None:
             return
@@ -308,9 +329,11 @@
         return self.gossip.take(sender, message)
 
     def _take_run(self, work: runs.Work, role: str) -> runs.Run:
+        if role == instance_const.ROLE_HOME:
+            return self.keeper.take(work, forwarded=True)
         run = runs.Run(work, self.executor.leave)
         self.executor.submit(run, forwarded=True)
         return run
 
     def _forward(self, run: runs.Run, instance: str) -> errors.Refusal | None:
-        return self.peers.forward(run, instance, "owner")
+        return self.peers.forward(run, instance, instance_const.ROLE_OWNER)
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -59,10 +59,10 @@
         self._forward = forward
         self._may_feed_cold = may_feed_cold
         self._record = record
+        self._telemetry = telemetry or telemetry_module.Telemetry(ticker)
         self._is_current = is_current
         self._client = client.Client()
         self._starts: dict[str, int] = {}
-        self._telemetry = telemetry or telemetry_module.Telemetry(ticker)
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
@@ -106,6 +106,14 @@
             self._step(event)
 
     def _step(self, event: models.Event) -> None:
+        # A request that came back from another instance after its caller
+        # had left must not reach the scheduler: its run is gone, and the
+        # place that it would take were never given back.
+        if (
+            isinstance(event, models.RequestArrived)
+            and event.request.request_id not in self._runs
+        ):
+            return
         actions = self._scheduler.handle(event, self._ticker.now())
         self._record(event, actions)
         match event:
@@ -119,6 +127,8 @@
                 self._note_decided(event.request.request_id)
         for action in actions:
             self._act(action)
+        if isinstance(event, models.RequestLeft):
+            self._abandon(event.request_id)
 
     def _note_decided(self, request_id: str) -> None:
         run = self._runs.get(request_id)
@@ -147,9 +157,13 @@
     ) -> None:
         run = self._runs.get(request_id)
         if run is not None:
-            self._tasks[request_id] = gevent.spawn(
-                self._guard, act, run, *details
-            )
+            task = gevent.spawn(self._guard, act, run, *details)
+            self._tasks[request_id] = task
+            task.rawlink(lambda ended: self._end_task(request_id, ended))
+
+    def _end_task(self, request_id: str, task: gevent.Greenlet) -> None:
+        if self._tasks.get(request_id) is task:
+            del self._tasks[request_id]
 
     def _guard(
         self,
@@ -206,9 +220,9 @@
         if fleet is None:
             return
         address = fleet.endpoints[action.endpoint].address
+        run.watch.dispatched(action.endpoint)
         left = request.deadline - self._ticker.now()
         call = dataclasses.replace(run.work.call, timeout=left)
-        run.watch.dispatched(action.endpoint)
         match self._client.run_call(address, start, call, may_send, deliver):
             case result.Ok(whole):
                 run.deliver(messages.Finished(size=whole.size))
@@ -242,6 +256,7 @@
             return
         if refusal.meaning.ran == errors.Ran.OUTCOME_UNKNOWN:
             self._finish(run, refusal)
+            self.post(models.AnswerFinished(request_id=run.request_id))
             return
         run.watch.returned()
         # The other instance said in so many words that it did not run the
@@ -275,7 +290,10 @@
         task = self._tasks.get(action.request_id)
         if task is not None:
             task.kill(block=False)
-        self._forget(action.request_id)
+        run = self._runs.get(action.request_id)
+        if run is not None:
+            # A repeat may have joined since the last caller left.
+            self._finish(run, errors.Refusal(code=errors.Code.ABANDONED))
         gevent.spawn(self._stop_work, action)
 
     def _stop_work(self, action: models.Cancel) -> None:
@@ -290,10 +308,24 @@
             self._at_endpoint[action.endpoint] -= 1
         self.post(models.AnswerFinished(request_id=action.request_id))
 
+    def _abandon(self, request_id: str) -> None:
+        run = self._runs.get(request_id)
+        if run is None:
+            return
+        # The scheduler had nothing to cancel: the request waited here, or
+        # another instance decides on it and hears of this when the task
+        # that waits for it ends.
+        task = self._tasks.get(request_id)
+        if task is None or task.ready():
+            code = errors.Code.ABANDONED_WAITING
+        else:
+            task.kill(block=False)
+            code = errors.Code.ABANDONED
+        self._finish(run, errors.Refusal(code=code, retry_after=None))
+
     def _forget(self, request_id: str) -> None:
         run = self._runs.pop(request_id, None)
         if run is not None:
             run.watch.end(telemetry_module.OUTCOME_LEFT)
-        self._tasks.pop(request_id, None)
         self._refused_by.pop(request_id, None)
         self._refusals.pop(request_id, None)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -33,8 +33,8 @@
         engines: shapes (fields of ``engine.Shape``), with "models".
         services: service names.
         entries: catalogue entries; "key" is the plain key.
-        trace_events: whether entries write their event traces.
         traced: whether the instances write their spans to files.
+        trace_events: whether entries write their event traces.
     """
 
     subnet: str
@@ -43,8 +43,8 @@
     engines: tuple[dict[str, Any], ...]
     services: tuple[str, ...]
     entries: tuple[dict[str, Any], ...]
-    trace_events: bool = True
     traced: bool = False
+    trace_events: bool = True
 
 
 class Fleet:
@@ -145,10 +145,10 @@
                 }
             ],
         }
-        if self.layout.trace_events:
-            settings["event_file"] = str(self.folder / f"{name}.events.jsonl")
         if self.layout.traced:
             settings["trace_file"] = str(self.folder / f"{name}.spans.jsonl")
+        if self.layout.trace_events:
+            settings["event_file"] = str(self.folder / f"{name}.events.jsonl")
         path.write_text(yaml.safe_dump(settings))
         self.run_instance(name, str(path))
 
