Stop lower tiers by each tier's slack, and displace them

Cause: a floor of tier 0 held for up to 8 s stopped tier 1 with engines free; a middle tier below the floor could not take the room of the work under it; a first request of an entry was refused for a guessed length.

--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -32,8 +32,10 @@
 SLOWEST: Final = 20.0
 """Bound of the measured slowdown, so that one sample can't remove it."""
 
-DEFAULT_OUTPUT: Final = 100.0
-"""Expected answer tokens of an entry that has not answered yet."""
+DEFAULT_OUTPUT: Final = 30.0
+"""Expected answer tokens of an entry that has not answered yet.
+
+Low, so that no first request is refused for a length that nobody knows."""
 
 AFFINE_CANDIDATES: Final = 2
 """Endpoints that a prefix may live on; a third copy is prefill wasted."""
@@ -68,15 +70,20 @@
 """An older summary of another instance counts no more."""
 
 PRESSURE: Final = 0.25
-"""Part of a tier's slack that it may wait before lower tiers stop.
+"""Part of its slack after which a request counts as urgent."""
+
+FLOOR_PRESSURE: Final = (0.3, 0.15, 0.12, 1.0)
+"""Part of its slack that a tier may wait before lower tiers stop.
 
-The rest is what the lower tiers in progress need to end by themselves."""
+The rest is what the lower tiers in progress need to end by themselves: a
+review under way lasts nearly as long as a summary may wait. The top tier
+always finds the room that is kept for it, so that it needs least."""
 
-HOLD_SECONDS: Final = 1.0
-"""Time without pressure before the next lower tier starts again."""
+HOLD_SECONDS: Final = (0.2, 1.0, 2.0, 0.0)
+"""Time without pressure before the tier below this one starts again."""
 
-HOLD_LONGEST: Final = 8.0
-"""Bound of that time; it doubles when pressure comes back soon."""
+HOLD_DOUBLINGS: Final = 2
+"""How often that time doubles when pressure comes back soon."""
 
 MAX_QUEUED: Final = 2000
 """Requests that may wait in one instance; bounds its memory."""
@@ -119,3 +126,6 @@
 PATIENCE: Final = 0.3
 """Part of its slack that a request waits for the endpoint that holds its
 prefix, before any other one will do."""
+
+RETRY_FLOORED: Final = 5.0
+"""Seconds added to the time to come back where a tier does not start."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -356,7 +356,7 @@
         capacity = max(0.1, self._owner.get_capacity(group))
         wait = ahead / capacity
         if request.tier > self._get_floor(now):
-            wait += const.HOLD_SECONDS
+            wait += const.RETRY_FLOORED
         self._limits.finish(request)
         return [refusal.refuse(request, code, wait)]
 
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -174,9 +174,7 @@
         if not self.queue:
             return dispatches
         waiting = sorted(
-            (tier, group)
-            for group, tier in self.queue.get_groups()
-            if tier <= floor
+            (tier, group) for group, tier in self.queue.get_groups()
         )
         for tier, group in waiting:
             if not any(
@@ -184,7 +182,7 @@
             ):
                 continue
             while True:
-                found = self._find_start(group, tier, now)
+                found = self._find_start(group, tier, floor, now)
                 if found is None:
                     break
                 dispatches.append(self._send(*found, now))
@@ -197,11 +195,15 @@
         return len(state.running) < most
 
     def _find_start(
-        self, group: queue.Group, tier: int, now: float
+        self, group: queue.Group, tier: int, floor: int, now: float
     ) -> tuple[models.Request, str] | None:
         heads = self.queue.iterate_heads(group, tier)
         for waiting in itertools.islice(heads, HEADS):
-            place = self._choose(waiting, now)
+            place = (
+                self._choose(waiting, now)
+                if tier <= floor
+                else self._displace(waiting, now)
+            )
             if place is not None:
                 return waiting.request, place
         return None
@@ -241,6 +243,30 @@
             return None
         return free[1]
 
+    def _displace(self, waiting: queue.Waiting, now: float) -> str | None:
+        """Return where a request below the floor may start nevertheless.
+
+        Load: a burst of a high tier lasts longer than the slack of a
+        middle one, while old work of a low tier still runs. Harm: the
+        middle one is shed while the low one is served. It may take the
+        room of running requests below its own tier, nobody else's.
+        """
+        request = waiting.request
+        slack = request.deadline - waiting.since
+        if now - waiting.since < slack * const.PATIENCE:
+            return None
+        for name in self.get_usable(queue.get_group(request)):
+            state = self.states[name]
+            if not budget.may_overcommit(state, request):
+                continue
+            lower = sum(
+                s.request.tier > request.tier for s in state.running.values()
+            )
+            score = self._score(state, name, request, now)
+            if lower and score is not None:
+                return name
+        return None
+
     def _score(
         self,
         state: budget.State,
@@ -357,7 +383,7 @@
             ):
                 slack = waiting.request.deadline - waiting.since
                 longest = max(now - waiting.since, wait)
-                if longest <= slack * const.PRESSURE:
+                if longest <= slack * const.FLOOR_PRESSURE[tier]:
                     continue
                 if get_peer_wait(group[1], tier) > longest * const.MOVE_GAIN:
                     return tier
--- a/citronport/scheduler/pressure.py
+++ b/citronport/scheduler/pressure.py
@@ -22,8 +22,8 @@
     def __init__(self) -> None:
         self._floor = LOWEST
         self._since = 0.0
-        self._raised = -const.HOLD_LONGEST
-        self._hold = const.HOLD_SECONDS
+        self._raised = -math.inf
+        self._doublings = 0
         self._peers: dict[str, tuple[models.InstanceSummary, float]] = {}
 
     @property
@@ -50,17 +50,23 @@
         """
         if pressed is not None and pressed <= self._floor:
             if pressed < self._floor:
-                soon = now - self._raised < 2 * self._hold
-                longer = min(const.HOLD_LONGEST, 2 * self._hold)
-                self._hold = longer if soon else const.HOLD_SECONDS
-                self._floor = pressed
+                self._lower(pressed, now)
             self._since = now
             return
-        if self._floor < LOWEST and now - self._since >= self._hold:
+        if self._floor < LOWEST and now - self._since >= self._get_hold():
             self._floor += 1
             self._raised = now
             self._since = now
 
+    def _lower(self, floor: int, now: float) -> None:
+        self._floor = floor
+        soon = now - self._raised < 2 * self._get_hold()
+        more = min(const.HOLD_DOUBLINGS, self._doublings + 1)
+        self._doublings = more if soon else 0
+
+    def _get_hold(self) -> float:
+        return const.HOLD_SECONDS[self._floor] * 2**self._doublings
+
     def take_summary(
         self, summary: models.InstanceSummary, now: float
     ) -> None:
--- a/measures/decisions/ledger.py
+++ b/measures/decisions/ledger.py
@@ -92,6 +92,7 @@
         offered = [0] * const.TIERS
         good = [0] * const.TIERS
         by_workspace: collections.Counter[str] = collections.Counter()
+        by_entry: collections.Counter[str] = collections.Counter()
         codes: collections.Counter[str] = collections.Counter()
         waits: list[list[float]] = [[] for _ in range(const.TIERS)]
         lost = 0
@@ -101,6 +102,7 @@
             if self.count_good(record):
                 good[tier] += 1
                 by_workspace[record.request.workspace] += 1
+                by_entry[record.request.entry] += 1
             if record.first_token is not None:
                 waits[tier].append(record.first_token - record.arrived)
             if record.code is not None:
@@ -118,6 +120,7 @@
             "p99_first_token_s_by_tier": [_get_p99(w) for w in waits],
             "refused_by_code": dict(sorted(codes.items())),
             "goodput_by_workspace": dict(sorted(by_workspace.items())),
+            "goodput_by_entry": dict(sorted(by_entry.items())),
         }
 
 
