--- /dev/null
+++ b/citronport/assignment.py
@@ -0,0 +1,127 @@
+"""The task that keeps up which endpoints this instance may send to."""
+
+import collections.abc
+
+from citronport import clock
+from citronport.instances import messages
+from citronport.platform import const as platform_const
+from citronport.platform import store
+from citronport.scheduler import models
+from citronport.scheduler import ownership
+
+ASSESS_SECONDS = 0.25
+"""Pause between two looks at leases; a lease is checked before each send
+to a cold endpoint all the same."""
+
+RELEASE_SECONDS = 10.0
+"""How long an endpoint that was given up is offered to its new owner."""
+
+
+class Assignment:
+    """Follows list and catalogue, and tells the scheduler what it owns.
+
+    Args:
+        owners: the rules.
+        published: list and catalogue.
+        ticker: the clock.
+        post: takes events for the scheduler.
+        count_running: returns how many requests are at an endpoint.
+        send: sends a message to another instance.
+        follow: called when the owned endpoints may have changed.
+    """
+
+    def __init__(
+        self,
+        owners: ownership.Ownership,
+        published: store.Store,
+        ticker: clock.Clock,
+        post: collections.abc.Callable[[models.Event], None],
+        count_running: collections.abc.Callable[[str], int],
+        send: collections.abc.Callable[[str, messages.Message], None],
+        follow: collections.abc.Callable[[], None],
+    ) -> None:
+        self._owners = owners
+        self._published = published
+        self._ticker = ticker
+        self._post = post
+        self._count_running = count_running
+        self._send = send
+        self._follow = follow
+        self._given: dict[str, float] = {}
+        self.current = models.OwnershipChanged(owned=frozenset())
+
+    def serve(self) -> None:
+        """Look at leases for ever."""
+        while True:
+            self.assess()
+            self._ticker.sleep(ASSESS_SECONDS)
+
+    def apply(self, path: str) -> None:
+        """Take a published value that changed."""
+        now = self._ticker.now()
+        fleet = self._published.fleet
+        if path == platform_const.PATH_INSTANCES:
+            self._owners.update_members(
+                _list_members(self._published.instances),
+                self._published.get_versions()[path],
+                now,
+            )
+        elif fleet is not None:
+            self._owners.update_endpoints(
+                {e.name: e.data_centre for e in fleet.endpoints.values()}, now
+            )
+            self._post(models.FleetChanged(fleet=fleet))
+        self.assess()
+        self._follow()
+
+    def confirm_list(self, asked: float, version: int) -> None:
+        """Note an answer of the platform about the instance list.
+
+        A stale platform confirms an older list; that says nothing of the
+        one in force here.
+        """
+        if version >= self._get_list_version():
+            self._owners.note_platform(asked)
+
+    def note_report(self, endpoint: str, report: models.LoadReport) -> None:
+        """Note from a load report that an endpoint has no work."""
+        if not report.running and not report.queued:
+            self._owners.note_idle(endpoint, self._ticker.now() - report.age)
+
+    def assess(self) -> None:
+        """Tell the scheduler what changed, and offer what was given up."""
+        assigned = self._owners.assess(self._ticker.now())
+        if assigned != self.current:
+            for endpoint in self.current.owned - assigned.owned:
+                self._given[endpoint] = self._ticker.now()
+            self.current = assigned
+            self._post(assigned)
+            self._follow()
+        self._offer_given()
+
+    def _offer_given(self) -> None:
+        now = self._ticker.now()
+        for endpoint, since in list(self._given.items()):
+            owner = self._owners.find_owner(endpoint)
+            held = endpoint in self.current.owned
+            if held or owner is None or now - since > RELEASE_SECONDS:
+                del self._given[endpoint]
+            elif not self._count_running(endpoint):
+                release = messages.Release(
+                    endpoint=endpoint, list_version=self._get_list_version()
+                )
+                self._send(owner, release)
+
+    def _get_list_version(self) -> int:
+        versions = self._published.get_versions()
+        return versions.get(platform_const.PATH_INSTANCES, 0)
+
+
+def _list_members(
+    instances: dict[str, models.Instance],
+) -> dict[str, ownership.Member]:
+    return {
+        i.name: ownership.Member(name=i.name, data_centre=i.data_centre)
+        for i in instances.values()
+        if i.state == models.Service.IN
+    }
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -1,27 +1,33 @@
 """Wiring of the tasks of one entry instance; nothing is decided here."""
 
-import dataclasses
-import json
 import signal
-import time
 
 from absl import logging
 import gevent
 from gevent import event as gevent_event
-import result
+from gevent import pywsgi
 
+from citronport import assignment
 from citronport import clock
 from citronport import errors
+from citronport import executor
 from citronport import runs
 from citronport import settings as settings_module
+from citronport import spans
+from citronport import tasks
+from citronport import telemetry
+from citronport import trace
+from citronport.callers import activity
+from citronport.callers import const as caller_const
 from citronport.callers import home
 from citronport.callers import server as caller_server
-from citronport.endpoints import client as endpoint_client
-from citronport.endpoints import const as endpoint_const
-from citronport.executor import Executor
+from citronport.endpoints import watch
 from citronport.instances import const as instance_const
+from citronport.instances import gossip
 from citronport.instances import messages
 from citronport.instances import peers
+from citronport.operators import server as operator_server
+from citronport.operators import status
 from citronport.platform import client as platform_client
 from citronport.platform import const as platform_const
 from citronport.platform import store
@@ -31,6 +37,17 @@
 
 LOG = "core:"
 
+POLL_SECONDS = 0.05
+"""Pause between two looks at whether a start or a stop has got on."""
+
+READY_SECONDS = 5.0
+"""How long a start waits for a catalogue and for its endpoints before
+callers may connect; an endpoint that is down must not hold it up."""
+
+LINGER_SECONDS = 1.0
+"""How long an idle instance goes on refusing before it ends; several
+reports to each neighbour go out in that time."""
+
 
 class Daemon:
     """One entry instance.
@@ -45,169 +62,250 @@
     ) -> None:
         self.settings = settings
         self.ticker = ticker
+        self.name = settings.instance
+        self.incarnation = home.make_incarnation()
         self.published = store.Store()
-        self.scheduler = scheduler_core.Scheduler(settings.instance)
-        incarnation = home.make_incarnation()
-        self.records = home.Home(settings.instance, incarnation, ticker.now())
-        self.peers = peers.Peers(
-            messages.Hello(
-                protocol=instance_const.PROTOCOL,
-                instance=settings.instance,
-                incarnation=incarnation,
-            ),
+        self.scheduler = scheduler_core.Scheduler(self.name)
+        self.owners = ownership.Ownership(self.name, ticker.now())
+        self.records = home.Home(self.name, self.incarnation, ticker.now())
+        self._tracer = spans.make_tracer(
+            self.name, settings.trace_file, settings.trace_share
+        )
+        self.telemetry = telemetry.Telemetry(ticker, self._tracer)
+        self.tasks = tasks.Supervisor(ticker, self.telemetry.counts.note_death)
+        self.peers = self._make_peers()
+        self.watches = watch.Watches(ticker, self._take_endpoint_event)
+        self.executor = executor.Executor(
+            self.scheduler,
             ticker,
-            self._take_run,
-            self._take_message,
+            self._forward,
+            self.owners.may_feed_cold,
+            trace.make_event_recorder(self.name, settings.event_file),
+            self.watches.is_current,
+            self.telemetry,
+        )
+        self.gossip = gossip.Gossip(
+            self.peers,
+            self.published,
+            self.owners,
+            ticker,
+            self.scheduler.summarize,
+            self.executor.post,
         )
-        self.executor = Executor(
-            self.scheduler, ticker, self._forward, self._record
+        self.assignment = assignment.Assignment(
+            self.owners,
+            self.published,
+            ticker,
+            self.executor.post,
+            self.executor.count_running,
+            self.peers.send,
+            self._watch_owned,
         )
         self._connected: set[str] = set()
+        self._reports: dict[str, models.LoadReport] = {}
         self._stopped = gevent_event.Event()
-        self._event_file = (
-            open(settings.event_file, "a", buffering=1)
-            if settings.event_file
-            else None
-        )
+        self._leaving = False
+        self.status = self._make_status_reader()
         self.published.listen(self._apply)
 
     def serve(self) -> None:
         """Run until a stop is ordered and the work in progress is done."""
-        listeners = self.settings
-        self.peers.serve(str(listeners.peers.address), listeners.peers.port)
+        # Before anything listens: a stop that came in between would end the
+        # process at once and cut the first callers.
+        gevent.signal_handler(signal.SIGTERM, self.stop)
+        self.tasks.report_unhandled()
+        listener = self.settings.peers
+        peer_server = self.peers.serve(str(listener.address), listener.port)
+        operators = self._make_operator_server()
+        operators.start()
+        callers = self._make_caller_server()
+        self._start_tasks()
+        self._wait_until_ready()
+        callers.start()
+        logging.info("%s %s is up.", LOG, self.name)
+        self._stopped.wait()
+        self._drain()
+        callers.stop(timeout=LINGER_SECONDS)
+        peer_server.stop(timeout=0)
+        self.peers.flush(LINGER_SECONDS)
+        logging.info("%s %s is down.", LOG, self.name)
+
+    def stop(self) -> None:
+        """Order a graceful shutdown; a second order changes nothing."""
+        logging.info("%s %s is leaving.", LOG, self.name)
+        self._stopped.set()
+
+    def _make_peers(self) -> peers.Peers:
+        return peers.Peers(
+            messages.Hello(
+                protocol=instance_const.PROTOCOL,
+                instance=self.name,
+                incarnation=self.incarnation,
+            ),
+            self.ticker,
+            self._take_run,
+            self._take_message,
+        )
+
+    def _make_caller_server(self) -> pywsgi.WSGIServer:
         application = caller_server.Application(
             self.published,
             self.records,
             self.ticker,
             self.executor.submit,
             self.executor.leave,
-            lambda: frozenset(),
+            self.gossip.find_silent,
         )
-        callers = caller_server.make_server(
-            str(listeners.callers.address),
-            listeners.callers.port,
-            application,
+        self._activity = activity.Activity(
+            telemetry.Listener(
+                application,
+                self.telemetry.counts,
+                self._tracer,
+                caller_const.PATH_LOOKUP,
+            )
         )
-        callers.start()
-        for path in (
-            platform_const.PATH_CATALOGUE,
-            platform_const.PATH_INSTANCES,
-        ):
-            gevent.spawn(
+        listener = self.settings.callers
+        return caller_server.make_server(
+            str(listener.address), listener.port, self._activity
+        )
+
+    def _make_operator_server(self) -> pywsgi.WSGIServer:
+        return operator_server.make_server(
+            self.settings.operators,
+            operator_server.Application(
+                self.status.read, self.telemetry.counts, self.stop
+            ),
+        )
+
+    def _make_status_reader(self) -> status.Reader:
+        return status.Reader(
+            status.Parts(
+                settings=self.settings,
+                incarnation=self.incarnation,
+                ticker=self.ticker,
+                published=self.published,
+                counts=self.telemetry.counts,
+                summarize=self.scheduler.summarize,
+                get_owned=lambda: self.assignment.current.owned,
+                count_running=self.executor.count_running,
+                is_linked=lambda n: self.peers.get_incarnation(n) is not None,
+                is_leaving=lambda: self._leaving,
+                connected=self._connected,
+                reports=self._reports,
+            )
+        )
+
+    def _start_tasks(self) -> None:
+        watches = (
+            (
+                platform_const.PATH_CATALOGUE,
+                platform_const.WATCH_SECONDS,
+                lambda asked, version: None,
+            ),
+            (
+                platform_const.PATH_INSTANCES,
+                platform_const.CONFIRM_SECONDS,
+                self.assignment.confirm_list,
+            ),
+        )
+        for path, wait, confirm in watches:
+            self.tasks.keep(
+                f"watch {path}",
                 platform_client.watch,
                 path,
+                wait,
                 self.settings.platform,
                 self.ticker,
                 self.published.offer,
-                lambda asked: None,
+                confirm,
             )
-        gevent.spawn(self._watch_endpoints)
-        gevent.spawn(self._speak)
-        gevent.spawn(self.executor.serve)
-        gevent.signal_handler(signal.SIGTERM, self._stopped.set)
-        logging.info("%s %s is up.", LOG, self.settings.instance)
-        self._stopped.wait()
-        self._drain()
-        callers.stop(timeout=0)
-        logging.info("%s %s is down.", LOG, self.settings.instance)
+        self.tasks.keep("peer reports", self.gossip.serve)
+        self.tasks.require("assignment", self.assignment.serve)
+        self.tasks.require("executor", self.executor.serve)
+
+    def _wait_until_ready(self) -> None:
+        # A caller that connects before the first catalogue or the first
+        # endpoint is here can only be refused; without a listener it goes
+        # to its next address at once.
+        for _ in range(int(READY_SECONDS / POLL_SECONDS)):
+            if self._is_ready() or self._stopped.is_set():
+                return
+            self.ticker.sleep(POLL_SECONDS)
+
+    def _is_ready(self) -> bool:
+        if not (self.published.fleet and self.published.instances):
+            return False
+        return self.assignment.current.owned <= self._connected
 
     def _drain(self) -> None:
-        self.executor.post(models.LeaveOrdered())
-        while not self.executor.is_idle():
-            self.ticker.sleep(0.05)
+        self._set_leaving(True)
+        self._wait_until_idle()
+        # Callers and instances that have not heard of the leave yet still
+        # send; until they have, each gets a refusal that says "not run"
+        # instead of a broken connection, of which nobody knows the outcome.
+        self.ticker.sleep(LINGER_SECONDS)
+        self._wait_until_idle()
+        self.assignment.assess()
+
+    def _wait_until_idle(self) -> None:
+        parts = (self.executor, self.peers, self._activity)
+        while not all(part.is_idle() for part in parts):
+            self.ticker.sleep(POLL_SECONDS)
 
     def _apply(self, path: str) -> None:
-        if path == platform_const.PATH_CATALOGUE and self.published.fleet:
-            self.executor.post(models.FleetChanged(fleet=self.published.fleet))
-        self._assign()
+        self.assignment.apply(path)
+        if not self._stopped.is_set():
+            self._set_leaving(self._is_out())
 
-    def _assign(self) -> None:
+    def _is_out(self) -> bool:
+        me = self.published.instances.get(self.name)
+        if me is not None and me.state != models.Service.IN:
+            return True
         fleet = self.published.fleet
         if fleet is None:
-            return
-        names = [
-            name
-            for name, instance in self.published.instances.items()
-            if instance.state == models.Service.IN
-        ]
-        owners = {
-            endpoint: ownership.rank_instances(endpoint, names)[0]
-            for endpoint in fleet.endpoints
-            if names
-        }
-        owned = frozenset(
-            e for e, i in owners.items() if i == self.settings.instance
-        )
-        self.executor.post(models.OwnershipChanged(owned=owned, owners=owners))
+            return False
+        centre = fleet.data_centres.get(self.settings.data_centre)
+        return centre in (models.Service.OUT, models.Service.LEAVING)
 
-    def _watch_endpoints(self) -> None:
-        while True:
-            fleet = self.published.fleet
-            if fleet is not None:
-                gevent.joinall(
-                    [
-                        gevent.spawn(self._read_load, e)
-                        for e in fleet.endpoints.values()
-                    ]
-                )
-            self.ticker.sleep(endpoint_const.REPORT_SECONDS)
-
-    def _read_load(self, endpoint: models.Endpoint) -> None:
-        match endpoint_client.read_load(endpoint.address):
-            case result.Ok(report):
-                if endpoint.name not in self._connected:
-                    self._connected.add(endpoint.name)
-                    self.executor.post(
-                        models.EndpointConnected(endpoint=endpoint.name)
-                    )
-                self.executor.post(
-                    models.EndpointReported(
-                        endpoint=endpoint.name, report=report
-                    )
-                )
-            case result.Err(_):
-                if endpoint.name in self._connected:
-                    self._connected.discard(endpoint.name)
-                    self.executor.post(
-                        models.EndpointLost(endpoint=endpoint.name)
-                    )
+    def _set_leaving(self, leaving: bool) -> None:
+        if leaving == self._leaving:
+            return
+        self._leaving = leaving
+        order = models.LeaveOrdered() if leaving else models.ReturnOrdered()
+        self.executor.post(order)
+        # The executor takes the order before the report tells of it.
+        gevent.sleep(0)
+        names = frozenset({self.name}) if leaving else frozenset()
+        self.owners.update_leaving(names, self.ticker.now())
+        self.gossip.report()
 
-    def _speak(self) -> None:
-        while True:
-            self.peers.connect(self.published.instances)
-            self.peers.broadcast(
-                messages.Report(
-                    summary=dataclasses.asdict(self.scheduler.summarize()),
-                    versions=self.published.get_versions(),
-                )
-            )
-            self.ticker.sleep(instance_const.REPORT_SECONDS)
+    def _watch_owned(self) -> None:
+        fleet = self.published.fleet
+        if fleet is None:
+            return
+        self.watches.assign(
+            {
+                name: fleet.endpoints[name].address
+                for name in self.assignment.current.owned
+                if name in fleet.endpoints
+            }
+        )
 
-    def _take_message(self, sender: str, message: messages.Message) -> None:
-        match message:
-            case messages.Report():
-                self._take_report(sender, message)
-            case messages.Want():
-                known = self.published.get(message.path)
-                if known is not None and known.version > message.version:
-                    self.peers.send(
-                        sender, messages.Value(**dataclasses.asdict(known))
-                    )
-            case messages.Value():
-                self.published.offer(
-                    platform_client.Published(**dataclasses.asdict(message))
-                )
+    def _take_endpoint_event(self, event: models.Event) -> None:
+        match event:
+            case models.EndpointConnected():
+                self._connected.add(event.endpoint)
+            case models.EndpointLost():
+                self._connected.discard(event.endpoint)
+            case models.EndpointReported():
+                self._reports[event.endpoint] = event.report
+                self.assignment.note_report(event.endpoint, event.report)
+        self.executor.post(event)
 
-    def _take_report(self, sender: str, message: messages.Report) -> None:
-        summary = models.InstanceSummary(**message.summary)
-        self.executor.post(models.InstanceReported(summary=summary))
-        mine = self.published.get_versions()
-        for path, version in message.versions.items():
-            if version > mine.get(path, 0):
-                self.peers.send(
-                    sender,
-                    messages.Want(path=path, version=mine.get(path, 0)),
-                )
+    def _take_message(
+        self, sender: str, message: messages.Message
+    ) -> messages.Message | None:
+        return self.gossip.take(sender, message)
 
     def _take_run(self, work: runs.Work, role: str) -> runs.Run:
         run = runs.Run(work, self.executor.leave)
@@ -216,41 +314,3 @@
 
     def _forward(self, run: runs.Run, instance: str) -> errors.Refusal | None:
         return self.peers.forward(run, instance, "owner")
-
-    def _record(
-        self, event: models.Event, actions: list[models.Action]
-    ) -> None:
-        if self._event_file is None or isinstance(event, models.TimePassed):
-            return
-        line = {
-            "time": time.time(),
-            "instance": self.settings.instance,
-            "event": type(event).__name__,
-            "request": getattr(event, "request_id", None),
-            "actions": [
-                {"kind": type(a).__name__, **_describe(a)} for a in actions
-            ],
-        }
-        if isinstance(event, models.RequestArrived):
-            line["request"] = event.request.request_id
-            line["tier"] = event.request.tier
-        self._event_file.write(json.dumps(line) + "\n")
-
-
-def _describe(action: models.Action) -> dict:
-    match action:
-        case models.Refuse():
-            return {
-                "request": action.request_id,
-                "code": int(action.refusal.code),
-            }
-        case models.Forward():
-            return {
-                "request": action.request_id,
-                "instance": action.instance,
-            }
-        case models.Dispatch() | models.Cancel():
-            return {
-                "request": action.request_id,
-                "endpoint": action.endpoint,
-            }
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -1,6 +1,9 @@
 """The task that owns the scheduler and carries out its actions."""
 
+import collections
 import collections.abc
+import dataclasses
+from typing import Any
 
 from absl import logging
 import gevent
@@ -10,6 +13,8 @@
 from citronport import clock
 from citronport import errors
 from citronport import runs
+from citronport import tasks
+from citronport import telemetry as telemetry_module
 from citronport.endpoints import client
 from citronport.endpoints import messages
 from citronport.scheduler import core
@@ -28,7 +33,11 @@
         ticker: the clock.
         forward: hands a run to another instance; it delivers to the run
             and returns the code if the other instance did not run it.
+        may_feed_cold: whether one more request may go to an endpoint in
+            cold start; asked directly before the send.
         record: takes each event and its actions, for the event trace.
+        is_current: tells whether a start of an endpoint still runs.
+        telemetry: counts and traces the runs.
     """
 
     def __init__(
@@ -38,22 +47,33 @@
         forward: collections.abc.Callable[
             [runs.Run, str], errors.Refusal | None
         ],
+        may_feed_cold: collections.abc.Callable[[str, float], bool],
         record: collections.abc.Callable[
             [models.Event, list[models.Action]], None
         ],
+        is_current: collections.abc.Callable[[str, int], bool],
+        telemetry: telemetry_module.Telemetry | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._ticker = ticker
         self._forward = forward
+        self._may_feed_cold = may_feed_cold
         self._record = record
+        self._telemetry = telemetry or telemetry_module.Telemetry(ticker)
+        self._is_current = is_current
+        self._client = client.Client()
+        self._starts: dict[str, int] = {}
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
+        self._at_endpoint: collections.Counter[str] = collections.Counter()
         self._refused_by: dict[str, tuple[str, ...]] = {}
+        self._refusals: dict[str, errors.Refusal] = {}
 
     def submit(self, run: runs.Run, *, forwarded: bool = False) -> None:
         """Take a run on; its answer comes through the run."""
         self._runs[run.request_id] = run
+        run.watch = self._telemetry.watch(run.work, forwarded=forwarded)
         self.post(
             models.RequestArrived(
                 request=run.work.request, forwarded=forwarded
@@ -68,6 +88,10 @@
         """Tell the scheduler that nobody waits for a run any more."""
         self.post(models.RequestLeft(request_id=run.request_id))
 
+    def count_running(self, endpoint: str) -> int:
+        """Return how many requests have not ended yet at an endpoint."""
+        return self._at_endpoint[endpoint]
+
     def is_idle(self) -> bool:
         """Return whether no run is in progress."""
         return not self._runs and self._inbox.empty()
@@ -84,15 +108,30 @@
     def _step(self, event: models.Event) -> None:
         actions = self._scheduler.handle(event, self._ticker.now())
         self._record(event, actions)
-        if isinstance(event, models.AnswerFinished):
-            self._forget(event.request_id)
+        match event:
+            case models.AnswerFinished():
+                self._forget(event.request_id)
+            case models.EndpointConnected():
+                # What the scheduler decides from here on is meant for
+                # this start of the endpoint.
+                self._starts[event.endpoint] = event.start
+            case models.RequestArrived():
+                self._note_decided(event.request.request_id)
         for action in actions:
             self._act(action)
 
+    def _note_decided(self, request_id: str) -> None:
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.watch.decided()
+
     def _act(self, action: models.Action) -> None:
         match action:
             case models.Dispatch():
-                self._spawn(action.request_id, self._dispatch, action)
+                # Read here, in the step that decided: a start that is
+                # handled later is another one.
+                start = self._starts.get(action.endpoint, 0)
+                self._spawn(action.request_id, self._occupy, action, start)
             case models.Forward():
                 self._spawn(action.request_id, self._hand_over, action)
             case models.Refuse():
@@ -104,13 +143,48 @@
         self,
         request_id: str,
         act: collections.abc.Callable,
-        action: models.Action,
+        *details: Any,
     ) -> None:
         run = self._runs.get(request_id)
         if run is not None:
-            self._tasks[request_id] = gevent.spawn(act, run, action)
+            task = gevent.spawn(self._guard, act, run, *details)
+            self._tasks[request_id] = task
+            task.rawlink(lambda ended: self._end_task(request_id, ended))
+
+    def _end_task(self, request_id: str, task: gevent.Greenlet) -> None:
+        if self._tasks.get(request_id) is task:
+            del self._tasks[request_id]
+
+    def _guard(
+        self,
+        act: collections.abc.Callable,
+        run: runs.Run,
+        *details: Any,
+    ) -> None:
+        # An unforeseen error would end the task without a word: the
+        # caller would wait for ever, and the endpoint's place stay taken.
+        try:
+            act(run, *details)
+        except Exception as error:
+            logging.error(
+                "%s a request died of %s.", LOG, tasks.describe_error(error)
+            )
+            self._telemetry.counts.note_death("request")
+            self._finish(run, errors.Refusal(code=errors.Code.INTERNAL))
+            self.post(models.AnswerFinished(request_id=run.request_id))
+
+    def _occupy(
+        self, run: runs.Run, action: models.Dispatch, start: int
+    ) -> None:
+        self._at_endpoint[action.endpoint] += 1
+        try:
+            self._dispatch(run, action, start)
+        finally:
+            self._at_endpoint[action.endpoint] -= 1
 
-    def _dispatch(self, run: runs.Run, action: models.Dispatch) -> None:
+    def _dispatch(
+        self, run: runs.Run, action: models.Dispatch, start: int
+    ) -> None:
         request = run.work.request
         first = True
 
@@ -122,16 +196,33 @@
                 self.post(models.FirstToken(request_id=run.request_id))
 
         def may_send() -> bool:
-            return not run.ended and self._ticker.now() < request.deadline
+            now = self._ticker.now()
+            if run.ended or now >= request.deadline:
+                return False
+            if not self._is_current(action.endpoint, start):
+                return False
+            # The lease may have run out in a pause since the decision.
+            return self._scheduler.is_warm(
+                action.endpoint
+            ) or self._may_feed_cold(action.endpoint, now)
 
         fleet = self._scheduler.fleet
         if fleet is None:
             return
         address = fleet.endpoints[action.endpoint].address
-        match client.run_call(address, run.work.call, may_send, deliver):
-            case result.Ok(size):
-                run.deliver(messages.Finished(size=size))
-                self.post(models.AnswerFinished(request_id=run.request_id))
+        run.watch.dispatched(action.endpoint)
+        left = request.deadline - self._ticker.now()
+        call = dataclasses.replace(run.work.call, timeout=left)
+        match self._client.run_call(address, start, call, may_send, deliver):
+            case result.Ok(whole):
+                run.deliver(messages.Finished(size=whole.size))
+                self.post(
+                    models.AnswerFinished(
+                        request_id=run.request_id,
+                        output_tokens=whole.output_tokens,
+                        cached_tokens=whole.cached_tokens,
+                    )
+                )
             case result.Err(failure):
                 logging.warning(
                     "%s dispatch to %s failed: %s.",
@@ -148,15 +239,19 @@
                 )
 
     def _hand_over(self, run: runs.Run, action: models.Forward) -> None:
+        run.watch.forwarded(action.instance)
         refusal = self._forward(run, action.instance)
         if refusal is None:
             self.post(models.AnswerFinished(request_id=run.request_id))
             return
         if refusal.meaning.ran == errors.Ran.OUTCOME_UNKNOWN:
             self._finish(run, refusal)
+            self.post(models.AnswerFinished(request_id=run.request_id))
             return
+        run.watch.returned()
         # The other instance said in so many words that it did not run the
         # request, so that it may be decided again here.
+        self._refusals[run.request_id] = refusal
         tried = self._refused_by.get(run.request_id, ())
         self._refused_by[run.request_id] = (*tried, action.instance)
         self.post(
@@ -168,8 +263,14 @@
 
     def _refuse(self, action: models.Refuse) -> None:
         run = self._runs.get(action.request_id)
-        if run is not None:
-            self._finish(run, action.refusal)
+        if run is None:
+            return
+        refusal = action.refusal
+        if refusal.code == errors.Code.NO_ENDPOINT:
+            # Nobody is left to ask; what the last one said tells the
+            # caller more.
+            refusal = self._refusals.get(action.request_id, refusal)
+        self._finish(run, refusal)
 
     def _finish(self, run: runs.Run, refusal: errors.Refusal) -> None:
         run.deliver(messages.Refused(refusal=refusal))
@@ -178,12 +279,25 @@
     def _cancel(self, action: models.Cancel) -> None:
         task = self._tasks.get(action.request_id)
         if task is not None:
-            # Closing the connection is what stops the endpoint's work.
             task.kill(block=False)
         self._forget(action.request_id)
+        gevent.spawn(self._stop_work, action)
+
+    def _stop_work(self, action: models.Cancel) -> None:
+        # The place counts as taken until the endpoint says that it is
+        # free: one in cold start would else get the next request while
+        # it still works at this one.
+        fleet = self._scheduler.fleet
+        if fleet is not None and action.endpoint in fleet.endpoints:
+            address = fleet.endpoints[action.endpoint].address
+            self._at_endpoint[action.endpoint] += 1
+            client.cancel(address, action.request_id)
+            self._at_endpoint[action.endpoint] -= 1
         self.post(models.AnswerFinished(request_id=action.request_id))
 
     def _forget(self, request_id: str) -> None:
-        self._runs.pop(request_id, None)
-        self._tasks.pop(request_id, None)
+        run = self._runs.pop(request_id, None)
+        if run is not None:
+            run.watch.end(telemetry_module.OUTCOME_LEFT)
         self._refused_by.pop(request_id, None)
+        self._refusals.pop(request_id, None)
--- a/citronport/instances/link.py
+++ b/citronport/instances/link.py
@@ -35,6 +35,9 @@
             ["Link", messages.Message | Closed], None
         ],
     ) -> None:
+        # Without it a small write waits for the acknowledgement of the
+        # one before, which the other side may hold back for 40 ms.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self._deliver = deliver
         self._outbox: queue.Queue[bytes | None] = queue.Queue()
@@ -49,9 +52,9 @@
         """End the stream after what is queued has been written."""
         self._outbox.put(None)
 
-    def wait(self) -> None:
-        """Return when the stream is gone."""
-        gevent.joinall(self._tasks)
+    def wait(self, seconds: float | None = None) -> None:
+        """Return when the stream is gone, or after so many seconds."""
+        gevent.joinall(self._tasks, timeout=seconds)
 
     def _write(self) -> None:
         while True:
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from gevent import queue
 
@@ -9,6 +10,9 @@
 from citronport.endpoints import messages
 from citronport.scheduler import models
 
+if typing.TYPE_CHECKING:
+    from citronport import telemetry
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Work:
@@ -21,8 +25,8 @@
 class Run:
     """The answer of one request as it grows, for one or more readers.
 
-    Messages are kept, so that a repeat of the same request joins the run
-    and reads the answer from its start.
+    Messages are kept until the first reader comes, or for good, so that a
+    repeat of the same request reads the answer from its start.
 
     Args:
         work: the request.
@@ -41,6 +45,7 @@
         self.work = work
         self.ended = False
         self.keep = keep
+        self.watch: telemetry.Watch | None = None
         self._leave = leave
         self._log: list[messages.Message] = []
         self._readers: list[queue.Queue[messages.Message]] = []
@@ -57,7 +62,11 @@
         if self.ended:
             return
         self.ended = isinstance(message, messages.Finished | messages.Refused)
-        if self.keep:
+        if self.watch is not None:
+            self.watch.see(message)
+        # A refusal can come before its reader does; dropped, it would
+        # leave the caller waiting until its own timeout.
+        if self.keep or not self._readers:
             self._log.append(message)
         for reader in self._readers:
             reader.put(message)
@@ -84,6 +93,8 @@
         inbox: queue.Queue[messages.Message] = queue.Queue()
         for message in self._log:
             inbox.put(message)
+        if not self.keep:
+            self._log.clear()
         self._readers.append(inbox)
         return inbox
 
