Refuse what comes back after its deadline, count late starts as shed

Cause: a request that was handed back after its deadline was sent round again; eight moves of half a second used up a long request's tries. Change: the ledger also counts as shed what was started but gave no token.

--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -113,6 +113,10 @@
 MOVE_SECONDS: Final = 0.5
 """A request that waited for so long may go to a less loaded instance."""
 
+MOVE_PART: Final = 0.12
+"""It has waited for this part of its slack, too, so that the bounded
+number of tries lasts until its deadline."""
+
 MOVE_GAIN: Final = 0.5
 """The wait there must be shorter than this part of the wait here."""
 
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -216,6 +216,10 @@
             return [refusal.refuse(request, errors.Code.NO_CATALOGUE, 1.0)]
         if self._leaving and not event.refused_by:
             return [refusal.refuse(request, errors.Code.LEAVING, 0.0)]
+        if request.deadline <= now:
+            self._forwarded.pop(request.request_id, None)
+            late = errors.Code.DEADLINE_PASSED_WAITING
+            return self._shed(request, late, now)
         if event.refused_by:
             self._forwarded.pop(request.request_id, None)
         elif not event.forwarded:
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -423,7 +423,10 @@
                 self.queue.iterate_tails(group, tier), HEADS
             ):
                 left = waiting.request.deadline - now
-                if now - waiting.since < const.MOVE_SECONDS:
+                waited = now - waiting.since
+                if waited < max(
+                    const.MOVE_SECONDS, const.MOVE_PART * (waited + left)
+                ):
                     continue
                 if wait > left * const.PATIENCE:
                     found.append(waiting)
--- a/measures/decisions/ledger.py
+++ b/measures/decisions/ledger.py
@@ -78,7 +78,10 @@
         record.code = code
         tier = record.request.tier
         lower = sum(self._served[tier + 1 :])
-        if code in SHED and lower:
+        # One that was started too late to give a token was as good as shed.
+        late = code == errors.Code.DEADLINE_PASSED_RUNNING
+        shed = code in SHED or (late and record.first_token is None)
+        if shed and lower:
             self.inversions += 1
             self.inversion_cases[tier, code.name] += 1
 
