--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -13,9 +13,10 @@
 from standins import caller
 from standins import fleet
 from standins import processes
+from tests import addresses
 
 LAYOUT = fleet.Layout(
-    subnet="61.2",
+    subnet=addresses.choose_subnet(0),
     data_centres=("dc-1", "dc-2"),
     instances=2,
     engines=({"name": "engine-1", "models": ("small",), "cold_seconds": 0.1},),
@@ -140,7 +141,7 @@
         is a line of the table, and the command succeeds.
         """
         code, output = run_status(self.operators[0], "--json")
-        self.assertEqual(0, code)
+        self.assertEqual(0, code, output)
         shown = json.loads(output)
         self.assertEqual(2, len(shown["instances"]))
         whole = sum(
@@ -150,7 +151,7 @@
         self.assertEqual(2, whole)
         self.stop(signal.SIGKILL, "entry-2")
         code, output = run_status(self.operators[0])
-        self.assertEqual(0, code)
+        self.assertEqual(0, code, output)
         lines = output.splitlines()
         self.assertIn("serving", next(n for n in lines if "entry-1" in n))
         self.assertIn("unreachable", next(n for n in lines if "entry-2" in n))
@@ -169,6 +170,8 @@
             'citronport_first_token_seconds_count{tier="1"} 1.0',
             "citronport_catalogue_version 1",
             "citronport_peer_links 1",
+            'citronport_platform_reads_total{outcome="changed",'
+            'path="/v1/catalogue"} 1',
         ):
             self.assertIn(f"{line}\n", body)
 
