--- a/measures/decisions/ledger.py
+++ b/measures/decisions/ledger.py
@@ -78,7 +78,10 @@
         record.code = code
         tier = record.request.tier
         lower = sum(self._served[tier + 1 :])
-        if code in SHED and lower:
+        # One that was started too late to give a token was as good as shed.
+        late = code == errors.Code.DEADLINE_PASSED_RUNNING
+        shed = code in SHED or (late and record.first_token is None)
+        if shed and lower:
             self.inversions += 1
             self.inversion_cases[tier, code.name] += 1
 
@@ -92,6 +95,7 @@
         offered = [0] * const.TIERS
         good = [0] * const.TIERS
         by_workspace: collections.Counter[str] = collections.Counter()
+        by_entry: collections.Counter[str] = collections.Counter()
         codes: collections.Counter[str] = collections.Counter()
         waits: list[list[float]] = [[] for _ in range(const.TIERS)]
         lost = 0
@@ -101,6 +105,7 @@
             if self.count_good(record):
                 good[tier] += 1
                 by_workspace[record.request.workspace] += 1
+                by_entry[record.request.entry] += 1
             if record.first_token is not None:
                 waits[tier].append(record.first_token - record.arrived)
             if record.code is not None:
@@ -118,6 +123,7 @@
             "p99_first_token_s_by_tier": [_get_p99(w) for w in waits],
             "refused_by_code": dict(sorted(codes.items())),
             "goodput_by_workspace": dict(sorted(by_workspace.items())),
+            "goodput_by_entry": dict(sorted(by_entry.items())),
         }
 
 
