--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -19,6 +19,10 @@
 
 READ_BYTES = 65536
 CONNECT_SECONDS = 5.0
+REFUSE_SECONDS = 1.0
+
+_Address = tuple[str, int]
+_Accept = collections.abc.Callable[[socket.socket, _Address], None]
 
 
 class How(enum.StrEnum):
@@ -75,7 +79,8 @@
         self._sources: dict[str, str] = {}
         self._faults: dict[tuple[str, str], Fault] = {}
         self._changed = event.Event()
-        self._servers: list[gevent_server.StreamServer] = []
+        self._listeners: dict[str, list[tuple[_Address, _Accept]]] = {}
+        self._servers: dict[_Address, gevent_server.StreamServer] = {}
         self._open: set[_Connection] = set()
 
     def name_source(self, address: str, name: str) -> None:
@@ -83,23 +88,49 @@
         self._sources[address] = name
 
     def listen(
-        self, address: tuple[str, int], target: str, real: tuple[str, int]
+        self,
+        address: _Address,
+        target: str,
+        real: _Address,
+        absent: bytes = b"",
     ) -> None:
-        """Stand for a target's address."""
+        """Stand for a target's address.
+
+        Args:
+            address: where to listen.
+            target: name of the node.
+            real: where the node listens.
+            absent: sent when the node does not listen. The kernel has
+                taken the connection by then and can refuse it no more.
+        """
 
-        def accept(sock: socket.socket, peer: tuple[str, int]) -> None:
+        def accept(sock: socket.socket, peer: _Address) -> None:
             source = self._sources.get(peer[0], "callers")
-            self._serve(sock, source, target, real)
+            self._serve(_Connection(sock, source, target, absent), real)
 
-        server = gevent_server.StreamServer(address, accept)
-        server.start()
-        self._servers.append(server)
+        self._listeners.setdefault(target, []).append((address, accept))
+        self.open(target)
+
+    def shut(self, target: str) -> None:
+        """Refuse connections, as the address of a dead process does."""
+        for address, _ in self._listeners.get(target, ()):
+            if address in self._servers:
+                self._servers.pop(address).stop(timeout=0)
+
+    def open(self, target: str) -> None:
+        """Listen for a target."""
+        for address, accept in self._listeners.get(target, ()):
+            if address not in self._servers:
+                server = gevent_server.StreamServer(address, accept)
+                server.start()
+                self._servers[address] = server
 
     def strike(self, source: str, target: str, fault: Fault) -> None:
         """Put a fault on the connections from a source to a target."""
         self._faults[source, target] = fault
         for connection in list(self._open):
-            if (connection.source, connection.target) == (source, target):
+            same = (connection.source, connection.target) == (source, target)
+            if same and self._random.random() < fault.share:
                 connection.take(fault)
         self._wake()
 
@@ -114,8 +145,8 @@
 
     def stop(self) -> None:
         """Close everything."""
-        for server in self._servers:
-            server.stop(timeout=0)
+        for target in self._listeners:
+            self.shut(target)
         for connection in list(self._open):
             connection.reset()
 
@@ -123,15 +154,8 @@
         self._changed.set()
         self._changed.clear()
 
-    def _serve(
-        self,
-        sock: socket.socket,
-        source: str,
-        target: str,
-        real: tuple[str, int],
-    ) -> None:
-        connection = _Connection(sock, source, target)
-        fault = self._faults.get((source, target))
+    def _serve(self, connection: "_Connection", real: _Address) -> None:
+        fault = self._faults.get((connection.source, connection.target))
         if fault and self._random.random() < fault.share:
             connection.fault = fault
         self._open.add(connection)
@@ -145,7 +169,7 @@
             connection.close()
 
     def _open_far_side(
-        self, connection: "_Connection", real: tuple[str, int]
+        self, connection: "_Connection", real: _Address
     ) -> None:
         fault = connection.fault
         if fault and fault.how in (How.RESET, How.CLOSE):
@@ -157,6 +181,8 @@
         try:
             connection.far = socket.create_connection(real, CONNECT_SECONDS)
             connection.far.settimeout(None)
+        except ConnectionRefusedError:
+            connection.refuse()
         except OSError:
             connection.reset()
 
@@ -200,8 +226,11 @@
 
 
 class _Connection:
-    def __init__(self, near: socket.socket, source: str, target: str) -> None:
+    def __init__(
+        self, near: socket.socket, source: str, target: str, absent: bytes
+    ) -> None:
         self.near = near
+        self.absent = absent
         self.far: socket.socket | None = None
         self.source = source
         self.target = target
@@ -255,6 +284,21 @@
             self.parted = False
             self.reset()
 
+    def refuse(self) -> None:
+        """Tell the source that nobody listens."""
+        if not self.absent:
+            self.reset()
+            return
+        with contextlib.suppress(OSError):
+            self.near.settimeout(REFUSE_SECONDS)
+            self.near.sendall(self.absent)
+            self.near.shutdown(socket.SHUT_WR)
+            # Closed with the request unread, the socket would answer with
+            # a reset that overtakes what was sent.
+            while self.near.recv(READ_BYTES):
+                pass
+        self.close()
+
     def reset(self) -> None:
         """End both sides by a reset."""
         _reset(self.near)
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -45,6 +45,7 @@
         self._write = tell
         self._began = time.monotonic()
         self._ordered: dict[str, float] = {}
+        self._turned: dict[str, list[float]] = {}
 
     def run(self) -> list[str]:
         """Run all steps; return what went wrong, empty if nothing did."""
@@ -68,8 +69,9 @@
         return self.problems
 
     def tell(self, text: str) -> None:
-        """Add a line to the trace, with the time since the start."""
-        self._write(f"{time.monotonic() - self._began:8.3f} {text}")
+        """Add a line with the time since the start and the wall clock."""
+        passed = time.monotonic() - self._began
+        self._write(f"{passed:8.3f} {time.time():.3f} {text}")
 
     def fail(self, text: str) -> None:
         """Note that a promise broke or an expectation failed."""
@@ -108,28 +110,33 @@
             if not self.callers.wait(by, 60.0):
                 self.fail(f"{by}: a caller never got its outcome")
         gevent.sleep(self.scenario.settle)
+        overloads = checks.read_cold_overloads(
+            self.fleet.folder, self.endpoints
+        )
+        self.tell(f"  {len(overloads)} cold overloads in all")
         for problem in checks.check_always(
-            self.callers.records,
-            self.read_arrivals(),
-            self.fleet.folder,
-            self.endpoints,
+            self.callers.records, self.read_arrivals(), overloads, self._turned
         ):
             self.fail(problem)
 
     def _take(self, step: models.Step) -> None:
         value = getattr(step, step.verb)
+        if isinstance(value, str):
+            value = self.fleet.resolve(value)
         match step.verb:
             case "start":
-                self.fleet.start_instance(value)
+                self._start(value)
             case "kill":
                 self.running.signal(value, signal.SIGKILL)
                 self.running.wait(value, 5.0)
+                self.fleet.links.shut(value)
             case "freeze":
                 self.running.signal(value, signal.SIGSTOP)
             case "wake":
                 self.running.signal(value, signal.SIGCONT)
             case "stop":
                 self.running.signal(value, signal.SIGTERM)
+                gevent.spawn(self._shut_when_ended, value)
             case "platform":
                 self.fleet.set_platform(value)
             case "edit":
@@ -137,7 +144,10 @@
             case "edits":
                 gevent.joinall([gevent.spawn(self._edit, e) for e in value])
             case "send":
-                self.callers.send(value)
+                at = self.fleet.resolve(value.at) if value.at else None
+                self.callers.send(value.model_copy(update={"at": at}))
+            case "probe":
+                self.callers.probe(value)
             case "wait":
                 self._wait(value)
             case "expect":
@@ -145,6 +155,17 @@
             case _:
                 self._strike(step)
 
+    def _start(self, name: str) -> None:
+        self.fleet.start_instance(name)
+        address = self.fleet.get_real_address(name)
+        processes.wait_for_port(address, fleet_module.CALLER_PORT)
+        self.fleet.links.open(name)
+
+    def _shut_when_ended(self, name: str) -> None:
+        while self.running.is_running(name):
+            gevent.sleep(0.005)
+        self.fleet.links.shut(name)
+
     def _strike(self, step: models.Step) -> None:
         match step.verb:
             case "cut":
@@ -154,6 +175,7 @@
             case "heal":
                 self._heal(step.heal)
             case "cold":
+                self._turned.setdefault(step.cold, []).append(time.time())
                 self.fleet.order_engine(step.cold, "/admin/cold")
             case "slow":
                 for name, factor in step.slow.items():
@@ -186,6 +208,9 @@
         self.fleet.links.heal(lambda *pair: name == "all" or name in pair)
 
     def _edit(self, edit: models.Edit) -> None:
+        if edit.instance:
+            name = self.fleet.resolve(edit.instance)
+            edit = edit.model_copy(update={"instance": name})
         named = edit.data_centre or edit.endpoint or edit.instance
         if named and edit.state != "in":
             self._ordered[named] = time.time()
