Carry a caller's trace header from the task that answers it

Cause: a request that goes home is relayed by a task of its own, and gevent gives a new greenlet no copy of the context variables: its trace began anew (new test: ['request', 'admission', 'forward'] != [], 3 of 3 runs). Ruled out: copying the context into the relay (a hook in the keeper). Change: telemetry.note_caller, called where a submission comes in, writes the header onto the request; Telemetry.watch only reads it there. Conclusion: a forwarded and a homed request are one trace each.

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -171,7 +171,7 @@
             self.published,
             self.records,
             self.ticker,
-            self.keeper.take,
+            self._take_submission,
             self.directory,
         )
         listener = self.settings.callers
@@ -327,6 +327,10 @@
     ) -> messages.Message | None:
         return self.gossip.take(sender, message)
 
+    def _take_submission(self, work: runs.Work) -> runs.Run:
+        telemetry.note_caller(work)
+        return self.keeper.take(work)
+
     def _take_run(self, work: runs.Work, role: str) -> runs.Run:
         if role == instance_const.ROLE_HOME:
             return self.keeper.take(work, forwarded=True)
--- a/citronport/telemetry.py
+++ b/citronport/telemetry.py
@@ -113,8 +113,6 @@
         self._first = True
         self._started = ticker.now()
         self._hops = _make_hops(work, tracer, caller)
-        if caller:
-            work.call.headers[spans.HEADER] = caller
         if self._hops is not None:
             self._hops.enter("admission")
 
@@ -230,6 +228,17 @@
     return _Hops(tracer, root)
 
 
+def note_caller(work: runs.Work) -> None:
+    """Have a request carry the trace header that its caller sent.
+
+    Called by the task that answers the caller; from here on the header
+    goes with the request through other tasks and instances.
+    """
+    caller = CALLER_TRACE.get()
+    if caller:
+        work.call.headers[spans.HEADER] = caller
+
+
 class Telemetry:
     """Counts and traces of one instance.
 
@@ -252,14 +261,12 @@
             work: the request.
             forwarded: whether another instance sent it, which counts it.
         """
-        headers = work.call.headers
-        caller = headers.get(spans.HEADER, "") or CALLER_TRACE.get()
         return Watch(
             work,
             None if forwarded else self.counts,
             self._ticker,
             self._tracer,
-            caller,
+            work.call.headers.get(spans.HEADER, ""),
         )
 
 
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -28,6 +28,7 @@
 )
 CHAT = "/v1/chat/completions"
 PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+OTHER_PARENT = PARENT.replace("af", "be")
 HOPS = ("admission", "queue", "dispatch", "stream")
 
 
@@ -119,8 +120,13 @@
         """
         entry = self.fleet.instances[1 - self.owner]["name"]
         owner = self.fleet.instances[self.owner]["name"]
-        self.send(self.callers[1 - self.owner], traceparent=PARENT)
+        address = self.callers[1 - self.owner]
+        self.send(address, traceparent=PARENT)
+        ticket = caller.look_up(self.callers[self.owner], "key-1").ticket
+        keyed = {"Idempotency-Key": "k", "X-Citronport-Ticket": ticket}
+        self.send(address, traceparent=OTHER_PARENT, **keyed)
         self.stop(signal.SIGTERM, entry, owner)
+
         _, trace_id, parent_id, _ = PARENT.split("-")
         spans = self.read_spans(trace_id)
         first = self.check_chain(
@@ -134,6 +140,15 @@
         )
         self.assertNotIn("what is due?", json.dumps(spans))
 
+        # Under a ticket of the owner it goes home without being decided.
+        _, trace_id, parent_id, _ = OTHER_PARENT.split("-")
+        spans = self.read_spans(trace_id)
+        first = self.check_chain(
+            spans, entry, ("admission", "forward"), parent_id
+        )
+        forward = first["forward"]["span_id"]
+        self.check_chain(spans, owner, HOPS, forward)
+
     def test_status_command(self):
         """One address shows the fleet; one that is gone is shown too.
 
