--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -79,11 +79,8 @@
 
 
 def has_cold_start(spec: models.Endpoint) -> bool:
-    """Return whether a cold start bears less than a warm endpoint."""
-    return (
-        spec.kind == models.Kind.ENGINE
-        and spec.cold_concurrency < spec.concurrency
-    )
+    """Return whether an endpoint starts cold; plain services do not."""
+    return spec.kind == models.Kind.ENGINE
 
 
 def take_over(state: State, now: float) -> None:
@@ -166,7 +163,7 @@
     room = min(state.limit, spec.concurrency * const.ROOM[request.tier])
     if load >= max(1.0, room):
         return False
-    backlog = (state.prefill_free - now) * 1.0
+    backlog = state.prefill_free - now
     return backlog <= const.BACKLOG_SECONDS[request.tier]
 
 
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -18,9 +18,9 @@
 
 import dataclasses
 
-from citronport import const as common
 from citronport import errors
 from citronport.scheduler import const
+from citronport.scheduler import deadlines
 from citronport.scheduler import limits as limits_module
 from citronport.scheduler import models
 from citronport.scheduler import owner as owner_module
@@ -29,11 +29,8 @@
 from citronport.scheduler import queue
 from citronport.scheduler import refusal
 from citronport.scheduler import routing
-
-GIVEN_UP = (
-    errors.Code.OVERLOADED,
-    errors.Code.DEADLINE_TOO_NEAR,
-)
+from citronport.scheduler import shift
+from citronport.scheduler import summary
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -59,7 +56,7 @@
         self._router = routing.Router(instance, self._owner, self._pressure)
         self._limits = limits_module.Limits()
         self._forwarded: dict[str, _Forwarded] = {}
-        self._deadlines = owner_module.Deadlines()
+        self._deadlines = deadlines.Deadlines()
         self._leaving = False
         self._floor_since = 0.0
         self._floor = pressure_module.LOWEST
@@ -126,41 +123,17 @@
 
     def summarize(self) -> models.InstanceSummary:
         """Return what the other instances are told."""
-        now = self._now
-        usage = self._limits.summarize(now)
-        owner = self._owner
-        queued = [0] * common.TIERS
-        for waiting in owner.queue.iterate_all():
-            request = waiting.request
-            queued[request.tier] += request.prompt_tokens + request.max_tokens
-        waits = {}
-        free = {}
-        for group in self._rings:
-            names = owner.get_usable(group)
-            if not names:
-                continue
-            ahead = 0.0
-            row = []
-            for tier in range(common.TIERS):
-                ahead += owner.queue.get_cost(group, tier)
-                row.append(round(owner.estimate_wait(group, ahead, now), 3))
-            waits[group[1]] = tuple(row)
-            states = [owner.states[name] for name in names]
-            free[group[1]] = sum(
-                max(0, int(s.limit) - len(s.running)) for s in states
-            )
-        return models.InstanceSummary(
-            instance=self.instance,
-            version=self.fleet.version if self.fleet else 0,
-            queued_tokens=tuple(queued),
-            running=tuple(owner.get_running()),
-            free=free,
-            floor=self._pressure.own_floor,
-            usage={name: told[0] for name, told in usage.items()},
-            leaving=self._leaving,
-            waits=waits,
-            rates={name: told[1] for name, told in usage.items()},
-            token_rates={name: told[2] for name, told in usage.items()},
+        return summary.make_summary(
+            summary.Source(
+                instance=self.instance,
+                fleet=self.fleet,
+                groups=tuple(self._rings),
+                owner=self._owner,
+                limits=self._limits,
+                floor=self._pressure.own_floor,
+                leaving=self._leaving,
+            ),
+            self._now,
         )
 
     def is_idle(self) -> bool:
@@ -410,10 +383,10 @@
         def get_peer_wait(model: str, tier: int) -> float:
             return self._pressure.get_wait(model, tier, now)
 
-        pressed = self._owner.find_pressed(get_peer_wait, now)
+        pressed = shift.find_pressed(self._owner, get_peer_wait, now)
         self._pressure.update(pressed, now)
         actions: list[models.Action] = []
-        for waiting in self._owner.find_movable(get_peer_wait, now):
+        for waiting in shift.find_movable(self._owner, get_peer_wait, now):
             actions += self._move(waiting, now)
         for request_id in self._deadlines.pop_due(now):
             actions += self._look_at(request_id, now)
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -1,7 +1,5 @@
 """Decides for the endpoints that this instance owns."""
 
-import collections.abc
-import heapq
 import itertools
 import math
 
@@ -367,87 +365,7 @@
                 state.slow = min(const.SLOWEST, state.slow * 2)
                 budget.suspect(state, now)
 
-    def find_pressed(
-        self,
-        get_peer_wait: collections.abc.Callable[[str, int], float],
-        now: float,
-    ) -> int | None:
-        """Return the highest tier that waits too long, if any does.
-
-        Args:
-            get_peer_wait: shortest wait at another instance for a model
-                and a tier, seconds; where it is short, the request can
-                move, and nobody has to make room.
-            now: clock time, seconds.
-        """
-        for tier, group in sorted(
-            (tier, group) for group, tier in self.queue.get_groups()
-        ):
-            wait = self.get_queue_wait(group, tier)
-            for waiting in itertools.islice(
-                self.queue.iterate_heads(group, tier), HEADS
-            ):
-                slack = waiting.request.deadline - waiting.since
-                longest = max(now - waiting.since, wait)
-                if longest <= slack * const.FLOOR_PRESSURE[tier]:
-                    continue
-                if get_peer_wait(group[1], tier) > longest * const.MOVE_GAIN:
-                    return tier
-        return None
-
     def get_queue_wait(self, group: queue.Group, tier: int) -> float:
         """Return the seconds that the work in a tier takes."""
         capacity = max(0.01, self.get_capacity(group))
         return self.queue.get_cost(group, tier) / capacity
-
-    def find_movable(
-        self,
-        get_peer_wait: collections.abc.Callable[[str, int], float],
-        now: float,
-    ) -> list[queue.Waiting]:
-        """Return a few requests that would wait far less elsewhere.
-
-        Load: forwards by summaries a moment old, and endpoints that slow
-        down after the forward. Harm: requests wait behind one endpoint
-        while others are idle.
-        """
-        found = []
-        for tier, group in sorted(
-            (tier, group) for group, tier in self.queue.get_groups()
-        ):
-            ahead = sum(self.queue.get_cost(group, t) for t in range(tier + 1))
-            wait = self.estimate_wait(group, ahead, now)
-            if get_peer_wait(group[1], tier) > wait * const.MOVE_GAIN:
-                continue
-            for waiting in itertools.islice(
-                self.queue.iterate_tails(group, tier), HEADS
-            ):
-                left = waiting.request.deadline - now
-                waited = now - waiting.since
-                if waited < max(
-                    const.MOVE_SECONDS, const.MOVE_PART * (waited + left)
-                ):
-                    continue
-                if wait > left * const.PATIENCE:
-                    found.append(waiting)
-                if len(found) >= const.MOVES:
-                    return found
-        return found
-
-
-class Deadlines:
-    """Request ids by a time at which to look at them again."""
-
-    def __init__(self) -> None:
-        self._heap: list[tuple[float, str]] = []
-
-    def add(self, time: float, request_id: str) -> None:
-        """Look at a request at a time."""
-        heapq.heappush(self._heap, (time, request_id))
-
-    def pop_due(self, now: float) -> list[str]:
-        """Return the requests whose time has come."""
-        due = []
-        while self._heap and self._heap[0][0] <= now:
-            due.append(heapq.heappop(self._heap)[1])
-        return due
--- /dev/null
+++ b/citronport/scheduler/shift.py
@@ -0,0 +1,73 @@
+"""Shifting work: who must make room, and what had better go elsewhere."""
+
+import collections.abc
+import itertools
+
+from citronport.scheduler import const
+from citronport.scheduler import owner as owner_module
+from citronport.scheduler import queue
+
+
+def find_pressed(
+    owner: owner_module.Owner,
+    get_peer_wait: collections.abc.Callable[[str, int], float],
+    now: float,
+) -> int | None:
+    """Return the highest tier that waits too long, if any does.
+
+    Args:
+        owner: queue and endpoints of this instance.
+        get_peer_wait: shortest wait at another instance for a model
+            and a tier, seconds; where it is short, the request can
+            move, and nobody has to make room.
+        now: clock time, seconds.
+    """
+    for tier, group in sorted(
+        (tier, group) for group, tier in owner.queue.get_groups()
+    ):
+        wait = owner.get_queue_wait(group, tier)
+        for waiting in itertools.islice(
+            owner.queue.iterate_heads(group, tier), owner_module.HEADS
+        ):
+            slack = waiting.request.deadline - waiting.since
+            longest = max(now - waiting.since, wait)
+            if longest <= slack * const.FLOOR_PRESSURE[tier]:
+                continue
+            if get_peer_wait(group[1], tier) > longest * const.MOVE_GAIN:
+                return tier
+    return None
+
+
+def find_movable(
+    owner: owner_module.Owner,
+    get_peer_wait: collections.abc.Callable[[str, int], float],
+    now: float,
+) -> list[queue.Waiting]:
+    """Return a few requests that would wait far less elsewhere.
+
+    Load: forwards by summaries a moment old, and endpoints that slow
+    down after the forward. Harm: requests wait behind one endpoint
+    while others are idle.
+    """
+    found = []
+    for tier, group in sorted(
+        (tier, group) for group, tier in owner.queue.get_groups()
+    ):
+        ahead = sum(owner.queue.get_cost(group, t) for t in range(tier + 1))
+        wait = owner.estimate_wait(group, ahead, now)
+        if get_peer_wait(group[1], tier) > wait * const.MOVE_GAIN:
+            continue
+        for waiting in itertools.islice(
+            owner.queue.iterate_tails(group, tier), owner_module.HEADS
+        ):
+            left = waiting.request.deadline - now
+            waited = now - waiting.since
+            if waited < max(
+                const.MOVE_SECONDS, const.MOVE_PART * (waited + left)
+            ):
+                continue
+            if wait > left * const.PATIENCE:
+                found.append(waiting)
+            if len(found) >= const.MOVES:
+                return found
+    return found
--- /dev/null
+++ b/tests/scheduler/test_decisions.py
@@ -0,0 +1,257 @@
+"""The outcome of the decisions for callers."""
+
+import dataclasses
+
+import testtools
+
+from citronport import errors
+from citronport.scheduler import core
+from citronport.scheduler import models
+from measures.decisions import instances
+from measures.decisions import loads
+from measures.decisions import site as site_module
+
+ENGINE = models.Endpoint(
+    name="engine-1",
+    kind=models.Kind.ENGINE,
+    models=("floor",),
+    data_centre="dc-1",
+    address="127.0.0.1:1",
+    concurrency=4,
+)
+
+
+def make_request(name, **changes):
+    """Return a request that any endpoint can serve at once."""
+    fields = {
+        "request_id": name,
+        "entry": "entry",
+        "workspace": "ws-1",
+        "tier": 0,
+        "model": "floor",
+        "prompt_tokens": 100,
+        "max_tokens": 10,
+        "deadline": 100.0,
+        **changes,
+    }
+    return models.Request(**fields)
+
+
+def make_scheduler(endpoint=ENGINE, limits=None):
+    """Return a scheduler that owns one warm endpoint."""
+    entry = models.Entry(
+        name="entry",
+        workspace="ws-1",
+        tier=0,
+        limits=limits or models.Limits(),
+    )
+    fleet = models.Fleet(
+        version=1,
+        data_centres={"dc-1": models.Service.IN},
+        endpoints={endpoint.name: endpoint},
+        entries={"entry": entry},
+    )
+    scheduler = core.Scheduler("a")
+    scheduler.handle(models.FleetChanged(fleet=fleet), 0.0)
+    scheduler.handle(
+        models.OwnershipChanged(
+            owned=frozenset({endpoint.name}), owners={endpoint.name: "a"}
+        ),
+        0.0,
+    )
+    scheduler.handle(models.EndpointConnected(endpoint=endpoint.name), 0.0)
+    report = models.LoadReport(running=0, queued=0, cold=False, age=0.1)
+    scheduler.handle(
+        models.EndpointReported(endpoint=endpoint.name, report=report), 1.0
+    )
+    return scheduler
+
+
+def get_refusals(actions):
+    """Return code by request."""
+    return {
+        a.request_id: a.refusal.code
+        for a in actions
+        if isinstance(a, models.Refuse)
+    }
+
+
+class OutcomeTest(testtools.TestCase):
+    """What single requests get."""
+
+    def send(self, scheduler, name, now, **changes):
+        """Have a request arrive."""
+        request = make_request(name, **changes)
+        return scheduler.handle(models.RequestArrived(request=request), now)
+
+    def test_deadline_of_a_running_request(self):
+        """Its caller is told and its work stopped in the same step.
+
+        The answer comes too late: the caller gets "outcome unknown" at
+        the deadline, and the endpoint's place is free for the next one.
+        """
+        scheduler = make_scheduler()
+        sent = self.send(scheduler, "r", 1.0, deadline=5.0)
+        self.assertIsInstance(sent[0], models.Dispatch)
+        late = scheduler.handle(models.TimePassed(), 5.0)
+        code = errors.Code.DEADLINE_PASSED_RUNNING
+        self.assertEqual({"r": code}, get_refusals(late))
+        cancel = models.Cancel(request_id="r", endpoint="engine-1")
+        self.assertIn(cancel, late)
+        self.assertTrue(scheduler.is_idle())
+
+    def test_no_new_work_for_what_leaves(self):
+        """From the catalogue on that says so, nothing is sent there."""
+        for change in (
+            {"data_centres": {"dc-1": models.Service.OUT}},
+            {
+                "endpoints": {
+                    "engine-1": dataclasses.replace(
+                        ENGINE, state=models.Service.LEAVING
+                    )
+                }
+            },
+        ):
+            scheduler = make_scheduler()
+            fleet = dataclasses.replace(scheduler.fleet, version=2, **change)
+            scheduler.handle(models.FleetChanged(fleet=fleet), 2.0)
+            got = self.send(scheduler, "r", 3.0)
+            code = errors.Code.NO_ENDPOINT
+            self.assertEqual({"r": code}, get_refusals(got))
+
+    def test_late_start_is_refused_while_nothing_lower_is_served(self):
+        """Work ahead that ends after the deadline: "not run" at once."""
+        slow = dataclasses.replace(ENGINE, prefill_rate=10.0)
+        scheduler = make_scheduler(slow)
+        got = self.send(scheduler, "r", 1.0, deadline=3.0)
+        code = errors.Code.DEADLINE_TOO_NEAR
+        self.assertEqual({"r": code}, get_refusals(got))
+        self.assertGreater(got[0].refusal.retry_after, 0)
+
+    def test_not_refused_while_a_lower_tier_is_served_elsewhere(self):
+        """The same request waits as long as the others run a lower one."""
+        slow = dataclasses.replace(ENGINE, prefill_rate=10.0)
+        scheduler = make_scheduler(slow)
+        summary = models.InstanceSummary(
+            instance="b", version=1, running=(0, 0, 0, 1)
+        )
+        scheduler.handle(models.InstanceReported(summary=summary), 1.0)
+        got = self.send(scheduler, "r", 1.0, deadline=3.0)
+        self.assertEqual({}, get_refusals(got))
+
+    def test_pressure_elsewhere_stops_lower_tiers(self):
+        """Another instance's floor holds here: tier 3 waits, 1 starts."""
+        scheduler = make_scheduler()
+        summary = models.InstanceSummary(instance="b", version=1, floor=1)
+        scheduler.handle(models.InstanceReported(summary=summary), 1.0)
+        self.assertEqual([], self.send(scheduler, "low", 1.0, tier=3))
+        high = self.send(scheduler, "high", 1.0, tier=1)
+        self.assertEqual(["high"], [a.request_id for a in high])
+
+    def test_small_workspace_is_next(self):
+        """A workspace with one request waits behind one of the other's."""
+        scheduler = make_scheduler(dataclasses.replace(ENGINE, concurrency=1))
+        for number in range(6):
+            self.send(scheduler, f"big-{number}", 1.0)
+        self.send(scheduler, "small", 1.0, workspace="ws-2")
+        order = []
+        running = "big-0"
+        for step in range(6):
+            now = 2.0 + step
+            scheduler.handle(models.FirstToken(request_id=running), now)
+            done = models.AnswerFinished(request_id=running)
+            for action in scheduler.handle(done, now + 0.5):
+                running = action.request_id
+                order.append(running)
+        self.assertIn("small", order[:2])
+
+    def test_limits_count_the_other_instances(self):
+        """Two in progress elsewhere leave one of three."""
+        scheduler = make_scheduler(limits=models.Limits(concurrency=3))
+        summary = models.InstanceSummary(
+            instance="b", version=1, usage={"entry": 2}
+        )
+        scheduler.handle(models.InstanceReported(summary=summary), 1.0)
+        self.assertEqual({}, get_refusals(self.send(scheduler, "r1", 1.0)))
+        got = get_refusals(self.send(scheduler, "r2", 1.0))
+        self.assertEqual({"r2": errors.Code.CONCURRENCY_LIMIT}, got)
+
+    def test_rate_limit_refills(self):
+        """Two a second: the third at once is told when to come back."""
+        limits = models.Limits(requests_per_second=2.0)
+        scheduler = make_scheduler(limits=limits)
+        refused = [self.send(scheduler, f"r{n}", 1.0) for n in range(3)][2]
+        code = errors.Code.RATE_LIMIT
+        self.assertEqual({"r2": code}, get_refusals(refused))
+        wait = refused[0].refusal.retry_after
+        again = self.send(scheduler, "r3", 1.0 + max(0.5, wait))
+        self.assertEqual({}, get_refusals(again))
+
+    def test_times_to_come_back_spread_callers(self):
+        """A burst that is refused does not come back as a burst."""
+        scheduler = core.Scheduler("a")
+        waits = [
+            self.send(scheduler, f"r{n}", 0.0)[0].refusal.retry_after
+            for n in range(50)
+        ]
+        self.assertGreater(max(waits) / min(waits), 1.4)
+
+    def test_failed_unsent_is_tried_again_and_sent_is_not(self):
+        """Only what surely was not sent may be sent again."""
+        scheduler = make_scheduler()
+        self.send(scheduler, "r", 1.0)
+        unsent = models.DispatchFailed(request_id="r", sent=False)
+        got = scheduler.handle(unsent, 1.1)
+        self.assertIsInstance(got[0], models.Dispatch)
+        sent = models.DispatchFailed(request_id="r", sent=True)
+        got = scheduler.handle(sent, 1.2)
+        self.assertEqual({"r": errors.Code.ENDPOINT_LOST}, get_refusals(got))
+
+
+class LoadTest(testtools.TestCase):
+    """Short loads on the virtual clock."""
+
+    def run_load(self, rate, faults=(), **options):
+        """Return the figures of a load of twenty seconds."""
+        arrivals = loads.draw(7, lambda t: rate, seconds=20.0, **options)
+        load = loads.Load(name="test", arrivals=arrivals, faults=faults)
+        site = site_module.Site(load)
+        site.run(instances.Instances(site, core.Scheduler))
+        figures = site.ledger.sum_up()
+        overloads = sum(e.overloads for e in site.engines.values())
+        self.assertEqual(0, overloads)
+        self.assertEqual(0, figures["doubled"])
+        self.assertEqual(0, figures["lost"])
+        return figures
+
+    def get_part(self, figures, tier):
+        """Return goodput over what was offered."""
+        good = figures["goodput_by_tier"][tier]
+        return good / figures["offered_by_tier"][tier]
+
+    def test_top_tier_through_saturation(self):
+        """At twice the capacity, status reads are answered in time."""
+        figures = self.run_load(loads.CAPACITY * 2)
+        self.assertGreaterEqual(self.get_part(figures, 0), 0.99)
+
+    def test_top_tier_through_a_data_centre_change(self):
+        """A data centre leaves and comes back cold."""
+        faults = (
+            loads.Fault(time=5, kind="dc_out", target="dc-2"),
+            loads.Fault(time=10, kind="dc_in", target="dc-2"),
+        )
+        figures = self.run_load(loads.CAPACITY * 0.6, faults)
+        self.assertGreaterEqual(self.get_part(figures, 0), 0.99)
+
+    def test_cold_again_without_warning(self):
+        """Engines start over under load; none gets more than it bears."""
+        faults = tuple(
+            loads.Fault(time=3 + n, kind=kind, target=f"engine-{n}", value=1)
+            for n, kind in enumerate(("restart", "cold") * 5)
+        )
+        self.run_load(loads.CAPACITY * 0.6, faults)
+
+    def test_long_work_lets_short_work_through(self):
+        """One in five is a long review; status reads don't wait for it."""
+        figures = self.run_load(loads.CAPACITY * 0.6, mix=loads.LONG_SHARE)
+        self.assertGreaterEqual(self.get_part(figures, 0), 0.99)
