Say "not run" when an endpoint leaves the catalogue before the send

Cause: the executor looked the endpoint up in the task that sends; a catalogue without it that came in between raised KeyError there, and the caller was told "outcome unknown" (9001) of a request that never left; with no catalogue at all its task ended without any answer. Ruled out: looking it up in the step that decides: the address may change as well, and the later one is right.

--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -221,13 +221,23 @@
             ) or self._may_feed_cold(action.endpoint, now)
 
         fleet = self._scheduler.fleet
-        if fleet is None:
+        endpoint = fleet.endpoints.get(action.endpoint) if fleet else None
+        if endpoint is None:
+            # The catalogue changed between the decision and this task.
+            self.post(
+                models.DispatchFailed(
+                    request_id=run.request_id,
+                    sent=False,
+                    code=errors.Code.NO_ENDPOINT,
+                )
+            )
             return
-        address = fleet.endpoints[action.endpoint].address
         run.watch.dispatched(action.endpoint)
         left = request.deadline - self._ticker.now()
         call = dataclasses.replace(run.work.call, timeout=left)
-        match self._client.run_call(address, start, call, may_send, deliver):
+        match self._client.run_call(
+            endpoint.address, start, call, may_send, deliver
+        ):
             case result.Ok(whole):
                 run.deliver(messages.Finished(size=whole.size))
                 self.post(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -141,6 +141,9 @@
     def _complete(self, environ, start_response):  # noqa: ANN001, ANN202
         body = json.loads(environ["wsgi.input"].read())
         request_id = environ.get("HTTP_X_REQUEST_ID", "none")
+        parent = environ.get("HTTP_TRACEPARENT")
+        if parent is not None:
+            self._notes.add("traced", request=request_id, parent=parent)
         stream = engine_stream.Stream(request_id)
         self._streams[request_id] = stream
         stream.run(self._work, stream, body)
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -12,6 +12,7 @@
 
 from standins import caller
 from standins import fleet
+from standins import journal
 from standins import processes
 from tests import addresses
 
@@ -111,6 +112,22 @@
             self.assertEqual(root["span_id"], span["parent_id"])
         return {s["name"]: s for s in mine}
 
+    def check_metrics(self):
+        """Check that the metrics tell what callers got."""
+        caller.send(self.callers[0], "wrong-key", CHAT, self.body)
+        code, body = call(self.operators[0], "/metrics")
+        self.assertEqual(200, code)
+        for line in (
+            'citronport_requests_total{outcome="whole",tier="1"} 1',
+            'citronport_refusals_total{code="1002"} 1',
+            'citronport_first_token_seconds_count{tier="1"} 1.0',
+            "citronport_catalogue_version 1",
+            "citronport_peer_links 1",
+            'citronport_platform_reads_total{outcome="changed",'
+            'path="/v1/catalogue"} 1',
+        ):
+            self.assertIn(f"{line}\n", body)
+
     def test_forwarded_request_is_one_trace(self):
         """A caller that traces its request finds each hop in its trace.
 
@@ -139,6 +156,10 @@
             "engine-1", second["dispatch"]["attributes"]["endpoint"]
         )
         self.assertNotIn("what is due?", json.dumps(spans))
+        lines = journal.read_lines(self.fleet.folder / "engine-1.jsonl")
+        told = [n["parent"] for n in lines if n["kind"] == "traced"]
+        dispatch = second["dispatch"]["span_id"]
+        self.assertIn(f"00-{trace_id}-{dispatch}-01", told)
 
         # Under a ticket of the owner it goes home without being decided.
         _, trace_id, parent_id, _ = OTHER_PARENT.split("-")
@@ -149,12 +170,13 @@
         forward = first["forward"]["span_id"]
         self.check_chain(spans, owner, HOPS, forward)
 
-    def test_status_command(self):
+    def test_status_and_metrics(self):
         """One address shows the fleet; one that is gone is shown too.
 
         An operator asks while one of two instances is dead: the dead one
         is a line of the table, and the command succeeds.
         """
+        self.check_metrics()
         code, output = run_program("status", self.operators[0], "--json")
         self.assertEqual(0, code, output)
         shown = json.loads(output)
@@ -174,22 +196,6 @@
         code, _ = run_program("status", self.operators[1])
         self.assertEqual(1, code)
 
-    def test_metrics_count_goodput_and_refusals(self):
-        """The usual text format, with what callers got."""
-        caller.send(self.callers[0], "wrong-key", CHAT, self.body)
-        code, body = call(self.operators[0], "/metrics")
-        self.assertEqual(200, code)
-        for line in (
-            'citronport_requests_total{outcome="whole",tier="1"} 1',
-            'citronport_refusals_total{code="1002"} 1',
-            'citronport_first_token_seconds_count{tier="1"} 1.0',
-            "citronport_catalogue_version 1",
-            "citronport_peer_links 1",
-            'citronport_platform_reads_total{outcome="changed",'
-            'path="/v1/catalogue"} 1',
-        ):
-            self.assertIn(f"{line}\n", body)
-
     def test_drain_stops_gracefully(self):
         """A drain ends the process by itself, and only by POST."""
         self.assertEqual(200, call(self.operators[0], "/ready")[0])
