Send nothing without a lease after a pause, and see a cut at once

Cause: (1) an owner that was frozen for 3.7 s and replaced sent old requests to a warm endpoint of its memory 40 ms after waking, while the endpoint had turned cold under its new owner; a report that came in 13 ms after the wake was 0.5 s old and still said warm. (2) A cut answer counted as evidence of a restart only once asking for its rest had failed, 18 ms later. Ruled out: a longer lag allowance for reports (any report is older than the pause that matters); the check of the lease alone (a long outage of the platform would stop warm endpoints too). Change: evidence of warmth has an age; for 2 s after a pause of over 1 s a lease is needed; a cut is told to the scheduler before the rest is asked for. An endpoint that turns cold without closing a connection can still get what was sent in the milliseconds before its first cut.

--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -164,6 +164,7 @@
         if not reader.resumable:
             raise
         opened.close()
+        deliver(messages.Cut())
         _resume(address, reader, end)
     return reader.finish()
 
--- a/citronport/endpoints/messages.py
+++ b/citronport/endpoints/messages.py
@@ -26,6 +26,11 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cut:
+    """The connection broke; the rest may still come over another one."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Finished:
     """The answer is whole.
@@ -44,4 +49,4 @@
     refusal: errors.Refusal
 
 
-Message = Started | Chunk | Finished | Refused
+Message = Started | Chunk | Cut | Finished | Refused
--- a/citronport/endpoints/watch.py
+++ b/citronport/endpoints/watch.py
@@ -72,9 +72,10 @@
         try:
             self._opened = connection.dial(self.address)
             while True:
+                asked = self._ticker.now()
                 with gevent.Timeout(const.CONNECT_SECONDS, TimeoutError()):
                     raw = self._ask(self._opened)
-                self._take_report(raw)
+                self._take_report(raw, asked)
                 if self._opened.wait_until_closed(const.REPORT_SECONDS):
                     return
         except (OSError, http_response.HTTPParseError, ValueError) as error:
@@ -96,7 +97,7 @@
             raise ValueError("no load report")
         return raw
 
-    def _take_report(self, raw: dict[str, Any]) -> None:
+    def _take_report(self, raw: dict[str, Any], asked: float) -> None:
         told = str(raw.get("start", ""))
         if self._start and told != self._told:
             # Another process answers behind the same connection, as
@@ -111,7 +112,9 @@
                     endpoint=self._endpoint, start=self._start
                 )
             )
-        report = make_report(raw)
+        # The answer may have lain in a buffer while this process was
+        # stopped: it is as old as the question.
+        report = make_report(raw, self._ticker.now() - asked)
         self._post(
             models.EndpointReported(endpoint=self._endpoint, report=report)
         )
@@ -180,13 +183,18 @@
         return self._starts
 
 
-def make_report(raw: dict[str, Any]) -> models.LoadReport:
-    """Return a load report as the decisions see it."""
+def make_report(raw: dict[str, Any], waited: float) -> models.LoadReport:
+    """Return a load report as the decisions see it.
+
+    Args:
+        raw: the report.
+        waited: seconds since it was asked for.
+    """
     return models.LoadReport(
         running=int(raw.get("running", 0)),
         queued=int(raw.get("queued", 0)),
         cold=bool(raw.get("cold", False)),
-        age=float(raw.get("age", 0.0)),
+        age=float(raw.get("age", 0.0)) + waited,
         received=int(raw.get("received", 0)),
     )
 
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -29,6 +29,15 @@
 run", may take to come."""
 
 
+PAUSE_SECONDS = 1.0
+"""A pause between two steps after which the view counts as old; twenty
+times the longest that a process that runs makes."""
+
+HOLD_SECONDS = 2.0
+"""How long after a pause nothing is sent without a lease. In this time the
+list and the other instances, where they can be reached, have answered."""
+
+
 class Executor:
     """Feeds events to the scheduler, one at a time, and acts on them.
 
@@ -67,6 +76,8 @@
         self._is_current = is_current
         self._client = client.Client()
         self._starts: dict[str, int] = {}
+        self._stepped = ticker.now()
+        self._woken = float("-inf")
         self._inbox: queue.Queue[models.Event] = queue.Queue()
         self._runs: dict[str, runs.Run] = {}
         self._tasks: dict[str, gevent.Greenlet] = {}
@@ -204,6 +215,12 @@
 
         def deliver(message: messages.Message) -> None:
             nonlocal first
+            if isinstance(message, messages.Cut):
+                # Told at once: a cut is the first sign of an endpoint that
+                # started over, and asking for the rest takes a while in
+                # which a cold start would be given more.
+                self.post(models.AnswerCut(request_id=run.request_id))
+                return
             run.deliver(message)
             if first and isinstance(message, messages.Chunk):
                 first = False
@@ -215,10 +232,7 @@
                 return False
             if not self._is_current(action.endpoint, start):
                 return False
-            # The lease may have run out in a pause since the decision.
-            return self._scheduler.is_warm(
-                action.endpoint
-            ) or self._may_feed_cold(action.endpoint, now)
+            return self._may_feed(action.endpoint, now)
 
         fleet = self._scheduler.fleet
         if fleet is None:
@@ -244,6 +258,9 @@
                     action.endpoint,
                     failure.code.name,
                 )
+                if not failure.sent:
+                    # Decided again at once it would fail again at once.
+                    self._ticker.sleep(TICK_SECONDS)
                 self.post(
                     models.DispatchFailed(
                         request_id=run.request_id,
@@ -252,6 +269,17 @@
                     )
                 )
 
+    def _may_feed(self, endpoint: str, now: float) -> bool:
+        # A process that was stopped may own the endpoint no more, and the
+        # endpoint may have turned cold: its new owner and this one would
+        # overfeed it together. Until it has been told what is in force, a
+        # lease is needed; one that ran out in the pause forbids the send.
+        paused = now - self._stepped > PAUSE_SECONDS
+        held = paused or now - self._woken < HOLD_SECONDS
+        if not held and self._scheduler.is_shown_warm(endpoint, now):
+            return True
+        return self._may_feed_cold(endpoint, now)
+
     def _hand_over(self, run: runs.Run, action: models.Forward) -> None:
         run.watch.forwarded(action.instance)
         refusal = self._forward_in_time(run, action.instance)
--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -45,6 +45,8 @@
         cold_share: part of what a cold start bears that may be used.
         warm: whether it was shown warm since its start.
         since: evidence must be younger than this, clock seconds.
+        shown: when it last was warm for certain: when a report was made
+            that says so, or when a request left whose answer has begun.
         foreign: requests that others left there; None if not known.
         counted: only younger reports count foreign requests.
         running: own requests in progress.
@@ -61,6 +63,7 @@
     cold_share: models.ColdShare = models.ColdShare.ALL
     warm: bool = False
     since: float = -math.inf
+    shown: float = -math.inf
     foreign: int | None = None
     counted: float = -math.inf
     running: dict[str, Sent] = dataclasses.field(default_factory=dict)
@@ -83,6 +86,18 @@
     return spec.kind == models.Kind.ENGINE
 
 
+def is_shown_warm(state: State, now: float) -> bool:
+    """Return whether young evidence says that an endpoint is warm.
+
+    An instance that was stopped wakes with an old view: the endpoint may
+    have turned cold, and have another owner, meanwhile. What it saw before
+    counts for no longer than its lease.
+    """
+    if not has_cold_start(state.spec):
+        return True
+    return state.warm and now - state.shown <= const.SHOWN_SECONDS
+
+
 def take_over(state: State, now: float) -> None:
     """Start counting: another instance may have work in progress there."""
     _turn_cold(state, now)
@@ -137,6 +152,7 @@
     if report.cold and state.warm and has_cold_start(state.spec):
         suspect(state, made)
     if not report.cold:
+        state.shown = max(state.shown, made)
         _turn_warm(state)
     if made <= state.counted:
         return
@@ -238,6 +254,7 @@
     if sent is None or sent.first_token is not None:
         return
     sent.first_token = now
+    state.shown = max(state.shown, sent.at)
     if sent.usual:
         _learn_speed(state, sent, now)
     # Prefill is serial: what was sent before is over now, too.
--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -133,3 +133,7 @@
 
 RETRY_FLOORED: Final = 5.0
 """Seconds added to the time to come back where a tier does not start."""
+
+SHOWN_SECONDS: Final = 3.0
+"""How old evidence of warmth may be for a send without a lease; the length
+of a lease, so that both run out in the same pause."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -84,6 +84,8 @@
                 return self._drop(event.request_id, now)
             case models.FirstToken():
                 self._owner.give_first_token(event.request_id, now)
+            case models.AnswerCut():
+                self._owner.suspect(event.request_id, now)
             case models.AnswerFinished():
                 self._finish(event, now)
             case models.DispatchFailed():
@@ -144,9 +146,13 @@
             or self._forwarded
         )
 
-    def is_warm(self, endpoint: str) -> bool:
-        """Return whether an owned endpoint was shown warm."""
-        return self._owner.is_warm(endpoint)
+    def is_shown_warm(self, endpoint: str, now: float) -> bool:
+        """Return whether young evidence says that an endpoint is warm.
+
+        Asked between the last wait and the send, where a lease is needed
+        for any endpoint of which that is not so.
+        """
+        return self._owner.is_shown_warm(endpoint, now)
 
     def _change_fleet(
         self, fleet: models.Fleet, now: float
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -274,6 +274,13 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnswerCut:
+    """The connection broke before the answer's end; it may still go on."""
+
+    request_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnswerFinished:
     """An answer is whole.
@@ -401,6 +408,7 @@
     RequestArrived
     | RequestLeft
     | FirstToken
+    | AnswerCut
     | AnswerFinished
     | DispatchFailed
     | EndpointConnected
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -67,10 +67,10 @@
             budget.connect(self.states[endpoint], now)
             self._caches[endpoint].clear()
 
-    def is_warm(self, endpoint: str) -> bool:
-        """Return whether an endpoint was shown warm since its start."""
+    def is_shown_warm(self, endpoint: str, now: float) -> bool:
+        """Return whether young evidence says that an endpoint is warm."""
         state = self.states.get(endpoint)
-        return state is not None and state.warm
+        return state is not None and budget.is_shown_warm(state, now)
 
     def lose(self, endpoint: str) -> None:
         """A connection broke."""
@@ -314,6 +314,14 @@
             state = self.states[place]
             budget.record_first_token(state, request_id, now)
 
+    def suspect(self, request_id: str, now: float) -> None:
+        """The endpoint of a running request may have started over."""
+        place = self._places.get(request_id)
+        if place is not None and budget.has_cold_start(
+            self.states[place].spec
+        ):
+            budget.suspect(self.states[place], now)
+
     def finish(
         self, request_id: str, now: float, output_tokens: int
     ) -> models.Request | None:
