--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -130,7 +130,7 @@
                 # to one start for ever.
                 if not may_send():
                     return _NOT_SENT
-                opened.send(request)
+                opened.send(request, call.method)
                 return result.Ok(_read(address, opened, call, deliver, end))
             except _FaultError:
                 return _fail(errors.Code.ENDPOINT_FAULT)
@@ -193,7 +193,8 @@
         content_type = answer.get("content-type", "application/json")
         self._deliver(
             messages.Started(
-                status=answer.status_code, content_type=str(content_type)
+                status=answer.status_code,
+                content_type=str(content_type),
             )
         )
 
--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -49,13 +49,13 @@
         self.start = start
         self.idle_since = time.monotonic()
 
-    def send(self, request: bytes) -> None:
-        """Send one request.
+    def send(self, request: bytes, method: str = "GET") -> None:
+        """Send one request; an answer to HEAD has no body.
 
         Raises:
             OSError: the connection broke; the request may have arrived.
         """
-        self._answer = Answer()
+        self._answer = Answer(method)
         self._sock.sendall(request)
 
     def read_head(self) -> Answer:
--- a/tests/endpoints/test_client.py
+++ b/tests/endpoints/test_client.py
@@ -223,6 +223,18 @@
         kept.give_back(address, first)
         self.assertIsNot(first, kept.take(address, 2))
 
+    def test_answer_to_head_has_no_body(self):
+        """The length that it announces is not waited for."""
+
+        def handle(sock, _):
+            sock.recv(65536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+            sock.recv(65536)
+
+        options = {"method": "HEAD", "stream": False, "body": b""}
+        answer = self.call(self.serve(handle), **options)
+        self.assertEqual(0, answer.unwrap().size)
+
     def test_smuggled_header_is_not_sent(self):
         """A header value with a line end makes no second request."""
         self.assertRaises(
