--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -144,8 +144,9 @@
     if time.monotonic() < end:
         return _fail(errors.Code.ENDPOINT_LOST)
     # Without the order the engine would go on for an answer that nobody
-    # gets.
-    gevent.spawn(cancel, address, call.request_id)
+    # gets. A plain service knows no orders: it would run one as a call.
+    if call.path == const.PATH_CHAT:
+        gevent.spawn(cancel, address, call.request_id)
     return _fail(errors.Code.DEADLINE_PASSED_RUNNING)
 
 
--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -318,11 +318,12 @@
         # free: one in cold start would else get the next request while
         # it still works at this one.
         fleet = self._scheduler.fleet
-        if fleet is not None and action.endpoint in fleet.endpoints:
-            address = fleet.endpoints[action.endpoint].address
-            self._at_endpoint[action.endpoint] += 1
-            client.cancel(address, action.request_id)
-            self._at_endpoint[action.endpoint] -= 1
+        endpoint = fleet.endpoints.get(action.endpoint) if fleet else None
+        # A plain service knows no orders: it would run one as a call.
+        if endpoint is not None and endpoint.kind == models.Kind.ENGINE:
+            self._at_endpoint[endpoint.name] += 1
+            client.cancel(endpoint.address, action.request_id)
+            self._at_endpoint[endpoint.name] -= 1
         self.post(models.AnswerFinished(request_id=action.request_id))
 
     def _abandon(self, request_id: str) -> None:
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -233,7 +233,8 @@
         if wait.received:
             return self._count_received(wait.received) >= (wait.count or 1)
         if wait.ended:
-            return not self.running.is_running(wait.ended)
+            name = self.fleet.resolve(wait.ended)
+            return not self.running.is_running(name)
         names = wait.at or tuple(i["name"] for i in self.fleet.instances)
         return all(self.callers.is_served(wait.served, n) for n in names)
 
--- a/standins/scenario_callers.py
+++ b/standins/scenario_callers.py
@@ -183,8 +183,9 @@
         send = record.send
         addresses, ticket = self._find_entries(send, key)
         headers = _make_headers(record, ticket)
+        first = 0 if send.at else number
         for attempt in range(send.repeats + 1):
-            address = addresses[(number + attempt) % len(addresses)]
+            address = addresses[(first + attempt) % len(addresses)]
             outcome = self._send_once(record, key, address, headers)
             if not _may_repeat(send, outcome):
                 return
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -18,10 +18,14 @@
 SEED = 1
 
 NAMES = (
+    "stop_in_turn",
+    "cold_late_waker",
     "whole_cut_short",
     "once_owner_killed",
+    "catalogue_in_force",
     "not_run_partition",
     "leave_data_centre",
+    "catalogue_stale_start",
     "cold_again",
     "tier_order",
     "whole_crossed",
