--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -8,11 +8,11 @@
 WATCH_SECONDS: Final = 20.0
 """How long the platform may hold a watch of the catalogue open."""
 
-CONFIRM_SECONDS: Final = 1.5
+CONFIRM_SECONDS: Final = 1.0
 """How long it may hold a watch of the instance list open.
 
 Each answer renews the lease on owned endpoints, so that a watch has to end
-well within it; 510 instances then make 340 of the platform's 2,000 reads a
+well within it; 510 instances then make 510 of the platform's 2,000 reads a
 second.
 """
 
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from gevent import queue
 
@@ -11,6 +12,9 @@
 from citronport.endpoints import messages
 from citronport.scheduler import models
 
+if typing.TYPE_CHECKING:
+    from citronport import telemetry
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Work:
@@ -55,6 +59,7 @@
         self.kept_bytes = 0
         self.answer_kept = keep
         self.was_not_run = False
+        self.watch: telemetry.Watch | None = None
         self._leave = leave
         self._settle = settle
         self._log: list[messages.Message] = []
@@ -75,6 +80,8 @@
         if isinstance(message, messages.Refused):
             ran = message.refusal.meaning.ran
             self.was_not_run = ran == errors.Ran.NOT_RUN
+        if self.watch is not None:
+            self.watch.see(message)
         # A refusal can come before its reader does; dropped, it would
         # leave the caller waiting until its own timeout.
         early = not self.keep and not self._readers
