--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -239,6 +239,11 @@
     server.connections = connections.Connections(
         limits or connections.make_limits()
     )
+    server.init_socket()
+    # Accepted sockets take this over from the listening one. Without it a
+    # small write waits for the acknowledgement of the one before, which a
+    # caller may hold back for 40 ms: each token would come that late.
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return server
 
 
--- a/citronport/instances/peers.py
+++ b/citronport/instances/peers.py
@@ -25,6 +25,15 @@
 LOG = "instances:"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Served:
+    """A run for another instance, and the task that sends its answer."""
+
+    run: runs.Run
+    inbox: queue.Queue[answers.Message]
+    task: gevent.Greenlet
+
+
 class Peers:
     """Keeps one link to each other instance and runs exchanges on it.
 
@@ -60,7 +69,7 @@
         self._exchanges: dict[
             tuple[link.Link, int], queue.Queue[messages.Message | link.Closed]
         ] = {}
-        self._served: dict[tuple[link.Link, int], gevent.Greenlet] = {}
+        self._served: dict[tuple[link.Link, int], _Served] = {}
 
     def serve(self, address: str, port: int) -> gevent_server.StreamServer:
         """Listen for other instances; return the started server."""
@@ -144,14 +153,16 @@
         inbox: queue.Queue[messages.Message | link.Closed] = queue.Queue()
         self._exchanges[key] = inbox
         chosen.send(self._make_submit(key[1], role, run.work))
-        answered = False
+        ended = False
         try:
             refusal = _relay(inbox, run)
-            answered = True
+            ended = True
             return refusal
         finally:
             del self._exchanges[key]
-            if not answered:
+            # The caller left or was refused meanwhile: the other instance
+            # must not send the request to an endpoint any more.
+            if not ended:
                 chosen.send(messages.Leave(stream=key[1]))
 
     def _make_submit(
@@ -206,9 +217,7 @@
             case messages.Submit():
                 self._serve_submit(source, message)
             case messages.Leave():
-                task = self._served.pop((source, message.stream), None)
-                if task is not None:
-                    task.kill(block=False)
+                self._give_up((source, message.stream))
             case (
                 messages.Begin()
                 | messages.Piece()
@@ -240,10 +249,9 @@
         for (owner, _), inbox in list(self._exchanges.items()):
             if owner is source:
                 inbox.put(link.Closed())
-        for key, task in list(self._served.items()):
+        for key in list(self._served):
             if key[0] is source:
-                del self._served[key]
-                task.kill(block=False)
+                self._give_up(key)
 
     def _serve_submit(
         self, source: link.Link, message: messages.Submit
@@ -259,14 +267,32 @@
         )
         run = self._submit(work, message.role)
         key = (source, message.stream)
-        self._served[key] = gevent.spawn(self._send_answer, key, run)
+        inbox = run.attach()
+        task = gevent.spawn(self._send_answer, key, inbox)
+        self._served[key] = _Served(run=run, inbox=inbox, task=task)
 
-    def _send_answer(self, key: tuple[link.Link, int], run: runs.Run) -> None:
+    def _send_answer(
+        self,
+        key: tuple[link.Link, int],
+        inbox: queue.Queue[answers.Message],
+    ) -> None:
         source, stream = key
-        for message in run.read():
+        ended = False
+        while not ended:
+            message = inbox.get()
             source.send(_convert(stream, message))
+            ended = isinstance(message, answers.Finished | answers.Refused)
         self._served.pop(key, None)
 
+    def _give_up(self, key: tuple[link.Link, int]) -> None:
+        # The reader is taken off here and not by its task: one that was
+        # killed before its first turn would leave the request waiting,
+        # to be run for nobody.
+        served = self._served.pop(key, None)
+        if served is not None:
+            served.task.kill(block=False)
+            served.run.detach(served.inbox)
+
 
 def _make_unreachable(role: str) -> errors.Refusal:
     # Nothing was sent. Still, an earlier copy of a request that belongs to
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -56,10 +56,10 @@
         self.work = work
         self.ended = False
         self.keep = keep
+        self.watch: telemetry.Watch | None = None
         self.kept_bytes = 0
         self.answer_kept = keep
         self.was_not_run = False
-        self.watch: telemetry.Watch | None = None
         self._leave = leave
         self._settle = settle
         self._log: list[messages.Message] = []
@@ -77,11 +77,11 @@
         if self.ended:
             return
         self.ended = isinstance(message, messages.Finished | messages.Refused)
+        if self.watch is not None:
+            self.watch.see(message)
         if isinstance(message, messages.Refused):
             ran = message.refusal.meaning.ran
             self.was_not_run = ran == errors.Ran.NOT_RUN
-        if self.watch is not None:
-            self.watch.see(message)
         # A refusal can come before its reader does; dropped, it would
         # leave the caller waiting until its own timeout.
         early = not self.keep and not self._readers
