Serve the unmodified openai client, its own repeats included

Cause: nothing proved the client's own repeats; a refusal that names other addresses told it to repeat at the one that refused; times to come back were rounded up to whole seconds, so that callers came back in step. Ruled out: a redirect to another entry (307): the client's HTTP library drops the key when host or port change.

--- a/citronport/callers/answers.py
+++ b/citronport/callers/answers.py
@@ -60,14 +60,22 @@
     meaning = refusal.meaning
     data = json.dumps(describe_refusal(refusal)).encode()
     headers = _make_headers(data)
+    # A client that repeats by itself does so at the same address, where a
+    # refusal that names others would only be given again.
+    repeats_here = meaning.may_retry and not refusal.go_to
     headers += [
         (common.HEADER_CODE, str(int(refusal.code))),
         (common.HEADER_RAN, str(meaning.ran)),
-        (common.HEADER_SHOULD_RETRY, "true" if meaning.may_retry else "false"),
+        (common.HEADER_SHOULD_RETRY, "true" if repeats_here else "false"),
     ]
     if refusal.retry_after is not None:
-        # The header takes whole seconds; the exact time is in the body.
-        headers.append(("Retry-After", str(math.ceil(refusal.retry_after))))
+        # The usual header takes whole seconds; the other one, which the
+        # openai client reads first, keeps callers spread over the time.
+        milliseconds = math.ceil(refusal.retry_after * 1000)
+        headers += [
+            ("Retry-After", str(math.ceil(refusal.retry_after))),
+            (common.HEADER_RETRY_AFTER_MS, str(milliseconds)),
+        ]
     if refusal.go_to:
         headers.append((common.HEADER_GO_TO, ", ".join(refusal.go_to)))
     return f"{meaning.status} Refused", headers, data
--- a/citronport/const.py
+++ b/citronport/const.py
@@ -15,6 +15,7 @@
 HEADER_CODE: Final = "X-Citronport-Code"
 HEADER_RAN: Final = "X-Citronport-Ran"
 HEADER_GO_TO: Final = "X-Citronport-Go-To"
+HEADER_RETRY_AFTER_MS: Final = "Retry-After-Ms"
 HEADER_SHOULD_RETRY: Final = "X-Should-Retry"
 
 DEFAULT_DEADLINE: Final = 60.0
