Keep records small and lookups cheap at 510 entries

Cause: a record kept its whole run, with the request's body, for 300 s: 1,890 bytes and up to 4 MB of body each; a lookup looked at all instances. Ruled out: dropping records early (a repeat could run twice). Change: a run lets go of its body at its end (telemetry's watch too); a record whose answer is trimmed keeps two numbers under a 16-byte hash that callers can't make collide; the usable entries and the ranking are worked out once for each change; an answer names 16 addresses.

--- a/citronport/callers/const.py
+++ b/citronport/callers/const.py
@@ -45,6 +45,9 @@
 ANSWER_BUDGET_BYTES: Final = 8_000_000
 """Bytes of answers kept for repeats: a quarter of a daemon's 32 MB."""
 
+RUN_BYTES: Final = 2_000
+"""What a finished run takes besides its answer, about."""
+
 LINGER_SECONDS: Final = 20.0
 """How long an idempotent keyed run goes on with no caller left.
 
@@ -143,6 +146,10 @@
 """How long the owners of a model's endpoints are kept; a look at 5,100
 endpoints takes about a millisecond."""
 
+LOOKUP_ADDRESSES: Final = 16
+"""Addresses in the answer of a lookup; a caller that finds all of these
+dead asks another entry. All of 510 would be 11 KB."""
+
 GO_TO_ADDRESSES: Final = 8
 """Addresses in a refusal; a header of all 510 would be 11 KB."""
 
--- a/citronport/callers/home.py
+++ b/citronport/callers/home.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import hashlib
 
 import result
 
@@ -14,8 +15,6 @@
 from citronport.callers import const
 from citronport.callers import tickets
 
-RecordKey = tuple[str, str, str]
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Join:
@@ -39,10 +38,12 @@
 Verdict = Join | Start | GoHome
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class _Record:
-    identity: tickets.Identity
-    run: runs.Run
+    # Kept small: there may be tens of thousands.
+    body_hash: int
+    issued: int | None
+    run: runs.Run | None
     ended: float | None = None
     alone_since: float | None = None
 
@@ -72,10 +73,8 @@
         self._started = started
         self._max_records = max_records
         self._answer_bytes = answer_bytes
-        self._running: dict[RecordKey, _Record] = {}
-        self._ended: collections.OrderedDict[RecordKey, _Record] = (
-            collections.OrderedDict()
-        )
+        self._running: dict[bytes, _Record] = {}
+        self._ended: dict[bytes, _Record] = {}
         self._answers: collections.deque[_Record] = collections.deque()
         self._ended_bytes = 0
 
@@ -106,10 +105,11 @@
         # may have run, so that it may not start again here.
         if ticket is not None and ticket.incarnation != self.incarnation:
             return result.Err(errors.Refusal(code=errors.Code.HOME_GONE))
-        record = self._find(identity)
+        key = _make_key(identity)
+        record = self._running.get(key) or self._ended.get(key)
         if record is not None:
             return _join(record, identity)
-        if ticket is not None and not self._accepts(ticket, now):
+        if ticket is not None and not self._accepts(ticket.issued, now):
             return result.Err(errors.Refusal(code=errors.Code.TICKET_EXPIRED))
         # Load: more keyed requests than the sizes this is made for. Harm:
         # memory without bound; dropping a record early would let a repeat
@@ -125,8 +125,12 @@
 
     def add(self, identity: tickets.Identity, run: runs.Run) -> None:
         """Remember a run that was started after ``Start``."""
-        key = _make_key(identity)
-        self._running[key] = _Record(identity=identity, run=run)
+        ticket = identity.ticket
+        self._running[_make_key(identity)] = _Record(
+            body_hash=identity.body_hash,
+            issued=ticket.issued if ticket else None,
+            run=run,
+        )
 
     def settle(self, run: runs.Run, now: float) -> None:
         """Note that a run has come to its end."""
@@ -140,10 +144,11 @@
         # one: the caller was told that it may send the request again.
         if run.was_not_run:
             return
+        run.forget_body()
         record.ended = now
         self._ended[key] = record
         self._answers.append(record)
-        self._ended_bytes += run.kept_bytes
+        self._ended_bytes += _count_bytes(record)
 
     def sweep(self, now: float) -> list[runs.Run]:
         """Drop what no repeat can need; return runs to give up.
@@ -155,21 +160,17 @@
         return [
             record.run
             for record in self._running.values()
-            if _is_abandoned(record, now)
+            if record.run and _is_abandoned(record, now)
         ]
 
     def __len__(self) -> int:
         """Return the number of records."""
         return len(self._running) + len(self._ended)
 
-    def _find(self, identity: tickets.Identity) -> _Record | None:
-        key = _make_key(identity)
-        return self._running.get(key) or self._ended.get(key)
-
-    def _accepts(self, ticket: tickets.Ticket, now: float) -> bool:
+    def _accepts(self, issued: int, now: float) -> bool:
         # A ticket from the future was not issued here; its record would
         # be dropped while it could still start requests.
-        age = now - self._started - ticket.issued
+        age = now - self._started - issued
         return 0 <= age <= const.TICKET_LIFETIME_SECONDS
 
     def _expire(self, now: float) -> None:
@@ -187,35 +188,43 @@
             return False
         # The rule that keeps a request from starting twice: a record
         # outlives its ticket, by the same test that lets one start.
-        ticket = record.identity.ticket
-        return ticket is None or not self._accepts(ticket, now)
+        issued = record.issued
+        return issued is None or not self._accepts(issued, now)
 
     def _trim_answers(self) -> None:
         # Oldest ends go first, since a repeat mostly comes within seconds;
         # answers in progress only if nothing else is left.
-        growing = sum(r.run.kept_bytes for r in self._running.values())
+        while self._answers and self._answers[0].run is None:
+            self._answers.popleft()
+        growing = sum(map(_count_bytes, self._running.values()))
         while self._answers and self._is_over_budget(growing):
             self._forget_answer(self._answers.popleft())
         for record in self._running.values():
-            if not self._is_over_budget(growing):
+            if not self._is_over_budget(growing) or record.run is None:
                 return
-            growing -= record.run.kept_bytes
+            growing -= _count_bytes(record)
             record.run.forget_answer()
 
     def _is_over_budget(self, growing: int) -> bool:
         return self._ended_bytes + growing > self._answer_bytes
 
     def _forget_answer(self, record: _Record) -> None:
-        self._ended_bytes -= record.run.kept_bytes
-        record.run.forget_answer()
+        self._ended_bytes -= _count_bytes(record)
+        record.run = None
+
+
+def _count_bytes(record: _Record) -> int:
+    if record.run is None:
+        return 0
+    return const.RUN_BYTES + record.run.kept_bytes
 
 
 def _join(
     record: _Record, identity: tickets.Identity
 ) -> result.Result[Verdict, errors.Refusal]:
-    if record.identity.body_hash != identity.body_hash:
+    if record.body_hash != identity.body_hash:
         return result.Err(errors.Refusal(code=errors.Code.KEY_REUSED))
-    if not record.run.answer_kept:
+    if record.run is None or not record.run.answer_kept:
         return result.Err(errors.Refusal(code=errors.Code.ANSWER_NOT_KEPT))
     return result.Ok(Join(run=record.run))
 
@@ -224,7 +233,8 @@
     # A caller whose link broke repeats within seconds, so that its run
     # goes on for a while; after that the work is for nobody. What may run
     # only once is finished: stopped half-way it could not be repeated.
-    if record.run.has_readers or not record.run.work.request.idempotent:
+    run = record.run
+    if run is None or run.has_readers or not run.work.request.idempotent:
         record.alone_since = None
         return False
     if record.alone_since is None:
@@ -232,5 +242,9 @@
     return now - record.alone_since >= const.LINGER_SECONDS
 
 
-def _make_key(identity: tickets.Identity) -> RecordKey:
-    return (identity.entry, str(identity.ticket or ""), identity.key)
+def _make_key(identity: tickets.Identity) -> bytes:
+    # A hash that callers can't make collide: a collision would give one
+    # owner the answer of another.
+    names = (identity.entry, str(identity.ticket or ""), identity.key)
+    text = "\n".join(names).encode()
+    return hashlib.blake2b(text, digest_size=16).digest()
--- a/citronport/callers/lookup.py
+++ b/citronport/callers/lookup.py
@@ -4,6 +4,7 @@
 import collections.abc
 import math
 import secrets
+from typing import Any
 
 import xxhash
 
@@ -43,6 +44,8 @@
         self._ticker = ticker
         self._ranked: dict[str, list[str]] = {}
         self._ranked_for: tuple[str, ...] = ()
+        self._usable: tuple[str, ...] = ()
+        self._usable_for: tuple[Any, ...] = ()
         self._weights: collections.Counter[str] = collections.Counter()
         self._weighed_for: models.Fleet | None = None
         self._serving: dict[str, set[str]] = {}
@@ -67,7 +70,8 @@
         # An entry that owns a fitting endpoint sends to it by itself; each
         # other one relays every byte of the answer a second time.
         window.sort(key=lambda name: name not in owners)
-        return self._get_addresses([*window, *ranked[size:]])
+        ordered = [*window, *ranked[size:]]
+        return self._get_addresses(ordered[: const.LOOKUP_ADDRESSES])
 
     def is_leaving(self) -> bool:
         """Return whether this instance takes no new work."""
@@ -80,14 +84,28 @@
         return self._get_addresses(others[: const.GO_TO_ADDRESSES])
 
     def _list_usable(self) -> tuple[str, ...]:
+        # Looks at all instances once for each change of what they depend
+        # on; the store replaces its values and never alters them.
+        depends = (
+            self._published.instances,
+            self._published.fleet,
+            self._get_dead(),
+            self._is_leaving(),
+        )
+        if not _are_same(depends, self._usable_for):
+            self._usable_for = depends
+            self._usable = self._select_usable()
+        return self._usable
+
+    def _select_usable(self) -> tuple[str, ...]:
+        _, _, dead, leaving = self._usable_for
         data_centres = self._get_data_centres()
-        dead = self._get_dead()
         return tuple(
             name
             for name, instance in self._published.instances.items()
             if is_in_service(instance, data_centres)
             and name not in dead
-            and not (name == self._instance and self._is_leaving())
+            and not (name == self._instance and leaving)
         )
 
     def _get_data_centres(self) -> dict[str, models.Service]:
@@ -97,7 +115,7 @@
     def _rank(self, workspace: str, usable: tuple[str, ...]) -> list[str]:
         # Ranking costs a hash for each instance: once for each workspace
         # and change of the list, not once a lookup.
-        if usable != self._ranked_for:
+        if usable is not self._ranked_for:
             self._ranked = {}
             self._ranked_for = usable
         if workspace not in self._ranked:
@@ -133,6 +151,15 @@
         )
 
 
+def _are_same(one: tuple[Any, ...], other: tuple[Any, ...]) -> bool:
+    # Published values are large: compared by identity, the rest by value.
+    return (
+        len(one) == len(other)
+        and all(a is b for a, b in zip(one[:2], other[:2], strict=True))
+        and one[2:] == other[2:]
+    )
+
+
 def is_in_service(
     instance: models.Instance, data_centres: dict[str, models.Service]
 ) -> bool:
--- a/citronport/runs.py
+++ b/citronport/runs.py
@@ -99,6 +99,11 @@
         """Whether somebody waits for the answer."""
         return bool(self._readers)
 
+    def forget_body(self) -> None:
+        """Free the body, which nobody needs once the run has ended."""
+        call = dataclasses.replace(self.work.call, body=b"")
+        self.work = dataclasses.replace(self.work, call=call)
+
     def forget_answer(self) -> None:
         """Free the kept answer; nobody can join the run any more."""
         self._log.clear()
--- a/citronport/telemetry.py
+++ b/citronport/telemetry.py
@@ -97,7 +97,15 @@
         caller: trace header that came with the request, or empty.
     """
 
-    __slots__ = ("_counts", "_first", "_hops", "_started", "_ticker", "_work")
+    __slots__ = (
+        "_counts",
+        "_first",
+        "_headers",
+        "_hops",
+        "_request",
+        "_started",
+        "_ticker",
+    )
 
     def __init__(
         self,
@@ -107,7 +115,9 @@
         tracer: spans.Tracer | None,
         caller: str,
     ) -> None:
-        self._work = work
+        # Not the work whole: a kept run lets go of its body at its end.
+        self._request = work.request
+        self._headers = work.call.headers
         self._counts = counts
         self._ticker = ticker
         self._first = True
@@ -127,13 +137,13 @@
         """Note that the request goes to an endpoint now."""
         if self._hops is not None:
             self._hops.enter("dispatch", {"endpoint": endpoint})
-            self._hops.carry(self._work.call.headers)
+            self._hops.carry(self._headers)
 
     def forwarded(self, instance: str) -> None:
         """Note that the request goes to another instance now."""
         if self._hops is not None:
             self._hops.enter("forward", {"instance": instance})
-            self._hops.carry(self._work.call.headers)
+            self._hops.carry(self._headers)
 
     def returned(self) -> None:
         """Note that another instance did not run the request."""
@@ -149,7 +159,7 @@
             return
         match message:
             case messages.Finished():
-                late = self._ticker.now() > self._work.request.deadline
+                late = self._ticker.now() > self._request.deadline
                 self.end(OUTCOME_LATE if late else OUTCOME_WHOLE)
             case messages.Refused():
                 self.end(str(int(message.refusal.code)))
@@ -158,7 +168,7 @@
         """Note the end; a later one is not counted."""
         counts, self._counts = self._counts, None
         if counts is not None:
-            counts.outcomes[self._work.request.tier, outcome] += 1
+            counts.outcomes[self._request.tier, outcome] += 1
         if self._hops is not None:
             self._hops.end({"outcome": outcome})
             self._hops = None
@@ -167,7 +177,7 @@
         self._first = False
         if self._counts is not None:
             seconds = self._ticker.now() - self._started
-            tier = self._work.request.tier
+            tier = self._request.tier
             self._counts.first_token[tier].observe(seconds)
         if self._hops is not None and self._hops.name == "dispatch":
             self._hops.enter("stream")
