--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -337,6 +337,7 @@
             task.kill(block=False)
         run = self._runs.get(action.request_id)
         if run is not None:
+            run.watch.end(telemetry_module.OUTCOME_LEFT)
             # A repeat may have joined since the last caller left.
             self._finish(run, errors.Refusal(code=errors.Code.ABANDONED))
         gevent.spawn(self._stop_work, action)
@@ -367,7 +368,8 @@
         else:
             task.kill(block=False)
             code = errors.Code.ABANDONED
-        self._finish(run, errors.Refusal(code=code, retry_after=None))
+        run.watch.end(telemetry_module.OUTCOME_LEFT)
+        self._finish(run, errors.Refusal(code=code))
 
     def _forget(self, request_id: str) -> None:
         run = self._runs.pop(request_id, None)
