--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 
+from citronport import const as common
 from citronport.scheduler import const
 from citronport.scheduler import models
 
@@ -48,6 +49,7 @@
         foreign: requests that others left there; None if not known.
         counted: only younger reports count foreign requests.
         running: own requests in progress.
+        by_tier: how many of these there are, by tier.
         limit: requests it may have at once now.
         slow: times slower than the catalogue says.
         decode: measured answer tokens a second of one request.
@@ -64,6 +66,9 @@
     foreign: int | None = None
     counted: float = -math.inf
     running: dict[str, Sent] = dataclasses.field(default_factory=dict)
+    by_tier: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * common.TIERS
+    )
     limit: float = 0.0
     slow: float = 1.0
     decode: float = 0.0
@@ -199,6 +204,11 @@
             return 0
 
 
+def count_lower(state: State, tier: int) -> int:
+    """Return the requests in progress there of tiers below one."""
+    return sum(state.by_tier[tier + 1 :])
+
+
 def may_overcommit(state: State, request: models.Request) -> bool:
     """Return whether a request may take the room of lower ones.
 
@@ -210,7 +220,7 @@
     """
     if not state.connected or not state.warm or state.foreign is None:
         return False
-    lower = sum(s.request.tier > request.tier for s in state.running.values())
+    lower = count_lower(state, request.tier)
     extra = min(lower, int(state.spec.concurrency * const.OVERCOMMIT))
     load = len(state.running) + state.foreign
     return load < min(state.limit, state.spec.concurrency) + extra
@@ -223,6 +233,7 @@
     begin = max(now, state.prefill_free)
     load = len(state.running) + (state.foreign or 0)
     state.prefill_free = begin + prefill
+    state.by_tier[request.tier] += 1
     state.running[request.request_id] = Sent(
         request=request,
         at=now,
@@ -232,6 +243,13 @@
     )
 
 
+def _take_out(state: State, request_id: str) -> Sent | None:
+    sent = state.running.pop(request_id, None)
+    if sent is not None:
+        state.by_tier[sent.request.tier] -= 1
+    return sent
+
+
 def record_first_token(state: State, request_id: str, now: float) -> None:
     """Learn the speed, and that the endpoint bears its load."""
     sent = state.running.get(request_id)
@@ -266,7 +284,7 @@
     state: State, request_id: str, now: float, output_tokens: int
 ) -> Sent | None:
     """Count a request out whose answer is whole, or that left."""
-    sent = state.running.pop(request_id, None)
+    sent = _take_out(state, request_id)
     if sent is None:
         return None
     gain = const.SPEED_GAIN
@@ -287,7 +305,7 @@
     is the cold one from here on, and the request stays in it until a
     younger report shows that it is gone.
     """
-    entry = state.running.pop(request_id, None)
+    entry = _take_out(state, request_id)
     if entry is None or not sent or not has_cold_start(state.spec):
         return entry
     if state.foreign is not None:
@@ -299,7 +317,7 @@
 
 def record_cancel(state: State, request_id: str, now: float) -> None:
     """Count a cancelled request as foreign until it is surely gone."""
-    if state.running.pop(request_id, None) is None:
+    if _take_out(state, request_id) is None:
         return
     if has_cold_start(state.spec) and not state.warm:
         if state.foreign is not None:
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -74,6 +74,9 @@
         """
         self._now = now
         actions = self._take(event, now)
+        if isinstance(event, models.InstanceReported):
+            # Most events by far, and none of them frees a place.
+            return actions
         return [*actions, *self._owner.start(self._get_floor(now), now)]
 
     def _take(self, event: models.Event, now: float) -> list[models.Action]:
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -175,7 +175,7 @@
             now: clock time, seconds.
         """
         dispatches: list[models.Dispatch] = []
-        if not self.queue:
+        if not len(self.queue):
             return dispatches
         waiting = sorted(
             (tier, group) for group, tier in self.queue.get_groups()
@@ -195,8 +195,8 @@
     def _has_room(self, name: str, tier: int) -> bool:
         # A cheap look first: most events find all endpoints full.
         state = self.states[name]
-        most = state.spec.concurrency * (1 + const.OVERCOMMIT)
-        return len(state.running) < most
+        full = len(state.running) >= state.limit
+        return not full or budget.count_lower(state, tier) > 0
 
     def _find_start(
         self, group: queue.Group, tier: int, floor: int, now: float
@@ -263,9 +263,7 @@
             state = self.states[name]
             if not budget.may_overcommit(state, request):
                 continue
-            lower = sum(
-                s.request.tier > request.tier for s in state.running.values()
-            )
+            lower = budget.count_lower(state, request.tier)
             score = self._score(state, name, request, now)
             if lower and score is not None:
                 return name
--- a/measures/decisions/__init__.py
+++ b/measures/decisions/__init__.py
@@ -21,7 +21,7 @@
     "least_reported",
     "clairvoyant",
 )
-WORKERS = 3
+WORKERS = 4
 """Runs at once; a run is one process that ends by itself."""
 
 
