--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -133,3 +133,7 @@
 
 RETRY_FLOORED: Final = 5.0
 """Seconds added to the time to come back where a tier does not start."""
+
+LOOK_SECONDS: Final = 0.25
+"""A request that is too late, but must not be shed yet, is looked at
+again after so long; the lower tier may have ended by then."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -285,7 +285,7 @@
         )
         owner.queue.push(waiting, weight)
         self._deadlines.add(
-            request.deadline - owner.estimate_service(request) * 0.5,
+            request.deadline - owner.estimate_service(request),
             request.request_id,
         )
         self._deadlines.add(request.deadline, request.request_id)
@@ -434,5 +434,6 @@
             return self._shed(request, late, now)
         if self._has_lower(request, now):
             self._owner.queue.push(waiting, self._get_weight(request))
+            self._deadlines.add(now + const.LOOK_SECONDS, request_id)
             return []
         return self._shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -133,7 +133,8 @@
         names = self.get_usable(queue.get_group(request))
         decode = max((self.states[n].decode for n in names), default=50.0)
         prefill = self.lengths.get_uncached(request) / ring.prefill_rate
-        return prefill + self.lengths.get_output(request) / max(1.0, decode)
+        output = self.lengths.get_output(request) * const.LATE
+        return prefill + output / max(1.0, decode)
 
     def get_capacity(self, group: queue.Group) -> float:
         """Return the owned capacity, in mean endpoints."""
--- a/measures/decisions/__init__.py
+++ b/measures/decisions/__init__.py
@@ -106,7 +106,8 @@
         case "citronport":
             return instances.Instances(site, core.Scheduler)
         case "earlier":
-            return instances.Instances(site, earlier.Scheduler)
+            # It scans its whole queue at each event.
+            return instances.Instances(site, earlier.Scheduler, tick=1.0)
         case "round_robin":
             return baselines.Simple(site, by_report=False)
         case "least_reported":
--- a/measures/decisions/instances.py
+++ b/measures/decisions/instances.py
@@ -25,7 +25,9 @@
         self,
         site: site_module.Site,
         make: collections.abc.Callable[[str], object],
+        tick: float = TICK_SECONDS,
     ) -> None:
+        self._tick_seconds = tick
         self._site = site
         self._clock = site.clock
         self.schedulers = {name: make(name) for name in NAMES}
@@ -144,7 +146,7 @@
     def _tick(self) -> None:
         self._tell_all(models.TimePassed())
         if self._clock.now < loads.SECONDS + site_module.SETTLE:
-            self._clock.after(TICK_SECONDS, self._tick)
+            self._clock.after(self._tick_seconds, self._tick)
 
     def _speak(self) -> None:
         for name, scheduler in self.schedulers.items():
