Sum the other instances at a steady pace, measure cost by fleet size

Cause: the floor, the lower tiers served and the limits were counted over all other instances at each event. Change: one view, made anew each 50 ms; a new summary changes it at once.

--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -104,11 +104,11 @@
 Prefill is what saturated engines run out of: prefilling again what
 another endpoint holds takes capacity from all who wait."""
 
-LATE: Final = 0.8
+LATE: Final = 1.0
 """Part of the expected decoding that must fit before the deadline.
 
-Lengths are guesses: a request is started only if it could end in time
-when its answer is a little shorter than the mean."""
+Less starts what is cut at its deadline, its prefill in vain; more refuses
+what would have been in time."""
 
 MOVE_SECONDS: Final = 0.5
 """A request that waited for so long may go to a less loaded instance."""
@@ -137,3 +137,6 @@
 LOOK_SECONDS: Final = 0.25
 """A request that is too late, but must not be shed yet, is looked at
 again after so long; the lower tier may have ended by then."""
+
+VIEW_SECONDS: Final = 0.05
+"""Age at which the sum over all other instances is made anew."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -212,7 +212,7 @@
         if entry is None:
             return None
         refused = self._limits.admit(
-            request, entry, self._pressure.get_fresh(now), now
+            request, entry, self._pressure.get_view(now), now
         )
         if refused is None:
             return None
--- a/citronport/scheduler/limits.py
+++ b/citronport/scheduler/limits.py
@@ -4,6 +4,7 @@
 
 from citronport import errors
 from citronport.scheduler import models
+from citronport.scheduler import pressure
 
 WINDOW = 1.0
 """Seconds of a limit's rate that may come at once."""
@@ -49,7 +50,7 @@
         self,
         request: models.Request,
         entry: models.Entry,
-        peers: list[models.InstanceSummary],
+        view: pressure.View,
         now: float,
     ) -> tuple[errors.Code, float] | None:
         """Count a request in, or return why not and when to come back.
@@ -57,7 +58,7 @@
         Args:
             request: the request; its tokens are what it may use at most.
             entry: the catalogue entry.
-            peers: summaries of the other instances.
+            view: what the other instances tell.
             now: clock time, seconds.
         """
         limits = entry.limits
@@ -67,20 +68,17 @@
         if usage is None:
             usage = Usage(at=now - WINDOW)
             self._usage[entry.name] = usage
-        rate = _get_share(
-            limits.requests_per_second, [p.rates for p in peers], entry.name
-        )
+        others = view.uses.get(entry.name, pressure.Use())
+        count = view.instances + 1
+        rate = _get_share(limits.requests_per_second, others.rate, count)
         token_rate = _get_share(
-            limits.tokens_per_second,
-            [p.token_rates for p in peers],
-            entry.name,
+            limits.tokens_per_second, others.token_rate, count
         )
         _refill(usage, rate, token_rate, now)
         tokens = request.prompt_tokens + request.max_tokens
-        others = sum(p.usage.get(entry.name, 0) for p in peers)
         if (
             limits.concurrency is not None
-            and len(usage.running) + others >= limits.concurrency
+            and len(usage.running) + others.running >= limits.concurrency
         ):
             return errors.Code.CONCURRENCY_LIMIT, 1.0
         if rate is not None and usage.requests < 1:
@@ -116,13 +114,10 @@
         return told
 
 
-def _get_share(
-    limit: float | None, others: list[dict[str, float]], entry: str
-) -> float | None:
+def _get_share(limit: float | None, others: float, count: int) -> float | None:
     if limit is None:
         return None
-    left = limit - sum(rates.get(entry, 0.0) for rates in others)
-    return max(limit / (len(others) + 1), left)
+    return max(limit / count, limit - others)
 
 
 def _refill(
--- a/citronport/scheduler/pressure.py
+++ b/citronport/scheduler/pressure.py
@@ -7,6 +7,7 @@
 part, since only summaries that still come count.
 """
 
+import dataclasses
 import math
 
 from citronport import const as common
@@ -16,6 +17,38 @@
 LOWEST = common.TIERS - 1
 
 
+@dataclasses.dataclass(kw_only=True)
+class Use:
+    """What the other instances have admitted under one entry."""
+
+    running: int = 0
+    rate: float = 0.0
+    token_rate: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class View:
+    """The summaries of the other instances in one.
+
+    Attributes:
+        at: clock time of the last full count.
+        instances: how many are in reach.
+        floor: lowest floor.
+        lowest: lowest tier that is served; -1 if none is.
+        waits: shortest wait by model and tier, seconds.
+        uses: by catalogue entry.
+    """
+
+    at: float = -math.inf
+    instances: int = 0
+    floor: int = LOWEST
+    lowest: int = -1
+    waits: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    uses: dict[str, Use] = dataclasses.field(default_factory=dict)
+
+
 class Pressure:
     """The floor of this instance and the summaries of the others."""
 
@@ -25,6 +58,7 @@
         self._raised = -math.inf
         self._doublings = 0
         self._peers: dict[str, tuple[models.InstanceSummary, float]] = {}
+        self._view = View()
 
     @property
     def own_floor(self) -> int:
@@ -71,11 +105,20 @@
         self, summary: models.InstanceSummary, now: float
     ) -> None:
         """Note what another instance told."""
+        known = self._peers.get(summary.instance)
         self._peers[summary.instance] = (summary, now)
+        view = self._view
+        _add_urgent(view, summary)
+        if known is not None and known[1] > view.at - const.SUMMARY_SECONDS:
+            _add_uses(view, known[0], -1)
+        else:
+            view.instances += 1
+        _add_uses(view, summary, 1)
 
     def forget(self, instance: str) -> None:
         """Another instance is out of reach."""
         self._peers.pop(instance, None)
+        self._view.at = -math.inf
 
     def get_peer(
         self, instance: str, now: float
@@ -86,27 +129,31 @@
             return None
         return known[0]
 
-    def get_fresh(self, now: float) -> list[models.InstanceSummary]:
-        """Return all summaries that are not too old."""
-        return [
-            summary
-            for summary, at in self._peers.values()
-            if now - at <= const.SUMMARY_SECONDS
-        ]
+    def get_view(self, now: float) -> View:
+        """Return the other instances as one.
+
+        Load: hundreds of instances. Harm: each event costs more with each
+        of them. The sum is made anew at a steady pace; in between a new
+        summary only adds what makes this instance more careful.
+        """
+        if now - self._view.at < const.VIEW_SECONDS:
+            return self._view
+        view = View(at=now)
+        for summary, at in self._peers.values():
+            if now - at <= const.SUMMARY_SECONDS:
+                view.instances += 1
+                _add_urgent(view, summary)
+                _add_uses(view, summary, 1)
+        self._view = view
+        return view
 
     def get_wait(self, model: str, tier: int, now: float) -> float:
         """Return the shortest wait that another instance tells of."""
-        waits = [
-            summary.waits[model][tier]
-            for summary in self.get_fresh(now)
-            if model in summary.waits and not summary.leaving
-        ]
-        return min(waits, default=math.inf)
+        return self.get_view(now).waits.get((model, tier), math.inf)
 
     def get_floor(self, now: float) -> int:
         """Return the lowest tier that may be started now."""
-        floors = [summary.floor for summary in self.get_fresh(now)]
-        return min([self._floor, *floors])
+        return min(self._floor, self.get_view(now).floor)
 
     def has_lower(self, tier: int, own: list[int], now: float) -> bool:
         """Return whether a lower tier is served anywhere in reach.
@@ -116,6 +163,25 @@
             own: requests that run here, by tier.
             now: clock time, seconds.
         """
-        if sum(own[tier + 1 :]):
-            return True
-        return any(sum(s.running[tier + 1 :]) for s in self.get_fresh(now))
+        return sum(own[tier + 1 :]) > 0 or self.get_view(now).lowest > tier
+
+
+def _add_urgent(view: View, summary: models.InstanceSummary) -> None:
+    view.floor = min(view.floor, summary.floor)
+    for tier, count in enumerate(summary.running):
+        if count:
+            view.lowest = max(view.lowest, tier)
+    if summary.leaving:
+        return
+    for model, waits in summary.waits.items():
+        for tier, wait in enumerate(waits):
+            known = view.waits.get((model, tier), math.inf)
+            view.waits[model, tier] = min(known, wait)
+
+
+def _add_uses(view: View, summary: models.InstanceSummary, sign: int) -> None:
+    for name, running in summary.usage.items():
+        use = view.uses.setdefault(name, Use())
+        use.running += sign * running
+        use.rate += sign * summary.rates.get(name, 0.0)
+        use.token_rate += sign * summary.token_rates.get(name, 0.0)
