--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -74,6 +74,9 @@
         """
         self._now = now
         actions = self._take(event, now)
+        if isinstance(event, models.InstanceReported):
+            # Most events by far, and none of them frees a place.
+            return actions
         return [*actions, *self._owner.start(self._get_floor(now), now)]
 
     def _take(self, event: models.Event, now: float) -> list[models.Action]:
@@ -215,7 +218,7 @@
         if entry is None:
             return None
         refused = self._limits.admit(
-            request, entry, self._pressure.get_fresh(now), now
+            request, entry, self._pressure.get_view(now), now
         )
         if refused is None:
             return None
@@ -288,7 +291,7 @@
         )
         owner.queue.push(waiting, weight)
         self._deadlines.add(
-            request.deadline - owner.estimate_service(request) * 0.5,
+            request.deadline - owner.estimate_service(request),
             request.request_id,
         )
         self._deadlines.add(request.deadline, request.request_id)
@@ -437,5 +440,6 @@
             return self._shed(request, late, now)
         if self._has_lower(request, now):
             self._owner.queue.push(waiting, self._get_weight(request))
+            self._deadlines.add(now + const.LOOK_SECONDS, request_id)
             return []
         return self._shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
