Build once for all tests of the binary, and look for the lookup's span

Cause: each test of tests/test_build.py built the binary anew (10 s each), and no test saw a lookup's span. Ruled out: leaving an old dist/ in place (the test would not build). Change: setUpClass builds; read_spans asks for a lookup.

--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -98,6 +98,7 @@
             for path in self.fleet.folder.glob("*.spans.jsonl")
             for line in path.read_text().splitlines()
         ]
+        self.assertIn("lookup", {s["name"] for s in spans})
         found = [s for s in spans if s["trace_id"] == trace_id]
         return sorted(found, key=lambda s: s["start_ns"])
 
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -50,10 +50,15 @@
 class BuildTest(testtools.TestCase):
     """The binary runs as one process and serves."""
 
+    @classmethod
+    def setUpClass(cls):
+        """Build it."""
+        super().setUpClass()
+        subprocess.run([ROOT / "script" / "build"], check=True, timeout=300)
+
     def setUp(self):
-        """Build it and make folders."""
+        """Make folders."""
         super().setUp()
-        subprocess.run([ROOT / "script" / "build"], check=True, timeout=300)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
