--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -149,6 +149,10 @@
             or self._forwarded
         )
 
+    def is_warm(self, endpoint: str) -> bool:
+        """Return whether an owned endpoint was shown warm since its start."""
+        return self._owner.is_warm(endpoint)
+
     def is_shown_warm(self, endpoint: str, now: float) -> bool:
         """Return whether young evidence says that an endpoint is warm.
 
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -67,6 +67,11 @@
             budget.connect(self.states[endpoint], now)
             self._caches[endpoint].clear()
 
+    def is_warm(self, endpoint: str) -> bool:
+        """Return whether an owned endpoint was shown warm since its start."""
+        state = self.states.get(endpoint)
+        return state is not None and state.warm
+
     def is_shown_warm(self, endpoint: str, now: float) -> bool:
         """Return whether young evidence says that an endpoint is warm."""
         state = self.states.get(endpoint)
