--- a/citronport/core.py
+++ b/citronport/core.py
@@ -205,7 +205,7 @@
                 summarize=self.scheduler.summarize,
                 get_owned=lambda: self.assignment.current.owned,
                 count_running=self.executor.count_running,
-                is_warm=self._is_warm,
+                is_warm=self.scheduler.is_warm,
                 is_linked=lambda n: self.peers.get_incarnation(n) is not None,
                 is_leaving=lambda: self._leaving,
                 connected=self._connected,
@@ -213,9 +213,6 @@
             )
         )
 
-    def _is_warm(self, endpoint: str) -> bool:
-        return self.scheduler.is_shown_warm(endpoint, self.ticker.now())
-
     def _start_tasks(self) -> None:
         watches = (
             (
--- a/citronport/operators/models.py
+++ b/citronport/operators/models.py
@@ -32,8 +32,7 @@
         data_centre: where it stands.
         listed: state in the catalogue.
         connected: whether it answers.
-        cold: whether it counts as in cold start: no young evidence says
-            that it is warm.
+        cold: whether it counts as in cold start: not shown warm yet.
         running: requests that this instance has in progress there.
         concurrency: requests it runs well at once.
         reported_running: requests in progress by its own last report.
--- a/citronport/operators/status.py
+++ b/citronport/operators/status.py
@@ -26,7 +26,7 @@
         summarize: work waiting and in progress, by tier.
         get_owned: names of the endpoints that this instance owns.
         count_running: requests of this instance at an endpoint.
-        is_warm: whether young evidence says that an owned endpoint is warm.
+        is_warm: whether an owned endpoint was shown warm.
         is_linked: whether a link to an instance is open.
         is_leaving: whether no new work is taken.
         connected: names of the endpoints that answer.
