--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -52,6 +52,10 @@
 RING_POINTS: Final = 24
 """Points of a mean endpoint on the ring; the spread is about a fifth."""
 
+RING_FEWEST: Final = 4
+RING_TOTAL: Final = 8192
+"""Bounds for large fleets: least points of an endpoint, points in all."""
+
 TRIES: Final = 8
 """Times that instances may say "not run" before the caller is told.
 
--- a/citronport/scheduler/placement.py
+++ b/citronport/scheduler/placement.py
@@ -24,10 +24,13 @@
     def __init__(self, endpoints: list[models.Endpoint]) -> None:
         rates = [e.prefill_rate for e in endpoints]
         mean = sum(rates) / max(1, len(rates))
+        # A large fleet evens out by itself, and is costly to hash.
+        usual = const.RING_TOTAL // max(1, len(endpoints))
+        usual = min(const.RING_POINTS, max(const.RING_FEWEST, usual))
         points = []
         for endpoint in endpoints:
             weight = endpoint.prefill_rate / mean
-            for number in range(max(1, round(const.RING_POINTS * weight))):
+            for number in range(max(1, round(usual * weight))):
                 spot = hash_text(f"{endpoint.name}/{number}")
                 points.append((spot, endpoint.name))
         points.sort()
--- a/measures/decisions/__init__.py
+++ b/measures/decisions/__init__.py
@@ -38,7 +38,7 @@
         json: file for the figures.
         load: only this load.
         seeds: number of seeds.
-        policy: only this policy.
+        policy: only this policy; "independent" has no owners.
         plot: file for the plot (PNG).
     """
     names = [load] if load else list(loads.LOADS)
@@ -108,6 +108,8 @@
         case "earlier":
             # It scans its whole queue at each event.
             return instances.Instances(site, earlier.Scheduler, tick=1.0)
+        case "independent":
+            return instances.Instances(site, core.Scheduler, independent=True)
         case "round_robin":
             return baselines.Simple(site, by_report=False)
         case "least_reported":
--- a/measures/decisions/instances.py
+++ b/measures/decisions/instances.py
@@ -26,7 +26,18 @@
         site: site_module.Site,
         make: collections.abc.Callable[[str], object],
         tick: float = TICK_SECONDS,
+        independent: bool = False,
     ) -> None:
+        """Start the schedulers.
+
+        Args:
+            site: the world.
+            make: makes a scheduler for a name.
+            tick: seconds between two looks at the time.
+            independent: whether each instance sends to every endpoint, by
+                a limit of its own, in place of one owner for each.
+        """
+        self._independent = independent
         self._tick_seconds = tick
         self._site = site
         self._clock = site.clock
@@ -118,7 +129,11 @@
         }
         self._silent &= set(NAMES) - set(names)
         for name in NAMES:
-            owned = frozenset(e for e, o in owners.items() if o == name)
+            owned = frozenset(
+                e
+                for e, owner in owners.items()
+                if owner == name or self._independent
+            )
             self._handle(
                 name, models.OwnershipChanged(owned=owned, owners=owners)
             )
