Bound the dispatches of a request that fail unsent; split admission

Cause: an unsent failure was dispatched again at once, without bound, lost the mark that it came from another instance, and was told 'outcome unknown' after its deadline though it had not run. Ruled out: a lost connection (the watch takes that endpoint out of use).

--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -144,3 +144,8 @@
 
 VIEW_SECONDS: Final = 0.05
 """Age at which the sum over all other instances is made anew."""
+
+RETRIES: Final = 2
+"""Further dispatches after one of which nothing was sent.
+
+An endpoint that refuses each connection would else be asked in a loop."""
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -19,6 +19,7 @@
 import dataclasses
 
 from citronport import errors
+from citronport.scheduler import admission
 from citronport.scheduler import const
 from citronport.scheduler import deadlines
 from citronport.scheduler import limits as limits_module
@@ -29,6 +30,7 @@
 from citronport.scheduler import queue
 from citronport.scheduler import refusal
 from citronport.scheduler import routing
+from citronport.scheduler import shedding
 from citronport.scheduler import shift
 from citronport.scheduler import summary
 
@@ -55,11 +57,15 @@
         self._pressure = pressure_module.Pressure()
         self._router = routing.Router(instance, self._owner, self._pressure)
         self._limits = limits_module.Limits()
+        self._shedding = shedding.Shedding(
+            self._owner, self._pressure, self._limits
+        )
         self._forwarded: dict[str, _Forwarded] = {}
         self._deadlines = deadlines.Deadlines()
+        self._admission = admission.Admission(
+            self._owner, self._shedding, self._deadlines
+        )
         self._leaving = False
-        self._floor_since = 0.0
-        self._floor = pressure_module.LOWEST
         self._now = 0.0
 
     def handle(self, event: models.Event, now: float) -> list[models.Action]:
@@ -77,7 +83,10 @@
         if isinstance(event, models.InstanceReported):
             # Most events by far, and none of them frees a place.
             return actions
-        return [*actions, *self._owner.start(self._get_floor(now), now)]
+        return [
+            *actions,
+            *self._owner.start(self._shedding.get_floor(now), now),
+        ]
 
     def _take(self, event: models.Event, now: float) -> list[models.Action]:
         match event:
@@ -170,6 +179,7 @@
         if self.fleet is None:
             return []
         self._owner.apply(self.fleet, self._rings, self._assigned, now)
+        self._admission.entries = self.fleet.entries
         self._router.apply(self.fleet, self._rings, self._assigned.owners)
         return self._reroute(now)
 
@@ -195,7 +205,7 @@
         if request.deadline <= now:
             self._forwarded.pop(request.request_id, None)
             late = errors.Code.DEADLINE_PASSED_WAITING
-            return self._shed(request, late, now)
+            return self._shedding.shed(request, late, now)
         if event.refused_by:
             self._forwarded.pop(request.request_id, None)
         elif not event.forwarded:
@@ -224,24 +234,23 @@
         forwarded: bool,
         refused_by: tuple[str, ...],
         now: float,
+        tries: int = 0,
     ) -> list[models.Action]:
-        if self._is_floored(request, now) and not self._has_lower(
-            request, now
-        ):
-            return self._shed(request, errors.Code.OVERLOADED, now)
+        if self._shedding.is_floored(request, now):
+            return self._shedding.shed(request, errors.Code.OVERLOADED, now)
         if forwarded:
-            return self._take_in(request, now, forwarded=True)
+            return self._admission.take_in(request, True, now, tries)
         if len(refused_by) >= const.TRIES:
-            return self._shed(request, errors.Code.OVERLOADED, now)
+            return self._shedding.shed(request, errors.Code.OVERLOADED, now)
         avoided = refused_by[-const.AVOIDED :]
         choice = self._router.choose(request, avoided, now)
         if choice is None and avoided:
             choice = self._router.choose(request, (), now)
         if choice is None:
-            return self._shed(request, errors.Code.NO_ENDPOINT, now)
+            return self._shedding.shed(request, errors.Code.NO_ENDPOINT, now)
         self._router.record(request, choice)
         if choice.instance == self.instance:
-            return self._take_in(request, now, forwarded=False)
+            return self._admission.take_in(request, False, now, tries)
         self._forwarded[request.request_id] = _Forwarded(
             request=request, instance=choice.instance
         )
@@ -254,92 +263,6 @@
             )
         ]
 
-    def _take_in(
-        self, request: models.Request, now: float, *, forwarded: bool
-    ) -> list[models.Action]:
-        """Let a request wait here, or refuse it.
-
-        Load: sustained overload. Harm: a queue longer than the deadline
-        only makes answers that nobody waits for. Limit: the work ahead,
-        at the measured speed, must end before the deadline; but as long
-        as a lower tier is served anywhere, that one stops first.
-        """
-        owner = self._owner
-        group = queue.get_group(request)
-        if not owner.get_usable(group):
-            return self._shed(request, errors.Code.NO_ENDPOINT, now)
-        weight = self._get_weight(request)
-        ahead = owner.queue.get_cost_ahead(request, weight)
-        wait = ahead / max(0.01, owner.get_capacity(group))
-        end = now + wait + owner.estimate_service(request)
-        if end > request.deadline and not self._has_lower(request, now):
-            return self._shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
-        made = self._make_room(request, now)
-        if made is None:
-            return self._shed(request, errors.Code.OVERLOADED, now)
-        waiting = queue.Waiting(
-            request=request,
-            since=now,
-            cost=owner.estimate_cost(request),
-            forwarded=forwarded,
-        )
-        owner.queue.push(waiting, weight)
-        self._deadlines.add(
-            request.deadline - owner.estimate_service(request),
-            request.request_id,
-        )
-        self._deadlines.add(request.deadline, request.request_id)
-        return made
-
-    def _make_room(
-        self, request: models.Request, now: float
-    ) -> list[models.Action] | None:
-        owner = self._owner
-        if len(owner.queue) < const.MAX_QUEUED:
-            return []
-        youngest = owner.queue.get_youngest(request.tier)
-        if youngest is None:
-            return None
-        owner.queue.pop(youngest.request.request_id)
-        return self._shed(youngest.request, errors.Code.OVERLOADED, now)
-
-    def _get_weight(self, request: models.Request) -> float:
-        assert self.fleet is not None
-        entry = self.fleet.entries.get(request.entry)
-        return entry.weight if entry else 1.0
-
-    def _has_lower(self, request: models.Request, now: float) -> bool:
-        running = self._owner.get_running()
-        return self._pressure.has_lower(request.tier, running, now)
-
-    def _get_floor(self, now: float) -> int:
-        floor = self._pressure.get_floor(now)
-        if floor != self._floor:
-            if floor < self._floor:
-                self._floor_since = now
-            self._floor = floor
-        return floor
-
-    def _is_floored(self, request: models.Request, now: float) -> bool:
-        # A short pressure passes while a long request can still wait; one
-        # that lasts would only let it wait until it is too late.
-        if request.tier <= self._get_floor(now):
-            return False
-        slack = request.deadline - now
-        return now - self._floor_since > slack * const.PRESSURE
-
-    def _shed(
-        self, request: models.Request, code: errors.Code, now: float
-    ) -> list[models.Action]:
-        group = queue.get_group(request)
-        ahead = self._owner.queue.get_cost_ahead(request, 1.0)
-        capacity = max(0.1, self._owner.get_capacity(group))
-        wait = ahead / capacity
-        if request.tier > self._get_floor(now):
-            wait += const.RETRY_FLOORED
-        self._limits.finish(request)
-        return [refusal.refuse(request, code, wait)]
-
     def _drop(self, request_id: str, now: float) -> list[models.Action]:
         waiting = self._owner.queue.pop(request_id)
         if waiting is not None:
@@ -372,13 +295,20 @@
     def _settle_failure(
         self, event: models.DispatchFailed, now: float
     ) -> list[models.Action]:
-        request = self._owner.fail(event.request_id, now, sent=event.sent)
-        if request is None:
+        waiting = self._owner.fail(event.request_id, now, sent=event.sent)
+        if waiting is None:
             return []
-        if event.sent or request.deadline <= now:
+        request = waiting.request
+        if event.sent:
             self._limits.finish(request)
             return [refusal.refuse(request, event.code, None)]
-        return self._take_in(request, now, forwarded=False)
+        if request.deadline <= now:
+            late = errors.Code.DEADLINE_PASSED_WAITING
+            return self._shedding.shed(request, late, now)
+        tries = waiting.tries + 1
+        if tries > const.RETRIES:
+            return self._shedding.shed(request, errors.Code.NO_ENDPOINT, now)
+        return self._place(request, waiting.forwarded, (), now, tries)
 
     def _look(self, now: float) -> list[models.Action]:
         self._owner.check(now)
@@ -400,7 +330,7 @@
         self._owner.queue.pop(request.request_id)
         if waiting.forwarded:
             # "Not run": the instance that it came from decides again.
-            return self._shed(request, errors.Code.OVERLOADED, now)
+            return self._shedding.shed(request, errors.Code.OVERLOADED, now)
         return self._place(request, False, (self.instance,), now)
 
     def _look_at(self, request_id: str, now: float) -> list[models.Action]:
@@ -431,9 +361,9 @@
         request = waiting.request
         if now >= request.deadline:
             late = errors.Code.DEADLINE_PASSED_WAITING
-            return self._shed(request, late, now)
-        if self._has_lower(request, now):
-            self._owner.queue.push(waiting, self._get_weight(request))
+            return self._shedding.shed(request, late, now)
+        if self._shedding.has_lower(request, now):
+            self._admission.put_back(waiting)
             self._deadlines.add(now + const.LOOK_SECONDS, request_id)
             return []
-        return self._shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
+        return self._shedding.shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -24,6 +24,7 @@
         self.lengths = estimate.Lengths()
         self._caches: dict[str, estimate.Cache] = {}
         self._places: dict[str, str] = {}
+        self._started: dict[str, queue.Waiting] = {}
         self._connected: dict[str, None] = {}
         self._members: dict[queue.Group, list[str]] = {}
         self._rings: dict[queue.Group, placement.Ring] = {}
@@ -201,7 +202,7 @@
 
     def _find_start(
         self, group: queue.Group, tier: int, floor: int, now: float
-    ) -> tuple[models.Request, str] | None:
+    ) -> tuple[queue.Waiting, str] | None:
         heads = self.queue.iterate_heads(group, tier)
         for waiting in itertools.islice(heads, HEADS):
             place = (
@@ -210,7 +211,7 @@
                 else self._displace(waiting, now)
             )
             if place is not None:
-                return waiting.request, place
+                return waiting, place
         return None
 
     def _choose(self, waiting: queue.Waiting, now: float) -> str | None:
@@ -290,9 +291,11 @@
         return wait + prefill * const.PREFILL_WEIGHT + decode
 
     def _send(
-        self, request: models.Request, name: str, now: float
+        self, waiting: queue.Waiting, name: str, now: float
     ) -> models.Dispatch:
+        request = waiting.request
         self.queue.start(request.request_id)
+        self._started[request.request_id] = waiting
         state = self.states[name]
         cache = self._caches[name]
         cached = cache.count_cached(request)
@@ -320,6 +323,7 @@
         place = self._places.pop(request_id, None)
         if place is None:
             return None
+        del self._started[request_id]
         state = self.states[place]
         sent = budget.record_end(state, request_id, now, output_tokens)
         assert sent is not None
@@ -330,8 +334,8 @@
 
     def fail(
         self, request_id: str, now: float, *, sent: bool
-    ) -> models.Request | None:
-        """The dispatch of a request failed; return the request."""
+    ) -> queue.Waiting | None:
+        """The dispatch of a request failed; return what had waited."""
         place = self._places.pop(request_id, None)
         if place is None:
             return None
@@ -341,13 +345,14 @@
         self._running[entry.request.tier] -= 1
         if sent and budget.has_cold_start(state.spec):
             self._caches[place].clear()
-        return entry.request
+        return self._started.pop(request_id)
 
     def cancel(self, request_id: str, now: float) -> str | None:
         """A running request is stopped; return its endpoint."""
         place = self._places.pop(request_id, None)
         if place is None:
             return None
+        del self._started[request_id]
         state = self.states[place]
         self._running[state.running[request_id].request.tier] -= 1
         budget.record_cancel(state, request_id, now)
--- a/citronport/scheduler/queue.py
+++ b/citronport/scheduler/queue.py
@@ -26,6 +26,7 @@
         cost: expected work, seconds of a usual endpoint.
         forwarded: whether another instance sent it here.
         tag: start tag of the fair queue.
+        tries: dispatches of it that failed before anything was sent.
     """
 
     request: models.Request
@@ -33,6 +34,7 @@
     cost: float
     forwarded: bool = False
     tag: float = 0.0
+    tries: int = 0
 
 
 class Queue:
--- a/tests/scheduler/test_decisions.py
+++ b/tests/scheduler/test_decisions.py
@@ -207,6 +207,18 @@
         got = scheduler.handle(sent, 1.2)
         self.assertEqual({"r": errors.Code.ENDPOINT_LOST}, get_refusals(got))
 
+    def test_unsent_dispatches_are_bounded(self):
+        """An endpoint that refuses each connection is not asked for ever."""
+        scheduler = make_scheduler()
+        got = self.send(scheduler, "r", 1.0)
+        unsent = models.DispatchFailed(request_id="r", sent=False)
+        rounds = 0
+        while not get_refusals(got):
+            rounds += 1
+            self.assertLess(rounds, 10)
+            got = scheduler.handle(unsent, 1.0 + rounds)
+        self.assertEqual({"r": errors.Code.NO_ENDPOINT}, get_refusals(got))
+
 
 class LoadTest(testtools.TestCase):
     """Short loads on the virtual clock."""
