--- a/citronport/core.py
+++ b/citronport/core.py
@@ -117,9 +117,7 @@
             ticker,
             self.executor.submit,
             self.executor.leave,
-            lambda run, instance: self.peers.forward(
-                run, instance, instance_const.ROLE_HOME
-            ),
+            self._send_home,
             lambda: self._leaving,
         )
         self._connected: set[str] = set()
@@ -173,7 +171,7 @@
             self.published,
             self.records,
             self.ticker,
-            self.keeper.take,
+            self._take_submission,
             self.directory,
         )
         listener = self.settings.callers
@@ -207,6 +205,7 @@
                 summarize=self.scheduler.summarize,
                 get_owned=lambda: self.assignment.current.owned,
                 count_running=self.executor.count_running,
+                is_warm=self.scheduler.is_warm,
                 is_linked=lambda n: self.peers.get_incarnation(n) is not None,
                 is_leaving=lambda: self._leaving,
                 connected=self._connected,
@@ -328,6 +327,10 @@
     ) -> messages.Message | None:
         return self.gossip.take(sender, message)
 
+    def _take_submission(self, work: runs.Work) -> runs.Run:
+        telemetry.note_caller(work)
+        return self.keeper.take(work)
+
     def _take_run(self, work: runs.Work, role: str) -> runs.Run:
         if role == instance_const.ROLE_HOME:
             return self.keeper.take(work, forwarded=True)
@@ -335,5 +338,12 @@
         self.executor.submit(run, forwarded=True)
         return run
 
+    def _send_home(
+        self, run: runs.Run, instance: str
+    ) -> errors.Refusal | None:
+        run.watch = self.telemetry.watch(run.work, forwarded=True)
+        run.watch.forwarded(instance)
+        return self.peers.forward(run, instance, instance_const.ROLE_HOME)
+
     def _forward(self, run: runs.Run, instance: str) -> errors.Refusal | None:
         return self.peers.forward(run, instance, instance_const.ROLE_OWNER)
--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -130,7 +130,7 @@
                 # to one start for ever.
                 if not may_send():
                     return _NOT_SENT
-                opened.send(request)
+                opened.send(request, call.method)
                 return result.Ok(_read(address, opened, call, deliver, end))
             except _FaultError:
                 return _fail(errors.Code.ENDPOINT_FAULT)
@@ -144,8 +144,9 @@
     if time.monotonic() < end:
         return _fail(errors.Code.ENDPOINT_LOST)
     # Without the order the engine would go on for an answer that nobody
-    # gets.
-    gevent.spawn(cancel, address, call.request_id)
+    # gets. A plain service knows no orders: it would run one as a call.
+    if call.path == const.PATH_CHAT:
+        gevent.spawn(cancel, address, call.request_id)
     return _fail(errors.Code.DEADLINE_PASSED_RUNNING)
 
 
@@ -164,6 +165,7 @@
         if not reader.resumable:
             raise
         opened.close()
+        deliver(messages.Cut())
         _resume(address, reader, end)
     return reader.finish()
 
@@ -193,7 +195,8 @@
         content_type = answer.get("content-type", "application/json")
         self._deliver(
             messages.Started(
-                status=answer.status_code, content_type=str(content_type)
+                status=answer.status_code,
+                content_type=str(content_type),
             )
         )
 
--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -149,3 +149,7 @@
 """Further dispatches after one of which nothing was sent.
 
 An endpoint that refuses each connection would else be asked in a loop."""
+
+SHOWN_SECONDS: Final = 3.0
+"""How old evidence of warmth may be for a send without a lease; the length
+of a lease, so that both run out in the same pause."""
--- a/citronport/telemetry.py
+++ b/citronport/telemetry.py
@@ -97,7 +97,15 @@
         caller: trace header that came with the request, or empty.
     """
 
-    __slots__ = ("_counts", "_first", "_hops", "_started", "_ticker", "_work")
+    __slots__ = (
+        "_counts",
+        "_first",
+        "_headers",
+        "_hops",
+        "_request",
+        "_started",
+        "_ticker",
+    )
 
     def __init__(
         self,
@@ -107,14 +115,14 @@
         tracer: spans.Tracer | None,
         caller: str,
     ) -> None:
-        self._work = work
+        # Not the work whole: a kept run lets go of its body at its end.
+        self._request = work.request
+        self._headers = work.call.headers
         self._counts = counts
         self._ticker = ticker
         self._first = True
         self._started = ticker.now()
         self._hops = _make_hops(work, tracer, caller)
-        if caller:
-            work.call.headers[spans.HEADER] = caller
         if self._hops is not None:
             self._hops.enter("admission")
 
@@ -127,13 +135,13 @@
         """Note that the request goes to an endpoint now."""
         if self._hops is not None:
             self._hops.enter("dispatch", {"endpoint": endpoint})
-            self._hops.carry(self._work.call.headers)
+            self._hops.carry(self._headers)
 
     def forwarded(self, instance: str) -> None:
         """Note that the request goes to another instance now."""
         if self._hops is not None:
             self._hops.enter("forward", {"instance": instance})
-            self._hops.carry(self._work.call.headers)
+            self._hops.carry(self._headers)
 
     def returned(self) -> None:
         """Note that another instance did not run the request."""
@@ -149,7 +157,7 @@
             return
         match message:
             case messages.Finished():
-                late = self._ticker.now() > self._work.request.deadline
+                late = self._ticker.now() > self._request.deadline
                 self.end(OUTCOME_LATE if late else OUTCOME_WHOLE)
             case messages.Refused():
                 self.end(str(int(message.refusal.code)))
@@ -158,7 +166,7 @@
         """Note the end; a later one is not counted."""
         counts, self._counts = self._counts, None
         if counts is not None:
-            counts.outcomes[self._work.request.tier, outcome] += 1
+            counts.outcomes[self._request.tier, outcome] += 1
         if self._hops is not None:
             self._hops.end({"outcome": outcome})
             self._hops = None
@@ -167,7 +175,7 @@
         self._first = False
         if self._counts is not None:
             seconds = self._ticker.now() - self._started
-            tier = self._work.request.tier
+            tier = self._request.tier
             self._counts.first_token[tier].observe(seconds)
         if self._hops is not None and self._hops.name == "dispatch":
             self._hops.enter("stream")
@@ -230,6 +238,17 @@
     return _Hops(tracer, root)
 
 
+def note_caller(work: runs.Work) -> None:
+    """Have a request carry the trace header that its caller sent.
+
+    Called by the task that answers the caller; from here on the header
+    goes with the request through other tasks and instances.
+    """
+    caller = CALLER_TRACE.get()
+    if caller:
+        work.call.headers[spans.HEADER] = caller
+
+
 class Telemetry:
     """Counts and traces of one instance.
 
@@ -252,14 +271,12 @@
             work: the request.
             forwarded: whether another instance sent it, which counts it.
         """
-        headers = work.call.headers
-        caller = headers.get(spans.HEADER, "") or CALLER_TRACE.get()
         return Watch(
             work,
             None if forwarded else self.counts,
             self._ticker,
             self._tracer,
-            caller,
+            work.call.headers.get(spans.HEADER, ""),
         )
 
 
