--- a/citronport/executor.py
+++ b/citronport/executor.py
@@ -129,7 +129,9 @@
             and event.request.request_id not in self._runs
         ):
             return
-        actions = self._scheduler.handle(event, self._ticker.now())
+        now = self._ticker.now()
+        self._note_turn(now)
+        actions = self._scheduler.handle(event, now)
         self._record(event, actions)
         match event:
             case models.AnswerFinished():
@@ -145,6 +147,12 @@
         if isinstance(event, models.RequestLeft):
             self._abandon(event.request_id)
 
+    def _note_turn(self, now: float) -> None:
+        if now - self._stepped > PAUSE_SECONDS:
+            logging.warning("%s the process was stopped.", LOG)
+            self._woken = now
+        self._stepped = now
+
     def _note_decided(self, request_id: str) -> None:
         run = self._runs.get(request_id)
         if run is not None:
--- a/citronport/scheduler/ownership.py
+++ b/citronport/scheduler/ownership.py
@@ -263,13 +263,13 @@
         listed = _group(self._members)
         for endpoint in endpoints:
             centre = self._endpoints[endpoint]
-            owner = _find_first(endpoint, centre, eligible)
+            owner = _choose(endpoint, centre, eligible)
             if owner is None:
                 self._owners.pop(endpoint, None)
                 self._held.pop(endpoint, None)
                 continue
             self._owners[endpoint] = owner
-            first = _find_first(endpoint, centre, listed) == self._instance
+            first = _choose(endpoint, centre, listed) == self._instance
             self._hold(endpoint, owner == self._instance, first, now)
 
     def _hold(
@@ -290,7 +290,20 @@
     return groups
 
 
-def _find_first(
+def choose_owner(
+    endpoint: str, centre: str, members: dict[str, Member]
+) -> str | None:
+    """Return the owner that a list of instances gives an endpoint.
+
+    Args:
+        endpoint: its name.
+        centre: the data centre that it stands in.
+        members: the instances in service, by name.
+    """
+    return _choose(endpoint, centre, _group(members))
+
+
+def _choose(
     endpoint: str, centre: str, groups: dict[str, list[str]]
 ) -> str | None:
     names = groups.get(centre)
--- a/measures/decisions/__init__.py
+++ b/measures/decisions/__init__.py
@@ -21,7 +21,7 @@
     "least_reported",
     "clairvoyant",
 )
-WORKERS = 4
+WORKERS = 5
 """Runs at once; a run is one process that ends by itself."""
 
 
--- a/standins/scenario_fleet.py
+++ b/standins/scenario_fleet.py
@@ -76,9 +76,20 @@
         role, _, endpoint = name.partition("/")
         if not endpoint:
             return name
-        names = [i["name"] for i in self.instances if i["state"] == "in"]
-        ranked = ownership.rank_instances(endpoint, names)
-        return ranked[0] if role == "owner" else ranked[-1]
+        members = {
+            i["name"]: ownership.Member(
+                name=i["name"], data_centre=i["data_centre"]
+            )
+            for i in self.instances
+            if i["state"] == "in"
+        }
+        centre = next(
+            e["data_centre"] for e in self.endpoints if e["name"] == endpoint
+        )
+        owner = ownership.choose_owner(endpoint, centre, members)
+        if role == "owner" and owner is not None:
+            return owner
+        return next(n for n in reversed(members) if n != owner)
 
     def get_address(self, name: str) -> str:
         """Return where callers reach an instance."""
