--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -52,6 +52,10 @@
 RING_POINTS: Final = 24
 """Points of a mean endpoint on the ring; the spread is about a fifth."""
 
+RING_FEWEST: Final = 4
+RING_TOTAL: Final = 8192
+"""Bounds for large fleets: least points of an endpoint, points in all."""
+
 TRIES: Final = 8
 """Times that instances may say "not run" before the caller is told.
 
@@ -134,13 +138,18 @@
 RETRY_FLOORED: Final = 5.0
 """Seconds added to the time to come back where a tier does not start."""
 
-SHOWN_SECONDS: Final = 3.0
-"""How old evidence of warmth may be for a send without a lease; the length
-of a lease, so that both run out in the same pause."""
-
 LOOK_SECONDS: Final = 0.25
 """A request that is too late, but must not be shed yet, is looked at
 again after so long; the lower tier may have ended by then."""
 
 VIEW_SECONDS: Final = 0.05
 """Age at which the sum over all other instances is made anew."""
+
+RETRIES: Final = 2
+"""Further dispatches after one of which nothing was sent.
+
+An endpoint that refuses each connection would else be asked in a loop."""
+
+SHOWN_SECONDS: Final = 3.0
+"""How old evidence of warmth may be for a send without a lease; the length
+of a lease, so that both run out in the same pause."""
