Keep hostile callers from holding up a stop, and bound a chat's messages

Ruled out: closing connections with half a head at once (a caller that is only slow would see no code). Change: busy begins after the head; a leaving instance refuses keyless work before it reads the body; 10,000 messages at most. Conclusion: a stop waits for requests, not for whoever holds a socket. Not mended: 4 MB of nested JSON in one message still takes 0.4 s of the loop.

--- a/citronport/callers/application.py
+++ b/citronport/callers/application.py
@@ -7,6 +7,7 @@
 import result
 
 from citronport import clock
+from citronport import const as common
 from citronport import errors
 from citronport import runs
 from citronport.callers import answers
@@ -135,6 +136,11 @@
         start_response: answers.StartResponse,
         entry: decisions.Entry,
     ) -> collections.abc.Iterable[bytes]:
+        keyed = marks.get_header(environ, common.HEADER_IDEMPOTENCY_KEY)
+        if self._directory.is_leaving() and not keyed:
+            # Before the body is read; a repeat may still join its run.
+            refusal = errors.Refusal(code=errors.Code.LEAVING)
+            return self._refuse(environ, start_response, refusal)
         now = self._ticker.now()
         target = marks.read_target(environ)
         match submissions.parse(environ, target, entry, now):
--- a/citronport/callers/connections.py
+++ b/citronport/callers/connections.py
@@ -88,7 +88,7 @@
             del self._held[address]
 
     def set_idle(self, sock: socket.socket, address: str) -> None:
-        """Note that a connection waits for its next request."""
+        """Note that a connection waits for the head of a request."""
         if sock not in self._open:
             # Closed to make room, and not yet ended by its task.
             return
--- a/citronport/callers/const.py
+++ b/citronport/callers/const.py
@@ -98,6 +98,10 @@
 MAX_BODY_BYTES: Final = 4_000_000
 """Longest request body; a season of receipts takes about a tenth."""
 
+MAX_MESSAGES: Final = 10_000
+"""Messages of one chat. The longest body could hold 140,000 short ones,
+whose check stops the event loop for 0.6 s; these take under 0.1 s."""
+
 BODY_SECONDS: Final = 60.0
 """Time for a whole body: 400 KB from a phone at 10 KB/s take 40 s."""
 
--- a/citronport/callers/models.py
+++ b/citronport/callers/models.py
@@ -28,7 +28,9 @@
     model_config = pydantic.ConfigDict(extra="allow")
 
     model: str = pydantic.Field(min_length=1, max_length=200)
-    messages: list[MessageModel] = pydantic.Field(min_length=1)
+    messages: list[MessageModel] = pydantic.Field(
+        min_length=1, max_length=const.MAX_MESSAGES
+    )
     stream: bool = False
     max_tokens: int | None = pydantic.Field(default=None, ge=1, le=1_000_000)
     max_completion_tokens: int | None = pydantic.Field(
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -39,6 +39,11 @@
             if not self._wait_for_request():
                 return None
             self._read_head()
+            # Only now, so that heads sent byte by byte neither keep a
+            # leaving instance from its end nor hold a place for long.
+            self.server.connections.set_busy(
+                self.socket, self.client_address[0]
+            )
         except heads.HeadError as error:
             self._refuse(error.refusal)
             return None
@@ -103,13 +108,9 @@
 
     def _wait_for_request(self) -> bool:
         held = self.server.connections
-        address = self.client_address[0]
         self.socket.settimeout(held.limits.idle_seconds)
-        held.set_idle(self.socket, address)
-        try:
-            return bool(self.rfile.peek(1))
-        finally:
-            held.set_busy(self.socket, address)
+        held.set_idle(self.socket, self.client_address[0])
+        return bool(self.rfile.peek(1))
 
     def _read_head(self) -> None:
         limits = self.server.connections.limits
--- a/tests/callers/test_hostile.py
+++ b/tests/callers/test_hostile.py
@@ -73,13 +73,14 @@
         self.runs = []
         self.left = []
         self.answers = True
+        self.leaving = False
         ticker = clock.RuntimeClock()
         published = make_published()
         records = home.Home("entry-1", "incarnation", ticker.now())
         directory = lookup.Directory(
             published,
             "entry-1",
-            lambda: False,
+            lambda: self.leaving,
             lambda: frozenset(),
             dict,
             ticker,
@@ -300,6 +301,21 @@
             sock.close()
             self.wait_for(lambda: self.left == self.runs)
 
+    def test_stop_is_not_held_up(self):
+        """A leaving instance refuses at once, and half a head is no work.
+
+        A caller that sends its head byte by byte, or a body that it never
+        ends, would else keep the instance from its end.
+        """
+        held = self.connect()
+        held.sendall(LINE)
+        self.leaving = True
+        begun = LINE + HEAD + b"Content-Length: 50\r\n\r\n{"
+        self.assertEqual((2201, 503), self.exchange(begun)[:2])
+        self.wait_for(self.server.is_idle)
+        self.assertEqual(1, len(self.server.connections))
+        self.assertEqual([], self.runs)
+
     def test_caller_that_reads_nothing(self):
         """An answer that its caller does not take is cut after a while."""
         self.answers = False
