--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -67,6 +67,11 @@
             budget.connect(self.states[endpoint], now)
             self._caches[endpoint].clear()
 
+    def is_warm(self, endpoint: str) -> bool:
+        """Return whether an owned endpoint was shown warm since its start."""
+        state = self.states.get(endpoint)
+        return state is not None and state.warm
+
     def is_shown_warm(self, endpoint: str, now: float) -> bool:
         """Return whether young evidence says that an endpoint is warm."""
         state = self.states.get(endpoint)
@@ -133,7 +138,8 @@
         names = self.get_usable(queue.get_group(request))
         decode = max((self.states[n].decode for n in names), default=50.0)
         prefill = self.lengths.get_uncached(request) / ring.prefill_rate
-        return prefill + self.lengths.get_output(request) / max(1.0, decode)
+        output = self.lengths.get_output(request) * const.LATE
+        return prefill + output / max(1.0, decode)
 
     def get_capacity(self, group: queue.Group) -> float:
         """Return the owned capacity, in mean endpoints."""
@@ -175,7 +181,7 @@
             now: clock time, seconds.
         """
         dispatches: list[models.Dispatch] = []
-        if not self.queue:
+        if not len(self.queue):
             return dispatches
         waiting = sorted(
             (tier, group) for group, tier in self.queue.get_groups()
@@ -195,8 +201,8 @@
     def _has_room(self, name: str, tier: int) -> bool:
         # A cheap look first: most events find all endpoints full.
         state = self.states[name]
-        most = state.spec.concurrency * (1 + const.OVERCOMMIT)
-        return len(state.running) < most
+        full = len(state.running) >= state.limit
+        return not full or budget.count_lower(state, tier) > 0
 
     def _find_start(
         self, group: queue.Group, tier: int, floor: int, now: float
@@ -263,9 +269,7 @@
             state = self.states[name]
             if not budget.may_overcommit(state, request):
                 continue
-            lower = sum(
-                s.request.tier > request.tier for s in state.running.values()
-            )
+            lower = budget.count_lower(state, request.tier)
             score = self._score(state, name, request, now)
             if lower and score is not None:
                 return name
