Let a new instance serve only when it is no older than its neighbours

Ruled out: the store (a version never goes back within a process); the neighbours (they kept the newer version and offered it). Change: ready means also that half of the neighbours have told their versions and that none is newer; bounded by READY_SECONDS as before, so that a process alone still starts.

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -256,6 +256,8 @@
     def _is_ready(self) -> bool:
         if not (self.published.fleet and self.published.instances):
             return False
+        if not self.gossip.is_current():
+            return False
         return self.assignment.current.owned <= self._connected
 
     def _drain(self, callers: caller_server.Server) -> None:
--- a/citronport/instances/gossip.py
+++ b/citronport/instances/gossip.py
@@ -48,12 +48,31 @@
         self._neighbours: set[str] = set()
         self._silent: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
+        self._told: dict[str, dict[str, int]] = {}
         published.listen(self._spread)
 
     def find_silent(self) -> frozenset[str]:
         """Return the names of the instances out of reach."""
         return self._silent
 
+    def is_current(self) -> bool:
+        """Return whether no value here is older than the neighbours'.
+
+        A new process that believes a stale platform would take back, for
+        its callers, a change that is in force everywhere else. Half of
+        the neighbours must have told their versions: one alone may be as
+        new, and one that is dead must not hold up the start.
+        """
+        told = [self._told[n] for n in self._neighbours if n in self._told]
+        if 2 * len(told) < len(self._neighbours):
+            return False
+        mine = self._published.get_versions()
+        return all(
+            version <= mine.get(path, 0)
+            for versions in told
+            for path, version in versions.items()
+        )
+
     def serve(self) -> None:
         """Report to the neighbours for ever."""
         while True:
@@ -119,6 +138,7 @@
         )
 
     def _compare(self, sender: str, versions: dict[str, int]) -> None:
+        self._told[sender] = versions
         mine = self._published.get_versions()
         for path, version in versions.items():
             if version > mine.get(path, 0):
