--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 
+from citronport import const as common
 from citronport.scheduler import const
 from citronport.scheduler import models
 
@@ -45,9 +46,12 @@
         cold_share: part of what a cold start bears that may be used.
         warm: whether it was shown warm since its start.
         since: evidence must be younger than this, clock seconds.
+        shown: when it last was warm for certain: when a report was made
+            that says so, or when a request left whose answer has begun.
         foreign: requests that others left there; None if not known.
         counted: only younger reports count foreign requests.
         running: own requests in progress.
+        by_tier: how many of these there are, by tier.
         limit: requests it may have at once now.
         slow: times slower than the catalogue says.
         decode: measured answer tokens a second of one request.
@@ -61,9 +65,13 @@
     cold_share: models.ColdShare = models.ColdShare.ALL
     warm: bool = False
     since: float = -math.inf
+    shown: float = -math.inf
     foreign: int | None = None
     counted: float = -math.inf
     running: dict[str, Sent] = dataclasses.field(default_factory=dict)
+    by_tier: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * common.TIERS
+    )
     limit: float = 0.0
     slow: float = 1.0
     decode: float = 0.0
@@ -83,6 +91,18 @@
     return spec.kind == models.Kind.ENGINE
 
 
+def is_shown_warm(state: State, now: float) -> bool:
+    """Return whether young evidence says that an endpoint is warm.
+
+    An instance that was stopped wakes with an old view: the endpoint may
+    have turned cold, and have another owner, meanwhile. What it saw before
+    counts for no longer than its lease.
+    """
+    if not has_cold_start(state.spec):
+        return True
+    return state.warm and now - state.shown <= const.SHOWN_SECONDS
+
+
 def take_over(state: State, now: float) -> None:
     """Start counting: another instance may have work in progress there."""
     _turn_cold(state, now)
@@ -137,6 +157,7 @@
     if report.cold and state.warm and has_cold_start(state.spec):
         suspect(state, made)
     if not report.cold:
+        state.shown = max(state.shown, made)
         _turn_warm(state)
     if made <= state.counted:
         return
@@ -199,6 +220,11 @@
             return 0
 
 
+def count_lower(state: State, tier: int) -> int:
+    """Return the requests in progress there of tiers below one."""
+    return sum(state.by_tier[tier + 1 :])
+
+
 def may_overcommit(state: State, request: models.Request) -> bool:
     """Return whether a request may take the room of lower ones.
 
@@ -210,7 +236,7 @@
     """
     if not state.connected or not state.warm or state.foreign is None:
         return False
-    lower = sum(s.request.tier > request.tier for s in state.running.values())
+    lower = count_lower(state, request.tier)
     extra = min(lower, int(state.spec.concurrency * const.OVERCOMMIT))
     load = len(state.running) + state.foreign
     return load < min(state.limit, state.spec.concurrency) + extra
@@ -223,6 +249,7 @@
     begin = max(now, state.prefill_free)
     load = len(state.running) + (state.foreign or 0)
     state.prefill_free = begin + prefill
+    state.by_tier[request.tier] += 1
     state.running[request.request_id] = Sent(
         request=request,
         at=now,
@@ -232,12 +259,20 @@
     )
 
 
+def _take_out(state: State, request_id: str) -> Sent | None:
+    sent = state.running.pop(request_id, None)
+    if sent is not None:
+        state.by_tier[sent.request.tier] -= 1
+    return sent
+
+
 def record_first_token(state: State, request_id: str, now: float) -> None:
     """Learn the speed, and that the endpoint bears its load."""
     sent = state.running.get(request_id)
     if sent is None or sent.first_token is not None:
         return
     sent.first_token = now
+    state.shown = max(state.shown, sent.at)
     if sent.usual:
         _learn_speed(state, sent, now)
     # Prefill is serial: what was sent before is over now, too.
@@ -266,7 +301,7 @@
     state: State, request_id: str, now: float, output_tokens: int
 ) -> Sent | None:
     """Count a request out whose answer is whole, or that left."""
-    sent = state.running.pop(request_id, None)
+    sent = _take_out(state, request_id)
     if sent is None:
         return None
     gain = const.SPEED_GAIN
@@ -287,7 +322,7 @@
     is the cold one from here on, and the request stays in it until a
     younger report shows that it is gone.
     """
-    entry = state.running.pop(request_id, None)
+    entry = _take_out(state, request_id)
     if entry is None or not sent or not has_cold_start(state.spec):
         return entry
     if state.foreign is not None:
@@ -299,7 +334,7 @@
 
 def record_cancel(state: State, request_id: str, now: float) -> None:
     """Count a cancelled request as foreign until it is surely gone."""
-    if state.running.pop(request_id, None) is None:
+    if _take_out(state, request_id) is None:
         return
     if has_cold_start(state.spec) and not state.warm:
         if state.foreign is not None:
--- a/citronport/scheduler/core.py
+++ b/citronport/scheduler/core.py
@@ -74,6 +74,9 @@
         """
         self._now = now
         actions = self._take(event, now)
+        if isinstance(event, models.InstanceReported):
+            # Most events by far, and none of them frees a place.
+            return actions
         return [*actions, *self._owner.start(self._get_floor(now), now)]
 
     def _take(self, event: models.Event, now: float) -> list[models.Action]:
@@ -84,6 +87,8 @@
                 return self._drop(event.request_id, now)
             case models.FirstToken():
                 self._owner.give_first_token(event.request_id, now)
+            case models.AnswerCut():
+                self._owner.suspect(event.request_id, now)
             case models.AnswerFinished():
                 self._finish(event, now)
             case models.DispatchFailed():
@@ -144,9 +149,13 @@
             or self._forwarded
         )
 
-    def is_warm(self, endpoint: str) -> bool:
-        """Return whether an owned endpoint was shown warm."""
-        return self._owner.is_warm(endpoint)
+    def is_shown_warm(self, endpoint: str, now: float) -> bool:
+        """Return whether young evidence says that an endpoint is warm.
+
+        Asked between the last wait and the send, where a lease is needed
+        for any endpoint of which that is not so.
+        """
+        return self._owner.is_shown_warm(endpoint, now)
 
     def _change_fleet(
         self, fleet: models.Fleet, now: float
@@ -209,7 +218,7 @@
         if entry is None:
             return None
         refused = self._limits.admit(
-            request, entry, self._pressure.get_fresh(now), now
+            request, entry, self._pressure.get_view(now), now
         )
         if refused is None:
             return None
@@ -282,7 +291,7 @@
         )
         owner.queue.push(waiting, weight)
         self._deadlines.add(
-            request.deadline - owner.estimate_service(request) * 0.5,
+            request.deadline - owner.estimate_service(request),
             request.request_id,
         )
         self._deadlines.add(request.deadline, request.request_id)
@@ -431,5 +440,6 @@
             return self._shed(request, late, now)
         if self._has_lower(request, now):
             self._owner.queue.push(waiting, self._get_weight(request))
+            self._deadlines.add(now + const.LOOK_SECONDS, request_id)
             return []
         return self._shed(request, errors.Code.DEADLINE_TOO_NEAR, now)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,6 +3,7 @@
 Each file in scenarios/ tells what callers see, in what order, and why.
 """
 
+import os
 import subprocess
 import sys
 
@@ -17,6 +18,9 @@
 
 SEED = 1
 
+SUBNETS = 100 + 10 * (os.getpid() % 12)
+"""Second number of the addresses; two checkouts may run at one time."""
+
 NAMES = (
     "stop_in_turn",
     "cold_late_waker",
@@ -50,7 +54,7 @@
                 "scenario",
                 f"scenarios/{name}.yaml",
                 f"--seed={SEED}",
-                f"--subnet=42.{number + 1}",
+                f"--subnet={SUBNETS}.{number + 1}",
             ],
             cwd=processes.ROOT,
             capture_output=True,
