--- a/citronport/instances/gossip.py
+++ b/citronport/instances/gossip.py
@@ -48,30 +48,20 @@
         self._neighbours: set[str] = set()
         self._silent: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
-        self._told: dict[str, dict[str, int]] = {}
+        self._answered: set[str] = set()
         published.listen(self._spread)
 
     def find_silent(self) -> frozenset[str]:
         """Return the names of the instances out of reach."""
         return self._silent
 
-    def is_current(self) -> bool:
-        """Return whether no value here is older than the neighbours'.
+    def has_heard_all(self) -> bool:
+        """Return whether no neighbour is known to have newer values.
 
-        A new process that believes a stale platform would take back, for
-        its callers, a change that is in force everywhere else. Half of
-        the neighbours must have told their versions: one alone may be as
-        new, and one that is dead must not hold up the start.
+        A new instance may be told old values by a platform that is stale;
+        what was in force before it started, its neighbours know.
         """
-        told = [self._told[n] for n in self._neighbours if n in self._told]
-        if 2 * len(told) < len(self._neighbours):
-            return False
-        mine = self._published.get_versions()
-        return all(
-            version <= mine.get(path, 0)
-            for versions in told
-            for path, version in versions.items()
-        )
+        return self._neighbours - self._silent <= self._answered
 
     def serve(self) -> None:
         """Report to the neighbours for ever."""
@@ -109,7 +99,8 @@
             case messages.Report():
                 return self._take_report(sender, message)
             case messages.Echo():
-                self._compare(sender, message.versions)
+                if not self._compare(sender, message.versions):
+                    self._answered.add(sender)
                 version = message.versions.get(
                     platform_const.PATH_INSTANCES, 0
                 )
@@ -137,13 +128,14 @@
             sent=message.sent, versions=self._published.get_versions()
         )
 
-    def _compare(self, sender: str, versions: dict[str, int]) -> None:
-        self._told[sender] = versions
+    def _compare(self, sender: str, versions: dict[str, int]) -> bool:
+        """Ask for what is newer there; return whether anything is."""
         mine = self._published.get_versions()
-        for path, version in versions.items():
-            if version > mine.get(path, 0):
-                want = messages.Want(path=path, version=mine.get(path, 0))
-                self._links.send(sender, want)
+        newer = {p: v for p, v in versions.items() if v > mine.get(p, 0)}
+        for path in newer:
+            want = messages.Want(path=path, version=mine.get(path, 0))
+            self._links.send(sender, want)
+        return bool(newer)
 
     def _answer_want(self, message: messages.Want) -> messages.Message | None:
         known = self._published.get(message.path)
