--- a/standins/scenario_checks.py
+++ b/standins/scenario_checks.py
@@ -179,6 +179,8 @@
     ]
     last = max(late, default=0.0)
     problems = []
+    if not any(a.endpoint in endpoints and a.time < ordered for a in arrivals):
+        problems.append("no work before the order, so that nothing is shown")
     if last > within:
         problems.append(f"new work {last:.2f} s after the order")
     return last, problems
