Give the caller tests addresses of their own in each process

Cause: two checkouts ran tests/callers at the same time on 127.50.1.x; one test found the other's processes there (openai got 1003-range "no catalogue" of a strange entry; test_home_dies_in_the_middle failed once). Change: the second number of the subnet follows the process id. Conclusion: no claim beyond the cause found; the clash is possible only for process ids that are equal modulo 250.

--- a/tests/callers/fleets.py
+++ b/tests/callers/fleets.py
@@ -1,5 +1,6 @@
 """A small fleet of processes for the tests of the caller side."""
 
+import os
 import pathlib
 import tempfile
 
@@ -13,14 +14,18 @@
 BOOK = "/services/reservations/book"
 
 
-def start_fleet(test, subnet, *, instances=2):
+SUBNET = f"50.{os.getpid() % 250 + 1}"
+"""By process, since test runs on one machine would share addresses."""
+
+
+def start_fleet(test, *, instances=2):
     """Start a fleet that ends with a test; return it once it serves."""
     folder = tempfile.TemporaryDirectory()
     test.addCleanup(folder.cleanup)
     running = processes.Processes(pathlib.Path(folder.name))
     test.addCleanup(running.__exit__)
     layout = fleet.Layout(
-        subnet=subnet,
+        subnet=SUBNET,
         data_centres=("dc-1", "dc-2"),
         instances=instances,
         engines=(
--- a/tests/callers/test_calling_page.py
+++ b/tests/callers/test_calling_page.py
@@ -23,7 +23,7 @@
 
     def test_examples_run(self):
         """Each example ends well; the reservation is made once."""
-        started = fleets.start_fleet(self, "50.7")
+        started = fleets.start_fleet(self)
         environment = {
             **os.environ,
             "ENTRY": started.get_callers_addresses()[0],
--- a/tests/callers/test_flood.py
+++ b/tests/callers/test_flood.py
@@ -22,7 +22,7 @@
     def setUp(self):
         """Start the instance."""
         super().setUp()
-        self.fleet = fleets.start_fleet(self, "50.3", instances=1)
+        self.fleet = fleets.start_fleet(self, instances=1)
         self.address = self.fleet.get_callers_addresses()[0]
 
     def send_chat(self, tokens, **options):
@@ -48,7 +48,7 @@
         for number in range(count):
             opened.append(
                 socket.create_connection(
-                    (host, int(port)), 10, ("127.50.3.77", 0)
+                    (host, int(port)), 10, (f"127.{fleets.SUBNET}.77", 0)
                 )
             )
             if number % 2000 == 0:
--- a/tests/callers/test_identity.py
+++ b/tests/callers/test_identity.py
@@ -20,7 +20,7 @@
     def setUp(self):
         """Start three entries."""
         super().setUp()
-        self.fleet = fleets.start_fleet(self, "50.1", instances=3)
+        self.fleet = fleets.start_fleet(self, instances=3)
         self.addresses = self.fleet.get_callers_addresses()
 
     def book(self, address, headers, **options):
--- a/tests/callers/test_openai.py
+++ b/tests/callers/test_openai.py
@@ -18,7 +18,7 @@
     def setUp(self):
         """Start two entries; the engine stands beside the first one."""
         super().setUp()
-        self.fleet = fleets.start_fleet(self, "50.5")
+        self.fleet = fleets.start_fleet(self)
         self.addresses = self.fleet.get_callers_addresses()
 
     def make_client(self, address, path="/v1", **options):
