Send peers what changed in a published value instead of the whole

Ruled out: a set-difference sketch (see docs/CAPACITY.md for the figures); the same on every link (each change is asked of one neighbour at a time). Change: versioned differences of named items with a checksum; in a large fleet two readers for each data centre; JSON is read as such.

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -219,14 +219,17 @@
                 platform_const.PATH_CATALOGUE,
                 platform_const.WATCH_SECONDS,
                 lambda asked, version: None,
+                self.gossip.is_reader,
             ),
             (
                 platform_const.PATH_INSTANCES,
                 platform_const.CONFIRM_SECONDS,
                 self.assignment.confirm_list,
+                # Each reads the list itself: a lease rests on it.
+                lambda path: True,
             ),
         )
-        for path, wait, confirm in watches:
+        for path, wait, confirm, is_reader in watches:
             self.tasks.keep(
                 f"watch {path}",
                 platform_client.watch,
@@ -237,6 +240,7 @@
                 self.published.offer,
                 confirm,
                 self.telemetry.counts.note_read,
+                is_reader,
             )
         self.tasks.keep("peer reports", self.gossip.serve)
         self.tasks.keep("keeper", self.keeper.sweep_forever)
--- a/citronport/documents.py
+++ b/citronport/documents.py
@@ -1,5 +1,7 @@
 """YAML texts that people edit: read strictly, faults named by line."""
 
+import contextlib
+import json
 from typing import Any
 from typing import TypeVar
 
@@ -42,8 +44,25 @@
         return super().construct_mapping(node, deep=deep)
 
 
+class _TwiceError(ValueError):
+    """A key stands twice."""
+
+
+def _take_once(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    taken = dict(pairs)
+    if len(taken) < len(pairs):
+        raise _TwiceError
+    return taken
+
+
 def load(text: str) -> result.Result[Any, str]:
     """Return what a YAML text holds, or one line that says why not."""
+    # JSON is YAML, and its reader takes a hundredth of the time: a large
+    # catalogue read as YAML would hold up all tasks for a second. Where it
+    # finds fault, the other reader tells the line.
+    if text.startswith("{"):
+        with contextlib.suppress(ValueError):
+            return result.Ok(json.loads(text, object_pairs_hook=_take_once))
     try:
         return result.Ok(yaml.load(text, Loader=_Loader))
     except yaml.MarkedYAMLError as error:
@@ -80,7 +99,13 @@
         case result.Err(reason):
             return result.Err(reason)
         case result.Ok(raw):
-            pass
+            return check_raw(raw, text, model)
+
+
+def check_raw(
+    raw: Any, text: str, model: type[Model]
+) -> result.Result[Model, str]:
+    """Check what ``load`` made of a text; see ``check``."""
     if not isinstance(raw, dict):
         return result.Err("line 1: a mapping is needed at the top")
     try:
--- a/citronport/instances/const.py
+++ b/citronport/instances/const.py
@@ -34,3 +34,6 @@
 
 IDLE_LINK_SECONDS: Final = 60.0
 """A link to an instance that is no neighbour is closed when unused."""
+
+ASK_AGAIN_SECONDS: Final = 1.0
+"""How long one neighbour is given to send a value before another is asked."""
--- a/citronport/instances/gossip.py
+++ b/citronport/instances/gossip.py
@@ -12,6 +12,7 @@
 from citronport.instances import peers
 from citronport.platform import client as platform_client
 from citronport.platform import const as platform_const
+from citronport.platform import delta
 from citronport.platform import store
 from citronport.scheduler import models
 from citronport.scheduler import ownership
@@ -49,6 +50,7 @@
         self._silent: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
         self._answered: set[str] = set()
+        self._asked: dict[str, tuple[int, float]] = {}
         published.listen(self._spread)
 
     def find_silent(self) -> frozenset[str]:
@@ -106,7 +108,9 @@
                 )
                 self._owners.note_contact(sender, message.sent, version)
             case messages.Want():
-                return self._answer_want(message)
+                self._answer_want(sender, message)
+            case messages.Difference():
+                self._take_difference(sender, message)
             case messages.Value():
                 self._published.offer(
                     platform_client.Published(**dataclasses.asdict(message))
@@ -133,15 +137,60 @@
         mine = self._published.get_versions()
         newer = {p: v for p, v in versions.items() if v > mine.get(p, 0)}
         for path in newer:
-            want = messages.Want(path=path, version=mine.get(path, 0))
-            self._links.send(sender, want)
+            self._ask(sender, path, mine.get(path, 0))
         return bool(newer)
 
-    def _answer_want(self, message: messages.Want) -> messages.Message | None:
+    def _ask(self, sender: str, path: str, version: int) -> None:
+        # All neighbours tell of a change at about the same time; the value
+        # comes from one of them, and from another if that one fails.
+        now = self._ticker.now()
+        known, asked = self._asked.get(path, (-1, float("-inf")))
+        if known == version and now - asked < const.ASK_AGAIN_SECONDS:
+            return
+        self._asked[path] = (version, now)
+        self._links.send(sender, messages.Want(path=path, version=version))
+
+    def _answer_want(self, sender: str, message: messages.Want) -> None:
         known = self._published.get(message.path)
         if known is None or known.version <= message.version:
-            return None
-        return messages.Value(**dataclasses.asdict(known))
+            return
+        changes = self._published.find_deltas(message.path, message.version)
+        for change in changes:
+            fields = dataclasses.asdict(change)
+            self._links.send(
+                sender, messages.Difference(path=message.path, **fields)
+            )
+        if not changes:
+            value = messages.Value(**dataclasses.asdict(known))
+            self._links.send(sender, value)
+
+    def _take_difference(
+        self, sender: str, message: messages.Difference
+    ) -> None:
+        fields = dataclasses.asdict(message)
+        path = fields.pop("path")
+        if not self._published.offer_delta(path, delta.Delta(**fields)):
+            self._links.send(sender, messages.Want(path=path, version=0))
+
+    def is_reader(self, path: str) -> bool:
+        """Return whether this instance is to watch a published value.
+
+        Load: hundreds of instances and a catalogue of up to a megabyte.
+        Harm: each change read whole by each costs thousands of times what
+        changed. In a large fleet the first few of each data centre, by
+        rendezvous hash, read it; all others get differences from peers.
+        """
+        instances = self._published.instances
+        me = instances.get(self._links.me.instance)
+        if me is None or len(instances) <= const.SMALL_FLEET:
+            return True
+        names = [
+            i.name
+            for i in instances.values()
+            if i.data_centre == me.data_centre and i.name not in self._silent
+        ]
+        ranked = ownership.rank_instances(path, names)
+        return me.name in ranked[: platform_const.READERS_PER_DATA_CENTRE]
 
     def _take_release(self, message: messages.Release) -> None:
         mine = self._published.get_versions()
--- a/citronport/instances/messages.py
+++ b/citronport/instances/messages.py
@@ -154,6 +154,19 @@
     value: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Difference:
+    """How a published value changed; see ``platform.delta.Delta``."""
+
+    path: str
+    base: int
+    version: int
+    fields: dict[str, Any]
+    items: dict[str, list[dict[str, Any]]]
+    dropped: dict[str, list[str]]
+    checksum: int
+
+
 Message = (
     Hello
     | Submit
@@ -167,6 +180,7 @@
     | Release
     | Want
     | Value
+    | Difference
 )
 
 _KINDS: tuple[type, ...] = (
@@ -182,6 +196,7 @@
     Release,
     Want,
     Value,
+    Difference,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _FIELDS = {
--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -39,6 +39,7 @@
     deliver: collections.abc.Callable[[Published], None],
     confirm: collections.abc.Callable[[float, int], None],
     note: collections.abc.Callable[[str, str], None],
+    is_reader: collections.abc.Callable[[str], bool] = lambda path: True,
 ) -> None:
     """Follow one published value for ever, one open watch at a time.
 
@@ -52,10 +53,18 @@
             question was sent, since the answer is at least that fresh, and
             with the version that the platform holds.
         note: called with the path and the outcome of each question.
+        is_reader: whether this instance is one of those that watch the
+            value; others ask now and then only.
     """
     version = 0
     turn = 0
+    asked = float("-inf")
     while True:
+        if not is_reader(path) and ticker.now() - asked < (
+            const.FALLBACK_SECONDS
+        ):
+            ticker.sleep(const.READER_POLL_SECONDS)
+            continue
         asked = ticker.now()
         address = addresses[turn % len(addresses)]
         match ask(path, address, version, wait):
--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -19,3 +19,18 @@
 CONNECT_SECONDS: Final = 2.0
 RETRY_SECONDS: Final = 0.5
 MAX_VALUE_BYTES: Final = 1_000_000
+
+KEPT_DELTAS: Final = 512
+"""Differences kept for peers that are behind. An hour apart at 6,900
+changes a day is 288; who is further behind gets the whole value."""
+
+READERS_PER_DATA_CENTRE: Final = 2
+"""Instances of a data centre that watch the catalogue in a large fleet; the
+others get differences from these. Two, since one may die or be cut off."""
+
+FALLBACK_SECONDS: Final = 30.0
+"""How often one that is no reader asks all the same: all readers within its
+reach may have lost the platform."""
+
+READER_POLL_SECONDS: Final = 1.0
+"""Pause between two looks at whether this instance has become a reader."""
--- a/citronport/platform/store.py
+++ b/citronport/platform/store.py
@@ -1,13 +1,16 @@
 """The newest published values this instance knows, from any source."""
 
+import collections
 import collections.abc
 import dataclasses
 
 from absl import logging
 import result
 
+from citronport import documents
 from citronport.platform import client
 from citronport.platform import const
+from citronport.platform import delta
 from citronport.platform import models
 from citronport.scheduler import models as decisions
 
@@ -27,6 +30,15 @@
     entries: dict[str, str]
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Held:
+    """A value in force, and how it came to be."""
+
+    published: client.Published
+    document: delta.Document
+    history: collections.deque[delta.Delta]
+
+
 class Store:
     """Holds each value at its newest version and tells who listens.
 
@@ -38,7 +50,7 @@
         self.fleet: decisions.Fleet | None = None
         self.accounts = Accounts(salt="", entries={})
         self.instances: dict[str, decisions.Instance] = {}
-        self._values: dict[str, client.Published] = {}
+        self._held: dict[str, _Held] = {}
         self._listeners: list[collections.abc.Callable[[str], None]] = []
 
     def listen(self, listener: collections.abc.Callable[[str], None]) -> None:
@@ -47,33 +59,101 @@
 
     def get_versions(self) -> dict[str, int]:
         """Return the version of each value by its path."""
-        return {path: v.version for path, v in self._values.items()}
+        return {p: h.published.version for p, h in self._held.items()}
 
     def get(self, path: str) -> client.Published | None:
         """Return a value as it was published, for a peer."""
-        return self._values.get(path)
+        held = self._held.get(path)
+        return held.published if held else None
+
+    def find_deltas(self, path: str, version: int) -> list[delta.Delta]:
+        """Return how a version became the one in force.
+
+        Returns:
+            The differences in order; empty if not all of them are kept.
+        """
+        held = self._held.get(path)
+        if held is None:
+            return []
+        found = [d for d in held.history if d.base >= version]
+        if not found or found[0].base != version:
+            return []
+        return found
 
     def offer(self, published: client.Published) -> bool:
         """Take a value if it is newer and valid; return whether taken."""
-        known = self._values.get(published.path)
-        if known is not None and published.version <= known.version:
+        if not self._is_newer(published.path, published.version):
             return False
-        if published.path == const.PATH_CATALOGUE:
-            taken = self._take_catalogue(published)
+        match documents.load(published.value):
+            case result.Ok(raw):
+                return self._take(published, raw)
+            case result.Err(reason):
+                _refuse(published.path, reason)
+                return False
+
+    def offer_delta(self, path: str, change: delta.Delta) -> bool:
+        """Take a difference; return False if the whole value is needed."""
+        if not self._is_newer(path, change.version):
+            return True
+        held = self._held.get(path)
+        if held is None or held.published.version != change.base:
+            return False
+        document = delta.apply_delta(held.document, change)
+        if document is None:
+            return False
+        published = client.Published(
+            path=path, version=change.version, value=delta.dump(document)
+        )
+        return self._take(published, document)
+
+    def _is_newer(self, path: str, version: int) -> bool:
+        held = self._held.get(path)
+        return held is None or version > held.published.version
+
+    def _take(
+        self, published: client.Published, document: delta.Document
+    ) -> bool:
+        path = published.path
+        if path == const.PATH_CATALOGUE:
+            taken = self._take_catalogue(published, document)
         else:
-            taken = self._take_instances(published)
+            taken = self._take_instances(published, document)
         if not taken:
             return False
-        self._values[published.path] = published
-        logging.info(
-            "%s %s is at version %d.", LOG, published.path, published.version
-        )
+        self._hold(published, document)
+        logging.info("%s %s is at version %d.", LOG, path, published.version)
         for listener in self._listeners:
-            listener(published.path)
+            listener(path)
         return True
 
-    def _take_catalogue(self, published: client.Published) -> bool:
-        match models.parse_catalogue(published.value):
+    def _hold(
+        self, published: client.Published, document: delta.Document
+    ) -> None:
+        held = self._held.get(published.path)
+        history: collections.deque[delta.Delta] = collections.deque(
+            maxlen=const.KEPT_DELTAS
+        )
+        if held is not None:
+            history = held.history
+            history.append(
+                delta.make_delta(
+                    held.document,
+                    document,
+                    held.published.version,
+                    published.version,
+                )
+            )
+        self._held[published.path] = _Held(
+            published=published, document=document, history=history
+        )
+
+    def _take_catalogue(
+        self, published: client.Published, document: delta.Document
+    ) -> bool:
+        checked = documents.check_raw(
+            document, published.value, models.CatalogueModel
+        )
+        match checked:
             case result.Ok(catalogue):
                 self.fleet = models.make_fleet(catalogue)
                 self.accounts = Accounts(
@@ -83,14 +163,24 @@
                 return True
             case result.Err(reason):
                 # The last good catalogue stays in force, whole.
-                logging.error("%s catalogue refused: %s.", LOG, reason)
+                _refuse(published.path, reason)
                 return False
 
-    def _take_instances(self, published: client.Published) -> bool:
-        match models.parse_instances(published.value):
+    def _take_instances(
+        self, published: client.Published, document: delta.Document
+    ) -> bool:
+        checked = documents.check_raw(
+            document, published.value, models.InstanceListModel
+        )
+        match checked:
             case result.Ok(listed):
                 self.instances = models.make_instances(listed)
                 return True
             case result.Err(reason):
-                logging.error("%s instance list refused: %s.", LOG, reason)
+                _refuse(published.path, reason)
                 return False
+
+
+def _refuse(path: str, reason: str) -> None:
+    name = path.rsplit("/", 1)[-1]
+    logging.error("%s %s refused: %s.", LOG, name, reason)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,101 @@
+"""Tests of published values and their differences."""
+
+import copy
+import json
+
+import testtools
+
+from citronport.platform import client
+from citronport.platform import const
+from citronport.platform import delta
+from citronport.platform import store
+
+PATH = const.PATH_CATALOGUE
+
+
+def make_document(version, names):
+    """Return a catalogue with some endpoints."""
+    return {
+        "version": version,
+        "key_salt": "salt-of-the-test",
+        "data_centres": [{"name": "dc-1"}],
+        "endpoints": [
+            {
+                "name": name,
+                "models": ["m"],
+                "data_centre": "dc-1",
+                "address": f"127.0.0.{number + 1}",
+                "port": 9000,
+            }
+            for number, name in enumerate(names)
+        ],
+        "entries": [],
+    }
+
+
+def publish(document):
+    """Return a document as the platform publishes it."""
+    return client.Published(
+        path=PATH, version=document["version"], value=json.dumps(document)
+    )
+
+
+class StoreTest(testtools.TestCase):
+    """A version never goes back, and a bad one changes nothing."""
+
+    def setUp(self):
+        """Hold two versions, one endpoint changed and one gone."""
+        super().setUp()
+        self.first = make_document(1, ["a", "b", "c"])
+        self.second = make_document(2, ["a", "b"])
+        self.second["endpoints"][1]["state"] = "leaving"
+        self.store = store.Store()
+        self.store.offer(publish(self.first))
+        self.store.offer(publish(self.second))
+
+    def test_difference_leads_to_the_same_value(self):
+        """A peer that is one behind gets what changed only."""
+        peer = store.Store()
+        peer.offer(publish(self.first))
+        (change,) = self.store.find_deltas(PATH, 1)
+        self.assertEqual(["b"], [i["name"] for i in change.items["endpoints"]])
+        self.assertEqual(["c"], change.dropped["endpoints"])
+        self.assertTrue(peer.offer_delta(PATH, change))
+        self.assertEqual(self.store.fleet, peer.fleet)
+
+    def test_peer_with_another_document_needs_the_whole(self):
+        """The checksum shows that two hold different values as one version.
+
+        The platform published version 1 twice. Without the checksum the
+        difference would be put on top of the wrong one, unseen for ever.
+        """
+        other = copy.deepcopy(self.first)
+        other["endpoints"][0]["port"] = 9001
+        peer = store.Store()
+        peer.offer(publish(other))
+        (change,) = self.store.find_deltas(PATH, 1)
+        self.assertFalse(peer.offer_delta(PATH, change))
+        self.assertEqual(1, peer.get_versions()[PATH])
+
+    def test_older_and_wrong_values_change_nothing(self):
+        """A stale platform, a late difference and a bad edit."""
+        fleet = self.store.fleet
+        (change,) = self.store.find_deltas(PATH, 1)
+        bad = make_document(3, ["a", "a"])
+        with self.assertLogs(level="ERROR"):
+            self.assertFalse(self.store.offer(publish(bad)))
+        self.assertFalse(self.store.offer(publish(self.first)))
+        self.assertTrue(self.store.offer_delta(PATH, change))
+        self.assertIs(fleet, self.store.fleet)
+
+    def test_history_that_does_not_reach_back(self):
+        """A peer that is too far behind gets the whole value."""
+        self.assertEqual([], self.store.find_deltas(PATH, 0))
+
+    def test_order_of_items_does_not_matter(self):
+        """Checksums of one value agree however it was put together."""
+        turned = copy.deepcopy(self.second)
+        turned["endpoints"].reverse()
+        self.assertEqual(
+            delta.make_checksum(self.second), delta.make_checksum(turned)
+        )
