Let the demo's caller go where a leaving entry sends it

Ruled out: a fault of the entries; they said "not run" and named others. Change: a "not run" that names other entries is followed there; a new ticket is taken only if every attempt so far was "not run", since one whose answer was lost may have run under the first ticket.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -60,7 +60,10 @@
             return True
         if self.ran is None:
             return False
-        return not self.may_retry or self.ran != NOT_RUN
+        if self.ran != NOT_RUN:
+            return True
+        # An entry that leaves forbids a repeat there, and names others.
+        return not self.may_retry and not self.go_to
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -323,8 +326,12 @@
             attempts.append(outcome)
             if outcome.is_final:
                 break
-            if outcome.ran is None or outcome.retry_after == 0:
-                turn += 1
+            if all(a.ran == NOT_RUN for a in attempts):
+                # No attempt ran, so that it may start under another
+                # ticket; the home of the first one may be leaving.
+                headers = None
+            if outcome.ran is None or outcome.go_to:
+                turn = 0 if outcome.go_to else turn + 1
                 self._fresh_until = 0.0
             pause = outcome.retry_after or LOST_PAUSE_SECONDS
             time.sleep(min(pause, max(0.0, end - time.monotonic())))
