Start slowly on an endpoint that has been idle

Its first answer in cold start, 78 ms late, was no proof of warmth either. Change: after 0.5 s without an answer an idle endpoint starts with what a cold start bears, and each first token allows one more. Two can still overlap where one answer came quickly.

--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -48,6 +48,7 @@
         since: evidence must be younger than this, clock seconds.
         shown: when it last was warm for certain: when a report was made
             that says so, or when a request left whose answer has begun.
+        answered: when it last answered a request, clock seconds.
         foreign: requests that others left there; None if not known.
         counted: only younger reports count foreign requests.
         running: own requests in progress.
@@ -66,6 +67,7 @@
     warm: bool = False
     since: float = -math.inf
     shown: float = -math.inf
+    answered: float = -math.inf
     foreign: int | None = None
     counted: float = -math.inf
     running: dict[str, Sent] = dataclasses.field(default_factory=dict)
@@ -246,6 +248,7 @@
     state: State, request: models.Request, prefill: float, now: float
 ) -> None:
     """Count a request that is sent now."""
+    _start_slowly(state, now)
     begin = max(now, state.prefill_free)
     load = len(state.running) + (state.foreign or 0)
     state.prefill_free = begin + prefill
@@ -259,6 +262,17 @@
     )
 
 
+def _start_slowly(state: State, now: float) -> None:
+    # Load: a burst that meets an endpoint which has been idle. Harm: one
+    # that turned cold without a word would get all of it before its next
+    # report, which comes late, and fall over. It starts with as many as a
+    # cold start bears, and each first token allows one more: the first
+    # that breaks ends it. While an endpoint is busy this costs nothing.
+    silent = now - state.answered > const.PROOF_SECONDS
+    if silent and not state.running and has_cold_start(state.spec):
+        state.limit = min(state.limit, state.spec.cold_concurrency)
+
+
 def _take_out(state: State, request_id: str) -> Sent | None:
     sent = state.running.pop(request_id, None)
     if sent is not None:
@@ -272,6 +286,7 @@
     if sent is None or sent.first_token is not None:
         return
     sent.first_token = now
+    state.answered = now
     state.shown = max(state.shown, sent.at)
     if sent.usual:
         _learn_speed(state, sent, now)
--- a/citronport/scheduler/const.py
+++ b/citronport/scheduler/const.py
@@ -153,3 +153,7 @@
 SHOWN_SECONDS: Final = 3.0
 """How old evidence of warmth may be for a send without a lease; the length
 of a lease, so that both run out in the same pause."""
+
+PROOF_SECONDS: Final = 0.5
+"""How long a first token proves that an endpoint is as warm as it was; about
+the lag of a report, which is seen instead after that."""
