--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -210,6 +210,14 @@
         finally:
             self.connections.exit(sock)
 
+    def close(self) -> None:
+        """Stop listening, after what has connected was taken."""
+        # A connection that waits in the kernel is reset when the listener
+        # closes: its caller can't tell whether its request ran.
+        while not self.closed and (taken := self.do_read()) is not None:
+            self.do_handle(*taken)
+        super().close()
+
     def is_idle(self) -> bool:
         """Return whether no connection carries a request."""
         return self.connections.is_idle()
