--- a/citronport/core.py
+++ b/citronport/core.py
@@ -205,7 +205,7 @@
                 summarize=self.scheduler.summarize,
                 get_owned=lambda: self.assignment.current.owned,
                 count_running=self.executor.count_running,
-                is_warm=self._is_warm,
+                is_warm=self.scheduler.is_warm,
                 is_linked=lambda n: self.peers.get_incarnation(n) is not None,
                 is_leaving=lambda: self._leaving,
                 connected=self._connected,
@@ -213,23 +213,23 @@
             )
         )
 
-    def _is_warm(self, endpoint: str) -> bool:
-        return self.scheduler.is_shown_warm(endpoint, self.ticker.now())
-
     def _start_tasks(self) -> None:
         watches = (
             (
                 platform_const.PATH_CATALOGUE,
                 platform_const.WATCH_SECONDS,
                 lambda asked, version: None,
+                self.gossip.is_reader,
             ),
             (
                 platform_const.PATH_INSTANCES,
                 platform_const.CONFIRM_SECONDS,
                 self.assignment.confirm_list,
+                # Each reads the list itself: a lease rests on it.
+                lambda path: True,
             ),
         )
-        for path, wait, confirm in watches:
+        for path, wait, confirm, is_reader in watches:
             self.tasks.keep(
                 f"watch {path}",
                 platform_client.watch,
@@ -240,6 +240,7 @@
                 self.published.offer,
                 confirm,
                 self.telemetry.counts.note_read,
+                is_reader,
             )
         self.tasks.keep("peer reports", self.gossip.serve)
         self.tasks.keep("keeper", self.keeper.sweep_forever)
