Measure the slopes of requests and tokens for the capacity page

Cause: the page took both from one point of script/measure path each. Ruled out: the closed loop's base as the cost at 94 calls a second (few connections, no slope to zero): only the slopes are used. Change: measures/capacity/traffic.py, four points each. Conclusion: taken; one function for processor time serves both measures.

--- a/measures/capacity/__init__.py
+++ b/measures/capacity/__init__.py
@@ -8,6 +8,7 @@
 from measures.capacity import daemons
 from measures.capacity import messages
 from measures.capacity import slopes
+from measures.capacity import traffic
 
 
 def run(json: str = "", seconds: float = 8.0, subnet: str = "35.1") -> None:
@@ -22,6 +23,7 @@
         *catalogue.measure(),
         *messages.measure(),
         *daemons.measure(seconds, str(subnet)),
+        *traffic.measure(seconds, str(subnet)),
     ]
     fitted = [slopes.fit(one) for one in series]
     for line in slopes.describe(fitted):
--- a/measures/capacity/daemons.py
+++ b/measures/capacity/daemons.py
@@ -1,13 +1,13 @@
 """Real entry instances at rest: processor time, memory, platform reads."""
 
 import json
-import os
 import pathlib
 import tempfile
 import time
 
 import geventhttpclient
 
+from measures import path
 from measures.capacity import slopes
 from standins import fleet
 from standins import processes
@@ -15,7 +15,6 @@
 COUNTS = (2, 4, 8, 16)
 ENGINES = 2
 SETTLE_SECONDS = 6.0
-TICKS = os.sysconf("SC_CLK_TCK")
 
 
 def measure(seconds: float, subnet: str) -> list[slopes.Series]:
@@ -61,9 +60,9 @@
 def _watch(started: fleet.Fleet, seconds: float) -> dict[str, float]:
     names = [i["name"] for i in started.instances]
     ids = [started.running.get_pid(name) for name in names]
-    before = (_read_cpu(ids), _read_reads(started), _read_bytes())
+    before = (_sum_cpu(ids), _read_reads(started), _read_bytes())
     time.sleep(seconds)
-    after = (_read_cpu(ids), _read_reads(started), _read_bytes())
+    after = (_sum_cpu(ids), _read_reads(started), _read_bytes())
     count = len(ids)
     spent = after[0] - before[0]
     return {
@@ -79,13 +78,8 @@
     }
 
 
-def _read_cpu(ids: list[int]) -> float:
-    total = 0
-    for number in ids:
-        text = pathlib.Path(f"/proc/{number}/stat").read_text()
-        fields = text.rsplit(")", 1)[1].split()
-        total += int(fields[11]) + int(fields[12])
-    return total / TICKS
+def _sum_cpu(ids: list[int]) -> float:
+    return sum(path.read_cpu(number) for number in ids)
 
 
 def _read_memory(number: int) -> float:
--- a/measures/path.py
+++ b/measures/path.py
@@ -140,11 +140,11 @@
     def measure(self, way: Way, size: Size) -> Figure:
         """Put the load on a way and return its cost."""
         self.warm_up(way)
-        before = self._read_cpu(way)
+        before = self.read_cpu(way)
         calls = path_load.call_in_loop(way.target, CONNECTIONS, size.seconds)
-        between = self._read_cpu(way)
+        between = self.read_cpu(way)
         streams = path_load.read_streams(way.target, size.streams, size.tokens)
-        after = self._read_cpu(way)
+        after = self.read_cpu(way)
         return Figure(
             way=way.name,
             requests_per_second=round(calls.count / calls.seconds, 1),
@@ -156,12 +156,14 @@
             failed=calls.failed + streams.failed,
         )
 
-    def _read_cpu(self, way: Way) -> float:
+    def read_cpu(self, way: Way) -> float:
+        """Return the processor time of a way's processes, seconds."""
         pids = [self.running.get_pid(name) for name in way.processes]
-        return sum(_read_cpu(pid) for pid in pids)
+        return sum(read_cpu(pid) for pid in pids)
 
 
-def _read_cpu(pid: int) -> float:
+def read_cpu(pid: int) -> float:
+    """Return the processor time of a process so far, seconds."""
     text = pathlib.Path(f"/proc/{pid}/stat").read_text()
     # The name in brackets may hold blanks; the fields are counted from
     # its end: user and system time are the 12th and 13th after it.
@@ -195,7 +197,8 @@
     )
 
 
-def _make_target(addresses: tuple[str, ...], model: str) -> path_load.Target:
+def make_target(addresses: tuple[str, ...], model: str) -> path_load.Target:
+    """Return a target that the bench's key opens."""
     return path_load.Target(addresses=addresses, model=model, key=KEY)
 
 
@@ -212,17 +215,17 @@
         ways = (
             Way(
                 name="direct",
-                target=_make_target(endpoints, "any"),
+                target=make_target(endpoints, "any"),
                 processes=names,
             ),
             Way(
                 name="relay",
-                target=_make_target((bench.relay,), "any"),
+                target=make_target((bench.relay,), "any"),
                 processes=(RELAY,),
             ),
             Way(
                 name="entry",
-                target=_make_target(entries, "any"),
+                target=make_target(entries, "any"),
                 processes=("entry-1",),
             ),
         )
@@ -240,7 +243,7 @@
         other = bench.fleet.get_callers_addresses()[1 - names.index(owner)]
         way = Way(
             name="forward",
-            target=_make_target((other,), "only-0"),
+            target=make_target((other,), "only-0"),
             processes=tuple(names),
         )
         return [bench.measure(way, size)]
