--- a/tests/callers/test_home.py
+++ b/tests/callers/test_home.py
@@ -13,9 +13,8 @@
 from citronport.callers import const
 from citronport.callers import home
 from citronport.callers import tickets
-from citronport.endpoints import client
 from citronport.endpoints import messages
-from citronport.scheduler import models
+from tests import samples
 
 NAMES = ("entry-1", "entry-2")
 KINDS = strategies.sampled_from(
@@ -25,25 +24,9 @@
 
 def make_work(identity=None, *, idempotent=True):
     """Return work of which only the identity counts."""
-    request = models.Request(
-        request_id="request",
-        entry="entry",
-        workspace="workspace",
-        tier=0,
-        model="small",
-        deadline=1e9,
-        idempotent=idempotent,
+    return samples.make_work(
+        seconds=1e9, identity=identity, idempotent=idempotent
     )
-    call = client.Call(
-        request_id="request",
-        method="POST",
-        path="/",
-        body=b"",
-        headers={},
-        stream=True,
-        timeout=1,
-    )
-    return runs.Work(request=request, call=call, identity=identity)
 
 
 def refuse(run, code):
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -9,9 +9,9 @@
 from citronport import executor
 from citronport import runs
 from citronport import telemetry
-from citronport.endpoints import client
 from citronport.endpoints import messages
 from citronport.scheduler import models
+from tests import samples
 
 SECRET = "content-of-a-caller"
 FLEET = models.Fleet(version=1, data_centres={}, endpoints={}, entries={})
@@ -106,7 +106,11 @@
                 return [self._action]
             case models.DispatchFailed():
                 refusal = errors.Refusal(code=event.code)
-                return [models.Refuse(request_id="r", refusal=refusal)]
+                return [
+                    models.Refuse(
+                        request_id=samples.REQUEST_ID, refusal=refusal
+                    )
+                ]
             case models.AnswerFinished():
                 self.ended.set()
         return []
@@ -131,26 +135,7 @@
         )
         task = gevent.spawn(made.serve)
         self.addCleanup(task.kill)
-        work = runs.Work(
-            request=models.Request(
-                request_id="r",
-                entry="e",
-                workspace="w",
-                tier=2,
-                model="small",
-                deadline=60.0,
-            ),
-            call=client.Call(
-                request_id="r",
-                method="POST",
-                path="/",
-                body=b"",
-                headers={},
-                stream=False,
-                timeout=60.0,
-            ),
-        )
-        run = runs.Run(work, lambda run: None)
+        run = runs.Run(samples.make_work(tier=2), lambda run: None)
         made.submit(run)
         with gevent.Timeout(10):
             (message,) = run.read()
@@ -169,7 +154,10 @@
 
         with self.assertLogs("absl", "ERROR") as logs:
             scheduler, counts, message = self.run_request(
-                models.Forward(request_id="r", instance="entry-2"), forward
+                models.Forward(
+                    request_id=samples.REQUEST_ID, instance="entry-2"
+                ),
+                forward,
             )
         self.assertIsInstance(message, messages.Refused)
         self.assertEqual(errors.Code.INTERNAL, message.refusal.code)
@@ -185,7 +173,10 @@
         Nothing was sent, so that the caller may be told "not run".
         """
         scheduler, counts, message = self.run_request(
-            models.Dispatch(request_id="r", endpoint="engine-1"), None
+            models.Dispatch(
+                request_id=samples.REQUEST_ID, endpoint="engine-1"
+            ),
+            None,
         )
         failed = scheduler.heard[-1]
         self.assertIsInstance(failed, models.DispatchFailed)
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -4,32 +4,13 @@
 
 from citronport import errors
 from citronport import runs
-from citronport.endpoints import client
 from citronport.endpoints import messages
-from citronport.scheduler import models
+from tests import samples
 
 
 def make_run(*, keep=False):
     """Return a run that nobody reads yet."""
-    request = models.Request(
-        request_id="r",
-        entry="e",
-        workspace="w",
-        tier=0,
-        model="m",
-        deadline=1.0,
-    )
-    call = client.Call(
-        request_id="r",
-        method="POST",
-        path="/",
-        body=b"",
-        headers={},
-        stream=False,
-        timeout=1.0,
-    )
-    work = runs.Work(request=request, call=call)
-    return runs.Run(work, lambda run: None, keep=keep)
+    return runs.Run(samples.make_work(), lambda run: None, keep=keep)
 
 
 class RunTest(testtools.TestCase):
