--- /dev/null
+++ b/tests/instances/test_messages.py
@@ -0,0 +1,57 @@
+"""Tests of the messages between instances."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from citronport.instances import messages
+
+
+class MessagesTest(testtools.TestCase):
+    """What is sent is what is read, and nothing else is taken."""
+
+    def read(self, data):
+        """Return the messages in some bytes."""
+        unpacker = messages.make_unpacker()
+        unpacker.feed(data)
+        return [messages.decode(raw) for raw in unpacker]
+
+    def test_each_comes_back_as_it_was(self):
+        """Two messages in one piece of the stream."""
+        sent = [
+            messages.Piece(stream=7, offset=3, data=b"\x00abc"),
+            messages.Refused(
+                stream=8,
+                code=2101,
+                detail="",
+                retry_after=None,
+                go_to=["127.0.0.1:8000"],
+            ),
+        ]
+        data = b"".join(messages.encode(message) for message in sent)
+        self.assertEqual(sent, self.read(data))
+
+    def test_unknown_and_broken_messages_are_refused(self):
+        """Another version's message ends the link and no more."""
+        for raw in ([], [99, 1], ["x"], [0, 1], {"a": 1}, [-1]):
+            self.assertRaises(ValueError, messages.decode, raw)
+
+    @hypothesis.settings(
+        derandomize=True, database=None, max_examples=200, deadline=None
+    )
+    @hypothesis.given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.integers(-5, 20)
+            | strategies.text(max_size=3),
+            lambda inner: strategies.lists(inner, max_size=9),
+            max_leaves=12,
+        )
+    )
+    def test_whatever_comes_is_a_message_or_refused(self, raw):
+        """No input makes the reader fail in another way."""
+        try:
+            message = messages.decode(raw)
+        except ValueError:
+            return
+        self.assertIsInstance(message, messages.Message)
