Tell whole answers from streams when speed is learnt

A slow start waited for whole answers to end. Ruled out: always streaming from the engine (a second form of each answer). Change: a request says whether it streams; a report made while a request runs doubles what a slow start allows. Tests share one way to start a fleet.

--- a/citronport/callers/submissions.py
+++ b/citronport/callers/submissions.py
@@ -93,6 +93,7 @@
         prefix=chat.prefix if chat else (),
         deadline=now + marked.seconds,
         idempotent=marked.idempotent,
+        streamed=chat.stream if chat else False,
     )
 
 
--- a/citronport/scheduler/budget.py
+++ b/citronport/scheduler/budget.py
@@ -161,6 +161,7 @@
     if not report.cold:
         state.shown = max(state.shown, made)
         _turn_warm(state)
+        _grow_by_report(state, made)
     if made <= state.counted:
         return
     # A request whose first token came before the report was made was
@@ -175,6 +176,14 @@
     state.foreign = left if state.foreign is None else min(state.foreign, left)
 
 
+def _grow_by_report(state: State, made: float) -> None:
+    # Load: answers that come in one piece, after long. Harm: a slow start
+    # that waits for them keeps an endpoint nearly idle meanwhile. A report
+    # that was made while one of them ran says that it was borne.
+    if any(sent.at < made for sent in state.running.values()):
+        state.limit = min(state.spec.concurrency, 2 * state.limit)
+
+
 def may_start(state: State, request: models.Request, now: float) -> bool:
     """Return whether the endpoint may be given a request now."""
     if not state.connected or state.foreign is None:
@@ -257,11 +266,20 @@
         request=request,
         at=now,
         prefill=prefill,
-        expected=begin + prefill,
-        usual=load < state.spec.concurrency,
+        expected=begin + prefill + _estimate_decode(state, request),
+        usual=request.streamed and load < state.spec.concurrency,
     )
 
 
+def _estimate_decode(state: State, request: models.Request) -> float:
+    # An answer in one piece comes when its last token does. Taken for a
+    # first token that is late, it would count as a sign of a cold start,
+    # and the endpoint would be fed as one.
+    if request.streamed:
+        return 0.0
+    return request.max_tokens / max(1.0, state.decode)
+
+
 def _start_slowly(state: State, now: float) -> None:
     # Load: a burst that meets an endpoint which has been idle. Harm: one
     # that turned cold without a word would get all of it before its next
@@ -292,7 +310,9 @@
         _learn_speed(state, sent, now)
     # Prefill is serial: what was sent before is over now, too.
     later = sum(
-        s.prefill for s in state.running.values() if s.first_token is None
+        s.prefill
+        for s in state.running.values()
+        if s.first_token is None and s.request.streamed
     )
     state.prefill_free = now + later
     if not state.warm:
@@ -321,7 +341,8 @@
         return None
     gain = const.SPEED_GAIN
     state.turnover += gain * (now - sent.at - state.turnover)
-    if output_tokens and sent.first_token is not None:
+    timed = sent.first_token is not None and sent.request.streamed
+    if output_tokens and timed:
         rate = output_tokens / max(0.01, now - sent.first_token)
         state.decode += gain * (rate - state.decode)
     return sent
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -171,6 +171,8 @@
         prefix: hashes of the prompt's leading blocks, longest last.
         deadline: clock time after which the answer is worthless.
         idempotent: False if it may run at most once.
+        streamed: False if the answer comes in one piece, so that its
+            first token tells nothing of the speed.
     """
 
     request_id: str
@@ -184,6 +186,7 @@
     prefix: tuple[int, ...] = ()
     deadline: float
     idempotent: bool = True
+    streamed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/callers/fleets.py
+++ b/tests/callers/fleets.py
@@ -1,12 +1,9 @@
 """A small fleet of processes for the tests of the caller side."""
 
-import pathlib
-import tempfile
-
 from standins import caller
 from standins import fleet
 from standins import journal
-from standins import processes
+from tests import fleets
 
 KEY = "key-1"
 CHAT = "/v1/chat/completions"
@@ -15,10 +12,6 @@
 
 def start_fleet(test, subnet, *, instances=2):
     """Start a fleet that ends with a test; return it once it serves."""
-    folder = tempfile.TemporaryDirectory()
-    test.addCleanup(folder.cleanup)
-    running = processes.Processes(pathlib.Path(folder.name))
-    test.addCleanup(running.__exit__)
     layout = fleet.Layout(
         subnet=subnet,
         data_centres=("dc-1", "dc-2"),
@@ -36,8 +29,7 @@
         services=("reservations",),
         entries=({"name": "shop", "owner": "shop", "class": 0, "key": KEY},),
     )
-    started = fleet.Fleet(layout, running)
-    started.start()
+    started = fleets.start_fleet(test, layout)
     body = caller.make_chat("small", "hello", 1)
     for address in started.get_callers_addresses():
         caller.send_patiently(address, KEY, CHAT, body)
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -1,11 +1,9 @@
 """What operators see and order, with real processes."""
 
 import json
-import pathlib
 import signal
 import subprocess
 import sys
-import tempfile
 
 import geventhttpclient
 import testtools
@@ -13,8 +11,8 @@
 from standins import caller
 from standins import fleet
 from standins import journal
-from standins import processes
 from tests import addresses
+from tests import fleets
 
 LAYOUT = fleet.Layout(
     subnet=addresses.choose_subnet(0),
@@ -60,12 +58,7 @@
     def setUp(self):
         """Start the fleet and find who owns the engine."""
         super().setUp()
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        running = processes.Processes(pathlib.Path(folder.name))
-        self.addCleanup(running.__exit__)
-        self.fleet = fleet.Fleet(LAYOUT, running)
-        self.fleet.start()
+        self.fleet = fleets.start_fleet(self, LAYOUT)
         self.operators = [
             f"{i['address']}:{fleet.OPERATOR_PORT}"
             for i in self.fleet.instances
--- a/tests/scheduler/test_budget.py
+++ b/tests/scheduler/test_budget.py
@@ -247,3 +247,63 @@
         self.assertFalse(budget.may_start(self.state, request, 2.0))
         self.report(3.0, age=0.1, cold=True, running=0)
         self.assertTrue(budget.may_start(self.state, request, 3.0))
+
+
+class WholeAnswerTest(testtools.TestCase):
+    """An answer in one piece tells of its speed only at its end."""
+
+    def setUp(self):
+        """Take an endpoint that was shown warm."""
+        super().setUp()
+        self.state = budget.make_state(SPEC, 0.0)
+        budget.connect(self.state, 0.0)
+        self.report(1.0)
+
+    def report(self, now):
+        """Let a report come that says warm."""
+        running = len(self.state.running)
+        report = models.LoadReport(
+            running=running, queued=0, cold=False, age=0.1
+        )
+        budget.take_report(self.state, report, now)
+
+    def send(self, number, now):
+        """Send a request for an answer in one piece, if it may start."""
+        request = models.Request(
+            request_id=str(number),
+            entry="entry",
+            workspace="workspace",
+            tier=0,
+            model="floor",
+            prompt_tokens=10,
+            max_tokens=350,
+            deadline=100.0,
+            streamed=False,
+        )
+        if not budget.may_start(self.state, request, now):
+            return False
+        budget.record_send(self.state, request, 0.01, now)
+        return True
+
+    def test_long_answer_is_no_sign_of_a_cold_start(self):
+        """Seen as an endpoint fed as if cold, and taken for slow.
+
+        A caller that does not stream waits ten seconds for 350 tokens at
+        the endpoint's usual speed. Its first piece is its last.
+        """
+        self.assertTrue(self.send(1, 2.0))
+        self.assertFalse(budget.find_overdue(self.state, 9.0))
+        budget.record_first_token(self.state, "1", 12.0)
+        budget.record_end(self.state, "1", 12.0, 350)
+        self.assertEqual(1.0, self.state.slow)
+        self.assertLess(self.state.decode, 100.0)
+
+    def test_reports_end_a_slow_start(self):
+        """Long answers alone do not keep an idle endpoint nearly idle."""
+        sent = 0
+        for step in range(8):
+            now = 5.0 + step * 0.5
+            self.report(now)
+            while self.send(sent, now):
+                sent += 1
+        self.assertEqual(SPEC.concurrency, len(self.state.running))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,15 +1,12 @@
 """The whole path as separate processes."""
 
-import pathlib
-import tempfile
-
 import testtools
 
 from standins import answers
 from standins import caller
 from standins import fleet
-from standins import processes
 from tests import addresses
+from tests import fleets
 
 LAYOUT = fleet.Layout(
     # By process, so that two runs on one machine do not meet.
@@ -38,12 +35,7 @@
     def setUp(self):
         """Start a small fleet."""
         super().setUp()
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        running = processes.Processes(pathlib.Path(folder.name))
-        self.addCleanup(running.__exit__)
-        self.fleet = fleet.Fleet(LAYOUT, running)
-        self.fleet.start()
+        self.fleet = fleets.start_fleet(self, LAYOUT)
 
     def send_chat(self, address, **options):
         """Send a chat call and check its answer."""
