Let each instance speak for itself alone, and wait at the pace of reports

Cause, found by reading the whole change: (1) two tasks each replaced the one set of leaving instances, so that one's own leave and return dropped what others had said. (2) In a fleet of over 16 the report pause, 2 s, was the time after which a neighbour counts as silent: each would have looked dead before each report. (3) An instance that spoke once over a link of its own was waited for, and told to be out of reach, for ever. Ruled out: keeping the set twice and joining it (state that is derived). Change: update_leaving takes one name; silence is two and a half pauses; only neighbours owe signs of life. Dead code is out (Warmth, get_place, parse_instances, BUDGET).

--- a/citronport/core.py
+++ b/citronport/core.py
@@ -301,8 +301,7 @@
         self.executor.post(order)
         # The executor takes the order before the report tells of it.
         gevent.sleep(0)
-        names = frozenset({self.name}) if leaving else frozenset()
-        self.owners.update_leaving(names, self.ticker.now())
+        self.owners.update_leaving(self.name, leaving, self.ticker.now())
         self.gossip.report()
 
     def _watch_owned(self) -> None:
--- a/citronport/instances/gossip.py
+++ b/citronport/instances/gossip.py
@@ -48,7 +48,6 @@
         self._members = membership.Membership()
         self._neighbours: set[str] = set()
         self._silent: frozenset[str] = frozenset()
-        self._leaving: frozenset[str] = frozenset()
         self._answered: set[str] = set()
         self._asked: dict[str, tuple[int, float]] = {}
         published.listen(self._spread)
@@ -69,17 +68,18 @@
         """Report to the neighbours for ever."""
         while True:
             self.report()
-            small = len(self._published.instances) <= const.SMALL_FLEET
-            pause = (
-                const.REPORT_SECONDS if small else const.LARGE_REPORT_SECONDS
-            )
-            self._ticker.sleep(pause)
+            self._ticker.sleep(self._get_pause())
+
+    def _get_pause(self) -> float:
+        if len(self._published.instances) <= const.SMALL_FLEET:
+            return const.REPORT_SECONDS
+        return const.LARGE_REPORT_SECONDS
 
     def report(self) -> None:
         """Report once and look at who is out of reach."""
         now = self._ticker.now()
         self._links.connect(self._published.instances, self._neighbours)
-        silent = self._members.find_silent(now)
+        silent = self._members.find_silent(now, self._get_pause())
         self._note_silent(frozenset(silent))
         self._links.broadcast(
             messages.Report(
@@ -126,7 +126,7 @@
         self._members.note_told(message.silent, now)
         self._compare(sender, message.versions)
         summary = models.InstanceSummary(**message.summary)
-        self._note_leaving(summary)
+        self._owners.update_leaving(summary.instance, summary.leaving, now)
         self._post(models.InstanceReported(summary=summary))
         return messages.Echo(
             sent=message.sent, versions=self._published.get_versions()
@@ -204,16 +204,6 @@
             self._post(models.InstanceGone(instance=name))
         self._silent = silent
 
-    def _note_leaving(self, summary: models.InstanceSummary) -> None:
-        name = summary.instance
-        if summary.leaving:
-            leaving = self._leaving | {name}
-        else:
-            leaving = self._leaving - {name}
-        if leaving != self._leaving:
-            self._leaving = leaving
-            self._owners.update_leaving(leaving, self._ticker.now())
-
     def _spread(self, path: str) -> None:
         if path == platform_const.PATH_INSTANCES:
             me = self._links.me.instance
--- a/citronport/instances/membership.py
+++ b/citronport/instances/membership.py
@@ -49,8 +49,12 @@
         self._neighbours = set(names)
 
     def note_heard(self, name: str, now: float) -> None:
-        """Note a sign of life at first hand."""
-        self._heard[name] = now
+        """Note a sign of life at first hand.
+
+        One that is no neighbour owes none: it is not waited for.
+        """
+        if name in self._neighbours:
+            self._heard[name] = now
         self._told.pop(name, None)
 
     def note_told(self, silent: dict[str, float], now: float) -> None:
@@ -65,17 +69,22 @@
                 known = self._told.get(name, float("-inf"))
                 self._told[name] = max(known, now - age)
 
-    def find_silent(self, now: float) -> dict[str, float]:
+    def find_silent(
+        self, now: float, pause: float = const.REPORT_SECONDS
+    ) -> dict[str, float]:
         """Return who is out of reach, with the age of that statement.
 
         What was told is forgotten after a while: whoever still finds an
         instance silent says so again. This is how those who are not its
         neighbours notice its return.
+
+        Args:
+            now: clock time, seconds.
+            pause: seconds between two reports; a neighbour may miss one.
         """
+        limit = max(const.SILENT_SECONDS, 2.5 * pause)
         found = {
-            name: 0.0
-            for name, at in self._heard.items()
-            if now - at > const.SILENT_SECONDS
+            name: 0.0 for name, at in self._heard.items() if now - at > limit
         }
         for name, at in list(self._told.items()):
             if now - at > const.FORGET_SECONDS:
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -127,11 +127,6 @@
     return documents.check(text, CatalogueModel)
 
 
-def parse_instances(text: str) -> result.Result[InstanceListModel, str]:
-    """Check the YAML text of an instance list; see ``documents.check``."""
-    return documents.check(text, InstanceListModel)
-
-
 def make_fleet(catalogue: CatalogueModel) -> decisions.Fleet:
     """Return the catalogue as the decisions see it."""
     return decisions.Fleet(
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -27,13 +27,6 @@
     OUT = "out"
 
 
-class Warmth(enum.StrEnum):
-    """What the evidence says of an endpoint's start."""
-
-    COLD = "cold"
-    WARM = "warm"
-
-
 class ColdShare(enum.StrEnum):
     """Part of what a cold start bears that the owner may use.
 
--- a/citronport/scheduler/owner.py
+++ b/citronport/scheduler/owner.py
@@ -110,10 +110,6 @@
         """Return the requests in progress, by tier."""
         return list(self._running)
 
-    def get_place(self, request_id: str) -> str | None:
-        """Return the endpoint at which a request runs."""
-        return self._places.get(request_id)
-
     def get_request(self, request_id: str) -> models.Request | None:
         """Return a request that runs."""
         place = self._places.get(request_id)
--- a/citronport/scheduler/ownership.py
+++ b/citronport/scheduler/ownership.py
@@ -113,12 +113,12 @@
         self._contacts.clear()
         self._reassign(before, members, now)
 
-    def update_leaving(self, leaving: frozenset[str], now: float) -> None:
-        """Take the names of instances that said they take no new work."""
-        if leaving == self._leaving:
+    def update_leaving(self, name: str, leaving: bool, now: float) -> None:
+        """Take what an instance said of itself: no new work, or again."""
+        if leaving == (name in self._leaving):
             return
         before = self._get_eligible()
-        self._leaving = leaving
+        self._leaving ^= {name}
         self._reassign(before, self._get_eligible(), now)
 
     def update_endpoints(self, endpoints: dict[str, str], now: float) -> None:
--- a/measures/capacity/aims.py
+++ b/measures/capacity/aims.py
@@ -8,7 +8,6 @@
 CHANGES_PER_SECOND = 6900 / 86400
 LIST_CHANGES_PER_SECOND = 2 * (860 + 37) / 86400
 READERS = 19 * platform_const.READERS_PER_DATA_CENTRE
-BUDGET = {"core": 0.02, "MB": 32.0, "KB/s": 3.0, "reads/s": 2000.0}
 
 
 def total(
--- a/tests/instances/test_membership.py
+++ b/tests/instances/test_membership.py
@@ -81,6 +81,23 @@
         self.assertNotIn("far", self.members.find_silent(gone))
         self.assertNotIn("far", other.find_silent(gone))
 
+    def test_pace_of_a_large_fleet_is_no_silence(self):
+        """A report each 2 s must not look like a death in between.
+
+        Seen as neighbours that are out of reach before each report, and
+        are told to be so to all others.
+        """
+        pause = const.LARGE_REPORT_SECONDS
+        self.members.note_heard("near", 0.0)
+        self.assertEqual({}, self.members.find_silent(2.2, pause))
+        late = 2.6 * pause
+        self.assertEqual({"near": 0.0}, self.members.find_silent(late, pause))
+
+    def test_stranger_that_spoke_once_is_not_waited_for(self):
+        """Only a neighbour owes signs of life."""
+        self.members.note_heard("stranger", 0.0)
+        self.assertNotIn("stranger", self.members.find_silent(60.0))
+
     def test_own_ears_go_before_what_is_told(self):
         """A neighbour that answers is not out of reach, whoever says so."""
         self.members.note_told({"near": 0.0}, 1.0)
--- a/tests/scheduler/test_ownership.py
+++ b/tests/scheduler/test_ownership.py
@@ -69,8 +69,8 @@
         owners = ownership.Ownership(second, 0.0)
         owners.update_endpoints({"engine": "dc-1"}, 0.0)
         owners.update_members(make_members(NAMES), 1, 0.0)
-        leaving = frozenset(set(NAMES) - {second})
-        owners.update_leaving(leaving, 0.0)
+        for name in set(NAMES) - {second}:
+            owners.update_leaving(name, True, 0.0)
         owners.note_platform(10.0)
         owners.note_idle("engine", 9.0)
         self.assertEqual({"engine"}, owners.assess(10.0).owned)
@@ -91,6 +91,24 @@
             models.ColdShare.UPPER_HALF, self.owners.assess_share(1.5)
         )
 
+    def test_own_leave_does_not_end_another_one(self):
+        """Each instance speaks for itself only.
+
+        Another one said that it leaves; then this one leaves and is back.
+        Taken as one set, the second word ended the first, and work was
+        forwarded to an instance that refuses it.
+        """
+        name = self.others[0]
+        self.owners.update_leaving(name, True, 0.0)
+        me = self.owners._instance
+        self.owners.update_leaving(me, True, 1.0)
+        self.assertEqual(self.others[1], self.owners.find_owner("engine"))
+        self.owners.update_leaving(me, False, 2.0)
+        self.assertEqual(me, self.owners.find_owner("engine"))
+        self.assertEqual(
+            {me, self.others[1]}, set(self.owners._get_eligible())
+        )
+
     def test_halves_without_one_authority(self):
         """Each authority alone gives its half."""
         self.assertEqual(models.ColdShare.NONE, self.owners.assess_share(1.0))
