--- a/citronport/assignment.py
+++ b/citronport/assignment.py
@@ -3,9 +3,9 @@
 import collections.abc
 
 from citronport import clock
+from citronport.catalogue import const as catalogue_const
+from citronport.catalogue import store
 from citronport.instances import messages
-from citronport.platform import const as platform_const
-from citronport.platform import store
 from citronport.scheduler import models
 from citronport.scheduler import ownership
 
@@ -60,7 +60,7 @@
         """Take a published value that changed."""
         now = self._ticker.now()
         fleet = self._published.fleet
-        if path == platform_const.PATH_INSTANCES:
+        if path == catalogue_const.PATH_INSTANCES:
             self._owners.update_members(
                 _list_members(self._published.instances),
                 self._published.get_versions()[path],
@@ -114,7 +114,7 @@
 
     def _get_list_version(self) -> int:
         versions = self._published.get_versions()
-        return versions.get(platform_const.PATH_INSTANCES, 0)
+        return versions.get(catalogue_const.PATH_INSTANCES, 0)
 
 
 def _list_members(
--- a/citronport/callers/application.py
+++ b/citronport/callers/application.py
@@ -15,9 +15,10 @@
 from citronport.callers import home
 from citronport.callers import lookup
 from citronport.callers import marks
+from citronport.callers import replies
 from citronport.callers import submissions
-from citronport.platform import models as platform_models
-from citronport.platform import store
+from citronport.catalogue import models as catalogue_models
+from citronport.catalogue import store
 from citronport.scheduler import models as decisions
 
 
@@ -49,7 +50,7 @@
     def __call__(
         self,
         environ: marks.Environ,
-        start_response: answers.StartResponse,
+        start_response: replies.StartResponse,
     ) -> collections.abc.Iterable[bytes]:
         """Answer one HTTP request."""
         target = marks.read_target(environ)
@@ -62,7 +63,7 @@
             case ("GET", const.PATH_LOOKUP):
                 return self._answer_lookup(environ, start_response, entry)
             case ("GET", const.PATH_MODELS):
-                return answers.answer_json(start_response, self._list_models())
+                return replies.answer_json(start_response, self._list_models())
             case ("POST", const.PATH_CHAT):
                 return self._answer_work(environ, start_response, entry)
         if submissions.get_service(target) is not None:
@@ -80,7 +81,7 @@
             )
         scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
         accounts = self._published.accounts
-        hashed = platform_models.hash_key(accounts.salt, key.strip())
+        hashed = catalogue_models.hash_key(accounts.salt, key.strip())
         name = accounts.entries.get(hashed)
         if scheme.lower() != "bearer" or name is None:
             return result.Err(errors.Refusal(code=errors.Code.UNKNOWN_KEY))
@@ -89,7 +90,7 @@
     def _answer_lookup(
         self,
         environ: marks.Environ,
-        start_response: answers.StartResponse,
+        start_response: replies.StartResponse,
         entry: decisions.Entry,
     ) -> list[bytes]:
         if self._directory.is_leaving():
@@ -109,7 +110,7 @@
             "ticket": str(ticket),
             "ticket_seconds": const.TICKET_LIFETIME_SECONDS,
         }
-        return answers.answer_json(start_response, body)
+        return replies.answer_json(start_response, body)
 
     def _list_models(self) -> dict:
         fleet = self._published.fleet
@@ -133,7 +134,7 @@
     def _answer_work(
         self,
         environ: marks.Environ,
-        start_response: answers.StartResponse,
+        start_response: replies.StartResponse,
         entry: decisions.Entry,
     ) -> collections.abc.Iterable[bytes]:
         keyed = marks.get_header(environ, common.HEADER_IDEMPOTENCY_KEY)
@@ -156,10 +157,10 @@
     def _refuse(
         self,
         environ: marks.Environ,
-        start_response: answers.StartResponse,
+        start_response: replies.StartResponse,
         refusal: errors.Refusal,
     ) -> list[bytes]:
-        return answers.answer_refusal(
+        return replies.answer_refusal(
             start_response,
             self._complete(refusal),
             close=not environ["wsgi.input"].whole,
--- a/citronport/callers/const.py
+++ b/citronport/callers/const.py
@@ -76,6 +76,9 @@
 """Values of a mark; another one is refused, since a caller that meant
 "true" would have its request run as one that may be repeated."""
 
+ENVIRON_FIELDS: Final = "citronport.fields"
+"""Key of the headers by their names in lower case, as they came."""
+
 # Hostile and broken callers
 
 METHODS: Final = frozenset(("GET", "POST", "PUT", "PATCH", "DELETE"))
--- a/citronport/callers/heads.py
+++ b/citronport/callers/heads.py
@@ -19,7 +19,7 @@
 _TARGET_CHARS = frozenset(string.ascii_letters + string.digits) | frozenset(
     "-._~:/?#[]@!$&'()*+,;=%"
 )
-_SINGLE = frozenset(
+SINGLE = frozenset(
     name.lower().encode()
     for name in (
         "Authorization",
@@ -66,8 +66,15 @@
     return result.Ok(None)
 
 
-def check_headers(lines: list[bytes]) -> result.Result[None, errors.Refusal]:
-    """Check the header lines of a request, without the closing empty one."""
+def check_headers(
+    lines: list[bytes], single: frozenset[bytes] = SINGLE
+) -> result.Result[None, errors.Refusal]:
+    """Check the header lines of a request, without the closing empty one.
+
+    Args:
+        lines: the header lines.
+        single: names, in lower case, that may stand once only.
+    """
     seen: dict[bytes, bytes] = {}
     for line in lines:
         name, colon, value = line.removesuffix(b"\r\n").partition(b":")
@@ -79,7 +86,7 @@
             and _VALUE.fullmatch(value)
         ):
             return _refuse("header line")
-        if lowered in seen and lowered in _SINGLE:
+        if lowered in seen and lowered in single:
             return _refuse(f"{lowered.decode()} stands twice")
         seen[lowered] = value.strip()
     return _check_framing(seen)
--- a/citronport/callers/lookup.py
+++ b/citronport/callers/lookup.py
@@ -10,7 +10,7 @@
 
 from citronport import clock
 from citronport.callers import const
-from citronport.platform import store
+from citronport.catalogue import store
 from citronport.scheduler import models
 from citronport.scheduler import ownership
 
--- /dev/null
+++ b/citronport/callers/replies.py
@@ -0,0 +1,116 @@
+"""Refusals and small answers to callers."""
+
+import collections.abc
+import json
+import math
+from typing import Any
+
+from citronport import const as common
+from citronport import errors
+
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+
+StartResponse = collections.abc.Callable[..., Any]
+Header = tuple[str, str]
+
+
+class StreamCutError(Exception):
+    """The answer ended early; the connection must end uncleanly."""
+
+
+def answer_json(
+    start_response: StartResponse, body: dict[str, Any]
+) -> list[bytes]:
+    """Answer with a JSON body."""
+    data = json.dumps(body).encode()
+    start_response("200 OK", _make_headers(data))
+    return [data]
+
+
+def answer_refusal(
+    start_response: StartResponse,
+    refusal: errors.Refusal,
+    *,
+    close: bool = False,
+) -> list[bytes]:
+    """Answer with a refusal.
+
+    Args:
+        start_response: of WSGI.
+        refusal: what to tell.
+        close: whether the connection can not be used again.
+    """
+    status, headers, data = render_refusal(refusal)
+    if close:
+        headers.append(("Connection", "close"))
+    start_response(status, headers)
+    return [data]
+
+
+def render_refusal(
+    refusal: errors.Refusal,
+) -> tuple[str, list[Header], bytes]:
+    """Return status line, headers and body of a refusal."""
+    meaning = refusal.meaning
+    data = json.dumps(describe_refusal(refusal)).encode()
+    headers = _make_headers(data)
+    # A client that repeats by itself does so at the same address, where a
+    # refusal that names others would only be given again.
+    repeats_here = meaning.may_retry and not refusal.go_to
+    headers += [
+        (common.HEADER_CODE, str(int(refusal.code))),
+        (common.HEADER_RAN, str(meaning.ran)),
+        (common.HEADER_SHOULD_RETRY, "true" if repeats_here else "false"),
+    ]
+    if refusal.retry_after is not None:
+        # The usual header takes whole seconds; the other one, which the
+        # openai client reads first, keeps callers spread over the time.
+        milliseconds = math.ceil(refusal.retry_after * 1000)
+        headers += [
+            ("Retry-After", str(math.ceil(refusal.retry_after))),
+            (common.HEADER_RETRY_AFTER_MS, str(milliseconds)),
+        ]
+    if refusal.go_to:
+        headers.append((common.HEADER_GO_TO, ", ".join(refusal.go_to)))
+    return f"{meaning.status} Refused", headers, data
+
+
+def describe_refusal(refusal: errors.Refusal) -> dict[str, Any]:
+    """Return a refusal in the form that OpenAI-style clients read."""
+    meaning = refusal.meaning
+    text = meaning.text
+    if refusal.detail:
+        text = f"{text}: {refusal.detail}"
+    return {
+        "error": {
+            "message": text,
+            "type": "citronport_refusal",
+            "code": int(refusal.code),
+            "name": refusal.code.name.lower(),
+            "ran": str(meaning.ran),
+            "retry_after": refusal.retry_after,
+            "go_to": list(refusal.go_to),
+        }
+    }
+
+
+def split_events(data: bytes) -> tuple[bytes, bytes]:
+    """Return the whole events of a stream, and the beginning of the next.
+
+    An event that is cut in the middle can't be told from the error event
+    that follows the cut: clients would fail to parse both.
+    """
+    ends = [
+        found + len(mark)
+        for mark in _EVENT_ENDS
+        if (found := data.rfind(mark)) >= 0
+    ]
+    end = max(ends, default=0)
+    return data[:end], data[end:]
+
+
+def _make_headers(data: bytes) -> list[Header]:
+    return [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(data))),
+    ]
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -12,16 +12,16 @@
 import result
 
 from citronport import errors
-from citronport.callers import answers
 from citronport.callers import bodies
 from citronport.callers import connections
 from citronport.callers import const
 from citronport.callers import heads
 from citronport.callers import presence
+from citronport.callers import replies
 
 LOG = "callers:"
 _HEAD_END = b"\r\n\r\n"
-_QUIET = (presence.CallerGone, answers.StreamCutError, OSError)
+_QUIET = (presence.CallerGone, replies.StreamCutError, OSError)
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -68,6 +68,7 @@
         environ["SERVER_PROTOCOL"] = self.request_version
         environ["REMOTE_ADDR"] = self.client_address[0]
         environ[const.ENVIRON_TARGET] = self.path
+        environ[const.ENVIRON_FIELDS] = self._fields
         for name, value in self._fields.items():
             environ["HTTP_" + name.upper().replace("-", "_")] = value
         environ["CONTENT_TYPE"] = self._fields.get("content-type", "")
@@ -136,7 +137,9 @@
         text = line.decode("latin-1")
         _raise_if_refused(heads.check_request_line(text))
         lines = self._read_header_lines()
-        _raise_if_refused(heads.check_headers(lines))
+        _raise_if_refused(
+            heads.check_headers(lines, self.server.single_headers)
+        )
         self.requestline = text
         self.command, self.path, self.request_version = text.split()
         self._fields = _join_fields(lines)
@@ -198,6 +201,7 @@
 
     handler_class = Handler
     connections: connections.Connections
+    single_headers = heads.SINGLE
     _refusing = 0
 
     def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
@@ -270,7 +274,7 @@
 
 
 def _render(refusal: errors.Refusal) -> bytes:
-    status, headers, data = answers.render_refusal(refusal)
+    status, headers, data = replies.render_refusal(refusal)
     lines = [f"HTTP/1.1 {status}"]
     lines += [f"{name}: {value}" for name, value in headers]
     lines += ["Connection: close", "", ""]
--- /dev/null
+++ b/citronport/catalogue/client.py
@@ -0,0 +1,134 @@
+"""Reads and watches what the platform publishes; writes nothing."""
+
+import collections.abc
+import dataclasses
+import random
+from typing import Any
+
+from absl import logging
+import geventhttpclient
+import msgpack
+import result
+
+from citronport import clock
+from citronport import settings
+from citronport.catalogue import const
+
+LOG = "platform:"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Published:
+    """One published value.
+
+    Attributes:
+        path: which value.
+        version: its version; grows with each change.
+        value: the value as the platform gives it, YAML text.
+    """
+
+    path: str
+    version: int
+    value: str
+
+
+def watch(
+    path: str,
+    wait: float,
+    addresses: tuple[settings.Listener, ...],
+    ticker: clock.Clock,
+    deliver: collections.abc.Callable[[Published], None],
+    confirm: collections.abc.Callable[[float, int], None],
+    note: collections.abc.Callable[[str, str], None],
+    is_reader: collections.abc.Callable[[str], bool] = lambda path: True,
+) -> None:
+    """Follow one published value for ever, one open watch at a time.
+
+    Args:
+        path: which value.
+        wait: seconds for which a watch may be held open.
+        addresses: the platform's addresses, tried in turn.
+        ticker: the clock.
+        deliver: called with each value that differs from the last one.
+        confirm: called after each answer with the clock time at which the
+            question was sent, since the answer is at least that fresh, and
+            with the version that the platform holds.
+        note: called with the path and the outcome of each question.
+        is_reader: whether this instance is one of those that watch the
+            value; others ask now and then only.
+    """
+    version = 0
+    turn = 0
+    asked = float("-inf")
+    pause = const.RETRY_SECONDS
+    while True:
+        if not is_reader(path) and ticker.now() - asked < (
+            const.FALLBACK_SECONDS
+        ):
+            ticker.sleep(const.READER_POLL_SECONDS)
+            continue
+        asked = ticker.now()
+        address = addresses[turn % len(addresses)]
+        match ask(path, address, version, wait):
+            case result.Ok(published):
+                note(path, "unchanged" if published is None else "changed")
+                pause = const.RETRY_SECONDS
+                if published is not None:
+                    version = published.version
+                    deliver(published)
+                confirm(asked, version)
+            case result.Err(reason):
+                note(path, "failed")
+                logging.warning("%s %s failed: %s.", LOG, path, reason)
+                turn += 1
+                pause = min(2 * pause, const.MAX_RETRY_SECONDS)
+                ticker.sleep(random.uniform(pause / 2, pause))
+
+
+def ask(
+    path: str, address: settings.Listener, version: int, wait: float
+) -> result.Result[Published | None, str]:
+    """Ask once for a value newer than a version.
+
+    Args:
+        path: which value.
+        address: where the platform listens.
+        version: the version already known; 0 for none.
+        wait: seconds for which the platform may hold the question.
+
+    Returns:
+        The newer value, None if there was none in time, or the failure.
+    """
+    client = geventhttpclient.HTTPClient(
+        str(address.address),
+        address.port,
+        connection_timeout=const.CONNECT_SECONDS,
+        network_timeout=wait + const.CONNECT_SECONDS,
+    )
+    try:
+        answer = client.get(
+            f"{path}?after={version}&wait={wait if version else 0}"
+        )
+        body = answer.read()
+        if answer.status_code == 304:
+            return result.Ok(None)
+        if answer.status_code != 200:
+            return result.Err(f"status {answer.status_code}")
+        return _read_published(path, body)
+    except Exception as error:
+        # The client raises socket, parser and timeout errors of several
+        # families; whatever it is, the answer is to ask again.
+        return result.Err(type(error).__name__)
+    finally:
+        client.close()
+
+
+def _read_published(
+    path: str, body: bytes
+) -> result.Result[Published | None, str]:
+    if len(body) > const.MAX_VALUE_BYTES:
+        return result.Err("value too large")
+    raw: Any = msgpack.unpackb(body)
+    return result.Ok(
+        Published(path=path, version=raw["version"], value=raw["value"])
+    )
--- /dev/null
+++ b/citronport/catalogue/models.py
@@ -0,0 +1,171 @@
+"""What the platform publishes, validated at the border."""
+
+import hashlib
+
+import pydantic
+import result
+
+from citronport import const
+from citronport import documents
+from citronport.scheduler import models as decisions
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class DataCentreModel(_Strict):
+    """A data centre and whether operators have it in service."""
+
+    name: str
+    state: decisions.Service = decisions.Service.IN
+
+
+class InstanceModel(_Strict):
+    """An entry instance in the platform's list."""
+
+    name: str
+    data_centre: str
+    address: pydantic.IPvAnyAddress
+    caller_port: int
+    peer_port: int
+    operator_port: int = pydantic.Field(default=0, ge=0, le=65535)
+    state: decisions.Service = decisions.Service.IN
+
+
+class EndpointModel(_Strict):
+    """An endpoint in the catalogue; units as in ``decisions.Endpoint``."""
+
+    name: str
+    kind: decisions.Kind = decisions.Kind.ENGINE
+    models: tuple[str, ...] = pydantic.Field(min_length=1)
+    data_centre: str
+    address: pydantic.IPvAnyAddress
+    port: int = pydantic.Field(ge=1, le=65535)
+    concurrency: int = pydantic.Field(default=8, ge=1)
+    cold_concurrency: int = pydantic.Field(default=1, ge=1)
+    cold_prompt_tokens: int = pydantic.Field(default=2000, ge=1)
+    prefill_rate: float = pydantic.Field(default=2000.0, gt=0)
+    decode_rate: float = pydantic.Field(default=50.0, gt=0)
+    cache_tokens: int = pydantic.Field(default=100_000, ge=0)
+    state: decisions.Service = decisions.Service.IN
+
+
+class LimitsModel(_Strict):
+    """Limits of an entry over the whole fleet."""
+
+    requests_per_second: float | None = pydantic.Field(default=None, gt=0)
+    concurrency: int | None = pydantic.Field(default=None, ge=1)
+    tokens_per_second: float | None = pydantic.Field(default=None, gt=0)
+
+
+class EntryModel(_Strict):
+    """A catalogue entry: an owner, a class and that owner's limits."""
+
+    name: str
+    owner: str
+    tier: int = pydantic.Field(alias="class", ge=0, lt=const.TIERS)
+    weight: float = pydantic.Field(default=1.0, gt=0)
+    key_sha256: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
+    limits: LimitsModel = LimitsModel()
+
+
+class CatalogueModel(_Strict):
+    """The catalogue, whole.
+
+    One salt serves all keys, so that a key is found by one hash and one
+    look-up however many entries there are.
+    """
+
+    version: int = pydantic.Field(ge=1)
+    key_salt: str = pydantic.Field(min_length=8)
+    data_centres: tuple[DataCentreModel, ...] = pydantic.Field(min_length=1)
+    endpoints: tuple[EndpointModel, ...] = ()
+    entries: tuple[EntryModel, ...] = ()
+
+    @pydantic.model_validator(mode="after")
+    def check_names(self) -> "CatalogueModel":
+        """Refuse what stands twice and data centres not listed."""
+        for part in ("data_centres", "endpoints", "entries"):
+            _check_once(part, "name", [i.name for i in getattr(self, part)])
+        # Two owners would each fill an endpoint that has two names, and
+        # overfeed its cold start together.
+        places = [f"{e.address}:{e.port}" for e in self.endpoints]
+        _check_once("endpoints", "address", places)
+        # A key of two entries would be served in the class of either.
+        keys = [e.key_sha256 for e in self.entries]
+        _check_once("entries", "key_sha256", keys)
+        known = {item.name for item in self.data_centres}
+        for index, endpoint in enumerate(self.endpoints):
+            if endpoint.data_centre not in known:
+                raise documents.make_error(
+                    ("endpoints", index, "data_centre"),
+                    f"no data centre {endpoint.data_centre}",
+                )
+        return self
+
+
+def _check_once(part: str, field: str, values: list[str]) -> None:
+    seen = set()
+    for index, value in enumerate(values):
+        if value in seen:
+            raise documents.make_error(
+                (part, index, field), f"{value} stands twice"
+            )
+        seen.add(value)
+
+
+class InstanceListModel(_Strict):
+    """The list of live and leaving instances."""
+
+    version: int = pydantic.Field(ge=1)
+    instances: tuple[InstanceModel, ...] = ()
+
+
+def parse_catalogue(text: str) -> result.Result[CatalogueModel, str]:
+    """Check the YAML text of a catalogue; see ``documents.check``."""
+    return documents.check(text, CatalogueModel)
+
+
+def make_fleet(catalogue: CatalogueModel) -> decisions.Fleet:
+    """Return the catalogue as the decisions see it."""
+    return decisions.Fleet(
+        version=catalogue.version,
+        data_centres={d.name: d.state for d in catalogue.data_centres},
+        endpoints={e.name: _make_endpoint(e) for e in catalogue.endpoints},
+        entries={e.name: _make_entry(e) for e in catalogue.entries},
+    )
+
+
+def _make_endpoint(model: EndpointModel) -> decisions.Endpoint:
+    fields = model.model_dump(exclude={"address", "port"})
+    return decisions.Endpoint(
+        address=f"{model.address}:{model.port}", **fields
+    )
+
+
+def _make_entry(model: EntryModel) -> decisions.Entry:
+    return decisions.Entry(
+        name=model.name,
+        workspace=model.owner,
+        tier=model.tier,
+        weight=model.weight,
+        limits=decisions.Limits(**model.limits.model_dump()),
+    )
+
+
+def make_instances(
+    listed: InstanceListModel,
+) -> dict[str, decisions.Instance]:
+    """Return the instance list as the decisions see it."""
+    return {
+        item.name: decisions.Instance(
+            **{**item.model_dump(), "address": str(item.address)}
+        )
+        for item in listed.instances
+    }
+
+
+def hash_key(salt: str, key: str) -> str:
+    """Return the salted hash of a workspace key, hexadecimal."""
+    return hashlib.sha256(f"{salt}:{key}".encode()).hexdigest()
--- a/citronport/platform/store.py
+++ b/citronport/catalogue/store.py
@@ -8,10 +8,10 @@
 import result
 
 from citronport import documents
-from citronport.platform import client
-from citronport.platform import const
-from citronport.platform import delta
-from citronport.platform import models
+from citronport.catalogue import client
+from citronport.catalogue import const
+from citronport.catalogue import delta
+from citronport.catalogue import models
 from citronport.scheduler import models as decisions
 
 LOG = "platform:"
--- a/citronport/commands.py
+++ b/citronport/commands.py
@@ -18,6 +18,7 @@
 
 Commands:
   serve FILE                  run one entry instance until SIGTERM
+  relay FILE                  run one instance that sends by itself
   check settings FILE         check a settings file
   check catalogue FILE        check a catalogue before it is published
   status [ADDRESS...]         show the fleet: [--settings=FILE] [--json]
@@ -87,6 +88,17 @@
         """
         return orders.Serve(path=str(file))
 
+    def relay(self, file: str) -> orders.Relay:
+        """Run one instance that sends to endpoints by itself.
+
+        For platforms whose store lists the endpoints; SIGTERM stops it
+        gracefully, SIGHUP has it read the file again.
+
+        Args:
+            file: a YAML settings file; see docs/DEPLOYING.md.
+        """
+        return orders.Relay(path=str(file))
+
     def status(
         self,
         *addresses: str,
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -24,6 +24,9 @@
 from citronport.callers import lookup
 from citronport.callers import server as caller_server
 from citronport.callers import tickets
+from citronport.catalogue import client as catalogue_client
+from citronport.catalogue import const as catalogue_const
+from citronport.catalogue import store
 from citronport.endpoints import watch
 from citronport.instances import const as instance_const
 from citronport.instances import gossip
@@ -31,9 +34,6 @@
 from citronport.instances import peers
 from citronport.operators import server as operator_server
 from citronport.operators import status
-from citronport.platform import client as platform_client
-from citronport.platform import const as platform_const
-from citronport.platform import store
 from citronport.scheduler import core as scheduler_core
 from citronport.scheduler import models
 from citronport.scheduler import ownership
@@ -216,14 +216,14 @@
     def _start_tasks(self) -> None:
         watches = (
             (
-                platform_const.PATH_CATALOGUE,
-                platform_const.WATCH_SECONDS,
+                catalogue_const.PATH_CATALOGUE,
+                catalogue_const.WATCH_SECONDS,
                 lambda asked, version: None,
                 self.gossip.is_reader,
             ),
             (
-                platform_const.PATH_INSTANCES,
-                platform_const.CONFIRM_SECONDS,
+                catalogue_const.PATH_INSTANCES,
+                catalogue_const.CONFIRM_SECONDS,
                 self.assignment.confirm_list,
                 # Each reads the list itself: a lease rests on it.
                 lambda path: True,
@@ -232,7 +232,7 @@
         for path, wait, confirm, is_reader in watches:
             self.tasks.keep(
                 f"watch {path}",
-                platform_client.watch,
+                catalogue_client.watch,
                 path,
                 wait,
                 self.settings.platform,
--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -4,6 +4,7 @@
 import time
 
 from gevent import monkey
+from gevent import select as gevent_select
 from gevent import socket
 import geventhttpclient
 from geventhttpclient import response as http_response
@@ -15,13 +16,46 @@
 _make_poll = monkey.get_original("select", "poll")
 
 
+class _SecondAnswerError(Exception):
+    """Another answer begins where none is awaited."""
+
+
 class Answer(http_response.HTTPResponse):
     """The library's parser, fed by the owner of the socket.
 
     The library's own reader waits until as many bytes came as were asked
     for, which turns a stream into one late answer.
+
+    Attributes:
+        status: HTTP status, once the head is complete.
     """
 
+    status = 0
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse what came; what follows a whole answer is dropped."""
+        # A faulty endpoint may send a second answer unasked. The parser
+        # would start over and join its body to that of the first.
+        if self.message_complete and self._is_final():
+            self._trailing_data_dropped = True
+            return
+        try:
+            super().feed(data)
+        except _SecondAnswerError:
+            self._trailing_data_dropped = True
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self._is_final():
+            raise _SecondAnswerError
+        super()._on_message_begin()
+
+    def _on_headers_complete(self) -> int | bool | None:
+        self.status = self.get_code()
+        return super()._on_headers_complete()
+
+    def _is_final(self) -> bool:
+        return self.headers_complete and self.status >= 200
+
     def take(self) -> bytes:
         """Return the part of the body that came since the last call."""
         data = bytes(self._body_buffer)
@@ -58,6 +92,27 @@
         self._answer = Answer(method)
         self._sock.sendall(request)
 
+    def send_watching(self, request: bytes) -> None:
+        """Send a long request, but stop as soon as an answer comes.
+
+        An endpoint may refuse a request before it has read the body, and
+        read no further: a plain send would wait for ever.
+
+        Raises:
+            OSError: the connection broke and no answer is there.
+        """
+        self._answer = Answer()
+        left = memoryview(request)
+        while left:
+            ready, _, _ = gevent_select.select([self._sock], [self._sock], [])
+            if ready:
+                return
+            left = left[self._sock.send(left[: const.READ_BYTES]) :]
+
+    def has_input(self) -> bool:
+        """Return whether bytes came that were not read yet."""
+        return bool(_poll(self._sock, select.POLLIN))
+
     def read_head(self) -> Answer:
         """Wait for the head of the answer.
 
@@ -129,16 +184,16 @@
         return bool(data)
 
 
-def dial(address: str, start: int = 0) -> Connection:
-    """Open a connection.
+def dial(
+    address: str, start: int = 0, seconds: float = const.CONNECT_SECONDS
+) -> Connection:
+    """Open a connection within so many seconds.
 
     Raises:
         OSError: the endpoint cannot be reached.
     """
     host, port = address.rsplit(":", 1)
-    sock = socket.create_connection(
-        (host, int(port)), timeout=const.CONNECT_SECONDS
-    )
+    sock = socket.create_connection((host, int(port)), timeout=seconds)
     sock.settimeout(None)
     # A small write would else wait for the acknowledgement of the one
     # before it, which the other side may hold back for 40 ms.
--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -49,6 +49,14 @@
     INTERNAL = 9001
 
 
+class InputFault(enum.IntEnum):
+    """Numbers of inputs that were left out; docs/ERRORS.md lists them."""
+
+    BAD_SETTINGS = 4001
+    BAD_CONFIGURATION = 4002
+    BAD_ENDPOINT = 4003
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Meaning:
     """One row of the table of codes."""
--- a/citronport/instances/gossip.py
+++ b/citronport/instances/gossip.py
@@ -6,14 +6,14 @@
 import gevent
 
 from citronport import clock
+from citronport.catalogue import client as catalogue_client
+from citronport.catalogue import const as catalogue_const
+from citronport.catalogue import delta
+from citronport.catalogue import store
 from citronport.instances import const
 from citronport.instances import membership
 from citronport.instances import messages
 from citronport.instances import peers
-from citronport.platform import client as platform_client
-from citronport.platform import const as platform_const
-from citronport.platform import delta
-from citronport.platform import store
 from citronport.scheduler import models
 from citronport.scheduler import ownership
 
@@ -104,7 +104,7 @@
                 if not self._compare(sender, message.versions):
                     self._answered.add(sender)
                 version = message.versions.get(
-                    platform_const.PATH_INSTANCES, 0
+                    catalogue_const.PATH_INSTANCES, 0
                 )
                 self._owners.note_contact(sender, message.sent, version)
             case messages.Want():
@@ -113,7 +113,7 @@
                 self._take_difference(sender, message)
             case messages.Value():
                 self._published.offer(
-                    platform_client.Published(**dataclasses.asdict(message))
+                    catalogue_client.Published(**dataclasses.asdict(message))
                 )
             case messages.Release():
                 self._take_release(message)
@@ -190,13 +190,13 @@
             if i.data_centre == me.data_centre and i.name not in self._silent
         ]
         ranked = ownership.rank_instances(path, names)
-        return me.name in ranked[: platform_const.READERS_PER_DATA_CENTRE]
+        return me.name in ranked[: catalogue_const.READERS_PER_DATA_CENTRE]
 
     def _take_release(self, message: messages.Release) -> None:
         mine = self._published.get_versions()
         # A release that lay in a buffer while the list moved on says
         # nothing of whoever owned the endpoint in between.
-        if message.list_version == mine.get(platform_const.PATH_INSTANCES):
+        if message.list_version == mine.get(catalogue_const.PATH_INSTANCES):
             self._owners.note_release(message.endpoint)
 
     def _note_silent(self, silent: frozenset[str]) -> None:
@@ -205,7 +205,7 @@
         self._silent = silent
 
     def _spread(self, path: str) -> None:
-        if path == platform_const.PATH_INSTANCES:
+        if path == catalogue_const.PATH_INSTANCES:
             me = self._links.me.instance
             names = set(self._published.instances)
             self._neighbours = membership.choose_neighbours(me, names)
--- a/citronport/instances/messages.py
+++ b/citronport/instances/messages.py
@@ -7,8 +7,7 @@
 import dataclasses
 from typing import Any
 
-import msgpack
-
+from citronport import codec
 from citronport.instances import const
 
 
@@ -198,39 +197,8 @@
     Value,
     Difference,
 )
-_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
-_FIELDS = {
-    kind: tuple(field.name for field in dataclasses.fields(kind))
-    for kind in _KINDS
-}
-
-
-def encode(message: Message) -> bytes:
-    """Return a message as it goes over the wire."""
-    kind = type(message)
-    values = [getattr(message, name) for name in _FIELDS[kind]]
-    return msgpack.packb([_NUMBERS[kind], *values])
+_CODEC: codec.Codec[Message] = codec.Codec(_KINDS, const.MAX_MESSAGE_BYTES)
 
-
-def decode(raw: list[Any]) -> Message:
-    """Return the message of an unpacked list.
-
-    Raises:
-        ValueError: the list is no message of this protocol version.
-    """
-    if not isinstance(raw, list) or not raw or not isinstance(raw[0], int):
-        raise ValueError("not a message")
-    if not 0 <= raw[0] < len(_KINDS):
-        raise ValueError(f"unknown message number {raw[0]}")
-    kind = _KINDS[raw[0]]
-    names = _FIELDS[kind]
-    if len(raw) - 1 != len(names):
-        raise ValueError(f"wrong number of fields for {kind.__name__}")
-    return kind(**dict(zip(names, raw[1:], strict=True)))
-
-
-def make_unpacker() -> msgpack.Unpacker:
-    """Return an unpacker that bounds what a peer can make it hold."""
-    return msgpack.Unpacker(
-        max_buffer_size=const.MAX_MESSAGE_BYTES, strict_map_key=False
-    )
+encode = _CODEC.encode
+decode = _CODEC.decode
+make_unpacker = _CODEC.make_unpacker
--- a/citronport/operators/status.py
+++ b/citronport/operators/status.py
@@ -7,9 +7,9 @@
 from citronport import const as common
 from citronport import settings as settings_module
 from citronport import telemetry
+from citronport.catalogue import const as catalogue_const
+from citronport.catalogue import store
 from citronport.operators import models
-from citronport.platform import const as platform_const
-from citronport.platform import store
 from citronport.scheduler import models as decisions
 
 
@@ -74,9 +74,9 @@
             program=common.VERSION,
             leaving=parts.is_leaving(),
             up_seconds=now - self._started,
-            catalogue_version=versions.get(platform_const.PATH_CATALOGUE, 0),
+            catalogue_version=versions.get(catalogue_const.PATH_CATALOGUE, 0),
             catalogue_seconds=now - self._changed,
-            list_version=versions.get(platform_const.PATH_INSTANCES, 0),
+            list_version=versions.get(catalogue_const.PATH_INSTANCES, 0),
             data_centres=(
                 {n: str(s) for n, s in fleet.data_centres.items()}
                 if fleet
@@ -93,7 +93,7 @@
         )
 
     def _note_change(self, path: str) -> None:
-        if path == platform_const.PATH_CATALOGUE:
+        if path == catalogue_const.PATH_CATALOGUE:
             self._changed = self._parts.ticker.now()
 
     def _read_peers(self) -> tuple[models.PeerStatus, ...]:
--- a/citronport/orders.py
+++ b/citronport/orders.py
@@ -10,13 +10,13 @@
 
 from citronport import clock
 from citronport import const
-from citronport import core
+from citronport import errors
+from citronport import logs
 from citronport import settings
-from citronport import telemetry
+from citronport.catalogue import models as catalogue_models
 from citronport.operators import client as operator_client
 from citronport.operators import models as operator_models
 from citronport.operators import overview
-from citronport.platform import models as platform_models
 
 EXIT_FAILED = 1
 EXIT_WRONG_USE = 2
@@ -29,6 +29,13 @@
     path: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Relay:
+    """Run an instance that sends by itself."""
+
+    path: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CheckSettings:
     """Check a settings file."""
@@ -66,7 +73,13 @@
 
 
 Order = (
-    Serve | CheckSettings | CheckCatalogue | ShowStatus | Drain | ShowVersion
+    Serve
+    | Relay
+    | CheckSettings
+    | CheckCatalogue
+    | ShowStatus
+    | Drain
+    | ShowVersion
 )
 
 
@@ -75,6 +88,8 @@
     match order:
         case Serve():
             return _serve(order)
+        case Relay():
+            return _relay(order)
         case CheckSettings():
             return _check(
                 settings.read_settings(pathlib.Path(order.path)),
@@ -101,12 +116,15 @@
 
 
 def _serve(order: Serve) -> int:
+    # Each way to serve loads only what it needs: instances are small.
+    from citronport import core
+
     match settings.read_settings(pathlib.Path(order.path)):
         case result.Err(reason):
             return fail(reason, EXIT_WRONG_USE)
         case result.Ok(checked):
             pass
-    telemetry.set_up_logs(checked.log_level)
+    logs.set_up(checked.log_level)
     try:
         core.Daemon(checked, clock.RuntimeClock()).serve()
     except OSError as error:
@@ -116,6 +134,25 @@
     return 0
 
 
+def _relay(order: Relay) -> int:
+    from citronport.relay import core as relay_core
+    from citronport.relay import settings as relay_settings
+
+    path = pathlib.Path(order.path)
+    match relay_settings.read_settings(path):
+        case result.Err(reason):
+            fault = int(errors.InputFault.BAD_SETTINGS)
+            return fail(f"{fault}: {reason}", EXIT_WRONG_USE)
+        case result.Ok(checked):
+            pass
+    logs.set_up(checked.log_level)
+    try:
+        relay_core.Instance(path, checked, clock.RuntimeClock()).serve()
+    except OSError as error:
+        return fail(str(error), EXIT_FAILED)
+    return 0
+
+
 def _check(
     checked: result.Result[Any, str],
     describe: collections.abc.Callable[[Any], str],
@@ -131,7 +168,7 @@
 def _check_catalogue(path: str) -> int:
     text = settings.read_text(pathlib.Path(path))
     checked = text.and_then(
-        lambda text: platform_models.parse_catalogue(text).map_err(
+        lambda text: catalogue_models.parse_catalogue(text).map_err(
             lambda reason: f"{path}: {reason}"
         )
     )
--- a/citronport/platform/__init__.py
+++ b/citronport/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The peer `platform`: catalogue and instance list."""
+"""The users' platform: its names, formats and calls; decides nothing."""
--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -1,134 +1,112 @@
-"""Reads and watches what the platform publishes; writes nothing."""
+"""Reads the platform's store and watches it; it can't be written."""
 
 import collections.abc
-import dataclasses
-import random
-from typing import Any
+import urllib.parse
 
-from absl import logging
-import geventhttpclient
-import msgpack
+import gevent
+from geventhttpclient import response as http_response
 import result
 
-from citronport import clock
-from citronport import settings
+from citronport.endpoints import connection
 from citronport.platform import const
+from citronport.platform import models
 
-LOG = "platform:"
+_STATUS_COMPACTED = 410
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Published:
-    """One published value.
+class Compacted:
+    """The store keeps no history back to the revision asked for."""
 
-    Attributes:
-        path: which value.
-        version: its version; grows with each change.
-        value: the value as the platform gives it, YAML text.
-    """
 
-    path: str
-    version: int
-    value: str
+Outcome = result.Result[models.Answer, str | Compacted]
 
 
-def watch(
-    path: str,
-    wait: float,
-    addresses: tuple[settings.Listener, ...],
-    ticker: clock.Clock,
-    deliver: collections.abc.Callable[[Published], None],
-    confirm: collections.abc.Callable[[float, int], None],
-    note: collections.abc.Callable[[str, str], None],
-    is_reader: collections.abc.Callable[[str], bool] = lambda path: True,
-) -> None:
-    """Follow one published value for ever, one open watch at a time.
+class Client:
+    """One connection to the store, opened when it is needed.
 
     Args:
-        path: which value.
-        wait: seconds for which a watch may be held open.
-        addresses: the platform's addresses, tried in turn.
-        ticker: the clock.
-        deliver: called with each value that differs from the last one.
-        confirm: called after each answer with the clock time at which the
-            question was sent, since the answer is at least that fresh, and
-            with the version that the platform holds.
-        note: called with the path and the outcome of each question.
-        is_reader: whether this instance is one of those that watch the
-            value; others ask now and then only.
+        address: "ip:port" of the store.
+        seconds: how long an answer may take beyond a watch's wait.
     """
-    version = 0
-    turn = 0
-    asked = float("-inf")
-    pause = const.RETRY_SECONDS
-    while True:
-        if not is_reader(path) and ticker.now() - asked < (
-            const.FALLBACK_SECONDS
-        ):
-            ticker.sleep(const.READER_POLL_SECONDS)
-            continue
-        asked = ticker.now()
-        address = addresses[turn % len(addresses)]
-        match ask(path, address, version, wait):
-            case result.Ok(published):
-                note(path, "unchanged" if published is None else "changed")
-                pause = const.RETRY_SECONDS
-                if published is not None:
-                    version = published.version
-                    deliver(published)
-                confirm(asked, version)
-            case result.Err(reason):
-                note(path, "failed")
-                logging.warning("%s %s failed: %s.", LOG, path, reason)
-                turn += 1
-                pause = min(2 * pause, const.MAX_RETRY_SECONDS)
-                ticker.sleep(random.uniform(pause / 2, pause))
-
-
-def ask(
-    path: str, address: settings.Listener, version: int, wait: float
-) -> result.Result[Published | None, str]:
-    """Ask once for a value newer than a version.
-
-    Args:
-        path: which value.
-        address: where the platform listens.
-        version: the version already known; 0 for none.
-        wait: seconds for which the platform may hold the question.
 
-    Returns:
-        The newer value, None if there was none in time, or the failure.
-    """
-    client = geventhttpclient.HTTPClient(
-        str(address.address),
-        address.port,
-        connection_timeout=const.CONNECT_SECONDS,
-        network_timeout=wait + const.CONNECT_SECONDS,
-    )
-    try:
-        answer = client.get(
-            f"{path}?after={version}&wait={wait if version else 0}"
-        )
-        body = answer.read()
-        if answer.status_code == 304:
-            return result.Ok(None)
-        if answer.status_code != 200:
-            return result.Err(f"status {answer.status_code}")
-        return _read_published(path, body)
-    except Exception as error:
-        # The client raises socket, parser and timeout errors of several
-        # families; whatever it is, the answer is to ask again.
-        return result.Err(type(error).__name__)
-    finally:
-        client.close()
-
-
-def _read_published(
-    path: str, body: bytes
-) -> result.Result[Published | None, str]:
-    if len(body) > const.MAX_VALUE_BYTES:
-        return result.Err("value too large")
-    raw: Any = msgpack.unpackb(body)
-    return result.Ok(
-        Published(path=path, version=raw["version"], value=raw["value"])
-    )
+    def __init__(self, address: str, seconds: float) -> None:
+        self._address = address
+        self._seconds = seconds
+        self._connection: connection.Connection | None = None
+
+    def read(self, prefix: str, after: str = "") -> Outcome:
+        """Read one page of the items whose keys begin with a prefix.
+
+        Args:
+            prefix: of the keys.
+            after: last key of the page before, or empty.
+        """
+        query = {"prefix": prefix}
+        if after:
+            query["after"] = after
+        return self._ask(const.PATH_RANGE, query, 0.0, models.parse_range)
+
+    def watch(self, prefix: str, revision: int, wait: float) -> Outcome:
+        """Wait for changes later than a revision.
+
+        Args:
+            prefix: of the keys.
+            revision: the last one that is known.
+            wait: seconds for which the store may hold the question.
+        """
+        query = {
+            "prefix": prefix,
+            "after": str(revision),
+            "waitMs": str(int(wait * 1000)),
+        }
+        return self._ask(const.PATH_WATCH, query, wait, models.parse_events)
+
+    def close(self) -> None:
+        """Close the connection; the next question opens another."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _ask(
+        self,
+        path: str,
+        query: dict[str, str],
+        wait: float,
+        parse: collections.abc.Callable[
+            [bytes], result.Result[models.Answer, str]
+        ],
+    ) -> Outcome:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        timeout = gevent.Timeout(wait + self._seconds)
+        try:
+            with timeout:
+                status, body = self._exchange(target)
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            # The connection may have gone silent for good: an answer that
+            # is lost on it never comes, while a new one works.
+            self.close()
+            return result.Err("no answer in time")
+        except (OSError, http_response.HTTPParseError) as error:
+            self.close()
+            return result.Err(type(error).__name__)
+        if status == _STATUS_COMPACTED:
+            return result.Err(Compacted())
+        if status != 200:
+            return result.Err(f"status {status}")
+        return parse(body)
+
+    def _exchange(self, target: str) -> tuple[int, bytes]:
+        if self._connection is None or not self._connection.is_quiet():
+            self.close()
+            self._connection = connection.dial(self._address)
+        used = self._connection
+        used.send(connection.make_request(self._address, "GET", target))
+        status = used.read_head().status_code
+        parts = []
+        while data := used.read():
+            parts.append(data)
+        if not used.may_be_kept():
+            self.close()
+        return status, b"".join(parts)
--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -1,43 +1,98 @@
-"""Constants of the platform's published protocol."""
+"""Names that the users' platform gives its headers, paths and keys."""
 
 from typing import Final
 
-PATH_CATALOGUE: Final = "/v1/catalogue"
-PATH_INSTANCES: Final = "/v1/instances"
+# Calls that reach an instance
 
-WATCH_SECONDS: Final = 20.0
-"""How long the platform may hold a watch of the catalogue open."""
+PATH_READY: Final = "/citronport/readyz"
+PATH_LOOKUP: Final = "/citronport/resolve"
 
-CONFIRM_SECONDS: Final = 1.0
-"""How long it may hold a watch of the instance list open.
+# Calls to the store
 
-Each answer renews the lease on owned endpoints, so that a watch has to end
-well within it; 510 instances then make 510 of the platform's 2,000 reads a
-second.
-"""
+PATH_RANGE: Final = "/citronport/kv-range"
+PATH_WATCH: Final = "/citronport/kv-watch"
 
-CONNECT_SECONDS: Final = 2.0
-RETRY_SECONDS: Final = 0.25
-"""Half the longest pause before the first repeat of a failed question."""
+# Calls to an endpoint
 
-MAX_RETRY_SECONDS: Final = 2.0
-"""Longest pause between two. At a steady 0.5 s the 510 instances, two
-values each, would ask an ailing platform 2,040 times a second, more than
-all that it can give; at this one 680 times, spread by chance."""
+PATH_REPORT: Final = "/citronport/report"
 
-MAX_VALUE_BYTES: Final = 1_000_000
+# Keys in the store
 
-KEPT_DELTAS: Final = 512
-"""Differences kept for peers that are behind. An hour apart at 6,900
-changes a day is 288; who is further behind gets the whole value."""
+KEY_CONFIGURATION: Final = "op/config"
+PREFIX_EVACUATED: Final = "op/evacuate/"
+PREFIX_ENDPOINTS: Final = "servers/"
+PREFIX_ALL: Final = ""
 
-READERS_PER_DATA_CENTRE: Final = 2
-"""Instances of a data centre that watch the catalogue in a large fleet; the
-others get differences from these. Two, since one may die or be cut off."""
+# Headers of a caller's request, as an HTTP server hands them over
 
-FALLBACK_SECONDS: Final = 30.0
-"""How often one that is no reader asks all the same: all readers within its
-reach may have lost the platform."""
+REQUEST_ID: Final = "x-attempt-id"
+DEADLINE: Final = "x-deadline-ms"
+API_KEY: Final = "x-api-key"
+TOKENS: Final = "x-token-counts"
+PARTS: Final = "x-prompt-prefix"
 
-READER_POLL_SECONDS: Final = 1.0
-"""Pause between two looks at whether this instance has become a reader."""
+# Headers that an instance sets towards an endpoint
+
+EXPECTED_ENDPOINT: Final = "x-expect-instance"
+WORKSPACE: Final = "x-tenant"
+RESUME_AFTER: Final = "last-event-id"
+
+# Headers of an endpoint's answer
+
+SIGNATURE: Final = "x-response-seal"
+NOT_RUN: Final = "x-not-executed"
+RETRY_AFTER: Final = "retry-after"
+
+RESERVED: Final = frozenset(
+    (
+        API_KEY,
+        DEADLINE,
+        EXPECTED_ENDPOINT,
+        WORKSPACE,
+        "kv-fetch",
+        "kv-from",
+        "x-expect-version",
+        "x-hold",
+        "x-kv-backup",
+        "x-pin-ms",
+    )
+)
+"""Headers that only an instance may set; a caller's own are dropped."""
+
+HOP_BY_HOP: Final = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+"""Headers that concern one connection or are written anew."""
+
+SINGLE: Final = frozenset(
+    name.encode()
+    for name in (
+        "content-length",
+        "content-type",
+        "host",
+        "transfer-encoding",
+        REQUEST_ID,
+        DEADLINE,
+        API_KEY,
+        TOKENS,
+        PARTS,
+        RESUME_AFTER,
+    )
+)
+"""Headers that a head may hold once; a second one is ambiguous."""
+
+STATUS_MISDIRECTED: Final = 421
+"""An endpoint is not the one that was expected; it did not run."""
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -1,171 +1,331 @@
-"""What the platform publishes, validated at the border."""
+"""What the platform's store holds, decoded into the project's types."""
 
-import hashlib
+import base64
+import binascii
+import dataclasses
+import json
+from typing import Any
 
 import pydantic
 import result
 
-from citronport import const
-from citronport import documents
-from citronport.scheduler import models as decisions
+from citronport.platform import const
+from citronport.scheduler.direct import models
 
+_MILLISECONDS = 1000.0
 
-class _Strict(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+_REPEATS = {
+    "idempotent": models.Repeat.IDEMPOTENT,
+    "non_idempotent": models.Repeat.NON_IDEMPOTENT,
+    "streaming": models.Repeat.STREAM,
+}
 
 
-class DataCentreModel(_Strict):
-    """A data centre and whether operators have it in service."""
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Item:
+    """A value in the store.
 
-    name: str
-    state: decisions.Service = decisions.Service.IN
+    Attributes:
+        key: its key.
+        value: its bytes; None once it was deleted.
+        revision: the store's revision of its last change.
+    """
 
+    key: str
+    value: bytes | None
+    revision: int
 
-class InstanceModel(_Strict):
-    """An entry instance in the platform's list."""
 
-    name: str
-    data_centre: str
-    address: pydantic.IPvAnyAddress
-    caller_port: int
-    peer_port: int
-    operator_port: int = pydantic.Field(default=0, ge=0, le=65535)
-    state: decisions.Service = decisions.Service.IN
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What the store answered.
 
+    Attributes:
+        items: in the order of the answer.
+        revision: the store's revision at the time of the answer.
+        more: whether another page follows.
+    """
 
-class EndpointModel(_Strict):
-    """An endpoint in the catalogue; units as in ``decisions.Endpoint``."""
+    items: tuple[Item, ...]
+    revision: int
+    more: bool = False
 
-    name: str
-    kind: decisions.Kind = decisions.Kind.ENGINE
-    models: tuple[str, ...] = pydantic.Field(min_length=1)
-    data_centre: str
-    address: pydantic.IPvAnyAddress
-    port: int = pydantic.Field(ge=1, le=65535)
-    concurrency: int = pydantic.Field(default=8, ge=1)
-    cold_concurrency: int = pydantic.Field(default=1, ge=1)
-    cold_prompt_tokens: int = pydantic.Field(default=2000, ge=1)
-    prefill_rate: float = pydantic.Field(default=2000.0, gt=0)
-    decode_rate: float = pydantic.Field(default=50.0, gt=0)
-    cache_tokens: int = pydantic.Field(default=100_000, ge=0)
-    state: decisions.Service = decisions.Service.IN
 
+class _Wire(pydantic.BaseModel):
+    # Fields that are not known here may come at any time; a wrong type in
+    # one that is known makes the whole value unusable.
+    model_config = pydantic.ConfigDict(
+        extra="ignore", frozen=True, strict=True, populate_by_name=False
+    )
 
-class LimitsModel(_Strict):
-    """Limits of an entry over the whole fleet."""
 
-    requests_per_second: float | None = pydantic.Field(default=None, gt=0)
-    concurrency: int | None = pydantic.Field(default=None, ge=1)
-    tokens_per_second: float | None = pydantic.Field(default=None, gt=0)
+class _Item(_Wire):
+    key: str
+    value: str = ""
+    revision: int
+    deleted: bool = False
 
 
-class EntryModel(_Strict):
-    """A catalogue entry: an owner, a class and that owner's limits."""
+class _Range(_Wire):
+    items: tuple[_Item, ...]
+    revision: int = pydantic.Field(alias="currentRev")
+    more: bool = pydantic.Field(default=False, alias="morePages")
 
-    name: str
-    owner: str
-    tier: int = pydantic.Field(alias="class", ge=0, lt=const.TIERS)
-    weight: float = pydantic.Field(default=1.0, gt=0)
-    key_sha256: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
-    limits: LimitsModel = LimitsModel()
 
+class _Events(_Wire):
+    events: tuple[_Item, ...]
+    revision: int = pydantic.Field(alias="currentRev")
 
-class CatalogueModel(_Strict):
-    """The catalogue, whole.
 
-    One salt serves all keys, so that a key is found by one hash and one
-    look-up however many entries there are.
-    """
+class _Split(_Wire):
+    service: str
+    weight: float = pydantic.Field(ge=0)
 
-    version: int = pydantic.Field(ge=1)
-    key_salt: str = pydantic.Field(min_length=8)
-    data_centres: tuple[DataCentreModel, ...] = pydantic.Field(min_length=1)
-    endpoints: tuple[EndpointModel, ...] = ()
-    entries: tuple[EntryModel, ...] = ()
-
-    @pydantic.model_validator(mode="after")
-    def check_names(self) -> "CatalogueModel":
-        """Refuse what stands twice and data centres not listed."""
-        for part in ("data_centres", "endpoints", "entries"):
-            _check_once(part, "name", [i.name for i in getattr(self, part)])
-        # Two owners would each fill an endpoint that has two names, and
-        # overfeed its cold start together.
-        places = [f"{e.address}:{e.port}" for e in self.endpoints]
-        _check_once("endpoints", "address", places)
-        # A key of two entries would be served in the class of either.
-        keys = [e.key_sha256 for e in self.entries]
-        _check_once("entries", "key_sha256", keys)
-        known = {item.name for item in self.data_centres}
-        for index, endpoint in enumerate(self.endpoints):
-            if endpoint.data_centre not in known:
-                raise documents.make_error(
-                    ("endpoints", index, "data_centre"),
-                    f"no data centre {endpoint.data_centre}",
-                )
-        return self
-
-
-def _check_once(part: str, field: str, values: list[str]) -> None:
-    seen = set()
-    for index, value in enumerate(values):
-        if value in seen:
-            raise documents.make_error(
-                (part, index, field), f"{value} stands twice"
-            )
-        seen.add(value)
+
+class _Route(_Wire):
+    name: str
+    host: str
+    prefix: str = pydantic.Field(pattern=r"^/(.*/)?$")
+    kind: str
+    timeout_ms: float = pydantic.Field(alias="timeoutMs", gt=0)
+    # The objective, whatever its name says: not a bound on latency.
+    target_ms: float = pydantic.Field(default=0, alias="targetLatencyMs")
+    priority: int = 0
+    service: str | None = None
+    split: tuple[_Split, ...] = pydantic.Field(
+        default=(), alias="trafficSplit"
+    )
+    # Endpoints that one request may reach, not tries of any kind.
+    attempts: int = pydantic.Field(default=1, alias="maxAttempts", ge=1)
+    public: bool = False
+    resumable: bool = False
+    gap_ms: float | None = pydantic.Field(default=None, alias="gapAimMs")
 
 
-class InstanceListModel(_Strict):
-    """The list of live and leaving instances."""
+class _Engine(_Wire):
+    slots: int = pydantic.Field(ge=1)
+    cache_tokens: int = pydantic.Field(default=0, alias="kvCapacity")
+    # Tokens in one event of a stream.
+    stride: int = pydantic.Field(default=1, ge=1)
 
-    version: int = pydantic.Field(ge=1)
-    instances: tuple[InstanceModel, ...] = ()
+
+class _Service(_Wire):
+    name: str
+    health_path: str = pydantic.Field(default="/healthz", alias="healthPath")
+    max_connections: int = pydantic.Field(default=0, alias="maxConns")
+    cold_s: float = pydantic.Field(default=0, alias="coldStartS")
+    cold_per_s: float = pydantic.Field(default=0, alias="coldPerS")
+    engine: _Engine | None = None
 
 
-def parse_catalogue(text: str) -> result.Result[CatalogueModel, str]:
-    """Check the YAML text of a catalogue; see ``documents.check``."""
-    return documents.check(text, CatalogueModel)
+class _Limits(_Wire):
+    head_bytes: int = pydantic.Field(alias="maxHeaderBytes", gt=0)
+    body_bytes: int = pydantic.Field(alias="maxBodyBytes", gt=0)
+    head_ms: float = pydantic.Field(alias="headerTimeoutMs", gt=0)
+    idle_ms: float = pydantic.Field(alias="idleTimeoutMs", gt=0)
 
 
-def make_fleet(catalogue: CatalogueModel) -> decisions.Fleet:
-    """Return the catalogue as the decisions see it."""
-    return decisions.Fleet(
-        version=catalogue.version,
-        data_centres={d.name: d.state for d in catalogue.data_centres},
-        endpoints={e.name: _make_endpoint(e) for e in catalogue.endpoints},
-        entries={e.name: _make_entry(e) for e in catalogue.entries},
+class _Tenant(_Wire):
+    name: str
+    keys: tuple[str, ...] = pydantic.Field(default=(), alias="apiKeys")
+    priority: int | None = None
+    # "tokens", or anything else for whole requests.
+    unit: str = "requests"
+    plain_tokens: float = pydantic.Field(default=0, alias="plainTokens")
+    rate: float = pydantic.Field(default=0, alias="ratePerS")
+    burst: float = 0
+
+
+class _Configuration(_Wire):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+class _Entry(_Wire):
+    service: str
+    address: str = pydantic.Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
+    zone: str
+    slots: int = pydantic.Field(ge=1)
+    state: str = pydantic.Field(pattern="^(ready|draining)$")
+    cold_ms: float = pydantic.Field(default=0, alias="coldLeftMs")
+    born: int = 0
+
+
+def parse_range(body: bytes) -> result.Result[Answer, str]:
+    """Decode a page of the store's items."""
+    try:
+        page = _Range.model_validate_json(body)
+        return result.Ok(
+            Answer(
+                items=tuple(_make_item(item) for item in page.items),
+                revision=page.revision,
+                more=page.more,
+            )
+        )
+    except (ValueError, binascii.Error) as error:
+        return result.Err(_describe(error))
+
+
+def parse_events(body: bytes) -> result.Result[Answer, str]:
+    """Decode the changes that a watch told."""
+    try:
+        page = _Events.model_validate_json(body)
+        return result.Ok(
+            Answer(
+                items=tuple(_make_item(item) for item in page.events),
+                revision=page.revision,
+            )
+        )
+    except (ValueError, binascii.Error) as error:
+        return result.Err(_describe(error))
+
+
+def parse_configuration(
+    value: bytes,
+) -> result.Result[models.Configuration, str]:
+    """Decode a configuration."""
+    try:
+        wire = _Configuration.model_validate_json(value)
+        return result.Ok(_make_configuration(wire))
+    except (ValueError, KeyError) as error:
+        return result.Err(_describe(error))
+
+
+def parse_endpoint(
+    key: str, value: bytes
+) -> result.Result[models.Endpoint, str]:
+    """Decode what an endpoint says of itself."""
+    try:
+        entry = _Entry.model_validate_json(value)
+    except ValueError as error:
+        return result.Err(_describe(error))
+    return result.Ok(
+        models.Endpoint(
+            name=key.removeprefix(const.PREFIX_ENDPOINTS),
+            service=entry.service,
+            address=entry.address,
+            data_centre=entry.zone,
+            slots=entry.slots,
+            leaving=entry.state == "draining",
+            cold_seconds=entry.cold_ms / _MILLISECONDS,
+            started=entry.born,
+        )
     )
 
 
-def _make_endpoint(model: EndpointModel) -> decisions.Endpoint:
-    fields = model.model_dump(exclude={"address", "port"})
-    return decisions.Endpoint(
-        address=f"{model.address}:{model.port}", **fields
+def parse_evacuated(key: str) -> str:
+    """Return the data centre that a key of the store takes out."""
+    return key.removeprefix(const.PREFIX_EVACUATED)
+
+
+def _make_item(item: _Item) -> Item:
+    value = None
+    if not item.deleted:
+        value = base64.b64decode(item.value, validate=True)
+    return Item(key=item.key, value=value, revision=item.revision)
+
+
+def _make_configuration(wire: _Configuration) -> models.Configuration:
+    keys = None
+    if wire.tenants is not None:
+        keys = {key: t.name for t in wire.tenants for key in t.keys}
+    limits = wire.limits
+    return models.Configuration(
+        version=wire.version,
+        routes=tuple(_make_route(route) for route in wire.routes),
+        services={s.name: _make_service(s) for s in wire.services},
+        workspaces={t.name: _make_workspace(t) for t in wire.tenants or ()},
+        keys=keys,
+        limits=models.CallerLimits(
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            head_seconds=limits.head_ms / _MILLISECONDS,
+            idle_seconds=limits.idle_ms / _MILLISECONDS,
+        ),
     )
 
 
-def _make_entry(model: EntryModel) -> decisions.Entry:
-    return decisions.Entry(
-        name=model.name,
-        workspace=model.owner,
-        tier=model.tier,
-        weight=model.weight,
-        limits=decisions.Limits(**model.limits.model_dump()),
+def _make_route(wire: _Route) -> models.Route:
+    shares = tuple(
+        models.Share(service=part.service, weight=part.weight)
+        for part in wire.split
+        if part.weight > 0
+    )
+    if not shares and wire.service is not None:
+        shares = (models.Share(service=wire.service, weight=1.0),)
+    if not shares:
+        raise ValueError(f"route {wire.name} names no service")
+    timeout = wire.timeout_ms / _MILLISECONDS
+    return models.Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        repeat=_REPEATS[wire.kind],
+        timeout=timeout,
+        objective=wire.target_ms / _MILLISECONDS or timeout,
+        tier=wire.priority,
+        shares=shares,
+        max_endpoints=wire.attempts,
+        public=wire.public,
+        resumable=wire.resumable,
+        max_gap=None if wire.gap_ms is None else wire.gap_ms / _MILLISECONDS,
     )
 
 
-def make_instances(
-    listed: InstanceListModel,
-) -> dict[str, decisions.Instance]:
-    """Return the instance list as the decisions see it."""
-    return {
-        item.name: decisions.Instance(
-            **{**item.model_dump(), "address": str(item.address)}
+def _make_service(wire: _Service) -> models.Service:
+    engine = None
+    if wire.engine is not None:
+        engine = models.Engine(
+            slots=wire.engine.slots,
+            cache_tokens=wire.engine.cache_tokens,
+            event_tokens=wire.engine.stride,
         )
-        for item in listed.instances
-    }
+    return models.Service(
+        name=wire.name,
+        health_path=wire.health_path,
+        max_connections=wire.max_connections,
+        cold_seconds=wire.cold_s,
+        cold_rate=wire.cold_per_s,
+        engine=engine,
+    )
+
+
+def _make_workspace(wire: _Tenant) -> models.Workspace:
+    return models.Workspace(
+        name=wire.name,
+        tier=wire.priority,
+        rate=wire.rate,
+        burst=wire.burst,
+        counts_tokens=wire.unit == "tokens",
+        plain_tokens=wire.plain_tokens,
+    )
+
+
+def _describe(error: Exception) -> str:
+    # Places and kinds of faults only: a value may hold a caller's key.
+    if isinstance(error, pydantic.ValidationError):
+        faults = [
+            f"{'.'.join(map(str, f['loc']))}: {f['type']}"
+            for f in error.errors(include_url=False, include_input=False)
+        ]
+        return "; ".join(faults[:5])
+    return type(error).__name__
+
+
+def dump_lookup(addresses: tuple[str, ...], keep: float) -> dict[str, Any]:
+    """Return the body of an answer to a caller's lookup.
+
+    Args:
+        addresses: "ip:port" of the instances to use.
+        keep: how long the caller may keep the answer, seconds.
+    """
+    return {"addresses": list(addresses), "ttlS": keep}
 
 
-def hash_key(salt: str, key: str) -> str:
-    """Return the salted hash of a workspace key, hexadecimal."""
-    return hashlib.sha256(f"{salt}:{key}".encode()).hexdigest()
+def dump_error(code: int, name: str, message: str) -> bytes:
+    """Return the body of a refusal."""
+    body = {"error": {"code": code, "name": name, "message": message}}
+    return json.dumps(body).encode()
--- /dev/null
+++ b/citronport/platform/requests.py
@@ -0,0 +1,185 @@
+"""Heads of requests and answers, decoded from and into wire names."""
+
+import collections.abc
+import dataclasses
+
+import result
+
+from citronport import errors
+from citronport.endpoints import connection
+from citronport.platform import const
+from citronport.scheduler.direct import models
+
+Fields = collections.abc.Mapping[str, str]
+"""Headers by their names in lower case."""
+
+RETRY_AFTER = const.RETRY_AFTER
+
+_MAX_ID_CHARS = 200
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerRequest:
+    """What the head of a caller's request says.
+
+    Attributes:
+        request_id: id of this attempt of the caller.
+        key: the caller's key; empty without one.
+        patience: how long the caller waits, seconds; None if not said.
+        prompt_tokens: tokens to read.
+        output_tokens: most tokens to write.
+        counts_tokens: whether it told its tokens.
+        parts: ids of the prompt's parts, in order, with their tokens.
+    """
+
+    request_id: str
+    key: str
+    patience: float | None
+    prompt_tokens: int
+    output_tokens: int
+    counts_tokens: bool
+    parts: tuple[tuple[str, int], ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointAnswer:
+    """What the head of an endpoint's answer says.
+
+    Attributes:
+        status: HTTP status.
+        request_id: id of the request that it answers; empty if not said.
+        signature: the endpoint's signature; empty if there is none.
+        ran: False only if the endpoint says that it did not run it.
+        headers: what a caller gets, names as the endpoint wrote them.
+    """
+
+    status: int
+    request_id: str
+    signature: str
+    ran: bool
+    headers: tuple[tuple[str, str], ...]
+
+
+def parse_request(
+    fields: Fields,
+) -> result.Result[CallerRequest, errors.Refusal]:
+    """Decode the head of a caller's request."""
+    request_id = fields.get(const.REQUEST_ID, "")
+    if not request_id or len(request_id) > _MAX_ID_CHARS:
+        return _refuse("request id")
+    try:
+        prompt, output, told = _parse_tokens(fields.get(const.TOKENS))
+        parts = _parse_parts(fields.get(const.PARTS, ""))
+        patience = _parse_patience(fields.get(const.DEADLINE))
+    except ValueError:
+        return _refuse("a number is not valid")
+    return result.Ok(
+        CallerRequest(
+            request_id=request_id,
+            key=fields.get(const.API_KEY, ""),
+            patience=patience,
+            prompt_tokens=prompt,
+            output_tokens=output,
+            counts_tokens=told,
+            parts=parts,
+        )
+    )
+
+
+def make_request(
+    method: str,
+    target: str,
+    fields: Fields,
+    body: bytes,
+    endpoint: models.Endpoint,
+    workspace: str | None,
+    seconds: float,
+    resume_after: str | None = None,
+) -> bytes:
+    """Return the bytes of a request to an endpoint.
+
+    Args:
+        method: the caller's.
+        target: the caller's, path and query.
+        fields: the caller's headers.
+        body: the caller's.
+        endpoint: the only one that may run it.
+        workspace: whose request it is; None where no keys are used.
+        seconds: time left for the answer.
+        resume_after: id of the last event that the caller has got; None
+            to leave what the caller sent.
+    """
+    headers = {
+        name: value
+        for name, value in fields.items()
+        if name not in const.HOP_BY_HOP and name not in const.RESERVED
+    }
+    for name in fields.get("connection", "").split(","):
+        headers.pop(name.strip().lower(), None)
+    headers["host"] = fields.get("host", endpoint.address)
+    headers[const.DEADLINE] = str(max(1, int(seconds * 1000)))
+    headers[const.EXPECTED_ENDPOINT] = endpoint.name
+    if workspace is not None:
+        headers[const.WORKSPACE] = workspace
+    if resume_after is not None:
+        headers[const.RESUME_AFTER] = resume_after
+    if body or method not in ("GET", "DELETE", "HEAD"):
+        headers["content-length"] = str(len(body))
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join((*lines, "", "")).encode("latin-1")
+    return head + body
+
+
+def parse_answer(answer: connection.Answer) -> EndpointAnswer:
+    """Decode the head of an endpoint's answer."""
+    status = answer.status_code
+    not_run = const.NOT_RUN in answer or status == const.STATUS_MISDIRECTED
+    headers = tuple(
+        (name, value)
+        for name, value in answer.items()
+        if name.lower() not in const.HOP_BY_HOP
+    )
+    return EndpointAnswer(
+        status=status,
+        request_id=str(answer.get(const.REQUEST_ID, "")),
+        signature=str(answer.get(const.SIGNATURE, "")),
+        ran=not not_run,
+        headers=headers,
+    )
+
+
+def make_refusal_headers(refusal: errors.Refusal) -> list[tuple[str, str]]:
+    """Return the headers of a refusal that tell when to come back."""
+    if refusal.retry_after is None:
+        return []
+    return [(RETRY_AFTER, f"{refusal.retry_after:.3f}")]
+
+
+def _parse_tokens(text: str | None) -> tuple[int, int, bool]:
+    if text is None:
+        return 0, 0, False
+    prompt, _, output = text.partition(",")
+    counts = int(prompt), int(output or 0)
+    if min(counts) < 0:
+        raise ValueError("negative")
+    return *counts, True
+
+
+def _parse_parts(text: str) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for entry in text.split(","):
+        if entry.strip():
+            name, _, tokens = entry.strip().partition(":")
+            parts.append((name, int(tokens)))
+    return tuple(parts)
+
+
+def _parse_patience(text: str | None) -> float | None:
+    return None if text is None else max(0.0, float(text) / 1000.0)
+
+
+def _refuse(detail: str) -> result.Result[CallerRequest, errors.Refusal]:
+    return result.Err(
+        errors.Refusal(code=errors.Code.BAD_HEADER, detail=detail)
+    )
--- /dev/null
+++ b/citronport/relay/__init__.py
@@ -0,0 +1,1 @@
+"""An instance that sends requests to endpoints by itself."""
--- /dev/null
+++ b/citronport/relay/application.py
@@ -0,0 +1,257 @@
+"""Checks what callers ask and hands it to what answers it."""
+
+import collections
+import collections.abc
+import random
+from typing import Any
+
+import result
+
+from citronport import clock
+from citronport import errors
+from citronport.callers import const as caller_const
+from citronport.callers import replies
+from citronport.platform import const as wire
+from citronport.platform import models as wire_models
+from citronport.platform import requests
+from citronport.relay import refusals
+from citronport.relay import sender
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import routing
+
+LOOKUP_SECONDS = 2.0
+"""How long a caller may keep the answer of a lookup. Some keep it three
+times as long, and an instance that stops serves its callers meanwhile."""
+
+NOTHING_KNOWN_SECONDS = 0.5
+"""When to come back to an instance that knows no configuration yet."""
+
+LEAVING_SECONDS = 0.1
+"""When to come back to another instance than one that leaves."""
+
+Environ = dict[str, Any]
+
+
+class Application:
+    """The WSGI application for callers' requests.
+
+    Args:
+        parts: shared by all requests.
+        quotas: limits of workspaces.
+        compute_reach: returns the share of the instances in reach.
+        is_leaving: whether new connections should end with their answer.
+        is_closing: whether no new request is taken any more.
+        ticker: the clock.
+    """
+
+    def __init__(
+        self,
+        parts: sender.Parts,
+        quotas: quota.Quotas,
+        compute_reach: collections.abc.Callable[[], float],
+        is_leaving: collections.abc.Callable[[], bool],
+        is_closing: collections.abc.Callable[[], bool],
+        ticker: clock.Clock,
+    ) -> None:
+        self._parts = parts
+        self._quotas = quotas
+        self._compute_reach = compute_reach
+        self._is_leaving = is_leaving
+        self._is_closing = is_closing
+        self._ticker = ticker
+        self.running = 0
+        self.refused: collections.Counter[str] = collections.Counter()
+
+    def __call__(
+        self, environ: Environ, start_response: replies.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer one request."""
+        arrived = self._ticker.now()
+        if self._is_leaving():
+            start_response = _close_after(start_response)
+        match environ["wsgi.input"].read_whole():
+            case result.Err(refusal):
+                return self._refuse(start_response, refusal, close=True)
+            case result.Ok(body):
+                pass
+        match self._check(environ, body, arrived):
+            case result.Err(refusal):
+                return self._refuse(start_response, refusal)
+            case result.Ok(job):
+                return self._serve(job, start_response)
+
+    def _serve(
+        self, job: sender.Job, start_response: replies.StartResponse
+    ) -> collections.abc.Iterator[bytes]:
+        self.running += 1
+        try:
+            yield from sender.Sender(self._parts, job).answer(start_response)
+        finally:
+            self.running -= 1
+
+    def _check(
+        self, environ: Environ, body: bytes, arrived: float
+    ) -> result.Result[sender.Job, errors.Refusal]:
+        configuration = self._parts.world.configuration
+        if configuration is None:
+            return _err(errors.Code.NO_CATALOGUE, NOTHING_KNOWN_SECONDS)
+        if self._is_closing():
+            return _err(errors.Code.LEAVING, LEAVING_SECONDS)
+        fields = environ[caller_const.ENVIRON_FIELDS]
+        path = environ["PATH_INFO"]
+        route = self._parts.world.routes.find(fields["host"], path)
+        if route is None:
+            return _err(errors.Code.UNKNOWN_PATH)
+        match requests.parse_request(fields):
+            case result.Err(refusal):
+                return result.Err(refusal)
+            case result.Ok(head):
+                pass
+        workspace = None
+        if configuration.keys is not None and not route.public:
+            name = configuration.keys.get(head.key)
+            if name is None:
+                return _err(errors.Code.UNKNOWN_KEY)
+            workspace = configuration.workspaces[name]
+            refusal = self._charge(workspace, head, arrived)
+            if refusal is not None:
+                return result.Err(refusal)
+        work = make_work(head, route, workspace, arrived)
+        return result.Ok(
+            sender.Job(
+                work=work,
+                service=routing.choose_service(route, random.random()),
+                method=environ["REQUEST_METHOD"],
+                target=environ[caller_const.ENVIRON_TARGET],
+                fields=fields,
+                body=body,
+                workspace=None if workspace is None else workspace.name,
+                version=configuration.version,
+            )
+        )
+
+    def _charge(
+        self,
+        workspace: models.Workspace,
+        head: requests.CallerRequest,
+        now: float,
+    ) -> errors.Refusal | None:
+        units = count_units(workspace, head)
+        wait = self._quotas.admit(workspace, units, self._compute_reach(), now)
+        if wait is None:
+            return None
+        return errors.Refusal(code=errors.Code.TOKEN_LIMIT, retry_after=wait)
+
+    def _refuse(
+        self,
+        start_response: replies.StartResponse,
+        refusal: errors.Refusal,
+        *,
+        close: bool = False,
+    ) -> list[bytes]:
+        self.refused[refusal.code.name.lower()] += 1
+        return refusals.answer(start_response, refusal, close=close)
+
+
+class Lookups:
+    """The WSGI application that tells callers which instances to use.
+
+    Args:
+        list_addresses: returns the addresses for callers.
+    """
+
+    def __init__(
+        self, list_addresses: collections.abc.Callable[[], tuple[str, ...]]
+    ) -> None:
+        self._list_addresses = list_addresses
+
+    def __call__(
+        self, environ: Environ, start_response: replies.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer a lookup."""
+        if environ["PATH_INFO"] != wire.PATH_LOOKUP:
+            refusal = errors.Refusal(code=errors.Code.UNKNOWN_PATH)
+            return refusals.answer(start_response, refusal)
+        addresses = self._list_addresses()
+        if not addresses:
+            refusal = errors.Refusal(
+                code=errors.Code.NO_CATALOGUE,
+                retry_after=NOTHING_KNOWN_SECONDS,
+            )
+            return refusals.answer(start_response, refusal)
+        body = wire_models.dump_lookup(addresses, LOOKUP_SECONDS)
+        return replies.answer_json(start_response, body)
+
+
+class Readiness:
+    """The WSGI application that tells whether the instance is ready.
+
+    Args:
+        is_ready: whether callers can be served.
+    """
+
+    def __init__(self, is_ready: collections.abc.Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def __call__(
+        self, environ: Environ, start_response: replies.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer a question for readiness."""
+        if environ["PATH_INFO"] == wire.PATH_READY and self._is_ready():
+            return replies.answer_json(start_response, {})
+        refusal = errors.Refusal(code=errors.Code.NO_CATALOGUE)
+        return refusals.answer(start_response, refusal)
+
+
+def make_work(
+    head: requests.CallerRequest,
+    route: models.Route,
+    workspace: models.Workspace | None,
+    arrived: float,
+) -> models.Work:
+    """Return what the decisions need to know of a request."""
+    tier = route.tier
+    if workspace is not None and workspace.tier is not None:
+        tier = workspace.tier
+    seconds = route.timeout
+    if head.patience is not None:
+        seconds = min(seconds, head.patience)
+    return models.Work(
+        request_id=head.request_id,
+        route=route,
+        tier=tier,
+        prompt_tokens=head.prompt_tokens,
+        output_tokens=head.output_tokens,
+        parts=tuple(name for name, _ in head.parts),
+        arrived=arrived,
+        deadline=arrived + seconds,
+    )
+
+
+def count_units(
+    workspace: models.Workspace, head: requests.CallerRequest
+) -> float:
+    """Return what a request counts against its workspace's limit."""
+    if not workspace.counts_tokens:
+        return 1.0
+    if not head.counts_tokens:
+        return workspace.plain_tokens
+    return float(head.prompt_tokens + head.output_tokens)
+
+
+def _close_after(
+    start_response: replies.StartResponse,
+) -> replies.StartResponse:
+    def start(status: str, headers: list, *rest: Any) -> Any:
+        return start_response(
+            status, [*headers, ("Connection", "close")], *rest
+        )
+
+    return start
+
+
+def _err(
+    code: errors.Code, retry_after: float | None = None
+) -> result.Result[sender.Job, errors.Refusal]:
+    return result.Err(errors.Refusal(code=code, retry_after=retry_after))
--- /dev/null
+++ b/citronport/relay/core.py
@@ -0,0 +1,352 @@
+"""Wiring of an instance that sends by itself; nothing is decided here."""
+
+import pathlib
+import secrets
+import signal
+
+from absl import logging
+import gevent
+from gevent import event as gevent_event
+import result
+
+from citronport import clock
+from citronport import const
+from citronport import errors
+from citronport import tasks
+from citronport.callers import connections
+from citronport.callers import server as caller_server
+from citronport.platform import client as store_client
+from citronport.platform import const as wire
+from citronport.platform import models as wire_models
+from citronport.relay import application
+from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import eventlog
+from citronport.relay import fleet as fleet_module
+from citronport.relay import follower as follower_module
+from citronport.relay import membership
+from citronport.relay import messages
+from citronport.relay import mirror as mirror_module
+from citronport.relay import sender
+from citronport.relay import settings as settings_module
+from citronport.relay import world as world_module
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import cold as cold_module
+from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import retries
+
+LOG = "relay:"
+
+SERVE_ON_SECONDS = 2.5
+"""How long an instance that leaves takes new work: callers keep the answer
+of a lookup for two seconds, and new answers name others at once."""
+
+END_SECONDS = 0.7
+"""Time before the kill at which the process ends at the latest."""
+
+SWEEP_SECONDS = 0.25
+"""Pause between two looks at what has run out."""
+
+SETTINGS_SECONDS = 2.0
+"""Pause between two looks at whether the settings file has changed."""
+
+BODY_MEMORY_SHARE = 0.2
+"""Part of the memory that bodies of requests may take together."""
+
+RESERVED_FILES = 200
+"""File descriptors that are left for files, as the machines require."""
+
+
+class Instance:
+    """One entry instance that sends requests to endpoints by itself.
+
+    Args:
+        path: the settings file, read again when it changes.
+        settings: what it held at the start.
+        ticker: the clock.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        settings: settings_module.Settings,
+        ticker: clock.Clock,
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._ticker = ticker
+        self._incarnation = secrets.token_hex(4)
+        self._log = eventlog.Log(settings.instance, ticker)
+        self._leaving = False
+        self._closing = False
+        self._ready = False
+        self._number = 0
+        self._stopped = gevent_event.Event()
+        self.board = board_module.Board()
+        self.health = health_module.Health()
+        self.cold = cold_module.ColdStarts()
+        self.quotas = quota.Quotas()
+        self.members = membership.Membership(settings.instance)
+        self.mirror = mirror_module.Mirror()
+        self.world = world_module.World(
+            self.cold, self._forget_endpoint, self._log
+        )
+        self.follower = follower_module.Follower(
+            store_client.Client(
+                str(settings.store), follower_module.ANSWER_SECONDS
+            ),
+            self.mirror,
+            ticker,
+            self._take_news,
+            self._log,
+        )
+        self.dispatcher = dispatcher_module.Dispatcher(
+            settings.instance,
+            self.world,
+            self.members,
+            self.board,
+            self.health,
+            self.cold,
+            ticker,
+        )
+        self.fleet = fleet_module.Fleet(
+            settings,
+            self.members,
+            self.mirror,
+            ticker,
+            self._describe,
+            self._take_report,
+            self._take_news,
+            self._log,
+        )
+        self._budgets: dict[str, retries.RetryBudget] = {}
+        self.application = application.Application(
+            sender.Parts(
+                self.world,
+                self.dispatcher,
+                self.board,
+                self.health,
+                ticker,
+                self._log,
+                self._get_budget,
+                lambda: len(self.members.list_known(ticker.now())),
+            ),
+            self.quotas,
+            lambda: self.members.compute_reach(ticker.now()),
+            lambda: self._leaving,
+            lambda: self._closing,
+            ticker,
+        )
+        self._callers = self._make_caller_server()
+        self._tasks = tasks.Supervisor(ticker, self._note_death)
+
+    def serve(self) -> None:
+        """Run until a stop is ordered and the work in progress is done."""
+        gevent.signal_handler(signal.SIGTERM, self.stop)
+        gevent.signal_handler(signal.SIGHUP, self.reload)
+        self._tasks.report_unhandled()
+        self._log.write(
+            eventlog.Started(
+                incarnation=self._incarnation, version=const.VERSION
+            )
+        )
+        self.fleet.open()
+        servers = self._make_servers()
+        for server in servers:
+            server.start()
+        self._start_tasks()
+        self._stopped.wait()
+        self._drain()
+        self._log.write(eventlog.Stopped(requests=self.application.running))
+
+    def stop(self) -> None:
+        """Order a graceful shutdown; a second order changes nothing."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._log.write(eventlog.Leaving(requests=self.application.running))
+        self.fleet.send(self._describe())
+        self._stopped.set()
+
+    def reload(self) -> None:
+        """Read the settings file again; what is wrong changes nothing."""
+        match settings_module.read_settings(self._path):
+            case result.Err(reason):
+                fault = int(errors.InputFault.BAD_SETTINGS)
+                self._log.write(
+                    eventlog.SettingsReloaded(
+                        accepted=False, detail=f"{fault}: {reason}"
+                    )
+                )
+            case result.Ok(settings):
+                self._settings = settings
+                self.fleet.use(settings)
+                self._budgets.clear()
+                self._log.write(
+                    eventlog.SettingsReloaded(accepted=True, detail="")
+                )
+
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        ready = self.world.configuration is not None and not self._leaving
+        if ready != self._ready:
+            self._ready = ready
+            self._log.write(eventlog.Ready(ready=ready))
+        return ready
+
+    def list_addresses(self) -> tuple[str, ...]:
+        """Return the addresses that callers should use."""
+        now = self._ticker.now()
+        found = [r.callers for r in self.members.list_usable(now)]
+        if self.is_ready():
+            found.append(str(self._settings.callers))
+        return tuple(sorted(found))
+
+    def _make_servers(self) -> list[caller_server.Server]:
+        settings = self._settings
+        lookups = application.Lookups(self.list_addresses)
+        readiness = application.Readiness(self.is_ready)
+        return [
+            self._callers,
+            _make_server(settings.lookups, lookups),
+            _make_server(settings.readiness, readiness),
+        ]
+
+    def _make_caller_server(self) -> caller_server.Server:
+        server = _make_server(
+            self._settings.callers, self.application, self._make_limits()
+        )
+        server.single_headers = wire.SINGLE
+        return server
+
+    def _make_limits(self) -> connections.Limits:
+        settings = self._settings
+        limits = connections.Limits(
+            connections=(settings.files - RESERVED_FILES) // 2,
+            bodies_bytes=int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE),
+        )
+        configuration = self.world.configuration
+        if configuration is None:
+            return limits
+        told = configuration.limits
+        return connections.Limits(
+            connections=limits.connections,
+            bodies_bytes=limits.bodies_bytes,
+            idle_seconds=told.idle_seconds,
+            head_seconds=told.head_seconds,
+            body_bytes=told.body_bytes,
+        )
+
+    def _start_tasks(self) -> None:
+        keep = self._tasks.keep
+        keep("follower", self.follower.follow)
+        keep("receiver", self.fleet.receive)
+        keep("reporter", self.fleet.report_again_and_again)
+        keep("catch-up", self.fleet.catch_up)
+        keep("dispatcher", self.dispatcher.kick_again_and_again)
+        keep("sweeper", self._sweep_again_and_again)
+        keep("settings", self._watch_settings)
+
+    def _drain(self) -> None:
+        end = self._settings.bounds.grace_seconds - END_SECONDS
+        started = self._ticker.now()
+        self._ticker.sleep(min(SERVE_ON_SECONDS, end))
+        self._closing = True
+        self._callers.close()
+        while self._ticker.now() - started < end:
+            if not self.application.running and self._callers.is_idle():
+                break
+            self._ticker.sleep(SWEEP_SECONDS)
+        self.fleet.close()
+
+    def _sweep_again_and_again(self) -> None:
+        while True:
+            self._ticker.sleep(SWEEP_SECONDS)
+            self.world.sweep(self._ticker.now())
+            self.is_ready()
+
+    def _watch_settings(self) -> None:
+        seen = _get_changed(self._path)
+        while True:
+            self._ticker.sleep(SETTINGS_SECONDS)
+            changed = _get_changed(self._path)
+            if changed != seen:
+                seen = changed
+                self.reload()
+
+    def _describe(self) -> messages.Report:
+        now = self._ticker.now()
+        settings = self._settings
+        self._number += 1
+        fresh = self.members.list_fresh(now)
+        self.board.drop_silent({r.instance for r in fresh})
+        return messages.Report(
+            protocol=messages.PROTOCOL,
+            instance=settings.instance,
+            incarnation=self._incarnation,
+            number=self._number,
+            data_centre=settings.data_centre,
+            callers=str(settings.callers),
+            peers=str(settings.peers),
+            ready=self.is_ready(),
+            leaving=self._leaving,
+            revision=self.mirror.revision,
+            passed=self.quotas.get_totals(),
+            loads=self.board.list_own(),
+            members=self.members.list_members(now),
+        )
+
+    def _take_report(self, report: messages.Report) -> None:
+        now = self._ticker.now()
+        self.board.hear(
+            report.instance, [tuple(row) for row in report.loads], now
+        )
+        sender_name = f"{report.instance}/{report.incarnation}"
+        self.quotas.hear(sender_name, report.passed, now)
+        self.dispatcher.kick()
+
+    def _take_news(self, news: list[wire_models.Item]) -> None:
+        now = self._ticker.now()
+        self.world.apply(news, now, self.follower.returned)
+        self._callers.connections.limits = self._make_limits()
+        self.is_ready()
+        self.dispatcher.kick()
+
+    def _forget_endpoint(self, name: str) -> None:
+        self.board.forget(name)
+        self.health.forget(name)
+        self.cold.forget(name)
+
+    def _get_budget(self, service: str) -> retries.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._settings.bounds
+            budget = self._budgets[service] = retries.RetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window_seconds,
+            )
+        return budget
+
+    def _note_death(self, name: str) -> None:
+        logging.error("%s task %s died.", LOG, name)
+
+
+def _make_server(
+    listener: settings_module.Listener,
+    app: object,
+    limits: connections.Limits | None = None,
+) -> caller_server.Server:
+    return caller_server.make_server(
+        str(listener.address), listener.port, app, limits
+    )
+
+
+def _get_changed(path: pathlib.Path) -> tuple[int, int]:
+    try:
+        status = path.stat()
+    except OSError as error:
+        # A file that is being replaced is there again at the next look.
+        logging.warning("%s %s: %s.", LOG, path, error.strerror)
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
--- /dev/null
+++ b/citronport/relay/fleet.py
@@ -0,0 +1,260 @@
+"""The tasks that talk with the other instances."""
+
+import collections.abc
+import contextlib
+
+from absl import logging
+import gevent
+from gevent import server as gevent_server
+from gevent import socket
+import msgpack
+
+from citronport import clock
+from citronport.platform import models
+from citronport.relay import eventlog
+from citronport.relay import membership as membership_module
+from citronport.relay import messages
+from citronport.relay import mirror as mirror_module
+from citronport.relay import settings as settings_module
+
+LOG = "fleet:"
+
+REPORT_SECONDS = 0.1
+"""Pause between two reports while requests run here. What others know of
+an endpoint is that old at most; a prompt takes about as long to read."""
+
+IDLE_REPORT_SECONDS = 0.3
+"""Pause between two reports of an instance without work: three of them
+fit into the time after which it counts as out of reach."""
+
+SEED_SECONDS = 1.0
+"""Pause between two reports to seeds that are not known as instances."""
+
+LAG_SECONDS = 0.3
+"""How long another instance may be ahead with the store's changes before
+they are fetched from it: a watch brings them within a few milliseconds."""
+
+CATCH_UP_SECONDS = 0.1
+"""Pause between two looks at who is ahead."""
+
+FETCH_SECONDS = 1.0
+"""How long fetching from another instance may take."""
+
+READ_BYTES = 65536
+
+
+class Fleet:
+    """Reports to other instances and takes their reports.
+
+    Args:
+        settings: where this instance listens.
+        members: what is known of the others.
+        mirror: the copy of the store, also served to others.
+        ticker: the clock.
+        describe: returns this instance's report.
+        take_report: called with each fresh report.
+        take_news: called with changes that another instance told.
+        log: where changes are told.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        members: membership_module.Membership,
+        mirror: mirror_module.Mirror,
+        ticker: clock.Clock,
+        describe: collections.abc.Callable[[], messages.Report],
+        take_report: collections.abc.Callable[[messages.Report], None],
+        take_news: collections.abc.Callable[[list[models.Item]], None],
+        log: eventlog.Log,
+    ) -> None:
+        self._settings = settings
+        self._members = members
+        self._mirror = mirror
+        self._ticker = ticker
+        self._describe = describe
+        self._take_report = take_report
+        self._take_news = take_news
+        self._log = log
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._server: gevent_server.StreamServer | None = None
+        self._seeded = float("-inf")
+        self._reachable: set[str] = set()
+        self._behind_since: float | None = None
+
+    def use(self, settings: settings_module.Settings) -> None:
+        """Take new settings; addresses of this instance stay."""
+        self._settings = settings
+
+    def open(self) -> None:
+        """Listen for reports and for questions of other instances."""
+        host = str(self._settings.peers.address)
+        self._socket.bind((host, self._settings.reports))
+        self._server = gevent_server.StreamServer(
+            (host, self._settings.peers.port), self._answer
+        )
+        self._server.start()
+
+    def report_again_and_again(self) -> None:
+        """Tell the others of this instance for ever."""
+        while True:
+            report = self._describe()
+            self.send(report)
+            self._note_reach()
+            busy = any(row[1] for row in report.loads)
+            pause = REPORT_SECONDS if busy else IDLE_REPORT_SECONDS
+            self._ticker.sleep(pause)
+
+    def send(self, report: messages.Report) -> None:
+        """Send a report to all known instances, and to seeds now and then."""
+        now = self._ticker.now()
+        targets = set(self._members.list_addresses(now))
+        if now - self._seeded >= SEED_SECONDS:
+            self._seeded = now
+            targets |= {str(seed) for seed in self._settings.seeds}
+        targets.discard(str(self._settings.peers))
+        data = messages.CODEC.encode(report)
+        for target in targets:
+            host = target.rpartition(":")[0]
+            # A datagram that can't be sent is one that got lost: the next
+            # report makes up for it.
+            with contextlib.suppress(OSError):
+                self._socket.sendto(data, (host, self._settings.reports))
+
+    def receive(self) -> None:
+        """Take reports for ever."""
+        while True:
+            data, sender = self._socket.recvfrom(READ_BYTES)
+            try:
+                report = messages.CODEC.unpack(data)
+            except ValueError as error:
+                logging.warning(
+                    "%s a datagram of %s is no report: %s.",
+                    LOG,
+                    sender[0],
+                    error,
+                )
+                continue
+            if (
+                isinstance(report, messages.Report)
+                and report.protocol == messages.PROTOCOL
+                and self._members.hear(report, self._ticker.now())
+            ):
+                self._take_report(report)
+
+    def catch_up(self) -> None:
+        """Fetch from others what the store does not tell, for ever."""
+        while True:
+            self._ticker.sleep(CATCH_UP_SECONDS)
+            self.look_for_news()
+
+    def look_for_news(self) -> None:
+        """Fetch the changes of an instance that has been ahead for long.
+
+        Load: a store that turns some instances away and serves others.
+        Harm: those would act on an old configuration, and send to
+        endpoints that have left, for as long as that lasts.
+        """
+        now = self._ticker.now()
+        ahead = [
+            r
+            for r in self._members.list_fresh(now)
+            if r.revision > self._mirror.revision
+        ]
+        if not ahead:
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < LAG_SECONDS:
+            return
+        newest = max(ahead, key=lambda r: r.revision)
+        held = self._fetch(newest.peers)
+        if held is None:
+            return
+        items = [
+            models.Item(key=key, value=value, revision=revision)
+            for key, value, revision in held.items
+        ]
+        news = self._mirror.take_news(items, set(held.keys), held.revision)
+        self._behind_since = None
+        self._log.write(
+            eventlog.NewsFromPeer(
+                peer=newest.instance, revision=held.revision, items=len(news)
+            )
+        )
+        if news:
+            self._take_news(news)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+
+    def _fetch(self, address: str) -> messages.Held | None:
+        want = messages.Want(
+            protocol=messages.PROTOCOL, revision=self._mirror.revision
+        )
+        host, _, port = address.rpartition(":")
+        try:
+            with (
+                gevent.Timeout(FETCH_SECONDS, TimeoutError),
+                socket.create_connection((host, int(port))) as sock,
+            ):
+                sock.sendall(messages.CODEC.encode(want))
+                held = _read_message(sock)
+        except (OSError, ValueError, msgpack.UnpackException) as error:
+            logging.warning(
+                "%s news of %s did not come: %s.",
+                LOG,
+                address,
+                type(error).__name__,
+            )
+            return None
+        return held if isinstance(held, messages.Held) else None
+
+    def _answer(self, sock: socket.socket, sender: tuple[str, int]) -> None:
+        try:
+            with gevent.Timeout(FETCH_SECONDS, TimeoutError), sock:
+                want = _read_message(sock)
+                if isinstance(want, messages.Want):
+                    sock.sendall(messages.CODEC.encode(self._hold(want)))
+        except (OSError, ValueError, msgpack.UnpackException) as error:
+            logging.warning(
+                "%s a question of %s failed: %s.",
+                LOG,
+                sender[0],
+                type(error).__name__,
+            )
+
+    def _hold(self, want: messages.Want) -> messages.Held:
+        return messages.Held(
+            revision=self._mirror.revision,
+            keys=self._mirror.list_keys(),
+            items=[
+                (item.key, item.value or b"", item.revision)
+                for item in self._mirror.list_items(want.revision)
+            ],
+        )
+
+    def _note_reach(self) -> None:
+        now = self._ticker.now()
+        fresh = {r.instance for r in self._members.list_fresh(now)}
+        for name in fresh ^ self._reachable:
+            self._log.write(
+                eventlog.PeerChanged(
+                    peer=name,
+                    in_reach=name in fresh,
+                    known=len(self._members.list_known(now)),
+                )
+            )
+        self._reachable = fresh
+
+
+def _read_message(sock: socket.socket) -> messages.Message:
+    unpacker = messages.CODEC.make_unpacker()
+    while data := sock.recv(READ_BYTES):
+        unpacker.feed(data)
+        for raw in unpacker:
+            return messages.CODEC.decode(raw)
+    raise ValueError("the connection ended within a message")
--- /dev/null
+++ b/citronport/relay/membership.py
@@ -0,0 +1,138 @@
+"""Which instances there are, from what they tell of themselves."""
+
+import dataclasses
+
+from citronport.relay import messages
+
+FRESH_SECONDS = 1.0
+"""Age up to which a report counts for shared limits and loads: several
+reports may be lost on the way before an instance looks out of reach."""
+
+LISTED_SECONDS = 2.0
+"""Age up to which callers are sent to an instance. A dead one is found by
+its callers at their next connection; one that is only slow to report must
+not lose all its callers at once."""
+
+KNOWN_SECONDS = 30.0
+"""How long a silent instance counts as one that may still serve callers.
+
+An instance that is cut off from the others goes on serving its part of each
+limit; cuts of half a minute are the longest that the limits have to hold
+for.
+"""
+
+TRIED_SECONDS = 300.0
+"""How long reports still go to a silent instance, so that two parts of the
+fleet find each other again after a cut."""
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """Another instance and its latest report.
+
+    Attributes:
+        report: what it told last; None if only others told of it.
+        heard: clock time of its latest report, seconds.
+        told: clock time at which it was first told of, seconds.
+        peers: its address for other instances.
+    """
+
+    report: messages.Report | None
+    heard: float
+    told: float
+    peers: str
+
+
+class Membership:
+    """The other instances, as one instance sees them.
+
+    Args:
+        own: name of this instance.
+    """
+
+    def __init__(self, own: str) -> None:
+        self._own = own
+        self._members: dict[str, Member] = {}
+
+    def hear(self, report: messages.Report, now: float) -> bool:
+        """Take a report; return False if it is old or one's own."""
+        if report.instance == self._own:
+            return False
+        member = self._members.get(report.instance)
+        if member is None:
+            member = Member(None, now, now, report.peers)
+            self._members[report.instance] = member
+        last = member.report
+        if (
+            last is not None
+            and last.incarnation == report.incarnation
+            and last.number >= report.number
+        ):
+            # Datagrams may overtake each other.
+            return False
+        member.report = report
+        member.heard = now
+        member.peers = report.peers
+        self._learn(report.members, now)
+        return True
+
+    def list_fresh(self, now: float) -> list[messages.Report]:
+        """Return the reports of the instances in reach."""
+        return [
+            m.report
+            for m in self._members.values()
+            if m.report is not None and now - m.heard <= FRESH_SECONDS
+        ]
+
+    def list_usable(self, now: float) -> list[messages.Report]:
+        """Return the reports of those that callers may be sent to."""
+        return [
+            m.report
+            for m in self._members.values()
+            if m.report is not None
+            and now - m.heard <= LISTED_SECONDS
+            and m.report.ready
+            and not m.report.leaving
+        ]
+
+    def list_known(self, now: float) -> tuple[str, ...]:
+        """Return the names of all that may serve callers, and this one."""
+        names = {self._own}
+        for name, member in self._members.items():
+            report = member.report
+            if report is None or now - member.heard > KNOWN_SECONDS:
+                continue
+            # One that said it would leave has gone if it is silent.
+            if report.leaving and now - member.heard > FRESH_SECONDS:
+                continue
+            names.add(name)
+        return tuple(sorted(names))
+
+    def compute_reach(self, now: float) -> float:
+        """Return the share of the known instances that are in reach."""
+        known = len(self.list_known(now))
+        return min(1.0, (1 + len(self.list_fresh(now))) / known)
+
+    def list_addresses(self, now: float) -> list[str]:
+        """Return the addresses to which reports go."""
+        return [
+            m.peers
+            for m in self._members.values()
+            if now - max(m.heard, m.told) <= TRIED_SECONDS
+        ]
+
+    def list_members(self, now: float) -> list[tuple[str, str, str]]:
+        """Return what to tell others of the instances in reach."""
+        return [
+            (r.instance, r.incarnation, r.peers) for r in self.list_fresh(now)
+        ]
+
+    def _learn(self, members: list[tuple[str, str, str]], now: float) -> None:
+        for name, _, peers in members:
+            if name == self._own:
+                continue
+            member = self._members.get(name)
+            if member is None:
+                self._members[name] = Member(None, float("-inf"), now, peers)
+            elif member.report is None:
+                member.peers = peers
--- /dev/null
+++ b/citronport/relay/upstream.py
@@ -0,0 +1,119 @@
+"""One request to an endpoint, on a connection of its own."""
+
+import dataclasses
+
+from geventhttpclient import response as http_response
+
+from citronport.endpoints import connection
+from citronport.platform import requests
+
+CONNECT_SECONDS = 0.3
+"""How long a connection may take to come about. Endpoints are about two
+milliseconds away; a lost first packet is sent again after a second, and
+another endpoint has answered by then."""
+
+WHOLE_BODY_BYTES = 65536
+"""Bodies up to this size are sent in one go."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unreachable:
+    """No connection came about: not one byte was sent."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Broken:
+    """No answer that can be used came; the request may have run."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotRun:
+    """The endpoint said that it did not run the request."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answered:
+    """The head of an answer came; its body can be read."""
+
+    answer: requests.EndpointAnswer
+
+
+Outcome = Unreachable | Broken | NotRun | Answered
+
+
+class Exchange:
+    """A request on its way; ``close`` ends it at the endpoint too.
+
+    Args:
+        address: "ip:port" of the endpoint.
+        request_id: id that the answer has to bear.
+    """
+
+    def __init__(self, address: str, request_id: str) -> None:
+        self._address = address
+        self._request_id = request_id
+        self._connection: connection.Connection | None = None
+
+    def open(self) -> Unreachable | None:
+        """Connect to the endpoint."""
+        try:
+            self._connection = connection.dial(
+                self._address, seconds=CONNECT_SECONDS
+            )
+        except OSError as error:
+            return Unreachable(reason=type(error).__name__)
+        return None
+
+    def send(self, request: bytes) -> Outcome:
+        """Send the request and wait for the head of its answer."""
+        used = self._connection
+        assert used is not None
+        try:
+            self._put(used, request)
+            head = used.read_head()
+        except (OSError, http_response.HTTPParseError) as error:
+            return Broken(reason=type(error).__name__)
+        answer = requests.parse_answer(head)
+        if answer.request_id and answer.request_id != self._request_id:
+            return Broken(reason="answer to another request")
+        if not answer.ran:
+            return NotRun(status=answer.status)
+        if 200 <= answer.status < 300 and not (
+            answer.signature and answer.request_id
+        ):
+            return Broken(reason="success without a signature")
+        return Answered(answer=answer)
+
+    def read(self) -> bytes:
+        """Wait for the next piece of the body; nothing at its end.
+
+        Raises:
+            OSError: the connection broke before the end.
+            HTTPParseError: what came is no HTTP.
+        """
+        assert self._connection is not None
+        return self._connection.read()
+
+    def close(self) -> None:
+        """Close the connection; the endpoint drops what it still does."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _put(self, used: connection.Connection, request: bytes) -> None:
+        if len(request) <= WHOLE_BODY_BYTES:
+            try:
+                used.send(request)
+            except OSError:
+                # An endpoint may have answered and closed before it read
+                # all of the request; the answer can still be read.
+                if not used.has_input():
+                    raise
+            return
+        used.send_watching(request)
--- /dev/null
+++ b/citronport/relay/world.py
@@ -0,0 +1,246 @@
+"""What is in force, decoded from the copy of the store."""
+
+import collections
+import collections.abc
+
+from absl import logging
+import result
+
+from citronport import errors
+from citronport.platform import const
+from citronport.platform import models as wire
+from citronport.relay import eventlog
+from citronport.scheduler.direct import cold
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import routing
+
+LAPSE_SECONDS = 1.5
+"""How long an endpoint is used on whose entry vanished around an outage of
+the store. Entries lapse then although their endpoints live, and come back
+within two seconds; without the pause a return of the store would empty the
+list for that time and refuse every caller."""
+
+RETURN_SECONDS = 3.0
+"""How long after an outage a vanished entry counts as lapsed."""
+
+MAX_STARTS = 2000
+"""Starts of endpoints that are remembered, so that one whose entry comes
+back does not count as started anew."""
+
+
+class World:
+    """The typed view of what the store holds.
+
+    Attributes:
+        configuration: the newest one; None before the first.
+        routes: of that configuration.
+        evacuated: data centres that get no work.
+        endpoints: all listed endpoints, by name.
+
+    Args:
+        cold_starts: told of endpoints that are cold.
+        forget: called with the name of each endpoint that is gone.
+        log: where changes are told.
+    """
+
+    def __init__(
+        self,
+        cold_starts: cold.ColdStarts,
+        forget: collections.abc.Callable[[str], None],
+        log: eventlog.Log,
+    ) -> None:
+        self.configuration: models.Configuration | None = None
+        self.routes = routing.Routes(())
+        self.evacuated: set[str] = set()
+        self.endpoints: dict[str, models.Endpoint] = {}
+        self._cold = cold_starts
+        self._forget = forget
+        self._log = log
+        self._by_service: dict[str, list[models.Endpoint]] = {}
+        self._lapsing: dict[str, float] = {}
+        self._starts: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
+        self._listed_once = False
+
+    def apply(
+        self,
+        news: collections.abc.Iterable[wire.Item],
+        now: float,
+        returned: float,
+    ) -> None:
+        """Take changes of the store.
+
+        Args:
+            news: the changed items.
+            now: clock time, seconds.
+            returned: clock time at which the store was last back after an
+                outage; minus infinity if it never was away.
+        """
+        lapsing = now - returned < RETURN_SECONDS
+        for item in news:
+            if item.key == const.KEY_CONFIGURATION:
+                self._take_configuration(item)
+            elif item.key.startswith(const.PREFIX_EVACUATED):
+                self._take_evacuation(item, now)
+            elif item.key.startswith(const.PREFIX_ENDPOINTS):
+                self._take_endpoint(item, now, lapsing)
+        self._listed_once = True
+        self._index()
+
+    def sweep(self, now: float) -> None:
+        """Drop endpoints whose entries did not come back."""
+        over = [n for n, until in self._lapsing.items() if now >= until]
+        for name in over:
+            self._drop(name)
+        if over:
+            self._index()
+
+    def list_endpoints(self, service: str) -> list[models.Endpoint]:
+        """Return the endpoints of a service that may get new work."""
+        return [
+            e
+            for e in self._by_service.get(service, ())
+            if e.data_centre not in self.evacuated
+        ]
+
+    def may_use(self, endpoint: models.Endpoint) -> bool:
+        """Return whether an endpoint may still get new work."""
+        known = self.endpoints.get(endpoint.name)
+        return (
+            known is not None
+            and known.start == endpoint.start
+            and not known.leaving
+            and known.data_centre not in self.evacuated
+        )
+
+    def _take_configuration(self, item: wire.Item) -> None:
+        if item.value is None:
+            # Operators replace it and never take it away.
+            logging.warning("world: the configuration was deleted.")
+            return
+        match wire.parse_configuration(item.value):
+            case result.Err(reason):
+                # The one in force stays: a broken one would refuse all.
+                self._log.write(
+                    eventlog.InputRejected(
+                        code=int(errors.InputFault.BAD_CONFIGURATION),
+                        key=item.key,
+                        revision=item.revision,
+                        reason=reason,
+                    )
+                )
+            case result.Ok(configuration):
+                self._set_configuration(configuration, item.revision)
+
+    def _set_configuration(
+        self, configuration: models.Configuration, revision: int
+    ) -> None:
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        self.routes = routing.Routes(configuration.routes)
+        self._log.write(
+            eventlog.ConfigurationInForce(
+                version=configuration.version,
+                revision=revision,
+                routes=len(configuration.routes),
+                workspaces=len(configuration.workspaces),
+            )
+        )
+
+    def _take_evacuation(self, item: wire.Item, now: float) -> None:
+        name = wire.parse_evacuated(item.key)
+        if item.value is not None:
+            self.evacuated.add(name)
+        elif name in self.evacuated:
+            self.evacuated.discard(name)
+            # Endpoints that had no work for a while may come back cold.
+            for endpoint in self.endpoints.values():
+                if endpoint.data_centre == name:
+                    self._set_cold(endpoint, now)
+        self._log.write(
+            eventlog.DataCentreChanged(
+                data_centre=name,
+                evacuated=item.value is not None,
+                revision=item.revision,
+            )
+        )
+
+    def _take_endpoint(
+        self, item: wire.Item, now: float, lapsing: bool
+    ) -> None:
+        name = item.key.removeprefix(const.PREFIX_ENDPOINTS)
+        if item.value is None:
+            if lapsing and name in self.endpoints:
+                self._lapsing[name] = now + LAPSE_SECONDS
+            else:
+                self._drop(name)
+            self._log.write(
+                eventlog.EndpointGone(
+                    endpoint=name, revision=item.revision, lapsed=lapsing
+                )
+            )
+            return
+        match wire.parse_endpoint(item.key, item.value):
+            case result.Err(reason):
+                # An entry that can't be read names no endpoint to use.
+                self._drop(name)
+                self._log.write(
+                    eventlog.InputRejected(
+                        code=int(errors.InputFault.BAD_ENDPOINT),
+                        key=item.key,
+                        revision=item.revision,
+                        reason=reason,
+                    )
+                )
+            case result.Ok(endpoint):
+                self._set_endpoint(endpoint, item.revision, now)
+
+    def _set_endpoint(
+        self, endpoint: models.Endpoint, revision: int, now: float
+    ) -> None:
+        known = self.endpoints.get(endpoint.name)
+        if known is not None and known.start != endpoint.start:
+            self._drop(endpoint.name)
+        self._lapsing.pop(endpoint.name, None)
+        self.endpoints[endpoint.name] = endpoint
+        if endpoint.start not in self._starts:
+            self._starts[endpoint.start] = None
+            if len(self._starts) > MAX_STARTS:
+                self._starts.popitem(last=False)
+            if self._listed_once:
+                self._set_cold(endpoint, now)
+        if endpoint.cold_seconds > 0:
+            self._cold.set_cold(endpoint.name, now + endpoint.cold_seconds)
+        if known != endpoint:
+            self._log.write(
+                eventlog.EndpointListed(
+                    endpoint=endpoint.name,
+                    service=endpoint.service,
+                    data_centre=endpoint.data_centre,
+                    leaving=endpoint.leaving,
+                    cold_seconds=endpoint.cold_seconds,
+                    revision=revision,
+                )
+            )
+
+    def _set_cold(self, endpoint: models.Endpoint, now: float) -> None:
+        if self.configuration is None:
+            return
+        service = self.configuration.services.get(endpoint.service)
+        if service is not None and service.cold_seconds > 0:
+            self._cold.set_cold(endpoint.name, now + service.cold_seconds)
+
+    def _drop(self, name: str) -> None:
+        self._lapsing.pop(name, None)
+        if self.endpoints.pop(name, None) is not None:
+            self._forget(name)
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for endpoint in self.endpoints.values():
+            if not endpoint.leaving:
+                listed = self._by_service.setdefault(endpoint.service, [])
+                listed.append(endpoint)
--- /dev/null
+++ b/citronport/scheduler/direct/board.py
@@ -0,0 +1,214 @@
+"""What runs at each endpoint, from own sends and from others' reports."""
+
+import collections.abc
+import dataclasses
+
+from citronport.scheduler.direct import models
+
+STEP_SECONDS = 0.0032
+"""Time of one step of an engine at pace 1: each running request gets a
+token. From the deployments' sheets, 3.09 ms and more."""
+
+READ_SECONDS = 0.0000195
+"""Time to read one prompt token at pace 1, with the steps in between of
+the requests that run: a chunk of 1,024 tokens takes 16.6 ms, a step 3.2."""
+
+PACE_EVENTS = 4
+"""Events over which a pace is measured. Shorter spans are coarse, since
+events that arrive together carry no time between them."""
+
+PACE_WEIGHT = 0.3
+"""Weight of the newest measured pace."""
+
+MIN_PACE = 0.2
+MAX_PACE = 20.0
+"""Bounds of a measured pace; what lies beyond comes from a cut or pause."""
+
+ANSWER_WEIGHT = 0.2
+"""Weight of the newest answer of a plain service in its mean time."""
+
+PLAIN_SECONDS = 0.0225
+"""Time of a plain answer before one was measured, from the sheets."""
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One request at an endpoint.
+
+    Attributes:
+        work: what it asks.
+        sent: clock time at which it was sent.
+        first: clock time of its first event; None before.
+        events: events since its first.
+        mark: clock time of the event at which the present span began.
+        mark_events: events at that time.
+        best: smallest measured time of one event, seconds.
+    """
+
+    work: models.Work
+    sent: float
+    first: float | None = None
+    events: int = 0
+    mark: float = 0.0
+    mark_events: int = 0
+    best: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What runs at an endpoint.
+
+    Attributes:
+        requests: sent there and not ended.
+        unread: prompt tokens of those with no event yet.
+    """
+
+    requests: int
+    unread: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    at: float
+    loads: dict[str, tuple[int, int, float]]
+
+
+class Board:
+    """Loads and paces of all endpoints, as seen by one instance."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, dict[str, Run]] = {}
+        self._paces: dict[str, float] = {}
+        self._answers: dict[str, float] = {}
+        self._heard: dict[str, _Heard] = {}
+
+    def note_sent(self, endpoint: str, work: models.Work, now: float) -> Run:
+        """Note that a request goes to an endpoint; return its record."""
+        run = Run(work=work, sent=now)
+        self._own.setdefault(endpoint, {})[work.request_id] = run
+        return run
+
+    def note_events(
+        self, endpoint: str, run: Run, events: int, tokens: int, now: float
+    ) -> None:
+        """Note events of a stream.
+
+        Args:
+            endpoint: where it runs.
+            run: its record.
+            events: how many came.
+            tokens: tokens in one event.
+            now: clock time, seconds.
+        """
+        if run.first is None:
+            run.first = run.mark = now
+            run.mark_events = 0
+            run.events = events - 1
+            return
+        run.events += events
+        span = run.events - run.mark_events
+        if span < PACE_EVENTS:
+            return
+        each = (now - run.mark) / span
+        run.mark, run.mark_events = now, run.events
+        # The smallest span of a stream: longer ones hold the reading of
+        # others' prompts, which is load and not pace.
+        if run.best is None or each < run.best:
+            run.best = each
+            self._learn(endpoint, each / (tokens * STEP_SECONDS))
+
+    def note_answer(self, endpoint: str, run: Run, now: float) -> None:
+        """Note the whole answer of a plain service."""
+        taken = now - run.sent
+        known = self._answers.get(endpoint, PLAIN_SECONDS)
+        self._answers[endpoint] = known + ANSWER_WEIGHT * (taken - known)
+
+    def note_end(self, endpoint: str, request_id: str) -> None:
+        """Note that a request has ended or left an endpoint."""
+        runs = self._own.get(endpoint)
+        if runs is None:
+            return
+        runs.pop(request_id, None)
+        if not runs:
+            del self._own[endpoint]
+
+    def hear(
+        self,
+        sender: str,
+        loads: collections.abc.Iterable[tuple[str, int, int, int]],
+        now: float,
+    ) -> None:
+        """Take the loads that another instance tells."""
+        self._heard[sender] = _Heard(
+            now, {name: (n, unread, p / 1e6) for name, n, unread, p in loads}
+        )
+
+    def drop_silent(self, fresh: collections.abc.Container[str]) -> None:
+        """Forget the loads of instances that are out of reach."""
+        for sender in [s for s in self._heard if s not in fresh]:
+            del self._heard[sender]
+
+    def list_own(self) -> list[tuple[str, int, int, int]]:
+        """Return own loads and paces, in the form that is told."""
+        rows = []
+        for name in {**self._own, **self._paces}:
+            load = self._count_own(name)
+            pace = int(self._paces.get(name, 0.0) * 1e6)
+            rows.append((name, load.requests, load.unread, pace))
+        return rows
+
+    def get_load(self, endpoint: str) -> Load:
+        """Return what runs at an endpoint, of all instances."""
+        own = self._count_own(endpoint)
+        requests, unread = own.requests, own.unread
+        for heard in self._heard.values():
+            row = heard.loads.get(endpoint)
+            if row is not None:
+                requests += row[0]
+                unread += row[1]
+        return Load(requests, unread)
+
+    def count_own(self, endpoint: str) -> int:
+        """Return the requests of this instance at an endpoint."""
+        return len(self._own.get(endpoint, ()))
+
+    def get_pace(self, endpoint: str) -> float:
+        """Return the time of a step, as a multiple of the nominal one."""
+        known = [
+            row[2]
+            for heard in self._heard.values()
+            if (row := heard.loads.get(endpoint)) is not None and row[2] > 0
+        ]
+        own = self._paces.get(endpoint)
+        if own is not None:
+            known.append(own)
+        if not known:
+            return 1.0
+        known.sort()
+        return known[len(known) // 2]
+
+    def get_answer_seconds(self, endpoint: str) -> float:
+        """Return the mean time of a plain answer, seconds."""
+        return self._answers.get(endpoint, PLAIN_SECONDS)
+
+    def forget(self, endpoint: str) -> None:
+        """Drop what is known of an endpoint that is gone."""
+        self._paces.pop(endpoint, None)
+        self._answers.pop(endpoint, None)
+
+    def _count_own(self, endpoint: str) -> Load:
+        runs = self._own.get(endpoint)
+        if not runs:
+            return Load(0, 0)
+        unread = sum(
+            r.work.prompt_tokens for r in runs.values() if r.first is None
+        )
+        return Load(len(runs), unread)
+
+    def _learn(self, endpoint: str, pace: float) -> None:
+        pace = min(MAX_PACE, max(MIN_PACE, pace))
+        known = self._paces.get(endpoint)
+        if known is None:
+            self._paces[endpoint] = pace
+        else:
+            self._paces[endpoint] = known + PACE_WEIGHT * (pace - known)
--- /dev/null
+++ b/citronport/scheduler/direct/cold.py
@@ -0,0 +1,93 @@
+"""How much a cold endpoint gets from one instance."""
+
+import collections
+
+import xxhash
+
+WINDOW_SECONDS = 1.1
+"""Span over which sends to a cold endpoint are counted.
+
+The bound speaks of one second at the endpoint; links delay some sends more
+than others, and a tenth covers it.
+"""
+
+COLD_SHARE = 0.8
+"""Part of the rate a cold endpoint bears that all instances use.
+
+The rest is for instances that do not know each other yet.
+"""
+
+
+def choose_senders(
+    endpoint: str, instances: tuple[str, ...], senders: int
+) -> tuple[str, ...]:
+    """Return the instances that may send to a cold endpoint.
+
+    With more instances than requests a second, a whole request a second
+    each would already be too much; a few of them, other ones for each
+    endpoint, get it.
+    """
+    if len(instances) <= senders:
+        return instances
+    ranked = sorted(
+        instances, key=lambda i: xxhash.xxh3_64_intdigest(f"{endpoint} {i}")
+    )
+    return tuple(ranked[:senders])
+
+
+def count_allowed(rate: float, instances: int) -> int:
+    """Return the requests a window that each sender may send."""
+    return max(1, int(rate * COLD_SHARE / max(1, instances)))
+
+
+class ColdStarts:
+    """Which endpoints are cold, and what this instance sent them."""
+
+    def __init__(self) -> None:
+        self._until: dict[str, float] = {}
+        self._sent: dict[str, collections.deque[float]] = {}
+
+    def set_cold(self, endpoint: str, until: float) -> None:
+        """Note that an endpoint is cold until a clock time, at least."""
+        self._until[endpoint] = max(until, self._until.get(endpoint, 0.0))
+
+    def is_cold(self, endpoint: str, now: float) -> bool:
+        """Return whether an endpoint is cold."""
+        return now < self._until.get(endpoint, 0.0)
+
+    def may_send(
+        self,
+        endpoint: str,
+        own: str,
+        instances: tuple[str, ...],
+        rate: float,
+        now: float,
+    ) -> bool:
+        """Return whether one more request fits to a cold endpoint.
+
+        Load: a fresh endpoint looks empty, so that every instance would
+        send there at once. Harm: it crashes above its rate. Each instance
+        has a fixed part of the rate, so that no agreement is needed.
+        """
+        if rate <= 0 or not self.is_cold(endpoint, now):
+            return True
+        senders = max(1, int(rate * COLD_SHARE))
+        chosen = choose_senders(endpoint, instances, senders)
+        if own not in chosen:
+            return False
+        sent = self._sent.get(endpoint)
+        if sent is None:
+            return True
+        while sent and sent[0] <= now - WINDOW_SECONDS:
+            sent.popleft()
+        return len(sent) < count_allowed(rate, len(chosen))
+
+    def note_send(self, endpoint: str, now: float) -> None:
+        """Count a send; kept for warm ones too, as one may turn cold."""
+        sent = self._sent.setdefault(endpoint, collections.deque(maxlen=64))
+        sent.append(now)
+
+    def forget(self, endpoint: str) -> None:
+        """Drop what is known of an endpoint that is gone."""
+        self._until.pop(endpoint, None)
+        self._sent.pop(endpoint, None)
--- /dev/null
+++ b/citronport/scheduler/direct/quota.py
@@ -0,0 +1,108 @@
+"""Limits of workspaces over all instances, without a shared counter.
+
+Each instance counts what it let pass and tells the others its running
+total; each charges its own bucket with what all of them let pass.
+"""
+
+import dataclasses
+
+from citronport.scheduler.direct import models
+
+RETRY_FLOOR_SECONDS = 0.1
+"""Shortest time to come back, so that a caller does not spin."""
+
+RETRY_CEILING_SECONDS = 5.0
+"""Longest time to come back; a caller waits for a part of its deadline."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    level: float
+    at: float
+
+
+class Quotas:
+    """Token buckets of all workspaces, as seen by one instance."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+        self._totals: dict[str, float] = {}
+        self._heard: dict[tuple[str, str], float] = {}
+
+    def admit(
+        self,
+        workspace: models.Workspace,
+        units: float,
+        reach: float,
+        now: float,
+    ) -> float | None:
+        """Let a request pass, or tell when to come back.
+
+        Args:
+            workspace: the customer.
+            units: what the request counts.
+            reach: share of the instances whose totals are fresh, 0 to 1.
+            now: clock time, seconds.
+
+        Returns:
+            None if it may pass, else the pause in seconds.
+        """
+        if workspace.rate <= 0:
+            return None
+        # Load: one workspace at many times its limit while instances can
+        # not hear each other. Harm: each part of the fleet would let the
+        # whole limit pass. Each part keeps to its share of the instances,
+        # so that the parts together never exceed the limit.
+        rate = workspace.rate * reach
+        burst = workspace.burst * reach
+        bucket = self._refill(workspace.name, rate, burst, now)
+        if bucket.level >= min(units, burst):
+            bucket.level -= units
+            name = workspace.name
+            self._totals[name] = self._totals.get(name, 0.0) + units
+            return None
+        wait = (min(units, burst) - bucket.level) / rate
+        return min(max(wait, RETRY_FLOOR_SECONDS), RETRY_CEILING_SECONDS)
+
+    def hear(self, sender: str, totals: dict[str, float], now: float) -> None:
+        """Charge what another instance has let pass since its last word.
+
+        Args:
+            sender: name and incarnation of the other instance.
+            totals: its running totals by workspace.
+            now: clock time, seconds.
+        """
+        for name, total in totals.items():
+            known = self._heard.get((sender, name), 0.0)
+            if total <= known:
+                continue
+            self._heard[sender, name] = total
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level -= total - known
+
+    def give_back(self, workspace: models.Workspace, units: float) -> None:
+        """Undo an admission whose request reached no endpoint."""
+        bucket = self._buckets.get(workspace.name)
+        if bucket is None or workspace.rate <= 0:
+            return
+        # The total stays: it only grows, and the others forget the units
+        # as their buckets fill.
+        bucket.level += units
+
+    def get_totals(self) -> dict[str, float]:
+        """Return what this instance has let pass, by workspace."""
+        return self._totals
+
+    def _refill(
+        self, name: str, rate: float, burst: float, now: float
+    ) -> _Bucket:
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = _Bucket(burst, now)
+        gained = max(0.0, now - bucket.at) * rate
+        # A debt deeper than a burst would lock a workspace out for long
+        # after one late report of a busy second.
+        bucket.level = max(-burst, min(burst, bucket.level + gained))
+        bucket.at = now
+        return bucket
--- /dev/null
+++ b/citronport/scheduler/direct/routing.py
@@ -0,0 +1,51 @@
+"""Which route and which workspace a request belongs to."""
+
+import collections.abc
+import itertools
+
+from citronport.scheduler.direct import models
+
+
+class Routes:
+    """Finds the route of a host and path.
+
+    Args:
+        routes: all routes of a configuration.
+    """
+
+    def __init__(self, routes: collections.abc.Iterable[models.Route]) -> None:
+        self._by_host: dict[str, dict[str, models.Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, path: str) -> models.Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        known = self._by_host.get(host.partition(":")[0].lower())
+        if known is None:
+            return None
+        # Prefixes end with a slash, so that only the beginnings of the
+        # path that end there need a look, however many routes there are.
+        end = path.rfind("/")
+        while end >= 0:
+            route = known.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def choose_service(route: models.Route, draw: float) -> str:
+    """Return the service for one request of a route.
+
+    Args:
+        route: the route.
+        draw: a random number, from 0 up to but not 1.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    ends = list(itertools.accumulate(s.weight for s in route.shares))
+    point = draw * ends[-1]
+    for share, end in zip(route.shares, ends, strict=True):
+        if point < end:
+            return share.service
+    return route.shares[-1].service
--- /dev/null
+++ b/citronport/scheduler/direct/selection.py
@@ -0,0 +1,139 @@
+"""Which endpoint a request goes to."""
+
+import collections.abc
+import dataclasses
+
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import cold as cold_module
+from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import models
+
+RESIDENCE_SECONDS = 1.0
+"""Mean time for which a stream holds a slot at pace 1, from the sheets."""
+
+SPARE_REQUESTS = 1
+"""Requests beyond an endpoint's slots that may be sent there.
+
+An engine admits in order of arrival, so that what waits there can't be
+overtaken by more urgent work; one keeps it busy while the news of a free
+slot is on its way.
+"""
+
+FAILURE_SECONDS = 2.0
+"""What a certain failure counts against waiting, seconds."""
+
+COLD_SECONDS = 0.3
+"""What a cold endpoint counts against a warm one, seconds."""
+
+OVERHEAD_SECONDS = 0.01
+"""Links and set-up of one request, seconds."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """An endpoint that may take a request now.
+
+    Attributes:
+        endpoint: where.
+        seconds: expected time to the first event, or to a plain answer.
+        cost: what is compared; seconds and what else counts against it.
+    """
+
+    endpoint: models.Endpoint
+    seconds: float
+    cost: float
+
+
+class Selector:
+    """Chooses endpoints.
+
+    Args:
+        own: name of this instance.
+        board: loads and paces.
+        health: which endpoints answer.
+        cold: which endpoints are cold.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        board: board_module.Board,
+        health: health_module.Health,
+        cold: cold_module.ColdStarts,
+    ) -> None:
+        self._own = own
+        self._board = board
+        self._health = health
+        self._cold = cold
+
+    def choose(
+        self,
+        work: models.Work,
+        service: models.Service,
+        endpoints: collections.abc.Iterable[models.Endpoint],
+        instances: tuple[str, ...],
+        now: float,
+    ) -> Place | None:
+        """Return the best endpoint that has room, or None.
+
+        Load: unlike engines that admit in order of arrival. Harm: a
+        request behind a long queue or on a slow engine is late while
+        others idle. Each gets the request that it begins soonest.
+
+        Args:
+            work: the request.
+            service: of the endpoints.
+            endpoints: those that may be used at all.
+            instances: all that may send to cold endpoints.
+            now: clock time, seconds.
+        """
+        best: Place | None = None
+        for endpoint in endpoints:
+            if not self._has_room(endpoint, service, instances, now):
+                continue
+            seconds = self.estimate(work, service, endpoint)
+            cost = seconds + self._weigh(endpoint, now)
+            if best is None or cost < best.cost:
+                best = Place(endpoint=endpoint, seconds=seconds, cost=cost)
+        return best
+
+    def estimate(
+        self,
+        work: models.Work,
+        service: models.Service,
+        endpoint: models.Endpoint,
+    ) -> float:
+        """Return the expected time to the first event, seconds."""
+        load = self._board.get_load(endpoint.name)
+        ahead = max(0, load.requests + 1 - endpoint.slots)
+        if service.engine is None:
+            each = self._board.get_answer_seconds(endpoint.name)
+            return each * (1 + ahead / endpoint.slots)
+        pace = self._board.get_pace(endpoint.name)
+        wait = pace * ahead * RESIDENCE_SECONDS / endpoint.slots
+        tokens = load.unread + work.prompt_tokens
+        reading = pace * tokens * board_module.READ_SECONDS
+        return OVERHEAD_SECONDS + wait + reading
+
+    def _has_room(
+        self,
+        endpoint: models.Endpoint,
+        service: models.Service,
+        instances: tuple[str, ...],
+        now: float,
+    ) -> bool:
+        name = endpoint.name
+        load = self._board.get_load(name)
+        if load.requests >= endpoint.slots + SPARE_REQUESTS:
+            return False
+        if not self._health.may_use(name, now):
+            return False
+        return self._cold.may_send(
+            name, self._own, instances, service.cold_rate, now
+        )
+
+    def _weigh(self, endpoint: models.Endpoint, now: float) -> float:
+        name = endpoint.name
+        failures = self._health.get_failures(name, now)
+        cold = COLD_SECONDS if self._cold.is_cold(name, now) else 0.0
+        return failures * FAILURE_SECONDS + cold
--- /dev/null
+++ b/citronport/scheduler/direct/waiting.py
@@ -0,0 +1,98 @@
+"""Requests that wait for an endpoint, and their order."""
+
+import collections.abc
+import dataclasses
+from typing import Any
+
+from citronport.scheduler.direct import models
+
+PATIENCE_OBJECTIVES = 2.0
+"""How long a request may wait, in its objectives. Callers of streams leave
+after four objectives at most; the rest is for the endpoint to begin."""
+
+PATIENCE_SHARE = 0.5
+"""Longest wait as a share of the time until the deadline."""
+
+RETRY_SECONDS = 0.5
+"""When a request that waited in vain should come back, at least."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Waiter:
+    """A request that waits.
+
+    Attributes:
+        work: the request.
+        since: clock time since when it waits, seconds.
+        tried: endpoints that it must not go to again.
+        handle: what the runtime needs to wake it.
+    """
+
+    work: models.Work
+    since: float
+    tried: frozenset[str] = frozenset()
+    handle: Any = None
+
+
+def compute_patience(work: models.Work, now: float) -> float:
+    """Return how long a request may wait from now, seconds."""
+    objective = PATIENCE_OBJECTIVES * work.route.objective
+    left = work.deadline - now
+    spent = now - work.arrived
+    return max(0.0, min(objective - spent, PATIENCE_SHARE * left))
+
+
+class Queue:
+    """Requests of one service that wait, most urgent first."""
+
+    def __init__(self) -> None:
+        self._waiters: list[Waiter] = []
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._waiters)
+
+    def add(self, waiter: Waiter) -> None:
+        """Let a request wait."""
+        self._waiters.append(waiter)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a request out that no longer waits."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def list_in_order(self, now: float) -> list[Waiter]:
+        """Return all, most urgent first.
+
+        Load: more work than the endpoints take for some seconds. Harm: in
+        order of arrival all would be late, and short work of a low tier
+        would go ahead of what costs its caller most. A higher tier goes
+        first; within a tier those that can still be in time go before
+        those that are late already.
+        """
+        return sorted(self._waiters, key=lambda w: _make_rank(w, now))
+
+    def match(
+        self,
+        choose: collections.abc.Callable[[Waiter], Any],
+        now: float,
+    ) -> list[tuple[Waiter, Any]]:
+        """Take out the requests for which there is a place now.
+
+        Args:
+            choose: returns and books the place of a request, or None.
+            now: clock time, seconds.
+        """
+        matched = []
+        for waiter in self.list_in_order(now):
+            place = choose(waiter)
+            if place is not None:
+                self._waiters.remove(waiter)
+                matched.append((waiter, place))
+        return matched
+
+
+def _make_rank(waiter: Waiter, now: float) -> tuple[int, bool, float]:
+    work = waiter.work
+    late = now > work.arrived + work.route.objective
+    return (work.tier, late, work.arrived)
--- a/citronport/telemetry.py
+++ b/citronport/telemetry.py
@@ -4,15 +4,12 @@
 import contextvars
 from typing import Any
 
-from absl import flags
-from absl import logging
 from aioprometheus import histogram
 from opentelemetry import trace
 
 from citronport import clock
 from citronport import const
 from citronport import runs
-from citronport import settings
 from citronport import spans
 from citronport.endpoints import messages
 
@@ -31,20 +28,6 @@
 )
 """Trace header of the HTTP request that this task answers."""
 
-_LEVELS = {
-    settings.LogLevel.INFO: logging.INFO,
-    settings.LogLevel.WARNING: logging.WARNING,
-    settings.LogLevel.ERROR: logging.ERROR,
-}
-
-
-def set_up_logs(level: settings.LogLevel) -> None:
-    """Send log lines of a level and above to standard error."""
-    # The command line is fire's; absl warns until its flags were parsed.
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(_LEVELS[level])
-
 
 class Counts:
     """Counts of one instance since its start.
--- a/measures/capacity/aims.py
+++ b/measures/capacity/aims.py
@@ -1,13 +1,13 @@
 """What the slopes come to at the aimed size, against the budget."""
 
+from citronport.catalogue import const as catalogue_const
 from citronport.instances import const as instance_const
-from citronport.platform import const as platform_const
 from measures.capacity import slopes
 
 INSTANCES = 510
 CHANGES_PER_SECOND = 6900 / 86400
 LIST_CHANGES_PER_SECOND = 2 * (860 + 37) / 86400
-READERS = 19 * platform_const.READERS_PER_DATA_CENTRE
+READERS = 19 * catalogue_const.READERS_PER_DATA_CENTRE
 
 
 def total(
@@ -26,8 +26,8 @@
         * (at["one change taken, s"] + at["scheduler told of a change, s"])
         + LIST_CHANGES_PER_SECOND * at["instance gone, owners ranked, s"]
     )
-    watches = INSTANCES / platform_const.CONFIRM_SECONDS
-    asks = (INSTANCES - READERS) / platform_const.FALLBACK_SECONDS
+    watches = INSTANCES / catalogue_const.CONFIRM_SECONDS
+    asks = (INSTANCES - READERS) / catalogue_const.FALLBACK_SECONDS
     return {
         "reports, KB/s sent and received": reports / 1000,
         "changes, KB/s": spread / 1000,
@@ -40,10 +40,10 @@
         "control state, MB": at["control state, MB"],
         "platform reads, 1/s": watches
         + asks
-        + READERS * (1 / platform_const.WATCH_SECONDS + CHANGES_PER_SECOND),
+        + READERS * (1 / catalogue_const.WATCH_SECONDS + CHANGES_PER_SECOND),
         "platform reads in an outage, 1/s": INSTANCES
         * 2
-        / (0.75 * platform_const.MAX_RETRY_SECONDS),
+        / (0.75 * catalogue_const.MAX_RETRY_SECONDS),
         "change in force at all, s": single["hops to reach 510 instances"]
         * (at["one change taken, s"] + at["scheduler told of a change, s"]),
     }
--- a/measures/capacity/catalogue.py
+++ b/measures/capacity/catalogue.py
@@ -9,11 +9,11 @@
 
 import yaml
 
+from citronport.catalogue import client
+from citronport.catalogue import const
+from citronport.catalogue import delta
+from citronport.catalogue import store
 from citronport.instances import messages
-from citronport.platform import client
-from citronport.platform import const
-from citronport.platform import delta
-from citronport.platform import store
 from citronport.scheduler import core
 from citronport.scheduler import models
 from citronport.scheduler import ownership
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,7 +7,7 @@
 import geventhttpclient
 import yaml
 
-from citronport.platform import models as platform_models
+from citronport.catalogue import models as catalogue_models
 from standins import processes
 
 CALLER_PORT = 8000
@@ -292,5 +292,5 @@
 
 def _hide_key(entry: dict[str, Any]) -> dict[str, Any]:
     shown = {k: v for k, v in entry.items() if k != "key"}
-    shown["key_sha256"] = platform_models.hash_key(KEY_SALT, entry["key"])
+    shown["key_sha256"] = catalogue_models.hash_key(KEY_SALT, entry["key"])
     return shown
--- a/tests/callers/test_hostile.py
+++ b/tests/callers/test_hostile.py
@@ -15,11 +15,11 @@
 from citronport.callers import keeper
 from citronport.callers import lookup
 from citronport.callers import server
+from citronport.catalogue import client as catalogue_client
+from citronport.catalogue import const as catalogue_const
+from citronport.catalogue import models as catalogue_models
+from citronport.catalogue import store
 from citronport.endpoints import messages
-from citronport.platform import client as platform_client
-from citronport.platform import const as platform_const
-from citronport.platform import models as platform_models
-from citronport.platform import store
 from standins import caller
 
 KEY = "key-1"
@@ -49,14 +49,14 @@
                 "name": "shop",
                 "owner": "shop",
                 "class": 0,
-                "key_sha256": platform_models.hash_key(SALT, KEY),
+                "key_sha256": catalogue_models.hash_key(SALT, KEY),
             }
         ],
     }
     published = store.Store()
     published.offer(
-        platform_client.Published(
-            path=platform_const.PATH_CATALOGUE,
+        catalogue_client.Published(
+            path=catalogue_const.PATH_CATALOGUE,
             version=1,
             value=yaml.safe_dump(catalogue),
         )
--- a/tests/callers/test_lookup.py
+++ b/tests/callers/test_lookup.py
@@ -6,7 +6,7 @@
 
 from citronport import clock
 from citronport.callers import lookup
-from citronport.platform import store
+from citronport.catalogue import store
 from citronport.scheduler import models
 
 
--- a/tests/platform/test_store.py
+++ b/tests/catalogue/test_store.py
@@ -5,10 +5,10 @@
 
 import testtools
 
-from citronport.platform import client
-from citronport.platform import const
-from citronport.platform import delta
-from citronport.platform import store
+from citronport.catalogue import client
+from citronport.catalogue import const
+from citronport.catalogue import delta
+from citronport.catalogue import store
 
 PATH = const.PATH_CATALOGUE
 
--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of citronport.platform."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 import testtools
 
 from citronport import settings
-from citronport.platform import models as platform_models
+from citronport.catalogue import models as catalogue_models
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "docs" / "examples"
@@ -114,13 +114,13 @@
         """Change the example and look for parts of the reason."""
         self.assertIn(old, CATALOGUE)
         text = CATALOGUE.replace(old, new, 1)
-        reason = platform_models.parse_catalogue(text).unwrap_err()
+        reason = catalogue_models.parse_catalogue(text).unwrap_err()
         for part in parts:
             self.assertIn(part, reason)
 
     def test_example_is_valid(self):
         """The example passes."""
-        checked = platform_models.parse_catalogue(CATALOGUE)
+        checked = catalogue_models.parse_catalogue(CATALOGUE)
         self.assertIsInstance(checked, result.Ok)
 
     def test_wrong_value(self):
