--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -88,14 +88,12 @@
         queue.add(waiter)
         try:
             self._match(service, queue)
-            booking = woken.get(
-                timeout=waiting.compute_patience(work, now), block=True
-            )
-        except gevent_event.Timeout:
-            booking = None
+            # Not "get": its timeout could not be told from the one for
+            # the whole request, which has to end the request.
+            woken.wait(timeout=waiting.compute_patience(work, now))
         finally:
             queue.remove(waiter)
-        return booking or self._refuse(work, service)
+        return woken.value or self._refuse(work, service)
 
     def release(self, booking: Booking, request_id: str) -> None:
         """Give a place back."""
--- a/citronport/scheduler/direct/cold.py
+++ b/citronport/scheduler/direct/cold.py
@@ -29,9 +29,7 @@
     """
     if len(instances) <= senders:
         return instances
-    ranked = sorted(
-        instances, key=lambda i: xxhash.xxh3_64_intdigest(f"{endpoint} {i}")
-    )
+    ranked = sorted(instances, key=lambda i: _hash(endpoint, i))
     return tuple(ranked[:senders])
 
 
@@ -91,3 +89,7 @@
         """Drop what is known of an endpoint that is gone."""
         self._until.pop(endpoint, None)
         self._sent.pop(endpoint, None)
+
+
+def _hash(endpoint: str, instance: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{endpoint} {instance}".encode())
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of citronport/platform."""
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of citronport/relay."""
--- /dev/null
+++ b/tests/relay/samples.py
@@ -0,0 +1,135 @@
+"""Small values that the tests of the relay share."""
+
+import os
+
+from citronport import clock
+from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import eventlog
+from citronport.relay import membership
+from citronport.relay import world as world_module
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import cold as cold_module
+from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import models
+
+ENGINES = "engines"
+BOOKINGS = "bookings"
+
+
+def make_route(**changes):
+    """Return a route of streams; changes replace fields."""
+    fields = {
+        "name": "review",
+        "host": "review.example",
+        "prefix": "/review/",
+        "repeat": models.Repeat.STREAM,
+        "timeout": 15.0,
+        "objective": 0.8,
+        "tier": 0,
+        "shares": (models.Share(service=ENGINES, weight=1.0),),
+        "max_endpoints": 1,
+        "public": False,
+        "resumable": False,
+        "max_gap": 0.25,
+    }
+    return models.Route(**{**fields, **changes})
+
+
+def make_work(request_id="r1", route=None, now=0.0, **changes):
+    """Return the work of a request that arrives now."""
+    route = route or make_route()
+    fields = {
+        "request_id": request_id,
+        "route": route,
+        "tier": route.tier,
+        "prompt_tokens": 1000,
+        "output_tokens": 100,
+        "parts": (),
+        "arrived": now,
+        "deadline": now + route.timeout,
+    }
+    return models.Work(**{**fields, **changes})
+
+
+def make_service(name=ENGINES, **changes):
+    """Return a service of engines."""
+    fields = {
+        "name": name,
+        "health_path": "/healthz",
+        "max_connections": 100,
+        "cold_seconds": 3.0,
+        "cold_rate": 11.0,
+        "engine": models.Engine(slots=2, cache_tokens=100_000, event_tokens=6),
+    }
+    return models.Service(**{**fields, **changes})
+
+
+def make_endpoint(name="e1", service=ENGINES, **changes):
+    """Return an endpoint with two slots."""
+    fields = {
+        "name": name,
+        "service": service,
+        "address": "127.0.0.1:1",
+        "data_centre": "a",
+        "slots": 2,
+        "leaving": False,
+        "cold_seconds": 0.0,
+        "started": 0,
+    }
+    return models.Endpoint(**{**fields, **changes})
+
+
+def make_configuration(routes=None, services=None, **changes):
+    """Return a configuration with one route and one service."""
+    routes = routes or (make_route(),)
+    services = services or (make_service(),)
+    fields = {
+        "version": 1,
+        "routes": tuple(routes),
+        "services": {s.name: s for s in services},
+        "workspaces": {},
+        "keys": None,
+        "limits": models.CallerLimits(
+            head_bytes=16384,
+            body_bytes=4_000_000,
+            head_seconds=3.0,
+            idle_seconds=15.0,
+        ),
+    }
+    return models.Configuration(**{**fields, **changes})
+
+
+def make_log(ticker):
+    """Return a log that nobody reads."""
+    return eventlog.Log("test", ticker, os.open(os.devnull, os.O_WRONLY))
+
+
+class Room:
+    """A dispatcher with the parts that it decides by.
+
+    Args:
+        endpoints: those that the store lists.
+        ticker: the clock.
+    """
+
+    def __init__(self, endpoints, ticker=None, configuration=None):
+        self.ticker = ticker or clock.RuntimeClock()
+        self.board = board_module.Board()
+        self.health = health_module.Health()
+        self.cold = cold_module.ColdStarts()
+        self.members = membership.Membership("own")
+        self.log = make_log(self.ticker)
+        self.world = world_module.World(self.cold, self.board.forget, self.log)
+        self.world.configuration = configuration or make_configuration()
+        for endpoint in endpoints:
+            self.world.endpoints[endpoint.name] = endpoint
+        self.world._index()
+        self.dispatcher = dispatcher_module.Dispatcher(
+            "own",
+            self.world,
+            self.members,
+            self.board,
+            self.health,
+            self.cold,
+            self.ticker,
+        )
--- /dev/null
+++ b/tests/relay/test_dispatcher.py
@@ -0,0 +1,66 @@
+"""Requests get places, wait for them, or are told when to come back."""
+
+import gevent
+import testtools
+
+from citronport import errors
+from citronport.relay import dispatcher as dispatcher_module
+from tests.relay import samples
+
+
+class DispatcherTest(testtools.TestCase):
+    """Waiting on the event loop."""
+
+    def test_waits_in_vain_and_is_told_when_to_come_back(self):
+        """A caller meets a full service.
+
+        All places are taken when its request comes. It waits as long as
+        its objective allows and then hears "not run" with a pause, since
+        only a final answer lets the caller turn elsewhere.
+        """
+        room = samples.Room([samples.make_endpoint()])
+        for number in range(3):
+            taken = room.dispatcher.acquire(
+                samples.make_work(f"t{number}", now=room.ticker.now()),
+                samples.ENGINES,
+                frozenset(),
+            )
+            self.assertIsInstance(taken, dispatcher_module.Booking)
+        route = samples.make_route(objective=0.02)
+        work = samples.make_work("late", route, room.ticker.now())
+        found = room.dispatcher.acquire(work, samples.ENGINES, frozenset())
+        self.assertIsInstance(found, errors.Refusal)
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+        self.assertGreater(found.retry_after, 0)
+        self.assertEqual(0, room.dispatcher.count_waiting())
+
+    def test_freed_place_goes_to_who_waits(self):
+        """A caller waits and gets the place that another gives back."""
+        room = samples.Room([samples.make_endpoint()])
+        taken = [
+            room.dispatcher.acquire(
+                samples.make_work(f"t{number}", now=room.ticker.now()),
+                samples.ENGINES,
+                frozenset(),
+            )
+            for number in range(3)
+        ]
+        waiter = gevent.spawn(
+            room.dispatcher.acquire,
+            samples.make_work("w", now=room.ticker.now()),
+            samples.ENGINES,
+            frozenset(),
+        )
+        gevent.sleep(0)
+        self.assertEqual(1, room.dispatcher.count_waiting())
+        room.dispatcher.release(taken[0], "t0")
+        found = waiter.get(timeout=1)
+        self.assertEqual("e1", found.endpoint.name)
+
+    def test_no_endpoint_is_told_as_such(self):
+        """No endpoint is listed: the caller hears so after its wait."""
+        room = samples.Room([])
+        route = samples.make_route(objective=0.01)
+        work = samples.make_work("r", route, room.ticker.now())
+        found = room.dispatcher.acquire(work, samples.ENGINES, frozenset())
+        self.assertEqual(errors.Code.NO_ENDPOINT, found.code)
