--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -85,7 +85,9 @@
         self.board = board_module.Board()
         self.health = health_module.Health()
         self.cold = cold_module.ColdStarts()
-        self.quotas = quota.Quotas()
+        self.quotas = quota.Quotas(
+            settings.bounds.limit_over, settings.bounds.limit_slack
+        )
         self.members = membership.Membership(settings.instance)
         self.mirror = mirror_module.Mirror()
         self.world = world_module.World(
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -42,6 +42,8 @@
         retry_ratio: repeats for each request of a service.
         retry_extra: repeats in a window beyond that.
         retry_window_seconds: span over which repeats are counted.
+        limit_over: share beyond a workspace's limit that is tolerated.
+        limit_slack: units beyond it that are tolerated besides.
         reuse_seconds: how long an address stays unused after its endpoint.
     """
 
@@ -51,6 +53,8 @@
     retry_ratio: float = pydantic.Field(default=0.2, ge=0)
     retry_extra: float = pydantic.Field(default=0.0, ge=0)
     retry_window_seconds: float = pydantic.Field(default=10.0, gt=0)
+    limit_over: float = pydantic.Field(default=0.0, ge=0)
+    limit_slack: float = pydantic.Field(default=0.0, ge=0)
     reuse_seconds: float = pydantic.Field(default=2.0, ge=0)
 
     @pydantic.model_validator(mode="before")
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -8,6 +8,15 @@
 
 from citronport.scheduler.direct import models
 
+TOLERANCE_SHARE = 0.5
+"""Part of the operators' tolerance that is used.
+
+Totals of other instances are a report late, so that a bucket drained at the
+very limit refuses requests that are within it. Erring upwards costs nobody
+anything while the sum stays in the tolerance; the other half is for what
+is let pass between two reports.
+"""
+
 RETRY_FLOOR_SECONDS = 0.1
 """Shortest time to come back, so that a caller does not spin."""
 
@@ -22,9 +31,16 @@
 
 
 class Quotas:
-    """Token buckets of all workspaces, as seen by one instance."""
+    """Token buckets of all workspaces, as seen by one instance.
+
+    Args:
+        over: share beyond a limit that the operators tolerate.
+        slack: units beyond a limit that they tolerate besides.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, over: float = 0.0, slack: float = 0.0) -> None:
+        self._over = 1.0 + over * TOLERANCE_SHARE
+        self._slack = slack * TOLERANCE_SHARE
         self._buckets: dict[str, _Bucket] = {}
         self._totals: dict[str, float] = {}
         self._heard: dict[tuple[str, str], float] = {}
@@ -53,8 +69,8 @@
         # not hear each other. Harm: each part of the fleet would let the
         # whole limit pass. Each part keeps to its share of the instances,
         # so that the parts together never exceed the limit.
-        rate = workspace.rate * reach
-        burst = workspace.burst * reach
+        rate = workspace.rate * self._over * reach
+        burst = (workspace.burst * self._over + self._slack) * reach
         bucket = self._refill(workspace.name, rate, burst, now)
         if bucket.level >= min(units, burst):
             bucket.level -= units
