--- a/citronport/scheduler/direct/board.py
+++ b/citronport/scheduler/direct/board.py
@@ -13,6 +13,9 @@
 """Time to read one prompt token at pace 1, with the steps in between of
 the requests that run: a chunk of 1,024 tokens takes 16.6 ms, a step 3.2."""
 
+CHUNK_TOKENS = 1024
+"""Prompt tokens that an engine reads in one step, from the sheets."""
+
 PACE_EVENTS = 4
 """Events over which a pace is measured. Shorter spans are coarse, since
 events that arrive together carry no time between them."""
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -19,6 +19,13 @@
 slot is on its way.
 """
 
+STALL_SHARE = 0.9
+"""Share of the longest pause in time that reading a prompt may take from
+the streams that run beside it."""
+
+STALL_SECONDS = 0.1
+"""What one stream that is made late counts against waiting, seconds."""
+
 FAILURE_SECONDS = 2.0
 """What a certain failure counts against waiting, seconds."""
 
@@ -93,6 +100,7 @@
                 continue
             seconds = self.estimate(work, service, endpoint)
             cost = seconds + self._weigh(endpoint, now)
+            cost += self._weigh_stall(work, service, endpoint)
             if best is None or cost < best.cost:
                 best = Place(endpoint=endpoint, seconds=seconds, cost=cost)
         return best
@@ -115,6 +123,28 @@
         reading = pace * tokens * board_module.READ_SECONDS
         return OVERHEAD_SECONDS + wait + reading
 
+    def _weigh_stall(
+        self,
+        work: models.Work,
+        service: models.Service,
+        endpoint: models.Endpoint,
+    ) -> float:
+        # Load: long prompts among running streams. Harm: an engine reads
+        # a chunk of a prompt at each step, so that an event of a slow one
+        # takes longer than the pause that is still in time, for all
+        # streams there. Only slow engines and prompts of several chunks
+        # are concerned: these go where they make nobody late.
+        if service.engine is None or work.route.max_gap is None:
+            return 0.0
+        pace = self._board.get_pace(endpoint.name)
+        step = board_module.READ_SECONDS * board_module.CHUNK_TOKENS
+        longest = pace * step * service.engine.event_tokens
+        reading = pace * work.prompt_tokens * board_module.READ_SECONDS
+        if min(longest, reading) < STALL_SHARE * work.route.max_gap:
+            return 0.0
+        running = self._board.get_load(endpoint.name).requests
+        return STALL_SECONDS * running
+
     def _has_room(
         self,
         endpoint: models.Endpoint,
