--- a/citronport/commands.py
+++ b/citronport/commands.py
@@ -7,6 +7,7 @@
 
 import fire
 from fire import core as fire_core
+from fire import decorators
 
 from citronport import orders
 from citronport import settings
@@ -19,6 +20,7 @@
 Commands:
   serve FILE                  run one entry instance until SIGTERM
   relay FILE                  run one instance that sends by itself
+  explain ID FILE...          tell from log files why a request failed
   check settings FILE         check a settings file
   check catalogue FILE        check a catalogue before it is published
   status [ADDRESS...]         show the fleet: [--settings=FILE] [--json]
@@ -33,6 +35,7 @@
   citronport status 127.0.0.1:8002
   citronport status --settings=docs/examples/settings.yaml --json
   citronport drain 127.0.0.1:8002 --wait
+  citronport explain 9c41d07be2a35f68 entry-*.log
 
 citronport COMMAND --help tells more. Exit codes: 0 done, 1 failed,
 2 wrong use.
@@ -99,6 +102,22 @@
         """
         return orders.Relay(path=str(file))
 
+    # As typed: an id of digits and an "e" is no number.
+    @decorators.SetParseFn(str)
+    def explain(self, request: str, *files: str) -> orders.Explain:
+        """Tell from log files why a request ended as it did.
+
+        Prints the request's way in order of time, what its instance came
+        to believe around it, and the cause in one sentence.
+
+        Args:
+            request: the id that the caller sent.
+            files: log files of one or more instances.
+        """
+        if not files:
+            raise UsageError("explain needs a FILE")
+        return orders.Explain(request=request, paths=tuple(files))
+
     def status(
         self,
         *addresses: str,
--- a/citronport/orders.py
+++ b/citronport/orders.py
@@ -17,6 +17,7 @@
 from citronport.operators import client as operator_client
 from citronport.operators import models as operator_models
 from citronport.operators import overview
+from citronport.relay import explanation
 
 EXIT_FAILED = 1
 EXIT_WRONG_USE = 2
@@ -36,6 +37,14 @@
     path: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Explain:
+    """Tell why a request ended as it did."""
+
+    request: str
+    paths: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CheckSettings:
     """Check a settings file."""
@@ -75,6 +84,7 @@
 Order = (
     Serve
     | Relay
+    | Explain
     | CheckSettings
     | CheckCatalogue
     | ShowStatus
@@ -90,6 +100,8 @@
             return _serve(order)
         case Relay():
             return _relay(order)
+        case Explain():
+            return _explain(order)
         case CheckSettings():
             return _check(
                 settings.read_settings(pathlib.Path(order.path)),
@@ -153,6 +165,16 @@
     return 0
 
 
+def _explain(order: Explain) -> int:
+    paths = [pathlib.Path(path) for path in order.paths]
+    match explanation.explain(order.request, paths):
+        case result.Err(reason):
+            return fail(reason, EXIT_FAILED)
+        case result.Ok(found):
+            print(explanation.render(found))
+            return 0
+
+
 def _check(
     checked: result.Result[Any, str],
     describe: collections.abc.Callable[[Any], str],
--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -1,6 +1,5 @@
 """Checks what callers ask and hands it to what answers it."""
 
-import collections
 import collections.abc
 import random
 from typing import Any
@@ -14,6 +13,7 @@
 from citronport.platform import const as wire
 from citronport.platform import models as wire_models
 from citronport.platform import requests
+from citronport.relay import metrics
 from citronport.relay import refusals
 from citronport.relay import sender
 from citronport.scheduler.direct import models
@@ -30,6 +30,8 @@
 LEAVING_SECONDS = 0.1
 """When to come back to another instance than one that leaves."""
 
+PATH_METRICS = "/metrics"
+
 Environ = dict[str, Any]
 
 
@@ -61,7 +63,6 @@
         self._is_closing = is_closing
         self._ticker = ticker
         self.running = 0
-        self.refused: collections.Counter[str] = collections.Counter()
 
     def __call__(
         self, environ: Environ, start_response: replies.StartResponse
@@ -150,7 +151,7 @@
         *,
         close: bool = False,
     ) -> list[bytes]:
-        self.refused[refusal.code.name.lower()] += 1
+        self._parts.counts.refusals[refusal.code.name.lower()] += 1
         return refusals.answer(start_response, refusal, close=close)
 
 
@@ -204,6 +205,34 @@
         return refusals.answer(start_response, refusal)
 
 
+class Metrics:
+    """The WSGI application that serves the metrics.
+
+    Args:
+        read: returns the state of the instance.
+        counts: what has happened.
+    """
+
+    def __init__(
+        self,
+        read: collections.abc.Callable[[], metrics.State],
+        counts: metrics.Counts,
+    ) -> None:
+        self._read = read
+        self._counts = counts
+
+    def __call__(
+        self, environ: Environ, start_response: replies.StartResponse
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer a question for the metrics."""
+        if environ["PATH_INFO"] != PATH_METRICS:
+            refusal = errors.Refusal(code=errors.Code.UNKNOWN_PATH)
+            return refusals.answer(start_response, refusal)
+        body, kind = metrics.render(self._read(), self._counts)
+        start_response("200 OK", [("Content-Type", kind)])
+        return [body]
+
+
 def make_work(
     head: requests.CallerRequest,
     route: models.Route,
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -12,6 +12,7 @@
 from citronport import clock
 from citronport import const
 from citronport import errors
+from citronport import settings as common_settings
 from citronport import tasks
 from citronport.callers import connections
 from citronport.callers import server as caller_server
@@ -25,6 +26,7 @@
 from citronport.relay import follower as follower_module
 from citronport.relay import membership
 from citronport.relay import messages
+from citronport.relay import metrics
 from citronport.relay import mirror as mirror_module
 from citronport.relay import sender
 from citronport.relay import settings as settings_module
@@ -81,6 +83,8 @@
         self._closing = False
         self._ready = False
         self._number = 0
+        self._started = ticker.now()
+        self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
         self.board = board_module.Board()
         self.health = health_module.Health()
@@ -130,6 +134,7 @@
                 self.health,
                 ticker,
                 self._log,
+                self.counts,
                 self._get_budget,
                 lambda: len(self.members.list_known(ticker.now())),
             ),
@@ -212,6 +217,12 @@
             self._callers,
             _make_server(settings.lookups, lookups),
             _make_server(settings.readiness, readiness),
+            _make_server(
+                common_settings.Listener(
+                    address=settings.callers.address, port=settings.metrics
+                ),
+                application.Metrics(self._read_state, self.counts),
+            ),
         ]
 
     def _make_caller_server(self) -> caller_server.Server:
@@ -314,6 +325,29 @@
         self.is_ready()
         self.dispatcher.kick()
 
+    def _read_state(self) -> metrics.State:
+        now = self._ticker.now()
+        configuration = self.world.configuration
+        fresh = self.members.list_fresh(now)
+        return metrics.State(
+            up_seconds=now - self._started,
+            ready=self.is_ready(),
+            running=self.application.running,
+            waiting=self.dispatcher.count_waiting(),
+            peers=len(fresh),
+            known=len(self.members.list_known(now)),
+            configuration=configuration.version if configuration else 0,
+            store_seconds=now - self.follower.answered,
+            store_revision=self.mirror.revision,
+            store_calls=self.follower.calls,
+            endpoints=len(self.world.endpoints),
+            cold=sum(
+                self.cold.is_cold(name, now) for name in self.world.endpoints
+            ),
+            lines_dropped=sum(self._log.dropped.values()),
+            oldest_report_seconds=self.members.get_oldest_age(now),
+        )
+
     def _forget_endpoint(self, name: str) -> None:
         self.board.forget(name)
         self.health.forget(name)
--- a/citronport/relay/eventlog.py
+++ b/citronport/relay/eventlog.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import time
 
 from citronport import clock
 
@@ -276,6 +277,7 @@
         }
         line = {
             "at": round(now, 4),
+            "time": round(time.time(), 3),
             "instance": self._instance,
             "event": name,
             **fields,
--- /dev/null
+++ b/citronport/relay/explanation.py
@@ -0,0 +1,197 @@
+"""Finds out from log lines why a request ended as it did."""
+
+import collections.abc
+import dataclasses
+import json
+import pathlib
+from typing import Any
+
+import result
+
+from citronport import errors
+from citronport.relay import eventlog
+
+CONTEXT_SECONDS = 5.0
+"""How long before a request's first line a change still counts as near:
+longer than the store's watch, a report and a cold start together."""
+
+_REQUEST_EVENTS = frozenset(
+    eventlog.get_event_name(kind)
+    for kind in (
+        eventlog.RequestSent,
+        eventlog.SendFailed,
+        eventlog.RequestEnded,
+    )
+)
+
+_TIGHT_SHARE = 0.5
+"""Part of the time to the first byte from which a step counts as cause."""
+
+Line = dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Explanation:
+    """What is known of one request.
+
+    Attributes:
+        request: its id.
+        way: its own lines, in order of time.
+        context: what the same instance came to believe around it.
+        cause: one sentence.
+    """
+
+    request: str
+    way: tuple[Line, ...]
+    context: tuple[Line, ...]
+    cause: str
+
+
+def explain(
+    request: str, paths: collections.abc.Iterable[pathlib.Path]
+) -> result.Result[Explanation, str]:
+    """Explain a request from the log files of instances.
+
+    Args:
+        request: its id.
+        paths: log files; lines that are no events are passed over.
+
+    Returns:
+        The explanation, or one line that says why there is none.
+    """
+    lines: list[Line] = []
+    for path in paths:
+        try:
+            with path.open(errors="replace") as file:
+                lines += filter(None, map(parse_line, file))
+        except OSError as error:
+            return result.Err(f"{path}: {error.strerror}")
+    way = [line for line in lines if line.get("request") == request]
+    if not way:
+        return result.Err(
+            f"no line of request {request}: it reached none of these "
+            "instances, or its lines were dropped (see lines_dropped)"
+        )
+    way.sort(key=lambda line: line["at"])
+    return result.Ok(
+        Explanation(
+            request=request,
+            way=tuple(way),
+            context=tuple(_find_context(lines, way)),
+            cause=_find_cause(way),
+        )
+    )
+
+
+def parse_line(text: str) -> Line | None:
+    """Return the event of a log line, None if it holds none."""
+    start = text.find('{"at":')
+    if start < 0:
+        return None
+    try:
+        line = json.loads(text[start:])
+    except ValueError:
+        # Cut off where the file was copied; the rest still tells.
+        return None
+    return line if "event" in line and "instance" in line else None
+
+
+def render(explanation: Explanation) -> str:
+    """Return an explanation as text for people."""
+    rows = [f"request {explanation.request}", "", "its way:"]
+    rows += [_render_line(line) for line in explanation.way]
+    rows += ["", f"on the same instance, from {CONTEXT_SECONDS:g} s before:"]
+    rows += [_render_line(line) for line in explanation.context] or ["  -"]
+    rows += ["", f"cause: {explanation.cause}"]
+    return "\n".join(rows)
+
+
+def _find_context(
+    lines: list[Line], way: list[Line]
+) -> collections.abc.Iterator[Line]:
+    first, last = way[0]["at"] - CONTEXT_SECONDS, way[-1]["at"]
+    instance = way[0]["instance"]
+    near = [
+        line
+        for line in lines
+        if line["instance"] == instance
+        and line["event"] not in _REQUEST_EVENTS
+        and first <= line["at"] <= last
+    ]
+    yield from sorted(near, key=lambda line: line["at"])
+
+
+def _render_line(line: Line) -> str:
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in ("at", "time", "instance", "event", "request")
+    )
+    head = f"  {line['at']:.3f} {line['instance']} {line['event']}"
+    return f"{head} {fields}"
+
+
+def _find_cause(way: list[Line]) -> str:
+    ended = [x for x in way if x["event"] == "request_ended"]
+    failed = [x for x in way if x["event"] == "send_failed"]
+    if not ended:
+        return (
+            "the instance ended before the request did: see whether it was "
+            "killed or replaced"
+        )
+    end = ended[-1]
+    what = f"; last failure: {failed[-1]['what']}" if failed else ""
+    match end["outcome"]:
+        case "answered" if end["status"] >= 500:
+            return (
+                f"endpoint {end['endpoint']} itself answered "
+                f"{end['status']} after {end['attempts']} sends{what}"
+            )
+        case "answered":
+            return _explain_time(end, way)
+        case "left":
+            return (
+                f"the caller left after {end['seconds']:.2f} s, before the "
+                f"end of its answer ({_explain_time(end, way)})"
+            )
+        case "cut":
+            return (
+                f"the answer of {end['endpoint']} broke off after its first "
+                f"byte: {_name_code(end)}{what}"
+            )
+    return f"refused: {_name_code(end)}{what}" + _explain_wait(end)
+
+
+def _explain_time(end: Line, way: list[Line]) -> str:
+    if end["first"] < 0:
+        return f"no byte of an answer came{_explain_wait(end)}"
+    if end["waited"] > _TIGHT_SHARE * end["first"]:
+        return (
+            f"first byte after {end['first']:.2f} s, of which "
+            f"{end['waited']:.2f} s in the queue: all places were taken"
+        )
+    sent = [x for x in way if x["event"] == "request_sent"]
+    more = ""
+    if sent:
+        more = (
+            f" ({sent[-1]['expected']:.2f} s expected at load "
+            f"{sent[-1]['load']}, pace {sent[-1]['pace']:.2f})"
+        )
+    return (
+        f"first byte after {end['first']:.2f} s at {end['endpoint']}{more}, "
+        f"longest pause {end['longest']:.2f} s"
+    )
+
+
+def _explain_wait(end: Line) -> str:
+    if end["waited"] <= 0:
+        return ""
+    return f"; waited {end['waited']:.2f} s for a place"
+
+
+def _name_code(end: Line) -> str:
+    try:
+        code = errors.Code(end["code"])
+    except ValueError:
+        return f"code {end['code']}"
+    return f"{int(code)} {code.name.lower()}, {errors.MEANINGS[code].text}"
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -108,6 +108,11 @@
             names.add(name)
         return tuple(sorted(names))
 
+    def get_oldest_age(self, now: float) -> float:
+        """Return the age of the oldest report in use, seconds."""
+        ages = [now - m.heard for m in self._members.values()]
+        return max((a for a in ages if a <= FRESH_SECONDS), default=0.0)
+
     def compute_reach(self, now: float) -> float:
         """Return the share of the known instances that are in reach."""
         known = len(self.list_known(now))
--- /dev/null
+++ b/citronport/relay/metrics.py
@@ -0,0 +1,192 @@
+"""Counters and histograms of an instance, served as Prometheus text."""
+
+import collections
+import collections.abc
+import dataclasses
+from typing import Any
+
+import aioprometheus
+from aioprometheus import histogram
+from aioprometheus import renderer
+
+BUCKETS = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0,
+    float("inf"),
+)  # fmt: skip
+"""Upper bounds in seconds; among them the objectives of the deployments."""
+
+_UNSAFE = str.maketrans({'"': "_", "\\": "_", "\n": "_"})
+
+
+def make_histogram() -> histogram.Histogram:
+    """Return an empty histogram of times."""
+    return histogram.Histogram(*BUCKETS)
+
+
+class Counts:
+    """What has happened since the start of the process.
+
+    Attributes:
+        requests: by kind of route, tier and outcome.
+        refusals: by name of the numbered code.
+        sends: to endpoints, by what came of them.
+        repeats: sends beyond the first of a request.
+        first: time to the first byte of an answer, by kind of route.
+        pauses: longest pause of each stream.
+        waits: time in the queue here.
+    """
+
+    def __init__(self) -> None:
+        self.requests: collections.Counter[tuple[str, int, str]] = (
+            collections.Counter()
+        )
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.sends: collections.Counter[str] = collections.Counter()
+        self.repeats = 0
+        self.first: dict[str, histogram.Histogram] = collections.defaultdict(
+            make_histogram
+        )
+        self.pauses = make_histogram()
+        self.waits = make_histogram()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class State:
+    """What an instance is like at the moment of reading.
+
+    Attributes:
+        up_seconds: time since the start.
+        ready: whether callers should come here.
+        running: requests in progress.
+        waiting: requests that wait for an endpoint.
+        peers: other instances in reach.
+        known: instances that may serve callers, with this one.
+        configuration: version in force; 0 without one.
+        store_seconds: age of the store's newest answer.
+        store_revision: up to which all changes are known.
+        store_calls: calls to the store since the start.
+        endpoints: listed endpoints.
+        cold: of these, cold ones.
+        lines_dropped: log lines not written since they were last told.
+        oldest_report_seconds: age of the oldest report in use.
+    """
+
+    up_seconds: float
+    ready: bool
+    running: int
+    waiting: int
+    peers: int
+    known: int
+    configuration: int
+    store_seconds: float
+    store_revision: int
+    store_calls: int
+    endpoints: int
+    cold: int
+    lines_dropped: int
+    oldest_report_seconds: float
+
+
+def render(state: State, counts: Counts) -> tuple[bytes, str]:
+    """Return the metrics in the text format, and their content type."""
+    registry = aioprometheus.Registry()
+
+    def gauge(name: str, doc: str, value: float) -> None:
+        full = f"citronport_{name}"
+        aioprometheus.Gauge(full, doc, registry=registry).set({}, value)
+
+    def counter(
+        name: str,
+        doc: str,
+        values: collections.abc.Iterable[tuple[dict[str, str], int]],
+    ) -> None:
+        full = f"citronport_{name}"
+        collector = aioprometheus.Counter(full, doc, registry=registry)
+        for labels, value in values:
+            collector.set(labels, value)
+
+    _add_state(gauge, state)
+    _add_counts(counter, state, counts)
+    _add_histograms(registry, counts)
+    body, headers = renderer.render(registry, [])
+    return body, headers["Content-Type"]
+
+
+def _add_state(gauge: Any, state: State) -> None:
+    gauge("up_seconds", "Time since the start.", round(state.up_seconds, 3))
+    gauge("ready", "1 while callers should come here.", int(state.ready))
+    gauge("running", "Requests in progress.", state.running)
+    gauge("waiting", "Requests that wait for an endpoint.", state.waiting)
+    gauge("peers_in_reach", "Other instances in reach.", state.peers)
+    gauge("instances_known", "Instances that may serve.", state.known)
+    gauge("configuration_version", "Version in force.", state.configuration)
+    gauge(
+        "store_age_seconds",
+        "Age of the store's newest answer.",
+        round(state.store_seconds, 3),
+    )
+    gauge("store_revision", "Known up to here.", state.store_revision)
+    gauge("endpoints", "Listed endpoints.", state.endpoints)
+    gauge("endpoints_cold", "Cold endpoints.", state.cold)
+    gauge(
+        "report_age_seconds",
+        "Age of the oldest report in use.",
+        round(state.oldest_report_seconds, 3),
+    )
+
+
+def _add_counts(counter: Any, state: State, counts: Counts) -> None:
+    counter(
+        "requests_total",
+        "Requests of callers, by kind, tier and outcome.",
+        (
+            ({"kind": kind, "tier": str(tier), "outcome": outcome}, number)
+            for (kind, tier, outcome), number in counts.requests.items()
+        ),
+    )
+    counter(
+        "refusals_total",
+        "Refusals given to callers, by code.",
+        (({"code": c}, number) for c, number in counts.refusals.items()),
+    )
+    counter(
+        "sends_total",
+        "Sends to endpoints, by result.",
+        (
+            ({"result": r.translate(_UNSAFE)}, number)
+            for r, number in counts.sends.items()
+        ),
+    )
+    counter(
+        "repeats_total",
+        "Sends beyond the first of a request.",
+        [({}, counts.repeats)],
+    )
+    counter(
+        "store_calls_total",
+        "Calls to the platform's store.",
+        [({}, state.store_calls)],
+    )
+    counter(
+        "log_lines_dropped_total",
+        "Log lines dropped since they were last told.",
+        [({}, state.lines_dropped)],
+    )
+
+
+def _add_histograms(registry: aioprometheus.Registry, counts: Counts) -> None:
+    for name, doc, observed in (
+        (
+            "first_byte_seconds",
+            "Time to the first byte of an answer.",
+            {kind: each for kind, each in counts.first.items()},
+        ),
+        ("pause_seconds", "Longest pause of a stream.", {"": counts.pauses}),
+        ("wait_seconds", "Time in the queue here.", {"": counts.waits}),
+    ):
+        collector = aioprometheus.Histogram(
+            f"citronport_{name}", doc, registry=registry, buckets=BUCKETS
+        )
+        for kind, each in observed.items():
+            labels = {"kind": kind} if kind else {}
+            collector.set_value(labels, each)
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -13,6 +13,7 @@
 from citronport.platform import requests
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
+from citronport.relay import metrics
 from citronport.relay import refusals
 from citronport.relay import upstream
 from citronport.relay import world as world_module
@@ -85,6 +86,7 @@
         health: which endpoints answer.
         ticker: the clock.
         log: where decisions are told.
+        counts: get what happened.
         budgets: returns the budget of repeats of a service.
         count_instances: returns how many instances there may be.
     """
@@ -97,6 +99,7 @@
         health: health_module.Health,
         ticker: clock.Clock,
         log: eventlog.Log,
+        counts: metrics.Counts,
         budgets: collections.abc.Callable[[str], retries.RetryBudget],
         count_instances: collections.abc.Callable[[], int],
     ) -> None:
@@ -106,6 +109,7 @@
         self.health = health
         self.ticker = ticker
         self.log = log
+        self.counts = counts
         self.budgets = budgets
         self.count_instances = count_instances
 
@@ -450,9 +454,25 @@
         if late or now - booking.run.sent >= SILENT_SECONDS:
             self._note_failed("silence", "maybe")
 
+    def _count_end(self) -> None:
+        progress, counts = self.progress, self._parts.counts
+        kind = str(self._work.route.repeat)
+        counts.requests[kind, self._work.tier, progress.outcome] += 1
+        counts.waits.observe(progress.waited)
+        if progress.attempts > 1:
+            counts.repeats += progress.attempts - 1
+        if progress.first >= 0:
+            counts.first[kind].observe(progress.first)
+        if progress.longest > 0:
+            counts.pauses.observe(progress.longest)
+        if progress.outcome == "refused":
+            name = errors.Code(progress.code).name.lower()
+            counts.refusals[name] += 1
+
     def _tell_sent(
         self, booking: dispatcher_module.Booking, now: float
     ) -> None:
+        self._parts.counts.sends["sent"] += 1
         board = self._parts.board
         name = booking.endpoint.name
         self._parts.log.write(
@@ -471,6 +491,7 @@
         )
 
     def _tell_failed(self, endpoint: str, what: str, ran: str) -> None:
+        self._parts.counts.sends[f"failed, ran: {ran}"] += 1
         self._parts.log.write(
             eventlog.SendFailed(
                 request=self._work.request_id,
@@ -484,6 +505,7 @@
     def _tell_end(self) -> None:
         progress = self.progress
         now = self._parts.ticker.now()
+        self._count_end()
         self._parts.log.write(
             eventlog.RequestEnded(
                 request=self._work.request_id,
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,82 @@
+"""The store's client against a store that fails in several ways."""
+
+import testtools
+
+from citronport.platform import client
+from citronport.platform import models
+from tests.relay import fakes
+
+
+class ClientTest(testtools.TestCase):
+    """One question at a time."""
+
+    def setUp(self):
+        """Start a store with three items."""
+        super().setUp()
+        self.store = fakes.Store(self)
+        for name in ("a", "b", "c"):
+            self.store.put(f"servers/{name}", {"n": name})
+        self.client = client.Client(self.store.address, 0.2)
+        self.addCleanup(self.client.close)
+
+    def test_pages(self):
+        """A page tells whether another follows, and from where."""
+        self.store.page = 2
+        first = self.client.read("").unwrap()
+        self.assertTrue(first.more)
+        self.assertEqual(
+            ["servers/a", "servers/b"], [i.key for i in first.items]
+        )
+        rest = self.client.read("", "servers/b").unwrap()
+        self.assertFalse(rest.more)
+        self.assertEqual(b'{"n": "c"}', rest.items[0].value)
+
+    def test_watch_tells_changes_and_deletions(self):
+        """Only what came after the known revision is told."""
+        known = self.store.revision
+        self.store.put("servers/d", {})
+        self.store.delete("servers/a")
+        answer = self.client.watch("", known, 0.1).unwrap()
+        self.assertEqual(
+            [("servers/d", False), ("servers/a", True)],
+            [(i.key, i.value is None) for i in answer.items],
+        )
+        self.assertEqual(self.store.revision, answer.revision)
+
+    def test_compacted_history(self):
+        """The store tells that its history is gone: read anew."""
+        self.store.mode = "compacted"
+        failure = self.client.watch("", 1, 0.1).unwrap_err()
+        self.assertIsInstance(failure, client.Compacted)
+
+    def test_connection_gone_silent(self):
+        """No answer ever comes; the next question takes a new connection.
+
+        Where the connection were kept, every later question would wait
+        for nothing, though the store is well.
+        """
+        self.store.mode = "silent"
+        self.assertTrue(self.client.read("").is_err())
+        self.store.mode = "well"
+        self.assertTrue(self.client.read("").is_ok())
+
+    def test_refusal_and_garbage_are_failures(self):
+        """Whatever can't be read is told as a reason, never as empty."""
+        for mode in ("busy", "garbage"):
+            self.store.mode = mode
+            self.assertTrue(self.client.read("").is_err())
+
+
+class ItemsTest(testtools.TestCase):
+    """Values that can't be decoded."""
+
+    def test_bad_base64_and_missing_fields(self):
+        """One reason each, without the value in it."""
+        for body in (
+            b'{"items":[{"key":"k","value":"%%","revision":1}],'
+            b'"currentRev":1}',
+            b'{"items":[{"key":"k"}],"currentRev":1}',
+            b"[]",
+            b"\xff",
+        ):
+            self.assertTrue(models.parse_range(body).is_err())
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,51 @@
+"""Heads of callers' requests."""
+
+import testtools
+
+from citronport.platform import requests
+
+HEAD = {
+    "x-attempt-id": "9c41",
+    "x-api-key": "key",
+    "x-deadline-ms": "1500",
+    "x-token-counts": "1460,80",
+    "x-prompt-prefix": "5c1e:800,91bd:660",
+    "x-length-hint": "40",
+}
+
+
+class HeadTest(testtools.TestCase):
+    """Decoding and its faults."""
+
+    def test_whole(self):
+        """Each header becomes a field that says what it holds."""
+        head = requests.parse_request(HEAD).unwrap()
+        self.assertEqual(
+            (1.5, 1460, 80, 40),
+            (
+                head.patience,
+                head.prompt_tokens,
+                head.output_tokens,
+                head.expected_tokens,
+            ),
+        )
+        self.assertEqual((("5c1e", 800), ("91bd", 660)), head.parts)
+
+    def test_plain_request(self):
+        """Without tokens and without a deadline."""
+        head = requests.parse_request({"x-attempt-id": "1"}).unwrap()
+        self.assertFalse(head.counts_tokens)
+        self.assertIsNone(head.patience)
+
+    def test_faults(self):
+        """A head that can't be read is refused, never read as zero."""
+        for changes in (
+            {"x-attempt-id": ""},
+            {"x-token-counts": "many"},
+            {"x-token-counts": "-1,5"},
+            {"x-prompt-prefix": "5c1e"},
+            {"x-deadline-ms": "soon"},
+            {"x-length-hint": "?"},
+        ):
+            parsed = requests.parse_request({**HEAD, **changes})
+            self.assertTrue(parsed.is_err(), changes)
--- /dev/null
+++ b/tests/relay/fakes.py
@@ -0,0 +1,223 @@
+"""Small fakes of the platform's store and of an endpoint."""
+
+import base64
+import json
+
+import gevent
+from gevent import server as gevent_server
+
+STORE_RANGE = "/citronport/kv-range"
+STORE_WATCH = "/citronport/kv-watch"
+
+
+def read_request(file):
+    """Return method, target, headers and body of a request, or None."""
+    line = file.readline().decode()
+    if not line.strip():
+        return None
+    method, target, _ = line.split()
+    headers = {}
+    while (line := file.readline().decode().strip()) != "":
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = file.read(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+def render(status, body=b"", **headers):
+    """Return the bytes of an answer with a length."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+    return "\r\n".join((*lines, "", "")).encode() + body
+
+
+def chunk(data):
+    """Return one chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def make_event(number, text="x"):
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+class Server:
+    """Listens on a free port of this machine.
+
+    Args:
+        test: it is stopped at this test's end.
+        serve: called with socket and file of each connection.
+    """
+
+    def __init__(self, test, serve):
+        self._serve = serve
+        self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._run)
+        self.server.start()
+        test.addCleanup(self.server.stop, 0)
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def _run(self, sock, _):
+        file = sock.makefile("rb")
+        try:
+            self._serve(sock, file)
+        except OSError:
+            # The other side has left, which tests do on purpose.
+            pass
+        finally:
+            file.close()
+            sock.close()
+
+
+class Store(Server):
+    """The platform's store, as far as an instance reads it.
+
+    Attributes:
+        mode: "well", "silent", "busy", "garbage" or "compacted" (once).
+    """
+
+    def __init__(self, test):
+        self.revision = 1
+        self.items = {}
+        self.events = []
+        self.mode = "well"
+        self.calls = []
+        self.page = 500
+        super().__init__(test, self._serve_calls)
+
+    def put(self, key, value):
+        """Write an item."""
+        self.revision += 1
+        data = (
+            value if isinstance(value, bytes) else json.dumps(value).encode()
+        )
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "createdRev": self.revision,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self.events.append(item)
+
+    def delete(self, key):
+        """Remove an item."""
+        self.revision += 1
+        del self.items[key]
+        self.events.append(
+            {"key": key, "revision": self.revision, "deleted": True}
+        )
+
+    def _serve_calls(self, sock, file):
+        while (request := read_request(file)) is not None:
+            _, target, _, _ = request
+            path, _, query = target.partition("?")
+            fields = dict(f.split("=") for f in query.split("&") if f)
+            self.calls.append(path)
+            match self.mode:
+                case "silent":
+                    gevent.sleep(60)
+                case "busy":
+                    sock.sendall(render(503))
+                case "garbage":
+                    sock.sendall(render(200, b"{"))
+                case _ if path == STORE_RANGE:
+                    sock.sendall(render(200, self._range(fields)))
+                case "compacted":
+                    self.mode = "well"
+                    sock.sendall(render(410))
+                case _:
+                    sock.sendall(render(200, self._watch(fields)))
+
+    def _range(self, fields):
+        after = fields.get("after", "").replace("%2F", "/")
+        keys = sorted(k for k in self.items if k > after)
+        listed = keys[: self.page]
+        return json.dumps(
+            {
+                "items": [self.items[k] for k in listed],
+                "morePages": len(keys) > len(listed),
+                "currentRev": self.revision,
+            }
+        ).encode()
+
+    def _watch(self, fields):
+        after = int(fields["after"])
+        left = int(fields["waitMs"]) / 1000
+        while left > 0 and self.revision <= after:
+            gevent.sleep(0.01)
+            left -= 0.01
+        events = [e for e in self.events if e["revision"] > after]
+        return json.dumps(
+            {"events": events, "currentRev": self.revision}
+        ).encode()
+
+
+class Endpoint(Server):
+    """An endpoint that answers each request with the next script.
+
+    Attributes:
+        scripts: functions of socket, headers and body, one for each
+            request; the last one serves all further requests.
+        requests: head and body of each request that came.
+    """
+
+    def __init__(self, test, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        super().__init__(test, self._serve_request)
+
+    def _serve_request(self, sock, file):
+        request = read_request(file)
+        if request is None:
+            return
+        self.requests.append(request)
+        script = self.scripts[0]
+        if len(self.scripts) > 1:
+            self.scripts.pop(0)
+        script(sock, request[2])
+
+
+def answer(status=200, body=b"done", signed=True, **extra):
+    """Return a script that answers at once."""
+
+    def script(sock, headers):
+        fields = {"X_Attempt_Id": headers["x-attempt-id"], **extra}
+        if signed:
+            fields["X_Response_Seal"] = "seal"
+        sock.sendall(render(status, body, **fields))
+
+    return script
+
+
+def stream(*events, whole=True, pause=0.0):
+    """Return a script that streams events; it breaks off if not whole."""
+
+    def script(sock, headers):
+        sock.sendall(
+            (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n"
+                f"X-Attempt-Id: {headers['x-attempt-id']}\r\n"
+                "X-Response-Seal: seal\r\n\r\n"
+            ).encode()
+        )
+        for event in events:
+            sock.sendall(chunk(event))
+            gevent.sleep(pause)
+        if whole:
+            sock.sendall(b"0\r\n\r\n")
+
+    return script
+
+
+def hang_up(sock, headers):
+    """Close the connection without an answer."""
+    del headers
+    sock.close()
+
+
+def say_nothing(sock, headers):
+    """Never answer."""
+    del sock, headers
+    gevent.sleep(60)
--- /dev/null
+++ b/tests/relay/test_eventlog.py
@@ -0,0 +1,74 @@
+"""Log lines are whole, bounded, and never hold up the instance."""
+
+import fcntl
+import json
+import os
+
+import testtools
+
+from citronport import clock
+from citronport.relay import eventlog
+
+
+class EventlogTest(testtools.TestCase):
+    """A log into a pipe that may not be read."""
+
+    def setUp(self):
+        """Open the pipe."""
+        super().setUp()
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.ticker = clock.ManualClock(10.0)
+        self.log = eventlog.Log("entry-1", self.ticker, writer)
+
+    def read_lines(self):
+        """Return what came through the pipe."""
+        flags = fcntl.fcntl(self.reader, fcntl.F_GETFL)
+        fcntl.fcntl(self.reader, fcntl.F_SETFL, flags | os.O_NONBLOCK)
+        data = b""
+        try:
+            while piece := os.read(self.reader, 1 << 20):
+                data += piece
+        except BlockingIOError:
+            # Nothing more is there.
+            pass
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_a_line_holds_name_and_fields(self):
+        """What a reader needs stands on each line."""
+        self.log.write(eventlog.Ready(ready=True))
+        (line,) = self.read_lines()
+        self.assertEqual(
+            ("entry-1", "ready", True, 10.0),
+            (line["instance"], line["event"], line["ready"], line["at"]),
+        )
+
+    def test_a_flood_is_bounded_and_counted(self):
+        """Beyond the bound lines are dropped; the next second tells."""
+        for _ in range(eventlog.LINES_PER_SECOND + 50):
+            self.log.write(eventlog.Ready(ready=True))
+        self.ticker.advance(1.0)
+        self.log.write(eventlog.Ready(ready=False))
+        lines = self.read_lines()
+        dropped = [x for x in lines if x["event"] == "lines_dropped"]
+        self.assertEqual({"ready": 50}, dropped[0]["by_event"])
+        self.assertEqual(eventlog.LINES_PER_SECOND + 2, len(lines))
+
+    def test_nobody_reads(self):
+        """The pipe is full: writing returns, and the loss is counted.
+
+        Once the reader is back the lines are whole again, and one of them
+        tells what is missing.
+        """
+        for second in range(40):
+            self.ticker.advance(1.0)
+            for _ in range(eventlog.LINES_PER_SECOND):
+                self.log.write(eventlog.Ready(ready=bool(second)))
+        self.assertGreater(sum(self.log.dropped.values()), 0)
+        before = len(self.read_lines())
+        self.assertGreater(before, 0)
+        self.ticker.advance(1.0)
+        self.log.write(eventlog.Ready(ready=True))
+        names = [line["event"] for line in self.read_lines()]
+        self.assertIn("lines_dropped", names)
--- /dev/null
+++ b/tests/relay/test_explanation.py
@@ -0,0 +1,96 @@
+"""From a request's id to its cause, with log lines alone."""
+
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from citronport import errors
+from citronport.relay import explanation
+
+SENT = {
+    "event": "request_sent",
+    "endpoint": "i-1",
+    "attempt": 1,
+    "waited": 0.0,
+    "expected": 0.2,
+    "load": 3,
+    "pace": 1.0,
+}
+ENDED = {
+    "event": "request_ended",
+    "outcome": "answered",
+    "status": 200,
+    "code": 0,
+    "endpoint": "i-1",
+    "attempts": 1,
+    "waited": 0.0,
+    "first": 0.3,
+    "longest": 0.1,
+    "seconds": 1.0,
+}
+
+
+class ExplanationTest(testtools.TestCase):
+    """Each way in which a request ends has its sentence."""
+
+    def write(self, *lines):
+        """Write a log file; return its path."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "entry-1.log"
+        rows = [
+            json.dumps({"at": at, "instance": "entry-1", **line})
+            for at, line in lines
+        ]
+        path.write_text("\n".join(("not an event", *rows, '{"at":')) + "\n")
+        return path
+
+    def explain(self, **ended):
+        """Return the cause for a request that ended in a way."""
+        path = self.write(
+            (1.0, {"event": "store_lost", "reason": "busy"}),
+            (2.0, {**SENT, "request": "r"}),
+            (3.0, {**ENDED, **ended, "request": "r"}),
+        )
+        return explanation.explain("r", [path]).unwrap()
+
+    def test_causes(self):
+        """Refused, unknown outcome, late, broken, left, failed there."""
+        overloaded = int(errors.Code.OVERLOADED)
+        lost = int(errors.Code.ENDPOINT_LOST)
+        for fields, words in (
+            ({"outcome": "refused", "code": overloaded}, "2101 overloaded"),
+            (
+                {"outcome": "refused", "code": overloaded, "waited": 0.5},
+                "waited 0.50 s",
+            ),
+            ({"outcome": "refused", "code": lost}, "3001 endpoint_lost"),
+            ({"waited": 0.28}, "in the queue"),
+            ({"first": 1.5}, "0.20 s expected at load 3"),
+            ({"outcome": "cut", "code": lost}, "broke off"),
+            ({"outcome": "left", "first": -1.0}, "no byte"),
+            ({"status": 500}, "itself answered 500"),
+        ):
+            self.assertIn(words, self.explain(**fields).cause, fields)
+
+    def test_context_and_way(self):
+        """The store was lost a second before: the reader sees it."""
+        found = self.explain()
+        text = explanation.render(found)
+        self.assertIn("store_lost reason=busy", text)
+        self.assertLess(text.index("request_sent"), text.index("request_en"))
+
+    def test_instance_that_died(self):
+        """The request's last line never came."""
+        path = self.write((2.0, {**SENT, "request": "r"}))
+        cause = explanation.explain("r", [path]).unwrap().cause
+        self.assertIn("instance ended", cause)
+
+    def test_unknown_request_and_missing_file(self):
+        """Each is one line that says so."""
+        path = self.write((2.0, {**SENT, "request": "r"}))
+        self.assertIn("no line", explanation.explain("x", [path]).unwrap_err())
+        gone = path.with_name("gone")
+        self.assertIn("gone", explanation.explain("r", [gone]).unwrap_err())
--- /dev/null
+++ b/tests/relay/test_instance.py
@@ -0,0 +1,273 @@
+"""Real instances before a fake store and fake endpoints."""
+
+import json
+import pathlib
+import re
+import signal
+import socket
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+import gevent
+import testtools
+
+from standins import processes
+from tests import addresses
+from tests.platform import test_models as wire_samples
+from tests.relay import fakes
+
+PORTS = {
+    "callers": 8221,
+    "readiness": 8224,
+    "lookups": 8220,
+    "peers": 8229,
+}
+REPORTS, METRICS = 7600, 9464
+SECONDS = 8.0
+"""How long anything may take that should take a moment."""
+
+
+class InstanceTest(testtools.TestCase):
+    """Two instances as processes of their own."""
+
+    def setUp(self):
+        """Start a store with a configuration, and an endpoint."""
+        super().setUp()
+        self.subnet = addresses.choose_subnet(14)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.running = processes.Processes(self.folder)
+        self.running.__enter__()
+        self.addCleanup(self.running.__exit__)
+        self.store = fakes.Store(self)
+        self.endpoint = fakes.Endpoint(self, fakes.answer())
+        self.put_configuration(7)
+        self.put_endpoint()
+
+    def put_configuration(self, version, **changes):
+        """Publish a version of the sample configuration."""
+        route = {
+            **wire_samples.ROUTE,
+            "trafficSplit": [{"service": "llm", "weight": 1}],
+            **changes,
+        }
+        value = {
+            **wire_samples.CONFIGURATION,
+            "version": version,
+            "routes": [route],
+        }
+        self.store.put("op/config", value)
+
+    def put_endpoint(self, **changes):
+        """Enter the endpoint into the list."""
+        entry = {
+            **wire_samples.ENTRY,
+            "address": self.endpoint.address,
+            "coldLeftMs": 0,
+            **changes,
+        }
+        self.store.put("servers/i-1", entry)
+
+    def start(self, number, store=None):
+        """Start an instance and wait until it listens."""
+        host = f"127.{self.subnet}.{number}"
+        lines = [f"{k}: {host}:{port}" for k, port in PORTS.items()]
+        text = "\n".join(
+            (
+                f"instance: entry-{number}",
+                "data_centre: a",
+                f"store: {store or self.store.address}",
+                f"seeds: 127.{self.subnet}.1:{PORTS['peers']}",
+                f"reports: {REPORTS}",
+                f"metrics: {METRICS}",
+                "bounds: {grace_seconds: 8, retry_ratio: 0.2}",
+                *lines,
+            )
+        )
+        path = self.folder / f"entry-{number}.yaml"
+        path.write_text(text + "\n")
+        self.running.start(f"entry-{number}", "citronport", "relay", str(path))
+        processes.wait_for_port(host, METRICS)
+        return host
+
+    def fetch(self, host, port, target, **headers):
+        """Return status, headers and body of a GET or POST."""
+        request = urllib.request.Request(
+            f"http://{host}:{port}{target}",
+            headers=headers,
+            method="POST" if headers else "GET",
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=SECONDS) as answer:
+                return answer.status, answer.headers, answer.read()
+        except urllib.error.HTTPError as error:
+            return error.code, error.headers, error.read()
+
+    def ask(self, host, request_id="id-1", key="key-1", path="/review/x"):
+        """Send a caller's request."""
+        return self.fetch(
+            host,
+            PORTS["callers"],
+            path,
+            **{
+                "Host": "shop.example",
+                "X-Attempt-Id": request_id,
+                "X-Api-Key": key,
+                "X-Deadline-Ms": "3000",
+                "X-Token-Counts": "100,10",
+            },
+        )
+
+    def lookup(self, host):
+        """Return the addresses that a lookup tells."""
+        target = "/citronport/resolve?name=shop.example&region=r&zone=a"
+        status, _, body = self.fetch(host, PORTS["lookups"], target)
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    def is_ready(self, host):
+        """Return whether an instance says that it is ready."""
+        status, _, _ = self.fetch(
+            host, PORTS["readiness"], "/citronport/readyz"
+        )
+        return status == 200
+
+    def wait_for(self, what, check):
+        """Wait until something holds."""
+        end = time.monotonic() + SECONDS
+        while time.monotonic() < end:
+            if check():
+                return
+            gevent.sleep(0.05)
+        self.fail(f"{what} took too long")
+
+    def read_log(self, number):
+        """Return the events that an instance has told."""
+        text = (self.folder / f"entry-{number}.log").read_text()
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith('{"at"')
+        ]
+
+    def test_from_lookup_to_answer(self):
+        """A caller looks up, connects and gets the endpoint's answer.
+
+        Refusals for an unknown key and path are told apart; metrics and
+        the log tell of them.
+        """
+        hosts = [self.start(1), self.start(2)]
+        expected = [f"{h}:{PORTS['callers']}" for h in hosts]
+        for host in hosts:
+            self.wait_for(
+                "meeting", lambda host=host: self.lookup(host) == expected
+            )
+            self.assertTrue(self.is_ready(host))
+        status, headers, body = self.ask(hosts[0])
+        self.assertEqual((200, b"done"), (status, body))
+        self.assertEqual("seal", headers["X-Response-Seal"])
+        self.assertEqual(401, self.ask(hosts[0], key="other")[0])
+        self.assertEqual(404, self.ask(hosts[0], path="/other/x")[0])
+        _, _, text = self.fetch(hosts[0], METRICS, "/metrics")
+        self.assertRegex(
+            text.decode(),
+            re.compile(
+                r'requests_total\{kind="stream",outcome="answered",'
+                r'tier="1"\} 1'
+            ),
+        )
+        ended = [
+            line
+            for line in self.read_log(1)
+            if line["event"] == "request_ended"
+        ]
+        self.assertEqual(["id-1"], [line["request"] for line in ended])
+
+    def test_store_is_away_at_a_start(self):
+        """An instance starts while the store refuses it.
+
+        It learns the configuration and the endpoints from its neighbour
+        and serves; alone it would answer "not run" to everybody.
+        """
+        first = self.start(1)
+        self.wait_for("the first start", lambda: self.is_ready(first))
+        second = self.start(2, store="127.0.0.1:1")
+        self.wait_for("the second start", lambda: self.is_ready(second))
+        self.assertEqual(200, self.ask(second)[0])
+        self.put_configuration(9, prefix="/new/")
+        self.wait_for(
+            "the change",
+            lambda: self.ask(second, "id-2", path="/new/x")[0] == 200,
+        )
+
+    def test_nothing_known_yet(self):
+        """No store, no neighbour: "not run", come back; never 404."""
+        host = self.start(1, store="127.0.0.1:1")
+        self.assertFalse(self.is_ready(host))
+        status, headers, _ = self.ask(host)
+        self.assertEqual(503, status)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual([], self.lookup(host))
+
+    def test_graceful_stop(self):
+        """A stop is ordered while a stream runs.
+
+        Lookups name the other instance at once, the stream comes whole,
+        and only then the process ends, with exit code 0.
+        """
+        events = [fakes.make_event(n) for n in range(20)]
+        self.endpoint.scripts = [fakes.stream(*events, pause=0.15)]
+        hosts = [self.start(1), self.start(2)]
+        for host in hosts:
+            self.wait_for(
+                "meeting", lambda host=host: len(self.lookup(host)) == 2
+            )
+        stream = gevent.spawn(self.ask, hosts[0])
+        self.wait_for("the send", lambda: self.endpoint.requests)
+        self.running.signal("entry-1", signal.SIGTERM)
+        self.wait_for(
+            "the other's lookup",
+            lambda: self.lookup(hosts[1]) == [f"{hosts[1]}:8221"],
+        )
+        self.assertFalse(self.is_ready(hosts[0]))
+        status, _, body = stream.get(timeout=SECONDS)
+        self.assertEqual((200, b"".join(events)), (status, body))
+        code = gevent.get_hub().threadpool.apply(
+            self.running.wait, ("entry-1", SECONDS)
+        )
+        self.assertEqual(0, code)
+        with self.assertRaises(OSError):
+            socket.create_connection((hosts[0], PORTS["callers"]), 1)
+
+    def test_leaving_endpoint_gets_no_new_work(self):
+        """Its entry says so, or is gone; callers hear "not run"."""
+        host = self.start(1)
+        self.wait_for("the start", lambda: self.is_ready(host))
+        self.wait_for("an answer", lambda: self.ask(host)[0] == 200)
+        self.put_endpoint(state="draining")
+        self.wait_for("the leave", lambda: self.ask(host)[0] == 503)
+        sent = len(self.endpoint.requests)
+        self.assertEqual(503, self.ask(host)[0])
+        self.assertEqual(sent, len(self.endpoint.requests))
+
+    def test_wrong_settings_at_a_reload(self):
+        """The file turns wrong: one numbered line, and callers go on."""
+        host = self.start(1)
+        self.wait_for("the start", lambda: self.is_ready(host))
+        (self.folder / "entry-1.yaml").write_text("instance: 5 5\n")
+        self.running.signal("entry-1", signal.SIGHUP)
+
+        def find_reload():
+            return [
+                line
+                for line in self.read_log(1)
+                if line["event"] == "settings_reloaded"
+            ]
+
+        self.wait_for("the line", find_reload)
+        line = find_reload()[0]
+        self.assertFalse(line["accepted"])
+        self.assertTrue(line["detail"].startswith("4001: "))
+        self.assertEqual(200, self.ask(host)[0])
--- /dev/null
+++ b/tests/relay/test_mirror.py
@@ -0,0 +1,77 @@
+"""The copy of the store under changes that overtake each other."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from citronport.platform import models
+from citronport.relay import mirror as mirror_module
+
+PROFILE = hypothesis.settings(derandomize=True, deadline=None)
+
+
+def make_item(key, revision, value=b"v"):
+    """Return an item."""
+    return models.Item(key=key, value=value, revision=revision)
+
+
+class MirrorTest(testtools.TestCase):
+    """Reads, watches and neighbours."""
+
+    def test_a_copy_tells_what_is_gone(self):
+        """An item that a later copy lacks was deleted in between."""
+        mirror = mirror_module.Mirror()
+        mirror.replace([make_item("a", 1), make_item("b", 2)], 2)
+        news = mirror.replace([make_item("a", 1)], 5)
+        self.assertEqual([("b", None)], [(i.key, i.value) for i in news])
+
+    def test_an_old_copy_changes_nothing(self):
+        """A slow answer arrives behind a newer one."""
+        mirror = mirror_module.Mirror()
+        mirror.replace([make_item("a", 4)], 4)
+        self.assertEqual([], mirror.replace([make_item("b", 1)], 1))
+        self.assertEqual(["a"], mirror.list_keys())
+
+    def test_what_was_deleted_does_not_come_back(self):
+        """A neighbour that is behind tells an item that is gone."""
+        mirror = mirror_module.Mirror()
+        mirror.apply([make_item("a", 1)], 1)
+        mirror.apply([make_item("a", 3, None)], 3)
+        self.assertEqual([], mirror.apply([make_item("a", 2)], 3))
+        self.assertEqual([], mirror.list_keys())
+
+    def test_news_of_a_neighbour(self):
+        """Changes and deletions come over; an older neighbour is ignored."""
+        mirror = mirror_module.Mirror()
+        mirror.apply([make_item("a", 1), make_item("b", 2)], 2)
+        news = mirror.take_news([make_item("c", 4)], {"a", "c"}, 4)
+        self.assertEqual(
+            {"b": None, "c": b"v"}, {i.key: i.value for i in news}
+        )
+        self.assertEqual([], mirror.take_news([], set(), 3))
+
+    @PROFILE
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("abc"), strategies.booleans()
+            ),
+            max_size=12,
+        ),
+        strategies.randoms(use_true_random=False),
+    )
+    def test_any_order_ends_alike(self, changes, random):
+        """Changes in any order, some told twice, lead to the same copy."""
+        items = [
+            make_item(key, revision, b"v" if live else None)
+            for revision, (key, live) in enumerate(changes, 1)
+        ]
+        ordered = mirror_module.Mirror()
+        ordered.apply(items, len(items))
+        shuffled = mirror_module.Mirror()
+        mixed = items + items[:3]
+        random.shuffle(mixed)
+        shuffled.apply(mixed, len(items))
+        self.assertEqual(
+            sorted(ordered.list_keys()), sorted(shuffled.list_keys())
+        )
--- /dev/null
+++ b/tests/relay/test_sender.py
@@ -0,0 +1,276 @@
+"""What callers get when endpoints fail in one way or another."""
+
+import gevent
+from gevent import event as gevent_event
+import testtools
+
+from citronport import errors
+from citronport.callers import replies
+from citronport.relay import metrics
+from citronport.relay import sender
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import retries
+from tests.relay import fakes
+from tests.relay import samples
+
+PLAIN = "plain"
+
+
+class SenderTest(testtools.TestCase):
+    """One request at a time, with real sockets."""
+
+    def prepare(self, *endpoints, **route):
+        """Return the parts for a route to some endpoints."""
+        fields = {
+            "repeat": models.Repeat.IDEMPOTENT,
+            "shares": (models.Share(service=PLAIN, weight=1.0),),
+            "timeout": 2.0,
+            "max_endpoints": 2,
+            "objective": 0.5,
+            **route,
+        }
+        self.route = samples.make_route(**fields)
+        service = samples.make_service(PLAIN, engine=None, cold_rate=0.0)
+        self.room = samples.Room(
+            [
+                samples.make_endpoint(f"e{n}", PLAIN, address=e.address)
+                for n, e in enumerate(endpoints)
+            ],
+            configuration=samples.make_configuration(
+                (self.route,), (service,)
+            ),
+        )
+        budget = retries.RetryBudget(1.0, 100.0)
+        room = self.room
+        self.parts = sender.Parts(
+            room.world,
+            room.dispatcher,
+            room.board,
+            room.health,
+            room.ticker,
+            room.log,
+            metrics.Counts(),
+            lambda service: budget,
+            lambda: 1,
+        )
+
+    def ask(self, **fields):
+        """Send one request; return status, headers and body."""
+        self.started = []
+        job = sender.Job(
+            work=samples.make_work("id-1", self.route, self.room.ticker.now()),
+            service=PLAIN,
+            method="POST",
+            target="/review/1?a=b",
+            fields={
+                "host": "review.example",
+                "x-attempt-id": "id-1",
+                "x-api-key": "secret",
+                "x-hold": "forged",
+                "x-tenant": "forged",
+                "connection": "x-private",
+                "x-private": "1",
+                "x-other": "kept",
+                **fields,
+            },
+            body=b"body",
+            workspace="shop",
+            version=1,
+        )
+        self.sender = sender.Sender(self.parts, job)
+        self.body = b""
+        for piece in self.sender.answer(self.start):
+            self.body += piece
+        return self.started[-1][0]
+
+    def start(self, status, headers):
+        """Take the head of the answer."""
+        self.started.append((int(status.split()[0]), dict(headers)))
+
+    def test_request_reaches_the_endpoint_as_it_came(self):
+        """Only what concerns the connection or the instance differs."""
+        endpoint = fakes.Endpoint(self, fakes.answer())
+        self.prepare(endpoint)
+        self.assertEqual(200, self.ask())
+        method, target, headers, body = endpoint.requests[0]
+        self.assertEqual(
+            ("POST", "/review/1?a=b", b"body"), (method, target, body)
+        )
+        self.assertEqual("e0", headers["x-expect-instance"])
+        self.assertEqual("shop", headers["x-tenant"])
+        self.assertEqual("kept", headers["x-other"])
+        self.assertLessEqual(int(headers["x-deadline-ms"]), 2000)
+        for name in ("x-api-key", "x-hold", "x-private"):
+            self.assertNotIn(name, headers)
+
+    def test_failed_idempotent_request_runs_elsewhere(self):
+        """The first endpoint fails; the caller gets the second's answer."""
+        bad = fakes.Endpoint(self, fakes.answer(500))
+        good = fakes.Endpoint(self, fakes.answer())
+        self.prepare(bad, good)
+        self.assertEqual(200, self.ask())
+        self.assertEqual(1, len(bad.requests) + len(good.requests) - 1)
+
+    def test_both_fail_and_the_caller_gets_the_endpoints_word(self):
+        """No third endpoint may run it: the signed failure is passed on."""
+        bad = fakes.Endpoint(self, fakes.answer(500, b"broken"))
+        worse = fakes.Endpoint(self, fakes.answer(500, b"broken"))
+        spare = fakes.Endpoint(self, fakes.answer(500, b"broken"))
+        self.prepare(bad, worse, spare)
+        self.assertEqual(500, self.ask())
+        self.assertEqual(b"broken", self.body)
+        runs = [len(e.requests) for e in (bad, worse, spare)]
+        self.assertEqual([0, 1, 1], sorted(runs))
+
+    def test_non_idempotent_request_is_sent_once(self):
+        """The connection breaks after the send.
+
+        The endpoint may have run the request, so that the caller hears
+        "outcome unknown" and no other endpoint gets it.
+        """
+        first = fakes.Endpoint(self, fakes.hang_up)
+        second = fakes.Endpoint(self, fakes.answer())
+        self.prepare(
+            first,
+            second,
+            repeat=models.Repeat.NON_IDEMPOTENT,
+        )
+        self.room.health.note_answer("e1", False, self.room.ticker.now())
+        self.assertEqual(502, self.ask())
+        self.assertEqual(1, len(first.requests))
+        self.assertEqual(0, len(second.requests))
+
+    def test_not_run_goes_to_another_whatever_its_kind(self):
+        """An endpoint that is full says so: the request may go on."""
+        full = fakes.Endpoint(self, fakes.answer(503, X_Not_Executed="1"))
+        good = fakes.Endpoint(self, fakes.answer())
+        self.prepare(full, good, repeat=models.Repeat.NON_IDEMPOTENT)
+        self.assertEqual(200, self.ask())
+
+    def test_all_full_is_a_refusal_with_a_pause(self):
+        """Nobody ran it: the caller may come back and hears when."""
+        full = fakes.Endpoint(self, fakes.answer(503, X_Not_Executed="1"))
+        self.prepare(full, repeat=models.Repeat.NON_IDEMPOTENT)
+        self.assertEqual(503, self.ask())
+        self.assertIn("retry-after", self.started[-1][1])
+
+    def test_misdirected_request_did_not_run(self):
+        """Another endpoint has the address now and says so."""
+        other = fakes.Endpoint(self, fakes.answer(421, signed=False))
+        good = fakes.Endpoint(self, fakes.answer())
+        self.prepare(other, good, repeat=models.Repeat.NON_IDEMPOTENT)
+        self.assertEqual(200, self.ask())
+
+    def test_answer_to_another_request_is_not_passed_on(self):
+        """A late answer of an earlier request comes: not this caller's."""
+        crossed = fakes.Endpoint(self, fakes.answer(200, X_Attempt_Id="other"))
+        self.prepare(crossed, repeat=models.Repeat.NON_IDEMPOTENT)
+        self.assertEqual(502, self.ask())
+
+    def test_success_without_a_signature_is_no_success(self):
+        """A faulty endpoint answers 200 unsigned."""
+        forged = fakes.Endpoint(self, fakes.answer(200, signed=False))
+        self.prepare(forged, repeat=models.Repeat.NON_IDEMPOTENT)
+        self.assertEqual(502, self.ask())
+
+    def test_second_answer_is_dropped(self):
+        """An endpoint sends another answer behind a whole one."""
+
+        def twice(sock, headers):
+            fakes.answer()(sock, headers)
+            sock.sendall(fakes.render(200, b"not yours"))
+
+        endpoint = fakes.Endpoint(self, twice)
+        self.prepare(endpoint)
+        self.assertEqual(200, self.ask())
+        self.assertEqual(b"done", self.body)
+
+    def test_silent_endpoint_ends_with_the_deadline(self):
+        """The final answer comes at the deadline, not later."""
+        endpoint = fakes.Endpoint(self, fakes.say_nothing)
+        self.prepare(endpoint, timeout=0.1)
+        began = self.room.ticker.now()
+        self.assertEqual(504, self.ask())
+        self.assertLess(self.room.ticker.now() - began, 0.3)
+
+    def test_early_refusal_of_a_long_body(self):
+        """An endpoint refuses before it has read the body."""
+
+        def refuse(sock, headers):
+            sock.sendall(fakes.render(503, X_Not_Executed="1"))
+
+        endpoint = fakes.Endpoint(self, refuse)
+        self.prepare(endpoint, repeat=models.Repeat.NON_IDEMPOTENT)
+        self.assertEqual(503, self.ask())
+
+    def test_broken_stream_ends_uncleanly(self):
+        """A stream breaks midway: it must not look whole."""
+        events = [fakes.make_event(1), fakes.make_event(2)[:5]]
+        endpoint = fakes.Endpoint(
+            self, fakes.stream(*events, whole=False, pause=0.02)
+        )
+        self.prepare(endpoint, repeat=models.Repeat.STREAM)
+        self.assertRaises(replies.StreamCutError, self.ask)
+        self.assertEqual(fakes.make_event(1), self.body)
+        self.assertEqual("cut", self.sender.progress.outcome)
+
+    def test_resumable_stream_goes_on_elsewhere(self):
+        """The first endpoint breaks off in the middle of an event.
+
+        The second is told the last whole event; the caller gets each
+        event once, under the head of the first answer.
+        """
+        one, two, three = (fakes.make_event(n) for n in (1, 2, 3))
+        first = fakes.Endpoint(
+            self,
+            fakes.stream(one, two + three[:4], whole=False, pause=0.02),
+        )
+        second = fakes.Endpoint(self, fakes.stream(three))
+        self.prepare(
+            first, second, repeat=models.Repeat.STREAM, resumable=True
+        )
+        self.room.health.note_answer("e1", False, self.room.ticker.now())
+        self.assertEqual(200, self.ask())
+        self.assertEqual(one + two + three, self.body)
+        self.assertEqual("2", second.requests[0][2]["last-event-id"])
+        self.assertEqual(1, len(self.started))
+
+    def test_caller_that_leaves_stops_the_work(self):
+        """The endpoint sees its connection close within a moment."""
+        closed = gevent_event.Event()
+
+        def wait(sock, headers):
+            del headers
+            sock.recv(1)
+            closed.set()
+
+        endpoint = fakes.Endpoint(self, wait)
+        self.prepare(endpoint)
+        task = gevent.spawn(self.ask)
+        gevent.sleep(0.05)
+        task.kill()
+        self.assertTrue(closed.wait(1))
+        self.assertEqual(0, self.room.board.get_load("e0").requests)
+
+    def test_endpoint_that_leaves_meanwhile_gets_nothing(self):
+        """Its entry goes while the connection comes about."""
+        endpoint = fakes.Endpoint(self, fakes.answer())
+        self.prepare(endpoint, objective=0.05)
+        world = self.room.world
+        world.may_use = lambda endpoint: False
+        self.assertEqual(503, self.ask())
+        self.assertEqual([], endpoint.requests)
+        self.assertEqual(
+            int(errors.Code.OVERLOADED), self.sender.progress.code
+        )
+
+
+class LastEventTest(testtools.TestCase):
+    """Finding the id of the last whole event."""
+
+    def test_ids(self):
+        """The last id counts, wherever it stands."""
+        both = fakes.make_event(7) + fakes.make_event(8)
+        self.assertEqual("8", sender.find_last_event(both))
+        self.assertEqual("7", sender.find_last_event(fakes.make_event(7)))
+        self.assertIsNone(sender.find_last_event(b"data: x\n\n"))
--- /dev/null
+++ b/tests/relay/test_settings.py
@@ -0,0 +1,56 @@
+"""Settings of an instance that sends by itself."""
+
+import pathlib
+import tempfile
+
+import testtools
+
+from citronport.relay import settings
+
+TEXT = """\
+instance: "entry-1"
+data_centre: "a"
+callers: "10.0.0.1:8221"
+readiness: "10.0.0.1:8224"
+lookups: "10.0.0.1:8220"
+peers: "10.0.0.1:8229"
+reports: 7600
+metrics: 9464
+store: "10.0.0.9:8225"
+seeds: "10.0.0.1:8229,10.0.0.2:8229"
+bounds:
+  grace_seconds: 8
+  retry_ratio:
+"""
+
+
+class SettingsTest(testtools.TestCase):
+    """What the platform's template makes, and what people get wrong."""
+
+    def read(self, text):
+        """Read a file with a text."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "node.yaml"
+            path.write_text(text)
+            return settings.read_settings(path)
+
+    def test_whole(self):
+        """Addresses are parsed; a bound without a value has its default."""
+        found = self.read(TEXT).unwrap()
+        self.assertEqual("10.0.0.1:8221", str(found.callers))
+        self.assertEqual(2, len(found.seeds))
+        self.assertEqual(0.2, found.bounds.retry_ratio)
+
+    def test_no_seeds(self):
+        """The only instance has nobody to ask."""
+        text = TEXT.replace('"10.0.0.1:8229,10.0.0.2:8229"', "")
+        self.assertEqual((), self.read(text).unwrap().seeds)
+
+    def test_faults_are_told_by_line(self):
+        """Each fault names its line and place."""
+        for wrong, place in (
+            (TEXT.replace("8221", "eighty"), "line 3: callers"),
+            (TEXT + "colour: red\n", "line 14: colour"),
+            (TEXT.replace("7600", "70000"), "line 7: reports"),
+        ):
+            self.assertIn(place, self.read(wrong).unwrap_err())
--- /dev/null
+++ b/tests/scheduler/direct/test_selection.py
@@ -0,0 +1,160 @@
+"""Where a request goes, under the loads that the choice is made for."""
+
+import testtools
+
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import cold as cold_module
+from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import selection
+from tests.relay import samples
+
+NOW = 100.0
+
+
+class SelectionTest(testtools.TestCase):
+    """Two or three engines that differ in one thing."""
+
+    def setUp(self):
+        """Make the parts of a selector."""
+        super().setUp()
+        self.board = board_module.Board()
+        self.health = health_module.Health()
+        self.cold = cold_module.ColdStarts()
+        self.selector = selection.Selector(
+            "own", self.board, self.health, self.cold
+        )
+        self.service = samples.make_service()
+        self.endpoints = [
+            samples.make_endpoint(name, slots=4) for name in ("a", "b")
+        ]
+        self.number = 0
+
+    def choose(self, **work):
+        """Return the name of the endpoint for a request, or None."""
+        self.number += 1
+        work = samples.make_work(f"r{self.number}", now=NOW, **work)
+        place = self.selector.choose(
+            work, self.service, self.endpoints, ("own",), NOW
+        )
+        return place.endpoint.name if place else None
+
+    def load(self, endpoint, count, **work):
+        """Put requests on an endpoint; they have begun to stream."""
+        for _ in range(count):
+            self.number += 1
+            run = self.board.note_sent(
+                endpoint,
+                samples.make_work(f"r{self.number}", now=NOW, **work),
+                NOW,
+            )
+            self.board.note_events(endpoint, run, 1, 6, NOW)
+
+    def set_pace(self, endpoint, pace):
+        """Let another instance tell the pace of an endpoint."""
+        rows = [(endpoint, 0, 0, int(pace * 1e6))]
+        self.board.hear(f"of {endpoint}", rows, NOW)
+
+    def test_one_slow_endpoint(self):
+        """Work goes where it begins soonest, by learnt pace."""
+        self.set_pace("a", 3.0)
+        self.set_pace("b", 0.5)
+        self.assertEqual("b", self.choose())
+
+    def test_skew_between_instances(self):
+        """What others have sent counts, though it is not seen here."""
+        self.board.hear("other", [("a", 4, 30_000, 0)], NOW)
+        self.assertEqual("b", self.choose())
+
+    def test_saturation(self):
+        """All places and the spare one are taken: the request waits."""
+        for name in ("a", "b"):
+            self.load(name, 4 + selection.SPARE_REQUESTS)
+        self.assertIsNone(self.choose())
+
+    def test_long_prompt_stays_off_a_slow_engine_with_streams(self):
+        """Its reading would make each stream there late.
+
+        The fast engine is busier, so that the prompt begins later there;
+        nobody is made late by that.
+        """
+        self.set_pace("a", 3.0)
+        self.load("a", 3)
+        self.load("b", 3)
+        self.board.hear("other", [("b", 0, 20_000, 1_000_000)], NOW)
+        self.assertEqual("b", self.choose(prompt_tokens=8_000))
+
+    def test_long_answer_goes_where_it_ends_in_time(self):
+        """At pace 3 three thousand tokens take longer than the deadline."""
+        self.set_pace("a", 3.0)
+        self.set_pace("b", 0.5)
+        self.load("b", 3)
+        self.board.hear("other", [("b", 0, 30_000, 500_000)], NOW)
+        self.assertEqual("a", self.choose(expected_tokens=50))
+        self.assertEqual("b", self.choose(expected_tokens=3_000))
+
+    def test_failing_endpoint_is_left_alone(self):
+        """It answers at once, with failures: it looks idle to all."""
+        for _ in range(6):
+            self.health.note_answer("a", False, NOW)
+        self.load("b", 3)
+        self.assertEqual("b", self.choose())
+
+    def test_dark_endpoint_gets_one_probe_at_a_time(self):
+        """After a failed connection it is tried again, with one request."""
+        self.endpoints = self.endpoints[:1]
+        self.health.note_unreachable("a", NOW - 1.0)
+        self.assertEqual("a", self.choose())
+        self.health.note_send("a")
+        self.assertIsNone(self.choose())
+        self.health.note_answer("a", True, NOW)
+        self.assertEqual("a", self.choose())
+
+    def test_cold_endpoint_gets_its_share(self):
+        """The rest waits for a warm one, or for the next second."""
+        self.endpoints = self.endpoints[:1]
+        self.cold.set_cold("a", NOW + 3)
+        sent = 0
+        while self.choose() is not None and sent < 100:
+            self.cold.note_send("a", NOW)
+            sent += 1
+        self.assertEqual(cold_module.count_allowed(11.0, 1), sent)
+
+    def test_plain_service(self):
+        """The one that answers sooner gets the request."""
+        self.service = samples.make_service(engine=None)
+        run = self.board.note_sent("a", samples.make_work(now=NOW), NOW)
+        for _ in range(10):
+            self.board.note_answer("a", run, NOW + 0.5)
+        self.board.note_end("a", run.work.request_id)
+        self.assertEqual("b", self.choose())
+
+
+class BoardTest(testtools.TestCase):
+    """Learning paces and counting loads."""
+
+    def test_pace_is_learnt_past_the_reading_of_prompts(self):
+        """Some spans hold a long prompt's reading; the pace stays true."""
+        board = board_module.Board()
+        run = board.note_sent("a", samples.make_work(), 0.0)
+        now = 0.0
+        board.note_events("a", run, 1, 6, now)
+        for event in range(40):
+            now += 0.2 if event % 9 == 0 else 6 * 0.0032 * 2
+            board.note_events("a", run, 1, 6, now)
+        self.assertAlmostEqual(2.0, board.get_pace("a"), delta=0.2)
+
+    def test_half_of_the_instances_are_gone(self):
+        """What they told does not count any more."""
+        board = board_module.Board()
+        board.hear("x", [("a", 3, 100, 0)], 0.0)
+        board.hear("y", [("a", 2, 50, 0)], 0.0)
+        self.assertEqual(board_module.Load(5, 150), board.get_load("a"))
+        board.drop_silent({"y"})
+        self.assertEqual(board_module.Load(2, 50), board.get_load("a"))
+
+    def test_one_wrong_pace_is_outvoted(self):
+        """The middle of what all instances measured counts."""
+        board = board_module.Board()
+        for name, pace in (("x", 1.0), ("y", 17.0), ("z", 1.1)):
+            board.hear(name, [("a", 0, 0, int(pace * 1e6))], 0.0)
+        self.assertAlmostEqual(1.1, board.get_pace("a"))
