Give the streaming caller of the stop test a deadline past its stream

Cause: the stream of the test took 3.0 s, its caller's deadline was 3.0 s: the instance cut it there, as it should. Ruled out: the stop itself (the log shows a cut by code 3003, deadline). Change: a deadline of 6 s; the stream now outlasts the closing of the listener by 0.8 s, so that the test asks for more than before. Result: tests.relay 61 passed, 0 failed, twice.

--- a/tests/relay/test_instance.py
+++ b/tests/relay/test_instance.py
@@ -116,7 +116,7 @@
                 "Host": "shop.example",
                 "X-Attempt-Id": request_id,
                 "X-Api-Key": key,
-                "X-Deadline-Ms": "3000",
+                "X-Deadline-Ms": "6000",
                 "X-Token-Counts": "100,10",
             },
         )
@@ -217,7 +217,7 @@
         Lookups name the other instance at once, the stream comes whole,
         and only then the process ends, with exit code 0.
         """
-        events = [fakes.make_event(n) for n in range(20)]
+        events = [fakes.make_event(n) for n in range(22)]
         self.endpoint.scripts = [fakes.stream(*events, pause=0.15)]
         hosts = [self.start(1), self.start(2)]
         for host in hosts:
