Wait for the stopped process in the test's own thread

Cause: the test waited for the process in a worker thread, where gevent's patched wait can't run; hidden until its stream came whole. Change: one line.

--- a/tests/relay/test_instance.py
+++ b/tests/relay/test_instance.py
@@ -234,10 +234,7 @@
         self.assertFalse(self.is_ready(hosts[0]))
         status, _, body = stream.get(timeout=SECONDS)
         self.assertEqual((200, b"".join(events)), (status, body))
-        code = gevent.get_hub().threadpool.apply(
-            self.running.wait, ("entry-1", SECONDS)
-        )
-        self.assertEqual(0, code)
+        self.assertEqual(0, self.running.wait("entry-1", SECONDS))
         with self.assertRaises(OSError):
             socket.create_connection((hosts[0], PORTS["callers"]), 1)
 
