Tell refusals before placing in the log, with the age of what was known

Cause: refusals by key, path or limit left no line, so that a request refused by an old configuration could not be told from a wrong one. Change: event request_refused; explain reads it. Test: the sentence names code, version and the store's age.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -13,6 +13,7 @@
 from citronport.platform import const as wire
 from citronport.platform import models as wire_models
 from citronport.platform import requests
+from citronport.relay import eventlog
 from citronport.relay import metrics
 from citronport.relay import refusals
 from citronport.relay import sender
@@ -44,6 +45,7 @@
         compute_reach: returns the share of the instances in reach.
         is_leaving: whether new connections should end with their answer.
         is_closing: whether no new request is taken any more.
+        get_store_age: returns the age of the store's newest answer.
         ticker: the clock.
     """
 
@@ -54,6 +56,7 @@
         compute_reach: collections.abc.Callable[[], float],
         is_leaving: collections.abc.Callable[[], bool],
         is_closing: collections.abc.Callable[[], bool],
+        get_store_age: collections.abc.Callable[[], float],
         ticker: clock.Clock,
     ) -> None:
         self._parts = parts
@@ -61,6 +64,7 @@
         self._compute_reach = compute_reach
         self._is_leaving = is_leaving
         self._is_closing = is_closing
+        self._get_store_age = get_store_age
         self._ticker = ticker
         self.running = 0
 
@@ -73,12 +77,14 @@
             start_response = _close_after(start_response)
         match environ["wsgi.input"].read_whole():
             case result.Err(refusal):
-                return self._refuse(start_response, refusal, close=True)
+                return self._refuse(
+                    environ, start_response, refusal, close=True
+                )
             case result.Ok(body):
                 pass
         match self._check(environ, body, arrived):
             case result.Err(refusal):
-                return self._refuse(start_response, refusal)
+                return self._refuse(environ, start_response, refusal)
             case result.Ok(job):
                 return self._serve(job, start_response)
 
@@ -146,12 +152,27 @@
 
     def _refuse(
         self,
+        environ: Environ,
         start_response: replies.StartResponse,
         refusal: errors.Refusal,
         *,
         close: bool = False,
     ) -> list[bytes]:
         self._parts.counts.refusals[refusal.code.name.lower()] += 1
+        configuration = self._parts.world.configuration
+        wait = refusal.retry_after
+        fields = environ[caller_const.ENVIRON_FIELDS]
+        self._parts.log.write(
+            eventlog.RequestRefused(
+                request=fields.get(wire.REQUEST_ID, ""),
+                code=int(refusal.code),
+                status=refusal.meaning.status,
+                retry_after=-1.0 if wait is None else wait,
+                version=configuration.version if configuration else 0,
+                store_seconds=self._get_store_age(),
+                reach=self._compute_reach(),
+            )
+        )
         return refusals.answer(start_response, refusal, close=close)
 
 
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -142,6 +142,7 @@
             lambda: self.members.compute_reach(ticker.now()),
             lambda: self._leaving,
             lambda: self._closing,
+            lambda: ticker.now() - self.follower.answered,
             ticker,
         )
         self._callers = self._make_caller_server()
--- a/citronport/relay/eventlog.py
+++ b/citronport/relay/eventlog.py
@@ -142,6 +142,29 @@
     items: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestRefused:
+    """A request was refused before it was looked for a place.
+
+    Attributes:
+        request: its id; empty if its head holds none.
+        code: numbered result code.
+        status: HTTP status.
+        retry_after: seconds until it may come back; -1 if that is no use.
+        version: of the configuration used; 0 without one.
+        store_seconds: age of the store's newest answer.
+        reach: share of the instances in reach, for limits.
+    """
+
+    request: str
+    code: int
+    status: int
+    retry_after: float
+    version: int
+    store_seconds: float
+    reach: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RequestSent:
     """A request goes to an endpoint.
--- a/citronport/relay/explanation.py
+++ b/citronport/relay/explanation.py
@@ -18,6 +18,7 @@
 _REQUEST_EVENTS = frozenset(
     eventlog.get_event_name(kind)
     for kind in (
+        eventlog.RequestRefused,
         eventlog.RequestSent,
         eventlog.SendFailed,
         eventlog.RequestEnded,
@@ -132,6 +133,9 @@
 
 
 def _find_cause(way: list[Line]) -> str:
+    refused = [x for x in way if x["event"] == "request_refused"]
+    if refused:
+        return _explain_refusal(refused[-1])
     ended = [x for x in way if x["event"] == "request_ended"]
     failed = [x for x in way if x["event"] == "send_failed"]
     if not ended:
@@ -162,6 +166,18 @@
     return f"refused: {_name_code(end)}{what}" + _explain_wait(end)
 
 
+def _explain_refusal(line: Line) -> str:
+    if not line["version"]:
+        return f"refused: {_name_code(line)}; no configuration was known"
+    cause = (
+        f"refused: {_name_code(line)}; by version {line['version']}, the "
+        f"store's last answer was {line['store_seconds']:.1f} s old"
+    )
+    if line["code"] == errors.Code.TOKEN_LIMIT:
+        cause += f", {line['reach']:.2f} of the instances were in reach"
+    return cause
+
+
 def _explain_time(end: Line, way: list[Line]) -> str:
     if end["first"] < 0:
         return f"no byte of an answer came{_explain_wait(end)}"
--- a/tests/relay/test_explanation.py
+++ b/tests/relay/test_explanation.py
@@ -75,6 +75,22 @@
         ):
             self.assertIn(words, self.explain(**fields).cause, fields)
 
+    def test_refused_by_an_old_configuration(self):
+        """The version used and the age of what was known are told."""
+        line = {
+            "event": "request_refused",
+            "request": "r",
+            "code": int(errors.Code.UNKNOWN_KEY),
+            "version": 7,
+            "store_seconds": 4.0,
+            "reach": 1.0,
+        }
+        path = self.write((2.0, line))
+        cause = explanation.explain("r", [path]).unwrap().cause
+        self.assertIn("1002 unknown_key", cause)
+        self.assertIn("version 7", cause)
+        self.assertIn("4.0 s old", cause)
+
     def test_context_and_way(self):
         """The store was lost a second before: the reader sees it."""
         found = self.explain()
