Hold the pages of errors and operations to the code

Cause: the suite failed on the new pages: a second table in ERRORS.md was read as part of the first, and the log prefixes of the relay had no rows. Ruled out: dropping the numbers of inputs from the page.

--- a/citronport/relay/world.py
+++ b/citronport/relay/world.py
@@ -14,6 +14,8 @@
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import routing
 
+LOG = "world:"
+
 LAPSE_SECONDS = 1.5
 """How long an endpoint is used on whose entry vanished around an outage of
 the store. Entries lapse then although their endpoints live, and come back
@@ -117,7 +119,7 @@
     def _take_configuration(self, item: wire.Item) -> None:
         if item.value is None:
             # Operators replace it and never take it away.
-            logging.warning("world: the configuration was deleted.")
+            logging.warning("%s the configuration was deleted.", LOG)
             return
         match wire.parse_configuration(item.value):
             case result.Err(reason):
--- /dev/null
+++ b/tests/relay/test_pages.py
@@ -0,0 +1,65 @@
+"""The page of operations names what the relay really tells."""
+
+import dataclasses
+import pathlib
+import re
+
+import testtools
+
+from citronport.relay import eventlog
+from citronport.relay import metrics
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
+STATE = metrics.State(
+    up_seconds=1.0,
+    ready=True,
+    running=2,
+    waiting=0,
+    peers=6,
+    known=7,
+    configuration=7,
+    store_seconds=0.5,
+    store_revision=9,
+    store_calls=30,
+    endpoints=13,
+    cold=1,
+    lines_dropped=0,
+    oldest_report_seconds=0.1,
+)
+
+
+def read_rows(title):
+    """Return the first cells of the table under a title."""
+    part = PAGE.partition(f"## {title}\n")[2].partition("\n## ")[0]
+    return " ".join(re.findall(r"^\| (`.*?) \|", part, re.M))
+
+
+class PagesTest(testtools.TestCase):
+    """Names on the page and in the program are the same."""
+
+    def test_events(self):
+        """Each event has a row, and each row is an event."""
+        kinds = [
+            value
+            for value in vars(eventlog).values()
+            if dataclasses.is_dataclass(value)
+        ]
+        told = {eventlog.get_event_name(kind) for kind in kinds}
+        self.assertEqual(
+            told, set(re.findall(r"`(\w+)`", read_rows("The lines")))
+        )
+
+    def test_metrics(self):
+        """Each metric has a row, and each row is a metric."""
+        counts = metrics.Counts()
+        counts.requests["stream", 0, "answered"] += 1
+        counts.first["stream"].observe(0.2)
+        counts.waits.observe(0.0)
+        text = metrics.render(STATE, counts)[0].decode()
+        told = set(re.findall(r"^# TYPE (citronport_\w+)", text, re.M))
+        named = set(re.findall(r"`(citronport_\w+)", read_rows("Metrics")))
+        self.assertEqual(told, named)
+        self.assertIn(
+            'first_byte_seconds_bucket{kind="stream",le="0.2"} 1', text
+        )
