Keep sums of others' loads, and report less often in a large fleet

Cause: a choice looked at every report for each endpoint, four times over: 45 endpoints and 60 instances are 10,000 look-ups a request. Ten reports a second from each to each would be 590 to read a second and instance. Change: sums and middles are kept up with each report; an instance reads 80 reports a second at most, whatever the size, and counts a peer as silent after three that stay out; a report names 8 members and 12 idle paces. Ruled out: hubs that add up and tell all (two hops, and a hub that dies).

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -312,9 +312,7 @@
 
     def _take_report(self, report: messages.Report) -> None:
         now = self._ticker.now()
-        self.board.hear(
-            report.instance, [tuple(row) for row in report.loads], now
-        )
+        self.board.hear(report.instance, [tuple(row) for row in report.loads])
         sender_name = f"{report.instance}/{report.incarnation}"
         self.quotas.hear(sender_name, report.passed, now)
         self.dispatcher.kick()
--- a/citronport/relay/fleet.py
+++ b/citronport/relay/fleet.py
@@ -103,7 +103,7 @@
             self._note_reach()
             busy = any(row[1] for row in report.loads)
             pause = REPORT_SECONDS if busy else IDLE_REPORT_SECONDS
-            self._ticker.sleep(pause)
+            self._ticker.sleep(max(pause, self._members.get_pause()))
 
     def send(self, report: messages.Report) -> None:
         """Send a report to all known instances, and to seeds now and then."""
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -1,6 +1,7 @@
 """Which instances there are, from what they tell of themselves."""
 
 import dataclasses
+import random
 
 from citronport.relay import messages
 
@@ -43,6 +44,17 @@
     peers: str
 
 
+REPORTS_PER_SECOND = 80.0
+"""Reports that an instance takes a second, at most. In a large fleet each
+reports less often, so that reading them costs 2% of a core at any size."""
+
+TOLD_MEMBERS = 8
+"""Members named in one report; other ones each time."""
+
+SILENT_REPORTS = 3.0
+"""Reports that must stay out before an instance counts as out of reach."""
+
+
 class Membership:
     """The other instances, as one instance sees them.
 
@@ -54,6 +66,10 @@
         self._own = own
         self._members: dict[str, Member] = {}
 
+    def get_pause(self) -> float:
+        """Return the shortest pause between two reports, seconds."""
+        return len(self._members) / REPORTS_PER_SECOND
+
     def hear(self, report: messages.Report, now: float) -> bool:
         """Take a report; return False if it is old or one's own."""
         if report.instance == self._own:
@@ -81,7 +97,7 @@
         return [
             m.report
             for m in self._members.values()
-            if m.report is not None and now - m.heard <= FRESH_SECONDS
+            if m.report is not None and now - m.heard <= self._get_fresh()
         ]
 
     def list_usable(self, now: float) -> list[messages.Report]:
@@ -90,7 +106,7 @@
             m.report
             for m in self._members.values()
             if m.report is not None
-            and now - m.heard <= LISTED_SECONDS
+            and now - m.heard <= max(LISTED_SECONDS, self._get_fresh())
             and m.report.ready
             and not m.report.leaving
         ]
@@ -103,7 +119,7 @@
             if report is None or now - member.heard > KNOWN_SECONDS:
                 continue
             # One that said it would leave has gone if it is silent.
-            if report.leaving and now - member.heard > FRESH_SECONDS:
+            if report.leaving and now - member.heard > self._get_fresh():
                 continue
             names.add(name)
         return tuple(sorted(names))
@@ -111,7 +127,8 @@
     def get_oldest_age(self, now: float) -> float:
         """Return the age of the oldest report in use, seconds."""
         ages = [now - m.heard for m in self._members.values()]
-        return max((a for a in ages if a <= FRESH_SECONDS), default=0.0)
+        fresh = self._get_fresh()
+        return max((a for a in ages if a <= fresh), default=0.0)
 
     def compute_reach(self, now: float) -> float:
         """Return the share of the known instances that are in reach."""
@@ -128,9 +145,12 @@
 
     def list_members(self, now: float) -> list[tuple[str, str, str]]:
         """Return what to tell others of the instances in reach."""
-        return [
-            (r.instance, r.incarnation, r.peers) for r in self.list_fresh(now)
-        ]
+        fresh = self.list_fresh(now)
+        told = random.sample(fresh, min(TOLD_MEMBERS, len(fresh)))
+        return [(r.instance, r.incarnation, r.peers) for r in told]
+
+    def _get_fresh(self) -> float:
+        return max(FRESH_SECONDS, SILENT_REPORTS * self.get_pause())
 
     def _learn(self, members: list[tuple[str, str, str]], now: float) -> None:
         for name, _, peers in members:
--- a/citronport/scheduler/direct/board.py
+++ b/citronport/scheduler/direct/board.py
@@ -31,6 +31,10 @@
 MAX_PACE = 20.0
 """Bounds of a measured pace; what lies beyond comes from a cut or pause."""
 
+MAX_IDLE_ROWS = 12
+"""Paces told in one report of endpoints without own work: with 45 endpoints
+each is told every fourth report, and a report stays below 2 KB."""
+
 ANSWER_WEIGHT = 0.2
 """Weight of the newest answer of a plain service in its mean time."""
 
@@ -82,8 +86,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Heard:
-    at: float
-    loads: dict[str, tuple[int, int, float]]
+    loads: dict[str, tuple[int, int]]
+    paces: dict[str, float]
 
 
 class Board:
@@ -93,7 +97,12 @@
         self._own: dict[str, dict[str, Run]] = {}
         self._paces: dict[str, float] = {}
         self._answers: dict[str, float] = {}
+        self._turn = 0
         self._heard: dict[str, _Heard] = {}
+        # Sums over all instances, kept up with each report: a choice
+        # among 45 endpoints would else look at 60 reports for each.
+        self._others: dict[str, list[int]] = {}
+        self._middles: dict[str, float] = {}
 
     def note_sent(self, endpoint: str, work: models.Work, now: float) -> Run:
         """Note that a request goes to an endpoint; return its record."""
@@ -153,22 +162,43 @@
         self,
         sender: str,
         loads: collections.abc.Iterable[tuple[str, int, int, int]],
-        now: float,
     ) -> None:
-        """Take the loads that another instance tells."""
-        self._heard[sender] = _Heard(
-            now, {name: (n, unread, p / 1e6) for name, n, unread, p in loads}
-        )
+        """Take the loads that another instance tells.
+
+        Args:
+            sender: its name.
+            loads: rows as ``list_own`` makes them. A load that has no row
+                is none; a pace that has no row stays as it was.
+        """
+        heard = self._heard.setdefault(sender, _Heard({}, {}))
+        self._add(heard.loads, -1)
+        heard.loads = {}
+        for name, requests, unread, pace in loads:
+            if requests:
+                heard.loads[name] = (requests, unread)
+            if pace:
+                heard.paces[name] = pace / 1e6
+                self._middles.pop(name, None)
+        self._add(heard.loads, 1)
 
     def drop_silent(self, fresh: collections.abc.Container[str]) -> None:
         """Forget the loads of instances that are out of reach."""
         for sender in [s for s in self._heard if s not in fresh]:
-            del self._heard[sender]
+            heard = self._heard.pop(sender)
+            self._add(heard.loads, -1)
+            self._middles.clear()
 
     def list_own(self) -> list[tuple[str, int, int, int]]:
-        """Return own loads and paces, in the form that is told."""
+        """Return own loads and paces, in the form that is told.
+
+        All loads are told each time; of the paces of endpoints without
+        own work only some, other ones each time.
+        """
         rows = []
-        for name in {**self._own, **self._paces}:
+        idle = [name for name in self._paces if name not in self._own]
+        turn = self._turn = (self._turn + MAX_IDLE_ROWS) % max(1, len(idle))
+        told = (idle[turn:] + idle[:turn])[:MAX_IDLE_ROWS]
+        for name in [*self._own, *told]:
             load = self._count_own(name)
             pace = int(self._paces.get(name, 0.0) * 1e6)
             rows.append((name, load.requests, load.unread, pace))
@@ -177,13 +207,10 @@
     def get_load(self, endpoint: str) -> Load:
         """Return what runs at an endpoint, of all instances."""
         own = self._count_own(endpoint)
-        requests, unread = own.requests, own.unread
-        for heard in self._heard.values():
-            row = heard.loads.get(endpoint)
-            if row is not None:
-                requests += row[0]
-                unread += row[1]
-        return Load(requests, unread)
+        others = self._others.get(endpoint)
+        if others is None:
+            return own
+        return Load(own.requests + others[0], own.unread + others[1])
 
     def count_own(self, endpoint: str) -> int:
         """Return the requests of this instance at an endpoint."""
@@ -191,10 +218,16 @@
 
     def get_pace(self, endpoint: str) -> float:
         """Return the time of a step, as a multiple of the nominal one."""
+        middle = self._middles.get(endpoint)
+        if middle is None:
+            middle = self._middles[endpoint] = self._find_middle(endpoint)
+        return middle
+
+    def _find_middle(self, endpoint: str) -> float:
         known = [
-            row[2]
+            pace
             for heard in self._heard.values()
-            if (row := heard.loads.get(endpoint)) is not None and row[2] > 0
+            if (pace := heard.paces.get(endpoint)) is not None
         ]
         own = self._paces.get(endpoint)
         if own is not None:
@@ -212,6 +245,9 @@
         """Drop what is known of an endpoint that is gone."""
         self._paces.pop(endpoint, None)
         self._answers.pop(endpoint, None)
+        self._middles.pop(endpoint, None)
+        for heard in self._heard.values():
+            heard.paces.pop(endpoint, None)
 
     def _count_own(self, endpoint: str) -> Load:
         runs = self._own.get(endpoint)
@@ -222,9 +258,18 @@
         )
         return Load(len(runs), unread)
 
+    def _add(self, loads: dict[str, tuple[int, int]], sign: int) -> None:
+        for name, (requests, unread) in loads.items():
+            total = self._others.setdefault(name, [0, 0])
+            total[0] += sign * requests
+            total[1] += sign * unread
+            if total == [0, 0]:
+                del self._others[name]
+
     def _learn(self, endpoint: str, pace: float) -> None:
         pace = min(MAX_PACE, max(MIN_PACE, pace))
         known = self._paces.get(endpoint)
+        self._middles.pop(endpoint, None)
         if known is None:
             self._paces[endpoint] = pace
         else:
