Give back what a refused request was charged; split the sender

Cause: a request that waited in vain was charged to its workspace's limit all the same, so that its caller, told to come back, was refused by limit. Change: refusals that say "not run" give the units back, here and in the totals that others hear. Ruled out: charging after the place is found (a burst would pass at once).

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -14,6 +14,7 @@
 from citronport.platform import models as wire_models
 from citronport.platform import requests
 from citronport.relay import eventlog
+from citronport.relay import jobs
 from citronport.relay import metrics
 from citronport.relay import refusals
 from citronport.relay import sender
@@ -51,7 +52,7 @@
 
     def __init__(
         self,
-        parts: sender.Parts,
+        parts: jobs.Parts,
         quotas: quota.Quotas,
         compute_reach: collections.abc.Callable[[], float],
         is_leaving: collections.abc.Callable[[], bool],
@@ -89,17 +90,20 @@
                 return self._serve(job, start_response)
 
     def _serve(
-        self, job: sender.Job, start_response: replies.StartResponse
+        self, job: jobs.Job, start_response: replies.StartResponse
     ) -> collections.abc.Iterator[bytes]:
         self.running += 1
+        carried = sender.Sender(self._parts, job)
         try:
-            yield from sender.Sender(self._parts, job).answer(start_response)
+            yield from carried.answer(start_response)
         finally:
             self.running -= 1
+            if job.workspace and carried.progress.is_known_not_run:
+                self._quotas.give_back(job.workspace, job.units)
 
     def _check(
         self, environ: Environ, body: bytes, arrived: float
-    ) -> result.Result[sender.Job, errors.Refusal]:
+    ) -> result.Result[jobs.Job, errors.Refusal]:
         configuration = self._parts.world.configuration
         if configuration is None:
             return _err(errors.Code.NO_CATALOGUE, NOTHING_KNOWN_SECONDS)
@@ -116,24 +120,27 @@
             case result.Ok(head):
                 pass
         workspace = None
+        units = 0.0
         if configuration.keys is not None and not route.public:
             name = configuration.keys.get(head.key)
             if name is None:
                 return _err(errors.Code.UNKNOWN_KEY)
             workspace = configuration.workspaces[name]
-            refusal = self._charge(workspace, head, arrived)
+            units = count_units(workspace, head)
+            refusal = self._charge(workspace, units, arrived)
             if refusal is not None:
                 return result.Err(refusal)
         work = make_work(head, route, workspace, arrived)
         return result.Ok(
-            sender.Job(
+            jobs.Job(
                 work=work,
                 service=routing.choose_service(route, random.random()),
                 method=environ["REQUEST_METHOD"],
                 target=environ[caller_const.ENVIRON_TARGET],
                 fields=fields,
                 body=body,
-                workspace=None if workspace is None else workspace.name,
+                workspace=workspace,
+                units=units,
                 version=configuration.version,
             )
         )
@@ -141,10 +148,9 @@
     def _charge(
         self,
         workspace: models.Workspace,
-        head: requests.CallerRequest,
+        units: float,
         now: float,
     ) -> errors.Refusal | None:
-        units = count_units(workspace, head)
         wait = self._quotas.admit(workspace, units, self._compute_reach(), now)
         if wait is None:
             return None
@@ -304,5 +310,5 @@
 
 def _err(
     code: errors.Code, retry_after: float | None = None
-) -> result.Result[sender.Job, errors.Refusal]:
+) -> result.Result[jobs.Job, errors.Refusal]:
     return result.Err(errors.Refusal(code=code, retry_after=retry_after))
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -24,11 +24,11 @@
 from citronport.relay import eventlog
 from citronport.relay import fleet as fleet_module
 from citronport.relay import follower as follower_module
+from citronport.relay import jobs
 from citronport.relay import membership
 from citronport.relay import messages
 from citronport.relay import metrics
 from citronport.relay import mirror as mirror_module
-from citronport.relay import sender
 from citronport.relay import settings as settings_module
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import board as board_module
@@ -130,7 +130,7 @@
         )
         self._budgets: dict[str, retries.RetryBudget] = {}
         self.application = application.Application(
-            sender.Parts(
+            jobs.Parts(
                 self.world,
                 self.dispatcher,
                 self.board,
--- /dev/null
+++ b/citronport/relay/jobs.py
@@ -0,0 +1,80 @@
+"""A request to be carried, and what all requests of an instance share."""
+
+import collections.abc
+import dataclasses
+
+from citronport import clock
+from citronport.platform import requests
+from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import eventlog
+from citronport.relay import metrics
+from citronport.relay import world as world_module
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import retries
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A request of a caller, checked and read whole.
+
+    Attributes:
+        work: what the decisions need.
+        service: where it goes.
+        method: HTTP method.
+        target: path and query, as they came.
+        fields: headers by their names in lower case.
+        body: the body.
+        workspace: whose it is; None where no keys are used.
+        units: what it was charged with.
+        version: of the configuration that it was checked against.
+    """
+
+    work: models.Work
+    service: str
+    method: str
+    target: str
+    fields: requests.Fields
+    body: bytes
+    workspace: models.Workspace | None
+    units: float
+    version: int
+
+
+class Parts:
+    """What all requests of an instance share.
+
+    Args:
+        world: what is in force.
+        dispatcher: finds places.
+        board: loads and paces.
+        health: which endpoints answer.
+        ticker: the clock.
+        log: where decisions are told.
+        counts: get what happened.
+        budgets: returns the budget of repeats of a service.
+        count_instances: returns how many instances there may be.
+    """
+
+    def __init__(
+        self,
+        world: world_module.World,
+        dispatcher: dispatcher_module.Dispatcher,
+        board: board_module.Board,
+        health: health_module.Health,
+        ticker: clock.Clock,
+        log: eventlog.Log,
+        counts: metrics.Counts,
+        budgets: collections.abc.Callable[[str], retries.RetryBudget],
+        count_instances: collections.abc.Callable[[], int],
+    ) -> None:
+        self.world = world
+        self.dispatcher = dispatcher
+        self.board = board
+        self.health = health
+        self.ticker = ticker
+        self.log = log
+        self.counts = counts
+        self.budgets = budgets
+        self.count_instances = count_instances
--- /dev/null
+++ b/citronport/relay/progress.py
@@ -0,0 +1,136 @@
+"""How far a request has got; told in log lines and counted."""
+
+import dataclasses
+
+from citronport import errors
+from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import eventlog
+from citronport.relay import jobs
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What has become of one request so far.
+
+    Attributes:
+        attempts: sends to endpoints, those that did not come about too.
+        ran: endpoints that have or may have run it.
+        waited: time in the queue, seconds.
+        endpoint: the newest one chosen.
+        first: time to the first byte of the answer; -1 before.
+        longest: longest pause of the stream, seconds.
+        status: HTTP status sent; 0 before.
+        code: numbered result code; 0 for an endpoint's own answer.
+        outcome: "answered", "refused", "cut", or "left" until one of these.
+    """
+
+    attempts: int = 0
+    ran: int = 0
+    waited: float = 0.0
+    endpoint: str = ""
+    first: float = -1.0
+    longest: float = 0.0
+    status: int = 0
+    code: int = 0
+    outcome: str = "left"
+
+    @property
+    def is_known_not_run(self) -> bool:
+        """Whether the caller was told that its request has not run."""
+        if self.outcome != "refused":
+            return False
+        meaning = errors.MEANINGS[errors.Code(self.code)]
+        return meaning.ran == errors.Ran.NOT_RUN
+
+
+def tell_sent(
+    parts: jobs.Parts,
+    job: jobs.Job,
+    progress: Progress,
+    booking: dispatcher_module.Booking,
+) -> None:
+    """Tell that a request goes to an endpoint now, and why there."""
+    parts.counts.sends["sent"] += 1
+    name = booking.endpoint.name
+    parts.log.write(
+        eventlog.RequestSent(
+            request=job.work.request_id,
+            endpoint=name,
+            attempt=progress.attempts,
+            waited=progress.waited,
+            prompt=job.work.prompt_tokens,
+            output=job.work.output_tokens,
+            hint=job.work.expected_tokens,
+            expected=booking.place.seconds,
+            load=parts.board.get_load(name).requests,
+            pace=parts.board.get_pace(name),
+        )
+    )
+
+
+def tell_failed(
+    parts: jobs.Parts,
+    job: jobs.Job,
+    progress: Progress,
+    endpoint: str,
+    what: str,
+    ran: str,
+) -> None:
+    """Tell that a send brought no usable answer.
+
+    Args:
+        parts: shared by all requests.
+        job: the request.
+        progress: how far it has got.
+        endpoint: where it was sent.
+        what: what happened.
+        ran: "yes", "no" or "maybe".
+    """
+    parts.counts.sends[f"failed, ran: {ran}"] += 1
+    parts.log.write(
+        eventlog.SendFailed(
+            request=job.work.request_id,
+            endpoint=endpoint,
+            attempt=progress.attempts,
+            what=what,
+            ran=ran,
+        )
+    )
+
+
+def tell_end(parts: jobs.Parts, job: jobs.Job, progress: Progress) -> None:
+    """Tell and count how a request ended."""
+    _count_end(parts, job, progress)
+    work = job.work
+    parts.log.write(
+        eventlog.RequestEnded(
+            request=work.request_id,
+            route=work.route.name,
+            tier=work.tier,
+            outcome=progress.outcome,
+            status=progress.status,
+            code=progress.code,
+            endpoint=progress.endpoint,
+            attempts=progress.attempts,
+            waited=progress.waited,
+            first=progress.first,
+            longest=progress.longest,
+            seconds=parts.ticker.now() - work.arrived,
+            version=job.version,
+        )
+    )
+
+
+def _count_end(parts: jobs.Parts, job: jobs.Job, progress: Progress) -> None:
+    counts = parts.counts
+    kind = str(job.work.route.repeat)
+    counts.requests[kind, job.work.tier, progress.outcome] += 1
+    counts.waits.observe(progress.waited)
+    if progress.attempts > 1:
+        counts.repeats += progress.attempts - 1
+    if progress.first >= 0:
+        counts.first[kind].observe(progress.first)
+    if progress.longest > 0:
+        counts.pauses.observe(progress.longest)
+    if progress.outcome == "refused":
+        counts.refusals[errors.Code(progress.code).name.lower()] += 1
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -1,26 +1,20 @@
 """Carries one request to endpoints and its answer back to the caller."""
 
 import collections.abc
-import dataclasses
 
 import gevent
 from geventhttpclient import response as http_response
 
-from citronport import clock
 from citronport import errors
 from citronport.callers import presence
 from citronport.callers import replies
 from citronport.platform import requests
 from citronport.relay import dispatcher as dispatcher_module
-from citronport.relay import eventlog
-from citronport.relay import metrics
+from citronport.relay import jobs
+from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
-from citronport.relay import world as world_module
-from citronport.scheduler.direct import board as board_module
-from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
-from citronport.scheduler.direct import retries
 
 MAX_SENDS = 4
 """Endpoints that may turn one request away before it is refused."""
@@ -36,84 +30,6 @@
 the endpoint; one that leaves sooner had its own reasons."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Job:
-    """A request of a caller, checked and read whole.
-
-    Attributes:
-        work: what the decisions need.
-        service: where it goes.
-        method: HTTP method.
-        target: path and query, as they came.
-        fields: headers by their names in lower case.
-        body: the body.
-        workspace: whose it is; None where no keys are used.
-        version: of the configuration that it was checked against.
-    """
-
-    work: models.Work
-    service: str
-    method: str
-    target: str
-    fields: requests.Fields
-    body: bytes
-    workspace: str | None
-    version: int
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """How far a request has got, for its log line."""
-
-    attempts: int = 0
-    ran: int = 0
-    waited: float = 0.0
-    endpoint: str = ""
-    first: float = -1.0
-    longest: float = 0.0
-    status: int = 0
-    code: int = 0
-    outcome: str = "left"
-
-
-class Parts:
-    """What all requests of an instance share.
-
-    Args:
-        world: what is in force.
-        dispatcher: finds places.
-        board: loads and paces.
-        health: which endpoints answer.
-        ticker: the clock.
-        log: where decisions are told.
-        counts: get what happened.
-        budgets: returns the budget of repeats of a service.
-        count_instances: returns how many instances there may be.
-    """
-
-    def __init__(
-        self,
-        world: world_module.World,
-        dispatcher: dispatcher_module.Dispatcher,
-        board: board_module.Board,
-        health: health_module.Health,
-        ticker: clock.Clock,
-        log: eventlog.Log,
-        counts: metrics.Counts,
-        budgets: collections.abc.Callable[[str], retries.RetryBudget],
-        count_instances: collections.abc.Callable[[], int],
-    ) -> None:
-        self.world = world
-        self.dispatcher = dispatcher
-        self.board = board
-        self.health = health
-        self.ticker = ticker
-        self.log = log
-        self.counts = counts
-        self.budgets = budgets
-        self.count_instances = count_instances
-
-
 class Sender:
     """One request on its way.
 
@@ -122,7 +38,7 @@
         job: the request.
     """
 
-    def __init__(self, parts: Parts, job: Job) -> None:
+    def __init__(self, parts: jobs.Parts, job: jobs.Job) -> None:
         self._parts = parts
         self._job = job
         self._work = job.work
@@ -131,7 +47,7 @@
         self._exchange: upstream.Exchange | None = None
         self._begun = False
         self._last_event: str | None = None
-        self.progress = Progress()
+        self.progress = progress_module.Progress()
 
     def answer(
         self, start_response: replies.StartResponse
@@ -156,7 +72,7 @@
             raise
         finally:
             self._leave()
-            self._tell_end()
+            progress_module.tell_end(self._parts, self._job, self.progress)
 
     def _answer(
         self, start_response: replies.StartResponse
@@ -236,7 +152,9 @@
             return upstream.Unreachable(reason="no longer in use")
         if self.progress.attempts == 1:
             self._parts.budgets(self._job.service).note_first(now)
-        self._tell_sent(booking, now)
+        progress_module.tell_sent(
+            self._parts, self._job, self.progress, booking
+        )
         return exchange.send(
             requests.make_request(
                 self._job.method,
@@ -244,7 +162,9 @@
                 self._job.fields,
                 self._job.body,
                 endpoint,
-                self._job.workspace,
+                None
+                if self._job.workspace is None
+                else self._job.workspace.name,
                 self._work.deadline - now,
                 self._last_event,
             )
@@ -454,74 +374,9 @@
         if late or now - booking.run.sent >= SILENT_SECONDS:
             self._note_failed("silence", "maybe")
 
-    def _count_end(self) -> None:
-        progress, counts = self.progress, self._parts.counts
-        kind = str(self._work.route.repeat)
-        counts.requests[kind, self._work.tier, progress.outcome] += 1
-        counts.waits.observe(progress.waited)
-        if progress.attempts > 1:
-            counts.repeats += progress.attempts - 1
-        if progress.first >= 0:
-            counts.first[kind].observe(progress.first)
-        if progress.longest > 0:
-            counts.pauses.observe(progress.longest)
-        if progress.outcome == "refused":
-            name = errors.Code(progress.code).name.lower()
-            counts.refusals[name] += 1
-
-    def _tell_sent(
-        self, booking: dispatcher_module.Booking, now: float
-    ) -> None:
-        self._parts.counts.sends["sent"] += 1
-        board = self._parts.board
-        name = booking.endpoint.name
-        self._parts.log.write(
-            eventlog.RequestSent(
-                request=self._work.request_id,
-                endpoint=name,
-                attempt=self.progress.attempts,
-                waited=self.progress.waited,
-                prompt=self._work.prompt_tokens,
-                output=self._work.output_tokens,
-                hint=self._work.expected_tokens,
-                expected=booking.place.seconds,
-                load=board.get_load(name).requests,
-                pace=board.get_pace(name),
-            )
-        )
-
     def _tell_failed(self, endpoint: str, what: str, ran: str) -> None:
-        self._parts.counts.sends[f"failed, ran: {ran}"] += 1
-        self._parts.log.write(
-            eventlog.SendFailed(
-                request=self._work.request_id,
-                endpoint=endpoint,
-                attempt=self.progress.attempts,
-                what=what,
-                ran=ran,
-            )
-        )
-
-    def _tell_end(self) -> None:
-        progress = self.progress
-        now = self._parts.ticker.now()
-        self._count_end()
-        self._parts.log.write(
-            eventlog.RequestEnded(
-                request=self._work.request_id,
-                route=self._work.route.name,
-                tier=self._work.tier,
-                outcome=progress.outcome,
-                status=progress.status,
-                code=progress.code,
-                endpoint=progress.endpoint,
-                attempts=progress.attempts,
-                waited=progress.waited,
-                first=progress.first,
-                longest=progress.longest,
-                seconds=now - self._work.arrived,
-                version=self._job.version,
-            )
+        progress_module.tell_failed(
+            self._parts, self._job, self.progress, endpoint, what, ran
         )
 
 
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -106,22 +106,24 @@
             now: clock time, seconds.
         """
         for name, total in totals.items():
+            # A total falls where a request was refused after all.
             known = self._heard.get((sender, name), 0.0)
-            if total <= known:
-                continue
             self._heard[sender, name] = total
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.level -= total - known
 
     def give_back(self, workspace: models.Workspace, units: float) -> None:
-        """Undo an admission whose request reached no endpoint."""
+        """Undo an admission whose request was refused and has not run.
+
+        Load: full endpoints. Harm: callers that are told to come back
+        would find their limit spent on requests that nobody ran.
+        """
         bucket = self._buckets.get(workspace.name)
         if bucket is None or workspace.rate <= 0:
             return
-        # The total stays: it only grows, and the others forget the units
-        # as their buckets fill.
         bucket.level += units
+        self._totals[workspace.name] -= units
 
     def get_totals(self) -> dict[str, float]:
         """Return what this instance has let pass, by workspace."""
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -6,12 +6,14 @@
 
 from citronport import errors
 from citronport.callers import replies
+from citronport.relay import jobs
 from citronport.relay import metrics
 from citronport.relay import sender
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import retries
 from tests.relay import fakes
 from tests.relay import samples
+from tests.scheduler.direct import test_quota
 
 PLAIN = "plain"
 
@@ -42,7 +44,7 @@
         )
         budget = retries.RetryBudget(1.0, 100.0)
         room = self.room
-        self.parts = sender.Parts(
+        self.parts = jobs.Parts(
             room.world,
             room.dispatcher,
             room.board,
@@ -57,7 +59,7 @@
     def ask(self, **fields):
         """Send one request; return status, headers and body."""
         self.started = []
-        job = sender.Job(
+        job = jobs.Job(
             work=samples.make_work("id-1", self.route, self.room.ticker.now()),
             service=PLAIN,
             method="POST",
@@ -74,7 +76,8 @@
                 **fields,
             },
             body=b"body",
-            workspace="shop",
+            workspace=test_quota.make_workspace(),
+            units=1.0,
             version=1,
         )
         self.sender = sender.Sender(self.parts, job)
@@ -97,7 +100,7 @@
             ("POST", "/review/1?a=b", b"body"), (method, target, body)
         )
         self.assertEqual("e0", headers["x-expect-instance"])
-        self.assertEqual("shop", headers["x-tenant"])
+        self.assertEqual("w", headers["x-tenant"])
         self.assertEqual("kept", headers["x-other"])
         self.assertLessEqual(int(headers["x-deadline-ms"]), 2000)
         for name in ("x-api-key", "x-hold", "x-private"):
--- a/tests/scheduler/direct/test_quota.py
+++ b/tests/scheduler/direct/test_quota.py
@@ -133,6 +133,18 @@
         quotas.hear("other", {"w": 6000.0}, 0.0)
         self.assertIsNone(quotas.admit(workspace, 3000.0, 1.0, 0.0))
 
+    def test_what_has_not_run_is_given_back(self):
+        """A refused request's units serve the next one, everywhere."""
+        quotas, other = quota.Quotas(), quota.Quotas()
+        workspace = make_workspace()
+        other.admit(workspace, 1.0, 1.0, 0.0)
+        for _ in range(5):
+            self.assertIsNone(quotas.admit(workspace, 9000.0, 1.0, 0.0))
+            other.hear("one", dict(quotas.get_totals()), 0.0)
+            quotas.give_back(workspace, 9000.0)
+            other.hear("one", dict(quotas.get_totals()), 0.0)
+        self.assertIsNone(other.admit(workspace, 9000.0, 1.0, 0.0))
+
     def test_no_limit(self):
         """A workspace without a limit always passes."""
         quotas = quota.Quotas()
