Gather news of the store; look at endpoints drawn by chance in a large fleet

Change: a pause of 0.25 s after news; with more than 12 instances each choice looks at a part of the endpoints, drawn by chance. Tests: spread of simultaneous choices; the outage test names its time as a number, since the step now ends 0.25 s after the answer.

--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -28,7 +28,7 @@
     """Serves one connection, a request after the other.
 
     Replaces pywsgi's reading of heads, which takes ambiguous ones, has no
-    time limit and logs what the caller sent.
+    timeout and logs what the caller sent.
     """
 
     server: "Server"
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -140,8 +140,12 @@
         now: float,
     ) -> Booking | None:
         fresh = [e for e in endpoints if e.name not in waiter.tried]
+        seen = fresh or endpoints
+        number = selection.count_candidates(len(seen), len(instances))
+        if number < len(seen):
+            seen = random.sample(seen, number)
         place = self._selector.choose(
-            waiter.work, service, fresh or endpoints, instances, now
+            waiter.work, service, seen, instances, now
         )
         if place is None:
             return None
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -27,6 +27,11 @@
 SHORT_WATCHERS = 8
 """Instances that hold short watches; in a fleet of up to so many, all."""
 
+GATHER_SECONDS = 0.25
+"""Pause after news before the next watch: changes come in groups, as when
+all endpoints enter themselves, and each group then costs one call and not
+one for each change. Bounds on news are two seconds and more."""
+
 ANSWER_SECONDS = 0.8
 """How long an answer may take; a slow store takes a quarter of a second."""
 
@@ -108,6 +113,7 @@
                 news = self._mirror.apply(answer.items, answer.revision)
                 if news:
                     self._deliver(news)
+                    self._ticker.sleep(GATHER_SECONDS)
                 return True
             case result.Err(client.Compacted()):
                 self._stale = True
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
@@ -48,6 +49,23 @@
 """Links and set-up of one request, seconds."""
 
 
+FULL_VIEW_INSTANCES = 12
+"""Instances up to which each looks at all endpoints: their reports are 0.15
+s old at most, about what a prompt takes to read."""
+
+
+def count_candidates(endpoints: int, instances: int) -> int:
+    """Return how many endpoints, drawn by chance, one choice looks at.
+
+    Load: sixty instances whose reports are 0.7 s old. Harm: all see the
+    same idle endpoint and send there at once, and the next one a report
+    later. Each looks at a few endpoints drawn by chance, so that about as
+    many instances see one as are able to hear of each other in time.
+    """
+    share = min(1.0, FULL_VIEW_INSTANCES / max(1, instances))
+    return max(1, math.ceil(endpoints * share))
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Place:
     """An endpoint that may take a request now.
--- a/citronport/scheduler/ownership.py
+++ b/citronport/scheduler/ownership.py
@@ -25,7 +25,7 @@
 from citronport.scheduler import models
 
 LEASE_SECONDS = 3.0
-"""How long one confirmation lasts.
+"""How long one acknowledgement lasts.
 
 Two reads of the list in a row may be lost before it runs out; a change of
 owner without a release costs this much time.
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -61,7 +61,7 @@
         self.store.mode = "well"
         self.store.put("servers/a", {})
         self.assertTrue(self.follower.step())
-        self.assertEqual(self.ticker.now(), self.follower.returned)
+        self.assertEqual(105.0, self.follower.returned)
 
     def test_few_of_a_large_fleet_ask_often(self):
         """Of sixty instances eight hold short watches; of seven all do."""
--- a/tests/scheduler/direct/test_selection.py
+++ b/tests/scheduler/direct/test_selection.py
@@ -1,5 +1,7 @@
 """Where a request goes, under the loads that the choice is made for."""
 
+import random
+
 import testtools
 
 from citronport.scheduler.direct import board as board_module
@@ -129,6 +131,35 @@
         self.assertEqual("b", self.choose())
 
 
+class HerdTest(testtools.TestCase):
+    """Load: sixty instances that hear of each other late."""
+
+    def spread(self, count, drawn):
+        """Return the most requests on one of 45 endpoints.
+
+        All instances see idle endpoints and send one request each before
+        they hear of each other.
+        """
+        draw = random.Random(5)
+        loads = [0] * 45
+        paces = [1 + 0.01 * n for n in range(45)]
+        for _ in range(count):
+            seen = draw.sample(range(45), drawn)
+            loads[min(seen, key=lambda n: paces[n])] += 1
+        return max(loads)
+
+    def test_a_drawn_few_spread_what_all_would_send_to_one(self):
+        """By chance the fastest gets a fifth of the sends and not all."""
+        drawn = selection.count_candidates(45, 60)
+        self.assertEqual(60, self.spread(60, 45))
+        self.assertLessEqual(self.spread(60, drawn), 20)
+
+    def test_a_small_fleet_sees_all(self):
+        """Its reports are fresh enough for the best choice."""
+        self.assertEqual(9, selection.count_candidates(9, 11))
+        self.assertEqual(1, selection.count_candidates(1, 90))
+
+
 class BoardTest(testtools.TestCase):
     """Learning paces and counting loads."""
 
