Let a request pass a limit while anything is left, whatever its size

Test: large requests among small ones at four times the limit; it failed on the code before. The spacing test's times are those of the new rule: the next caller may come as soon as one unit is free, each later one a request's units after it.

--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -82,7 +82,12 @@
             return None
         rate, burst = self._share(workspace, reach)
         bucket = self._refill(workspace.name, rate, burst, now)
-        needed = min(units, burst)
+        # Load: large requests among many small ones, over the limit. Harm:
+        # the small ones take each unit as it comes, and the large ones of
+        # the same workspace never find enough. Whoever comes while there
+        # is something left may pass; what it takes beyond that is paid by
+        # those that come after it.
+        needed = min(1.0, units)
         if bucket.level >= needed:
             bucket.level -= units
             bucket.promised = max(0.0, bucket.promised - units)
