Never join a failure's body to a stream that has begun

Ruled out: partial events (only whole ones are passed on); a lost piece (the trace shows a crash, then a 500 run of 1 ms). Change: such an answer is a failed send; another endpoint may go on within the route's bound, else the connection ends uncleanly. Test: test_resumed_stream_meets_a_failure failed on the code before (17 passed, 1 failed), passes now (18 passed).

--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -101,8 +101,11 @@
                 return refusal
             match self._send():
                 case upstream.Answered(answer=answer):
-                    if not self._should_try_another(answer):
-                        return answer
+                    if self._should_try_another(answer):
+                        continue
+                    if self._begun and not is_success(answer):
+                        return self._lose(answer)
+                    return answer
                 case upstream.Unreachable(reason=reason):
                     self._note_unreachable(reason)
                     if self.progress.attempts >= MAX_SENDS:
@@ -176,7 +179,7 @@
         answer: requests.EndpointAnswer,
     ) -> collections.abc.Iterator[bytes]:
         is_stream = self._work.route.repeat == models.Repeat.STREAM
-        if is_stream and 200 <= answer.status < 300:
+        if is_stream and is_success(answer):
             yield from self._pass_events(start_response, answer)
             return
         yield from self._pass_whole(start_response, answer)
@@ -283,6 +286,12 @@
         self.progress.status = refusal.meaning.status
         yield from refusals.answer(start_response, refusal)
 
+    def _lose(self, answer: requests.EndpointAnswer) -> errors.Refusal:
+        # The caller has the head of a success and part of a stream: the
+        # body of a failure behind them would look like its whole end.
+        self._note_failed(f"status {answer.status} to a resumed stream", "yes")
+        return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
+
     def _should_try_another(self, answer: requests.EndpointAnswer) -> bool:
         self.progress.ran += 1
         if answer.status < 500:
@@ -380,6 +389,11 @@
         )
 
 
+def is_success(answer: requests.EndpointAnswer) -> bool:
+    """Return whether an endpoint answered with a success."""
+    return 200 <= answer.status < 300
+
+
 def find_last_event(events: bytes) -> str | None:
     """Return the id of the last of some whole events, if it has one."""
     at = events.rfind(b"\nid:")
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -238,6 +238,26 @@
         self.assertEqual("2", second.requests[0][2]["last-event-id"])
         self.assertEqual(1, len(self.started))
 
+    def test_resumed_stream_meets_a_failure(self):
+        """The first endpoint crashes midway, the second answers 500.
+
+        The caller has the head of a success and some events already. The
+        failure's body is no event of its stream, and an end behind it
+        would look whole: the connection ends uncleanly.
+        """
+        one = fakes.make_event(1)
+        first = fakes.Endpoint(
+            self, fakes.stream(one, whole=False, pause=0.02)
+        )
+        second = fakes.Endpoint(self, fakes.answer(500, b"broken"))
+        self.prepare(
+            first, second, repeat=models.Repeat.STREAM, resumable=True
+        )
+        self.room.health.note_answer("e1", False, self.room.ticker.now())
+        self.assertRaises(replies.StreamCutError, self.ask)
+        self.assertEqual(one, self.body)
+        self.assertEqual(1, len(self.started))
+
     def test_caller_that_leaves_stops_the_work(self):
         """The endpoint sees its connection close within a moment."""
         closed = gevent_event.Event()
