--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -25,15 +25,19 @@
 from citronport.relay import fleet as fleet_module
 from citronport.relay import follower as follower_module
 from citronport.relay import jobs
+from citronport.relay import lessee as lessee_module
+from citronport.relay import lessor as lessor_module
 from citronport.relay import membership
 from citronport.relay import messages
 from citronport.relay import metrics
 from citronport.relay import mirror as mirror_module
+from citronport.relay import owners as owners_module
 from citronport.relay import settings as settings_module
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
 
@@ -125,9 +129,38 @@
             ticker,
             self._describe,
             self._take_report,
+            self._take_leasing,
             self._take_news,
             self._log,
         )
+        self.owners = owners_module.Owners(
+            settings.instance,
+            settings.cores,
+            self.members,
+            self.world,
+            self.is_ready,
+            self._log,
+        )
+        self.lessee = lessee_module.Lessee(
+            settings.instance,
+            self.owners,
+            self.board,
+            self.fleet.tell,
+            ticker,
+            self._log,
+        )
+        self.lessor = lessor_module.Lessor(
+            settings.instance,
+            self.dispatcher,
+            leases_module.Leases(self.board),
+            self.world,
+            self.board,
+            self.health,
+            self.fleet.tell,
+            ticker,
+        )
+        self.dispatcher.owners = self.owners
+        self.dispatcher.lessee = self.lessee
         self._budgets: dict[str, retries.RetryBudget] = {}
         self.application = application.Application(
             jobs.Parts(
@@ -261,6 +294,7 @@
         keep("reporter", self.fleet.report_again_and_again)
         keep("catch-up", self.fleet.catch_up)
         keep("dispatcher", self.dispatcher.kick_again_and_again)
+        keep("renewer", self._renew_again_and_again)
         keep("sweeper", self._sweep_again_and_again)
         keep("settings", self._watch_settings)
 
@@ -280,8 +314,14 @@
         while True:
             self._ticker.sleep(SWEEP_SECONDS)
             self.world.sweep(self._ticker.now())
+            self.lessor.sweep()
             self.is_ready()
 
+    def _renew_again_and_again(self) -> None:
+        while True:
+            self._ticker.sleep(leases_module.RENEW_SECONDS)
+            self.lessee.renew()
+
     def _watch_settings(self) -> None:
         seen = _get_changed(self._path)
         while True:
@@ -303,6 +343,7 @@
             incarnation=self._incarnation,
             number=self._number,
             data_centre=settings.data_centre,
+            capacity=settings.cores,
             callers=str(settings.callers),
             peers=str(settings.peers),
             ready=self.is_ready(),
@@ -320,6 +361,19 @@
         self.quotas.hear(sender_name, report.passed, now)
         self.dispatcher.kick()
 
+    def _take_leasing(self, message: messages.Leasing) -> None:
+        match message:
+            case messages.Ask():
+                self.lessor.take_ask(message)
+            case messages.Begun():
+                self.lessor.take_begun(message)
+            case messages.Ended():
+                self.lessor.take_ended(message)
+            case messages.Holding():
+                self.lessor.take_holding(message)
+            case _:
+                self.lessee.take(message)
+
     def _take_news(self, news: list[wire_models.Item]) -> None:
         now = self._ticker.now()
         self.world.apply(news, now, self.follower.returned)
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -7,12 +7,16 @@
 
 from citronport import clock
 from citronport import errors
+from citronport.relay import lessee as lessee_module
 from citronport.relay import membership as membership_module
+from citronport.relay import messages
+from citronport.relay import owners as owners_module
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import waiting
 
@@ -32,10 +36,16 @@
     Attributes:
         place: the endpoint and what is expected of it.
         run: record of the request on the board.
+        load: requests known to be there, with this one.
+        pace: known pace of the endpoint.
+        leased: whether another instance handed it out.
     """
 
     place: selection.Place
     run: board_module.Run
+    load: int
+    pace: float
+    leased: bool = False
 
     @property
     def endpoint(self) -> models.Endpoint:
@@ -54,6 +64,10 @@
         health: which endpoints answer.
         cold: which endpoints are cold.
         ticker: the clock.
+
+    Attributes:
+        owners: who hands out places; None where nobody does.
+        lessee: asks the owners for places.
     """
 
     def __init__(
@@ -66,37 +80,59 @@
         cold: cold_module.ColdStarts,
         ticker: clock.Clock,
     ) -> None:
+        self._own = own
         self._world = world
         self._members = members
         self._board = board
         self._health = health
         self._cold = cold
         self._ticker = ticker
-        self._selector = selection.Selector(own, board, health, cold)
+        self._selector = selection.Selector(board, health, cold)
         self._queues: dict[str, waiting.Queue] = {}
+        self.owners: owners_module.Owners | None = None
+        self.lessee: lessee_module.Lessee | None = None
 
     def acquire(
         self, work: models.Work, service: str, tried: frozenset[str]
     ) -> Booking | errors.Refusal:
         """Return a place for a request; wait for one if need be."""
+        found = self._lease(work, service, tried)
+        if found is not None:
+            return found
         now = self._ticker.now()
-        queue = self._queues.setdefault(service, waiting.Queue())
         woken: gevent_event.AsyncResult = gevent_event.AsyncResult()
         waiter = waiting.Waiter(
             work=work, since=now, tried=tried, handle=woken
         )
-        queue.add(waiter)
+        self.enter(waiter, service)
         try:
-            self._match(service, queue)
             # Not "get": its timeout could not be told from the one for
             # the whole request, which has to end the request.
             woken.wait(timeout=waiting.compute_patience(work, now))
         finally:
-            queue.remove(waiter)
+            self.withdraw(waiter, service)
         return woken.value or self._refuse(work, service)
 
+    def enter(self, waiter: waiting.Waiter, service: str) -> None:
+        """Give a request a place at once, or let it wait for one."""
+        queue = self._queues.setdefault(service, waiting.Queue())
+        queue.add(waiter)
+        self._match(service, queue)
+
+    def withdraw(self, waiter: waiting.Waiter, service: str) -> None:
+        """Take a request out that waits no longer."""
+        self._queues[service].remove(waiter)
+
+    def note_begun(self, booking: Booking) -> None:
+        """Note the first event of a request."""
+        if booking.leased and self.lessee is not None:
+            self.lessee.begin(booking.run.request_id, booking.endpoint.name)
+
     def release(self, booking: Booking, request_id: str) -> None:
         """Give a place back."""
+        if booking.leased and self.lessee is not None:
+            self.lessee.end(booking.endpoint.name, booking.run)
+            return
         self._board.note_end(booking.endpoint.name, request_id)
         self.kick()
 
@@ -114,7 +150,47 @@
 
     def count_waiting(self) -> int:
         """Return how many requests wait."""
-        return sum(len(queue) for queue in self._queues.values())
+        here = sum(len(queue) for queue in self._queues.values())
+        return here + (self.lessee.count_waiting() if self.lessee else 0)
+
+    def _lease(
+        self, work: models.Work, service: str, tried: frozenset[str]
+    ) -> Booking | errors.Refusal | None:
+        if self.lessee is None:
+            return None
+        match self.lessee.ask(work, service, tried):
+            case messages.Granted() as granted:
+                return self._take(granted, work)
+            case lessee_module.InVain():
+                return self._refuse(work, service)
+            case None:
+                return None
+
+    def _take(
+        self, granted: messages.Granted, work: models.Work
+    ) -> Booking | None:
+        name = granted.endpoint
+        now = self._ticker.now()
+        run = self._board.note_leased(name, work, now)
+        endpoint = self._world.endpoints.get(name)
+        if endpoint is None:
+            # The owner is ahead with the store's news, or behind: this
+            # instance knows no address for the name.
+            assert self.lessee is not None
+            self.lessee.end(name, run)
+            return None
+        self._cold.note_send(name, now)
+        self._health.note_send(name)
+        place = selection.Place(
+            endpoint=endpoint, seconds=granted.seconds, cost=granted.seconds
+        )
+        return Booking(
+            place=place,
+            run=run,
+            load=granted.load,
+            pace=granted.pace / 1e6,
+            leased=True,
+        )
 
     def _match(self, service: str, queue: waiting.Queue) -> None:
         now = self._ticker.now()
@@ -122,38 +198,67 @@
         known = configuration and configuration.services.get(service)
         if not known:
             return
-        endpoints = self._world.list_endpoints(service)
-        instances = self._members.list_known(now)
+        view = self._view(known, now)
+        if not view.endpoints:
+            return
 
         def choose(waiter: waiting.Waiter) -> Booking | None:
-            return self._book(waiter, known, endpoints, instances, now)
+            return self._book(waiter, known, view, now)
 
         for waiter, booking in queue.match(choose, now):
             waiter.handle.set(booking)
 
+    def _view(self, service: models.Service, now: float) -> "_View":
+        """Return what may be chosen now, for all that wait."""
+        instances = self._members.list_known(now)
+        endpoints = self._world.list_endpoints(service.name)
+        number = selection.count_candidates(len(endpoints), len(instances))
+        grants = False
+        if self.owners is not None:
+            tenure = self.owners.get_tenure(service.name, now)
+            if tenure is not None:
+                number = len(endpoints)
+                # One that has just become the owner does not know what the
+                # one before handed out in this second.
+                grants = tenure > cold_module.WINDOW_SECONDS
+        share: cold_module.Share = cold_module.Sender(self._own, instances)
+        if grants and self._members.compute_reach(now) > quota.MAJORITY:
+            share = cold_module.Owner()
+        usable = [
+            e
+            for e in endpoints
+            if self._selector.has_room(e, service, share, now)
+        ]
+        return _View(endpoints=usable, share=share, number=number)
+
     def _book(
         self,
         waiter: waiting.Waiter,
         service: models.Service,
-        endpoints: list[models.Endpoint],
-        instances: tuple[str, ...],
+        view: "_View",
         now: float,
     ) -> Booking | None:
-        fresh = [e for e in endpoints if e.name not in waiter.tried]
-        seen = fresh or endpoints
-        number = selection.count_candidates(len(seen), len(instances))
-        if number < len(seen):
-            seen = random.sample(seen, number)
-        place = self._selector.choose(
-            waiter.work, service, seen, instances, now
-        )
+        seen = [e for e in view.endpoints if e.name not in waiter.tried]
+        seen = seen or view.endpoints
+        if not waiter.leased and view.number < len(seen):
+            seen = random.sample(seen, view.number)
+        place = self._selector.choose(waiter.work, service, seen, now)
         if place is None:
             return None
         name = place.endpoint.name
         self._cold.note_send(name, now)
         self._health.note_send(name)
         run = self._board.note_sent(name, waiter.work, now)
-        return Booking(place=place, run=run)
+        if not self._selector.has_room(
+            place.endpoint, service, view.share, now
+        ):
+            view.endpoints.remove(place.endpoint)
+        return Booking(
+            place=place,
+            run=run,
+            load=self._board.get_load(name).requests,
+            pace=self._board.get_pace(name),
+        )
 
     def _refuse(self, work: models.Work, service: str) -> errors.Refusal:
         listed = self._world.list_endpoints(service)
@@ -165,3 +270,18 @@
         return errors.Refusal(
             code=code, retry_after=min(pause, RETRY_SHARE * left)
         )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _View:
+    """What the requests of a service may choose from at one moment.
+
+    Attributes:
+        endpoints: those with room; one that fills up is taken out.
+        share: what this instance may send to cold endpoints.
+        number: how many of them, drawn by chance, one choice looks at.
+    """
+
+    endpoints: list[models.Endpoint]
+    share: cold_module.Share
+    number: int
--- a/citronport/relay/eventlog.py
+++ b/citronport/relay/eventlog.py
@@ -142,6 +142,23 @@
     items: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerChanged:
+    """Another instance hands out the places of a service's endpoints."""
+
+    service: str
+    pool: int
+    owner: str
+    candidates: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerSilent:
+    """An owner did not answer and is passed over for a while."""
+
+    owner: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RequestRefused:
     """A request was refused before it was looked for a place.
@@ -180,6 +197,7 @@
         expected: seconds to the first event, as estimated.
         load: requests that are known to be there.
         pace: known pace of the endpoint, 1 is nominal.
+        leased: whether the owner of the endpoint chose it.
     """
 
     request: str
@@ -192,6 +210,7 @@
     expected: float
     load: int
     pace: float
+    leased: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronport/relay/fleet.py
+++ b/citronport/relay/fleet.py
@@ -57,6 +57,7 @@
         ticker: the clock.
         describe: returns this instance's report.
         take_report: called with each fresh report.
+        take_leasing: called with each message on leases.
         take_news: called with changes that another instance told.
         log: where changes are told.
     """
@@ -69,6 +70,7 @@
         ticker: clock.Clock,
         describe: collections.abc.Callable[[], messages.Report],
         take_report: collections.abc.Callable[[messages.Report], None],
+        take_leasing: collections.abc.Callable[[messages.Leasing], None],
         take_news: collections.abc.Callable[[list[models.Item]], None],
         log: eventlog.Log,
     ) -> None:
@@ -78,6 +80,7 @@
         self._ticker = ticker
         self._describe = describe
         self._take_report = take_report
+        self._take_leasing = take_leasing
         self._take_news = take_news
         self._log = log
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -130,35 +133,58 @@
         data = messages.CODEC.encode(report)
         for chosen in split_targets(targets):
             for target in chosen:
-                host = target.rpartition(":")[0]
-                with contextlib.suppress(OSError):
-                    self._socket.sendto(data, (host, self._settings.reports))
+                self._put(data, target)
             share = len(chosen) / len(targets)
             if seconds:
                 self._ticker.sleep(seconds * share)
         if seconds and not targets:
             self._ticker.sleep(seconds)
 
+    def tell(self, instance: str, message: messages.Leasing) -> None:
+        """Send a message on leases to an instance, this one included."""
+        if instance == self._settings.instance:
+            self._take_leasing(message)
+            return
+        address = self._members.get_address(instance)
+        if address is not None:
+            self._put(messages.CODEC.encode(message), address)
+
     def receive(self) -> None:
         """Take reports for ever."""
         while True:
             data, sender = self._socket.recvfrom(READ_BYTES)
             try:
-                report = messages.CODEC.unpack(data)
+                message = messages.CODEC.unpack(data)
             except ValueError as error:
                 logging.warning(
-                    "%s a datagram of %s is no report: %s.",
+                    "%s a datagram of %s is no message: %s.",
                     LOG,
                     sender[0],
                     error,
                 )
                 continue
-            if (
-                isinstance(report, messages.Report)
-                and report.protocol == messages.PROTOCOL
-                and self._members.hear(report, self._ticker.now())
-            ):
-                self._take_report(report)
+            if getattr(message, "protocol", None) == messages.PROTOCOL:
+                self._take(message)
+
+    def _take(self, message: messages.Message) -> None:
+        match message:
+            case messages.Report():
+                if self._members.hear(message, self._ticker.now()):
+                    self._take_report(message)
+            case messages.Want() | messages.Held():
+                # These go over streams; here they are somebody's mistake.
+                logging.warning(
+                    "%s %s came as a datagram.", LOG, type(message).__name__
+                )
+            case _:
+                self._take_leasing(message)
+
+    def _put(self, data: bytes, address: str) -> None:
+        host = address.rpartition(":")[0]
+        # A datagram that can't be sent is one that got lost: the next one
+        # of its kind makes up for it.
+        with contextlib.suppress(OSError):
+            self._socket.sendto(data, (host, self._settings.reports))
 
     def catch_up(self) -> None:
         """Fetch from others what the store does not tell, for ever."""
--- /dev/null
+++ b/citronport/relay/lessee.py
@@ -0,0 +1,259 @@
+"""Asks the owner of endpoints for places, and gives them back."""
+
+import collections.abc
+import dataclasses
+import random
+
+from gevent import queue as gevent_queue
+
+from citronport import clock
+from citronport.relay import eventlog
+from citronport.relay import messages
+from citronport.relay import owners as owners_module
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import ownership
+from citronport.scheduler.direct import waiting
+
+ASK_SECONDS = 0.06
+"""How long an answer may stay out: two links of a millisecond, and an owner
+that reads a configuration of a thousand routes meanwhile."""
+
+ASK_AGAIN_SECONDS = 0.15
+"""Pause between two questions for a request that waits. An owner that died
+shows by it, and a lost answer is sent again."""
+
+MAX_UNANSWERED = 2
+"""Questions without an answer after which an owner is passed over: one is
+lost now and then, two in a row hardly ever."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InVain:
+    """The request waited at the owner as long as it may."""
+
+
+Answer = messages.Granted | InVain
+Tell = collections.abc.Callable[[str, messages.Leasing], None]
+
+
+class Lessee:
+    """Asks for places on behalf of the requests of this instance.
+
+    Args:
+        own: name of this instance.
+        owners: who hands out what.
+        board: paces and leased requests.
+        tell: sends a message to an instance, named.
+        ticker: the clock.
+        log: where owners that do not answer are told.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        owners: owners_module.Owners,
+        board: board_module.Board,
+        tell: Tell,
+        ticker: clock.Clock,
+        log: eventlog.Log,
+    ) -> None:
+        self._own = own
+        self._owners = owners
+        self._board = board
+        self._tell = tell
+        self._ticker = ticker
+        self._log = log
+        self._pending: dict[str, gevent_queue.SimpleQueue] = {}
+        # Of each lease the service and who granted it.
+        self._grants: dict[tuple[str, str], tuple[str, str]] = {}
+
+    def count_waiting(self) -> int:
+        """Return how many requests wait at an owner."""
+        return len(self._pending)
+
+    def ask(
+        self, work: models.Work, service: str, tried: frozenset[str]
+    ) -> Answer | None:
+        """Return a place for a request; wait for one if need be.
+
+        Returns:
+            None if this instance has to decide by itself: it owns the
+            endpoints, nobody does, or the owner does not answer.
+        """
+        owner = self._choose(service)
+        if owner is None or owner == self._own:
+            return None
+        answers = gevent_queue.SimpleQueue()
+        self._pending[work.request_id] = answers
+        found: Answer | None = None
+        try:
+            found = self._wait(work, service, tried, owner, answers)
+        finally:
+            del self._pending[work.request_id]
+            if isinstance(found, messages.Granted):
+                key = (work.request_id, found.endpoint)
+                self._grants[key] = (service, owner)
+            else:
+                # It may stand in the owner's queue, or hold a place there
+                # of which the news got lost.
+                self._tell(owner, self._make_end(work.request_id, ""))
+        return found
+
+    def take(self, answer: messages.Leasing) -> None:
+        """Take an owner's answer."""
+        pending = self._pending.get(answer.request)
+        if pending is not None:
+            pending.put(answer)
+        elif (
+            isinstance(answer, messages.Granted)
+            and (answer.request, answer.endpoint) not in self._grants
+        ):
+            # Its caller has left, or it went elsewhere meanwhile.
+            self._tell(
+                answer.instance,
+                self._make_end(answer.request, answer.endpoint),
+            )
+
+    def begin(self, request_id: str, endpoint: str) -> None:
+        """Tell the owner of a request's first event."""
+        grant = self._grants.get((request_id, endpoint))
+        if grant is None:
+            return
+        begun = messages.Begun(
+            protocol=messages.PROTOCOL, request=request_id, endpoint=endpoint
+        )
+        for owner in self._list_owners(endpoint, *grant):
+            self._tell(owner, begun)
+
+    def end(self, endpoint: str, run: board_module.Run) -> None:
+        """Give a place back, with what was seen of the endpoint."""
+        self._board.note_lease_end(endpoint, run.request_id)
+        grant = self._grants.pop((run.request_id, endpoint), None)
+        if grant is None:
+            return
+        ended = self._make_end(run.request_id, endpoint, run)
+        for owner in self._list_owners(endpoint, *grant):
+            self._tell(owner, ended)
+
+    def renew(self) -> None:
+        """Tell all owners what this instance holds of them."""
+        now = self._ticker.now()
+        held: dict[str, list[tuple[str, str, int]]] = {}
+        for endpoint, run in self._board.list_leased():
+            grant = self._grants.get((run.request_id, endpoint))
+            if grant is None:
+                continue
+            owner = self._owners.find_of(grant[0], endpoint, now) or grant[1]
+            unread = run.prompt_tokens if run.first is None else 0
+            held.setdefault(owner, []).append(
+                (run.request_id, endpoint, unread)
+            )
+        for owner, leases in held.items():
+            holding = messages.Holding(
+                protocol=messages.PROTOCOL, instance=self._own, leases=leases
+            )
+            self._tell(owner, holding)
+
+    def _choose(self, service: str) -> str | None:
+        number = random.randrange(self._owners.count_pools(service))
+        pool = ownership.Pool(service=service, number=number)
+        return self._owners.find(pool, self._ticker.now())
+
+    def _list_owners(
+        self, endpoint: str, service: str, granted_by: str
+    ) -> set[str]:
+        owner = self._owners.find_of(service, endpoint, self._ticker.now())
+        return {granted_by, owner or granted_by}
+
+    def _wait(
+        self,
+        work: models.Work,
+        service: str,
+        tried: frozenset[str],
+        owner: str,
+        answers: gevent_queue.SimpleQueue,
+    ) -> Answer | None:
+        now = self._ticker.now()
+        end = now + waiting.compute_patience(work, now)
+        pause = ASK_SECONDS
+        unanswered = 0
+        while (now := self._ticker.now()) < end:
+            self._tell(owner, self._make_ask(work, service, tried, now))
+            try:
+                answer = answers.get(timeout=min(pause, end - now))
+            except gevent_queue.Empty:
+                unanswered += 1
+                if unanswered >= MAX_UNANSWERED:
+                    self._suspect(owner)
+                    return None
+                continue
+            unanswered = 0
+            match answer:
+                case messages.Granted():
+                    return answer
+                case messages.Queued():
+                    found = self._stay(answers, end)
+                    if found is not None:
+                        return found
+                    pause = ASK_SECONDS
+                case messages.Declined():
+                    return None
+        return InVain()
+
+    def _stay(
+        self, answers: gevent_queue.SimpleQueue, end: float
+    ) -> messages.Granted | None:
+        """Wait in the owner's queue until it is time to ask again."""
+        until = min(end, self._ticker.now() + ASK_AGAIN_SECONDS)
+        while (left := until - self._ticker.now()) > 0:
+            try:
+                answer = answers.get(timeout=left)
+            except gevent_queue.Empty:
+                return None
+            if isinstance(answer, messages.Granted):
+                return answer
+        return None
+
+    def _suspect(self, owner: str) -> None:
+        self._owners.suspect(owner, self._ticker.now())
+        self._log.write(eventlog.OwnerSilent(owner=owner))
+
+    def _make_ask(
+        self,
+        work: models.Work,
+        service: str,
+        tried: frozenset[str],
+        now: float,
+    ) -> messages.Ask:
+        return messages.Ask(
+            protocol=messages.PROTOCOL,
+            instance=self._own,
+            request=work.request_id,
+            service=service,
+            route=work.route.name,
+            tier=work.tier,
+            prompt=work.prompt_tokens,
+            output=work.output_tokens,
+            expected=work.expected_tokens,
+            spent=now - work.arrived,
+            left=work.deadline - now,
+            tried=list(tried),
+        )
+
+    def _make_end(
+        self,
+        request_id: str,
+        endpoint: str,
+        run: board_module.Run | None = None,
+    ) -> messages.Ended:
+        pace = self._board.get_own_pace(endpoint) or 0.0
+        return messages.Ended(
+            protocol=messages.PROTOCOL,
+            instance=self._own,
+            request=request_id,
+            endpoint=endpoint,
+            verdict=int(run.verdict if run else board_module.Verdict.NOTHING),
+            pace=int(pace * 1e6) if run and run.first is not None else 0,
+            seconds=run.taken if run else 0.0,
+        )
--- /dev/null
+++ b/citronport/relay/lessor.py
@@ -0,0 +1,235 @@
+"""Hands out places at the endpoints that this instance owns."""
+
+import collections.abc
+import dataclasses
+
+from absl import logging
+
+from citronport import clock
+from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import messages
+from citronport.relay import world as world_module
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import leases as leases_module
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import waiting
+
+LOG = "lessor:"
+
+FORGET_SECONDS = 0.6
+"""How long a request waits whose instance does not ask again: it asks every
+0.15 s, and four questions in a row hardly get lost."""
+
+Tell = collections.abc.Callable[[str, messages.Leasing], None]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Applicant:
+    """A request of another instance; the handle of its waiter.
+
+    Attributes:
+        ask: the question.
+        waiter: its place in the queue; None until it stands there.
+        seen: clock time of the newest question, seconds.
+        grant: called with the place that it gets.
+    """
+
+    ask: messages.Ask
+    seen: float
+    grant: collections.abc.Callable[
+        ["_Applicant", dispatcher_module.Booking], None
+    ]
+    waiter: waiting.Waiter | None = None
+
+    def set(self, booking: dispatcher_module.Booking) -> None:
+        """Take a place, as the queue's match gives it."""
+        self.grant(self, booking)
+
+
+class Lessor:
+    """Answers the questions of other instances for places.
+
+    Args:
+        own: name of this instance.
+        dispatcher: finds places and keeps who waits for one.
+        leases: what was handed out.
+        world: what is in force.
+        board: paces of endpoints.
+        health: which endpoints answer.
+        tell: sends a message to an instance, named.
+        ticker: the clock.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        dispatcher: dispatcher_module.Dispatcher,
+        leases: leases_module.Leases,
+        world: world_module.World,
+        board: board_module.Board,
+        health: health_module.Health,
+        tell: Tell,
+        ticker: clock.Clock,
+    ) -> None:
+        self._own = own
+        self._dispatcher = dispatcher
+        self._leases = leases
+        self._world = world
+        self._board = board
+        self._health = health
+        self._tell = tell
+        self._ticker = ticker
+        self._applicants: dict[str, _Applicant] = {}
+        self._granted: dict[str, messages.Granted] = {}
+
+    def take_ask(self, ask: messages.Ask) -> None:
+        """Answer a question for a place."""
+        now = self._ticker.now()
+        granted = self._granted.get(ask.request)
+        if granted is not None and granted.endpoint not in ask.tried:
+            # The answer to an earlier question got lost.
+            self._tell(ask.instance, granted)
+            return
+        applicant = self._applicants.get(ask.request)
+        if applicant is None:
+            work = self._make_work(ask, now)
+            if work is None:
+                self._decline(ask)
+                return
+            applicant = _Applicant(ask, now, self._grant)
+            self._enter(applicant, work, now)
+        applicant.seen = now
+        if ask.request in self._applicants:
+            queued = messages.Queued(
+                protocol=messages.PROTOCOL, request=ask.request
+            )
+            self._tell(ask.instance, queued)
+
+    def take_begun(self, begun: messages.Begun) -> None:
+        """Note the first event of a request."""
+        self._leases.begin(begun.request, begun.endpoint, self._ticker.now())
+
+    def take_ended(self, ended: messages.Ended) -> None:
+        """Take a place back, or a request out of the queue."""
+        now = self._ticker.now()
+        if not ended.endpoint:
+            self._withdraw(ended.request)
+            return
+        self._granted.pop(ended.request, None)
+        self._learn(ended, now)
+        self._leases.end(ended.request, ended.endpoint)
+        self._dispatcher.kick()
+
+    def take_holding(self, holding: messages.Holding) -> None:
+        """Take what an instance holds of this one."""
+        held = [
+            leases_module.Held(
+                request_id=request, endpoint=endpoint, unread=unread
+            )
+            for request, endpoint, unread in holding.leases
+        ]
+        self._leases.renew(holding.instance, held, self._ticker.now())
+        self._dispatcher.kick()
+
+    def sweep(self) -> None:
+        """Drop what nobody asks for or renews any more."""
+        now = self._ticker.now()
+        for request, applicant in list(self._applicants.items()):
+            if now - applicant.seen > FORGET_SECONDS:
+                self._withdraw(request)
+        self._leases.sweep(now)
+        for request, granted in list(self._granted.items()):
+            if not self._leases.has(request, granted.endpoint):
+                del self._granted[request]
+
+    def _enter(
+        self, applicant: _Applicant, work: models.Work, now: float
+    ) -> None:
+        waiter = waiting.Waiter(
+            work=work,
+            since=now,
+            tried=frozenset(applicant.ask.tried),
+            handle=applicant,
+            leased=True,
+        )
+        applicant.waiter = waiter
+        self._applicants[work.request_id] = applicant
+        self._dispatcher.enter(waiter, applicant.ask.service)
+
+    def _grant(
+        self, applicant: _Applicant, booking: dispatcher_module.Booking
+    ) -> None:
+        ask = applicant.ask
+        self._applicants.pop(ask.request, None)
+        name = booking.endpoint.name
+        now = self._ticker.now()
+        self._leases.grant(ask.request, name, ask.instance, now)
+        granted = messages.Granted(
+            protocol=messages.PROTOCOL,
+            instance=self._own,
+            request=ask.request,
+            endpoint=name,
+            seconds=booking.place.seconds,
+            load=self._board.get_load(name).requests,
+            pace=int(self._board.get_pace(name) * 1e6),
+        )
+        self._granted[ask.request] = granted
+        self._tell(ask.instance, granted)
+
+    def _withdraw(self, request: str) -> None:
+        applicant = self._applicants.pop(request, None)
+        if applicant is not None and applicant.waiter is not None:
+            self._dispatcher.withdraw(applicant.waiter, applicant.ask.service)
+        granted = self._granted.pop(request, None)
+        if granted is not None:
+            self._health.note_unsent(granted.endpoint)
+            self._leases.end(request, granted.endpoint)
+            self._dispatcher.kick()
+
+    def _learn(self, ended: messages.Ended, now: float) -> None:
+        name = ended.endpoint
+        if name not in self._world.endpoints:
+            return
+        if ended.pace:
+            self._board.hear_pace(ended.instance, name, ended.pace / 1e6)
+        if ended.seconds:
+            self._board.note_taken(name, ended.seconds)
+        match ended.verdict:
+            case board_module.Verdict.GOOD:
+                self._health.note_answer(name, True, now)
+            case board_module.Verdict.FAILED:
+                self._health.note_answer(name, False, now)
+            case board_module.Verdict.UNREACHABLE:
+                self._health.note_unreachable(name, now)
+            case _:
+                self._health.note_unsent(name)
+
+    def _decline(self, ask: messages.Ask) -> None:
+        logging.warning(
+            "%s %s asks for route %s, which is not known here.",
+            LOG,
+            ask.instance,
+            ask.route,
+        )
+        declined = messages.Declined(
+            protocol=messages.PROTOCOL, request=ask.request
+        )
+        self._tell(ask.instance, declined)
+
+    def _make_work(self, ask: messages.Ask, now: float) -> models.Work | None:
+        configuration = self._world.configuration
+        route = configuration and configuration.find_route(ask.route)
+        if not route or not self._world.list_endpoints(ask.service):
+            return None
+        return models.Work(
+            request_id=ask.request,
+            route=route,
+            tier=ask.tier,
+            prompt_tokens=ask.prompt,
+            output_tokens=ask.output,
+            expected_tokens=ask.expected,
+            parts=(),
+            arrived=now - ask.spent,
+            deadline=now + ask.left,
+        )
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -135,6 +135,11 @@
         known = len(self.list_known(now))
         return min(1.0, (1 + len(self.list_fresh(now))) / known)
 
+    def get_address(self, instance: str) -> str | None:
+        """Return the address of an instance for other instances."""
+        member = self._members.get(instance)
+        return member.peers if member else None
+
     def list_addresses(self, now: float) -> list[str]:
         """Return the addresses to which reports go."""
         return [
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -4,7 +4,7 @@
 
 from citronport import codec
 
-PROTOCOL = 1
+PROTOCOL = 2
 """Version of this protocol; others are not understood."""
 
 MAX_MESSAGE_BYTES = 8_000_000
@@ -21,6 +21,7 @@
         incarnation: unique for each start of its process.
         number: grows with each report of an incarnation.
         data_centre: where the sender stands.
+        capacity: processor cores that the sender has.
         callers: its address for callers.
         peers: its address for other instances.
         ready: whether callers should use it.
@@ -39,6 +40,7 @@
     incarnation: str
     number: int
     data_centre: str
+    capacity: float
     callers: str
     peers: str
     ready: bool
@@ -72,8 +74,145 @@
     items: list[tuple[str, bytes, int]]
 
 
-Message = Report | Want | Held
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ask:
+    """Asks the owner of a service's endpoints for a place.
+
+    It is sent again until it is answered, and while the request waits; a
+    second one with the same id changes nothing.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: the sender.
+        request: id of the request.
+        service: where it goes.
+        route: name of its route.
+        tier: 0 is served first.
+        prompt: tokens to read.
+        output: most tokens to write.
+        expected: tokens that it probably writes.
+        spent: time since the request arrived, seconds.
+        left: time until its deadline, seconds.
+        tried: endpoints that it must not go to again.
+    """
+
+    protocol: int
+    instance: str
+    request: str
+    service: str
+    route: str
+    tier: int
+    prompt: int
+    output: int
+    expected: int
+    spent: float
+    left: float
+    tried: list[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Granted:
+    """Answers ``Ask``: the request has a place.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: the sender.
+        request: id of the request.
+        endpoint: where it may go now.
+        seconds: expected time to the first event.
+        load: requests that run there, with this one.
+        pace: of the endpoint, in millionths of the nominal one.
+    """
+
+    protocol: int
+    instance: str
+    request: str
+    endpoint: str
+    seconds: float
+    load: int
+    pace: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Queued:
+    """Answers ``Ask``: the request waits for a place."""
+
+    protocol: int
+    request: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Declined:
+    """Answers ``Ask``: the receiver can't decide on this request."""
+
+    protocol: int
+    request: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Begun:
+    """Tells the owner that a request has got its first event."""
+
+    protocol: int
+    request: str
+    endpoint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ended:
+    """Tells the owner that a request needs its place no longer.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: the sender.
+        request: id of the request.
+        endpoint: where its place was; empty if it stops waiting.
+        verdict: a ``board.Verdict`` on the endpoint.
+        pace: measured, in millionths of the nominal one; 0 if it was not.
+        seconds: time of a plain answer; 0 without one.
+    """
+
+    protocol: int
+    instance: str
+    request: str
+    endpoint: str
+    verdict: int
+    pace: int
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Holding:
+    """Tells an owner all leases that an instance holds of it.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: the sender.
+        leases: request id, endpoint, and the tokens of its prompt if it
+            has not begun.
+    """
+
+    protocol: int
+    instance: str
+    leases: list[tuple[str, str, int]]
+
+
+Leasing = Ask | Granted | Queued | Declined | Begun | Ended | Holding
+
+Message = Report | Want | Held | Leasing
 
 CODEC: codec.Codec[Message] = codec.Codec(
-    (Report, Want, Held), MAX_MESSAGE_BYTES
+    (
+        Report,
+        Want,
+        Held,
+        Ask,
+        Granted,
+        Queued,
+        Declined,
+        Begun,
+        Ended,
+        Holding,
+    ),
+    MAX_MESSAGE_BYTES,
 )
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -51,19 +51,19 @@
 ) -> None:
     """Tell that a request goes to an endpoint now, and why there."""
     parts.counts.sends["sent"] += 1
-    name = booking.endpoint.name
     parts.log.write(
         eventlog.RequestSent(
             request=job.work.request_id,
-            endpoint=name,
+            endpoint=booking.endpoint.name,
             attempt=progress.attempts,
             waited=progress.waited,
             prompt=job.work.prompt_tokens,
             output=job.work.output_tokens,
             hint=job.work.expected_tokens,
             expected=booking.place.seconds,
-            load=parts.board.get_load(name).requests,
-            pace=parts.board.get_pace(name),
+            load=booking.load,
+            pace=booking.pace,
+            leased=booking.leased,
         )
     )
 
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -14,6 +14,7 @@
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
+from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import models
 
 MAX_SENDS = 4
@@ -242,6 +243,7 @@
         now = self._parts.ticker.now()
         if booking.run.first is None:
             self._note_good(True, now)
+            self._parts.dispatcher.note_begun(booking)
         configuration = self._parts.world.configuration
         service = configuration and configuration.services.get(
             self._job.service
@@ -358,11 +360,15 @@
         assert self._booking is not None
         name = self._booking.endpoint.name
         self._parts.health.note_answer(name, good, now)
+        self._booking.run.verdict = (
+            board_module.Verdict.GOOD if good else board_module.Verdict.FAILED
+        )
 
     def _note_unreachable(self, reason: str) -> None:
         assert self._booking is not None
         name = self._booking.endpoint.name
         self._parts.health.note_unreachable(name, self._parts.ticker.now())
+        self._booking.run.verdict = board_module.Verdict.UNREACHABLE
         self._tell_failed(name, reason, "no")
 
     def _note_failed(self, reason: str, ran: str) -> None:
@@ -370,6 +376,7 @@
             return
         name = self._booking.endpoint.name
         self._parts.health.note_answer(name, False, self._parts.ticker.now())
+        self._booking.run.verdict = board_module.Verdict.FAILED
         self._tell_failed(name, reason, ran)
 
     def _note_silence(self, *, late: bool) -> None:
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -81,6 +81,7 @@
         store: where the platform's store listens.
         seeds: ``peers`` of some instances, which may be stale or down.
         memory_mb: memory beyond which the process is killed.
+        cores: processor cores that the process may use.
         files: file descriptors that the process may have.
         bounds: what the operators promise.
         log_level: from which level on log lines are written.
@@ -105,6 +106,7 @@
         tuple[Listener, ...], pydantic.BeforeValidator(_split)
     ] = ()
     memory_mb: float = pydantic.Field(default=150.0, gt=0)
+    cores: float = pydantic.Field(default=1.0, gt=0)
     files: int = pydantic.Field(default=1024, ge=64)
     bounds: Bounds = Bounds()
     log_level: common.LogLevel = common.LogLevel.INFO
--- a/citronport/scheduler/direct/board.py
+++ b/citronport/scheduler/direct/board.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 
 from citronport.scheduler.direct import models
 
@@ -42,12 +43,22 @@
 """Time of a plain answer before one was measured, from the sheets."""
 
 
+class Verdict(enum.IntEnum):
+    """What a request shows of the health of its endpoint."""
+
+    NOTHING = 0
+    GOOD = 1
+    FAILED = 2
+    UNREACHABLE = 3
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """One request at an endpoint.
 
     Attributes:
-        work: what it asks.
+        request_id: of the request.
+        prompt_tokens: tokens to read.
         sent: clock time at which it was sent.
         first: clock time of its first event; None before.
         events: events since its first.
@@ -57,9 +68,12 @@
         best: smallest time of one event in these, seconds.
         last: clock time of its newest event.
         longest: longest pause between two events, seconds.
+        taken: time of a plain answer, seconds; 0 before.
+        verdict: what it has shown of the endpoint.
     """
 
-    work: models.Work
+    request_id: str
+    prompt_tokens: int
     sent: float
     first: float | None = None
     events: int = 0
@@ -69,6 +83,8 @@
     best: float | None = None
     last: float = 0.0
     longest: float = 0.0
+    taken: float = 0.0
+    verdict: Verdict = Verdict.NOTHING
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +111,9 @@
 
     def __init__(self) -> None:
         self._own: dict[str, dict[str, Run]] = {}
+        # Requests of this instance whose places another one handed out:
+        # they count there, and would count twice if told from here.
+        self._leased: dict[str, dict[str, Run]] = {}
         self._paces: dict[str, float] = {}
         self._answers: dict[str, float] = {}
         self._turn = 0
@@ -106,10 +125,29 @@
 
     def note_sent(self, endpoint: str, work: models.Work, now: float) -> Run:
         """Note that a request goes to an endpoint; return its record."""
-        run = Run(work=work, sent=now)
+        run = Run(work.request_id, work.prompt_tokens, now)
         self._own.setdefault(endpoint, {})[work.request_id] = run
         return run
 
+    def note_leased(self, endpoint: str, work: models.Work, now: float) -> Run:
+        """Note a request whose place another instance has handed out."""
+        run = Run(work.request_id, work.prompt_tokens, now)
+        self._leased.setdefault(endpoint, {})[work.request_id] = run
+        return run
+
+    def note_held(self, endpoint: str, request_id: str, unread: int) -> None:
+        """Note another instance's request, which counts here from now on."""
+        run = Run(request_id, unread, 0.0)
+        if not unread:
+            run.first = 0.0
+        self._own.setdefault(endpoint, {})[request_id] = run
+
+    def note_begun(self, endpoint: str, request_id: str, now: float) -> None:
+        """Note that another instance's request has got its first event."""
+        run = self._own.get(endpoint, {}).get(request_id)
+        if run is not None and run.first is None:
+            run.first = now
+
     def note_events(
         self, endpoint: str, run: Run, events: int, tokens: int, now: float
     ) -> None:
@@ -145,18 +183,39 @@
 
     def note_answer(self, endpoint: str, run: Run, now: float) -> None:
         """Note the whole answer of a plain service."""
-        taken = now - run.sent
+        run.taken = now - run.sent
+        self.note_taken(endpoint, run.taken)
+
+    def note_taken(self, endpoint: str, taken: float) -> None:
+        """Take the time of one plain answer, seconds."""
         known = self._answers.get(endpoint, PLAIN_SECONDS)
         self._answers[endpoint] = known + ANSWER_WEIGHT * (taken - known)
 
     def note_end(self, endpoint: str, request_id: str) -> None:
         """Note that a request has ended or left an endpoint."""
-        runs = self._own.get(endpoint)
-        if runs is None:
-            return
-        runs.pop(request_id, None)
-        if not runs:
-            del self._own[endpoint]
+        _remove(self._own, endpoint, request_id)
+
+    def note_lease_end(self, endpoint: str, request_id: str) -> None:
+        """Note that a leased request has ended or left an endpoint."""
+        _remove(self._leased, endpoint, request_id)
+
+    def list_leased(self) -> list[tuple[str, Run]]:
+        """Return the leased requests with their endpoints."""
+        return [
+            (endpoint, run)
+            for endpoint, runs in self._leased.items()
+            for run in runs.values()
+        ]
+
+    def get_own_pace(self, endpoint: str) -> float | None:
+        """Return the pace that this instance measured, if it did."""
+        return self._paces.get(endpoint)
+
+    def hear_pace(self, sender: str, endpoint: str, pace: float) -> None:
+        """Take the pace of one endpoint that another instance measured."""
+        heard = self._heard.setdefault(sender, _Heard({}, {}))
+        heard.paces[endpoint] = pace
+        self._middles.pop(endpoint, None)
 
     def hear(
         self,
@@ -253,9 +312,7 @@
         runs = self._own.get(endpoint)
         if not runs:
             return Load(0, 0)
-        unread = sum(
-            r.work.prompt_tokens for r in runs.values() if r.first is None
-        )
+        unread = sum(r.prompt_tokens for r in runs.values() if r.first is None)
         return Load(len(runs), unread)
 
     def _add(self, loads: dict[str, tuple[int, int]], sign: int) -> None:
@@ -274,3 +331,14 @@
             self._paces[endpoint] = pace
         else:
             self._paces[endpoint] = known + PACE_WEIGHT * (pace - known)
+
+
+def _remove(
+    runs: dict[str, dict[str, Run]], endpoint: str, request_id: str
+) -> None:
+    known = runs.get(endpoint)
+    if known is None:
+        return
+    known.pop(request_id, None)
+    if not known:
+        del runs[endpoint]
--- a/citronport/scheduler/direct/cold.py
+++ b/citronport/scheduler/direct/cold.py
@@ -1,6 +1,7 @@
 """How much a cold endpoint gets from one instance."""
 
 import collections
+import dataclasses
 
 import xxhash
 
@@ -17,6 +18,33 @@
 The rest is for instances that do not know each other yet.
 """
 
+GRANT_SHARE = 0.5
+"""Part of that rate that an owner of the endpoint hands out. Two owners at
+once, and one request of each instance that finds none, stay together below
+the bound of one and a half times the rate and five more.
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sender:
+    """One of many instances that send by themselves.
+
+    Attributes:
+        own: its name.
+        instances: all of them.
+    """
+
+    own: str
+    instances: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owner:
+    """The instance that hands out the places of the endpoint."""
+
+
+Share = Sender | Owner
+
 
 def choose_senders(
     endpoint: str, instances: tuple[str, ...], senders: int
@@ -54,12 +82,7 @@
         return now < self._until.get(endpoint, 0.0)
 
     def may_send(
-        self,
-        endpoint: str,
-        own: str,
-        instances: tuple[str, ...],
-        rate: float,
-        now: float,
+        self, endpoint: str, share: Share, rate: float, now: float
     ) -> bool:
         """Return whether one more request fits to a cold endpoint.
 
@@ -69,16 +92,16 @@
         """
         if rate <= 0 or not self.is_cold(endpoint, now):
             return True
-        senders = max(1, int(rate * COLD_SHARE))
-        chosen = choose_senders(endpoint, instances, senders)
-        if own not in chosen:
-            return False
-        sent = self._sent.get(endpoint)
-        if sent is None:
-            return True
-        while sent and sent[0] <= now - WINDOW_SECONDS:
-            sent.popleft()
-        return len(sent) < count_allowed(rate, len(chosen))
+        sent = self._count_sent(endpoint, now)
+        match share:
+            case Owner():
+                return sent < max(1, int(rate * GRANT_SHARE))
+            case Sender(own=own, instances=instances):
+                senders = max(1, int(rate * COLD_SHARE))
+                chosen = choose_senders(endpoint, instances, senders)
+                if own not in chosen:
+                    return False
+                return sent < count_allowed(rate, len(chosen))
 
     def note_send(self, endpoint: str, now: float) -> None:
         """Count a send; kept for warm ones too, as one may turn cold."""
@@ -90,6 +113,14 @@
         self._until.pop(endpoint, None)
         self._sent.pop(endpoint, None)
 
+    def _count_sent(self, endpoint: str, now: float) -> int:
+        sent = self._sent.get(endpoint)
+        if sent is None:
+            return 0
+        while sent and sent[0] <= now - WINDOW_SECONDS:
+            sent.popleft()
+        return len(sent)
+
 
 def _hash(endpoint: str, instance: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{endpoint} {instance}".encode())
--- a/citronport/scheduler/direct/health.py
+++ b/citronport/scheduler/direct/health.py
@@ -37,10 +37,14 @@
         record = self._records.setdefault(endpoint, _Record())
         self._age(record, now)
         record.failures += FAILURE_WEIGHT * (1 - record.failures)
+        record.probing = False
+        if now < record.suspect_until:
+            # Requests that were on their way together fail together: that
+            # is one failure, and not a row of them.
+            return
         pause = 2 * record.pause or SUSPECT_SECONDS
         record.pause = min(pause, MAX_SUSPECT_SECONDS)
         record.suspect_until = now + record.pause
-        record.probing = False
 
     def note_answer(self, endpoint: str, good: bool, now: float) -> bool:
         """Note an answer; return whether it ended a time out of reach."""
--- a/citronport/scheduler/direct/models.py
+++ b/citronport/scheduler/direct/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 
 
 class Repeat(enum.StrEnum):
@@ -150,6 +151,14 @@
     keys: dict[str, str] | None
     limits: CallerLimits
 
+    @functools.cached_property
+    def _routes_by_name(self) -> dict[str, Route]:
+        return {route.name: route for route in self.routes}
+
+    def find_route(self, name: str) -> Route | None:
+        """Return a route by its name."""
+        return self._routes_by_name.get(name)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Endpoint:
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -85,7 +85,6 @@
     """Chooses endpoints.
 
     Args:
-        own: name of this instance.
         board: loads and paces.
         health: which endpoints answer.
         cold: which endpoints are cold.
@@ -93,12 +92,10 @@
 
     def __init__(
         self,
-        own: str,
         board: board_module.Board,
         health: health_module.Health,
         cold: cold_module.ColdStarts,
     ) -> None:
-        self._own = own
         self._board = board
         self._health = health
         self._cold = cold
@@ -108,10 +105,9 @@
         work: models.Work,
         service: models.Service,
         endpoints: collections.abc.Iterable[models.Endpoint],
-        instances: tuple[str, ...],
         now: float,
     ) -> Place | None:
-        """Return the best endpoint that has room, or None.
+        """Return the best of some endpoints that have room, or None.
 
         Load: unlike engines that admit in order of arrival. Harm: a
         request behind a long queue or on a slow engine is late while
@@ -120,14 +116,11 @@
         Args:
             work: the request.
             service: of the endpoints.
-            endpoints: those that may be used at all.
-            instances: all that may send to cold endpoints.
+            endpoints: those with room, see ``has_room``.
             now: clock time, seconds.
         """
         best: Place | None = None
         for endpoint in endpoints:
-            if not self._has_room(endpoint, service, instances, now):
-                continue
             seconds = self.estimate(work, service, endpoint)
             cost = seconds + self._weigh(endpoint, now)
             cost += self._weigh_stall(work, service, endpoint)
@@ -136,6 +129,22 @@
                 best = Place(endpoint=endpoint, seconds=seconds, cost=cost)
         return best
 
+    def has_room(
+        self,
+        endpoint: models.Endpoint,
+        service: models.Service,
+        share: cold_module.Share,
+        now: float,
+    ) -> bool:
+        """Return whether an endpoint may get one more request now."""
+        name = endpoint.name
+        load = self._board.get_load(name)
+        if load.requests >= endpoint.slots + SPARE_REQUESTS:
+            return False
+        if not self._health.may_use(name, now):
+            return False
+        return self._cold.may_send(name, share, service.cold_rate, now)
+
     def estimate(
         self,
         work: models.Work,
@@ -196,23 +205,6 @@
         over = min(1.0, share) - LENGTH_SHARE
         return max(0.0, over) / (1 - LENGTH_SHARE) * LENGTH_SECONDS
 
-    def _has_room(
-        self,
-        endpoint: models.Endpoint,
-        service: models.Service,
-        instances: tuple[str, ...],
-        now: float,
-    ) -> bool:
-        name = endpoint.name
-        load = self._board.get_load(name)
-        if load.requests >= endpoint.slots + SPARE_REQUESTS:
-            return False
-        if not self._health.may_use(name, now):
-            return False
-        return self._cold.may_send(
-            name, self._own, instances, service.cold_rate, now
-        )
-
     def _weigh(self, endpoint: models.Endpoint, now: float) -> float:
         name = endpoint.name
         failures = self._health.get_failures(name, now)
--- a/citronport/scheduler/direct/waiting.py
+++ b/citronport/scheduler/direct/waiting.py
@@ -30,12 +30,14 @@
         since: clock time since when it waits, seconds.
         tried: endpoints that it must not go to again.
         handle: what the runtime needs to wake it.
+        leased: whether it is another instance's, which leases its place.
     """
 
     work: models.Work
     since: float
     tried: frozenset[str] = frozenset()
     handle: Any = None
+    leased: bool = False
 
 
 def compute_patience(work: models.Work, now: float) -> float:
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -111,14 +111,16 @@
     Args:
         endpoints: those that the store lists.
         ticker: the clock.
+        configuration: in force; the sample if none is given.
+        own: name of the instance.
     """
 
-    def __init__(self, endpoints, ticker=None, configuration=None):
+    def __init__(self, endpoints, ticker=None, configuration=None, own="own"):
         self.ticker = ticker or clock.RuntimeClock()
         self.board = board_module.Board()
         self.health = health_module.Health()
         self.cold = cold_module.ColdStarts()
-        self.members = membership.Membership("own")
+        self.members = membership.Membership(own)
         self.log = make_log(self.ticker)
         self.world = world_module.World(self.cold, self.board.forget, self.log)
         self.world.configuration = configuration or make_configuration()
@@ -126,7 +128,7 @@
             self.world.endpoints[endpoint.name] = endpoint
         self.world._index()
         self.dispatcher = dispatcher_module.Dispatcher(
-            "own",
+            own,
             self.world,
             self.members,
             self.board,
--- /dev/null
+++ b/tests/relay/test_leasing.py
@@ -0,0 +1,253 @@
+"""Instances that lease places from an owner, over links that may fail."""
+
+import gevent
+import testtools
+
+from citronport import clock
+from citronport import errors
+from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import lessee as lessee_module
+from citronport.relay import lessor as lessor_module
+from citronport.relay import messages
+from citronport.relay import owners as owners_module
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import leases as leases_module
+from citronport.scheduler.direct import ownership
+from tests.relay import samples
+from tests.relay import test_membership
+
+
+class Node:
+    """One instance of a fleet whose links are function calls.
+
+    Attributes:
+        silent: whether it answers nobody.
+        lost: kinds of messages that get lost on the way to it.
+    """
+
+    def __init__(self, name, net, endpoints, configuration=None):
+        self.name = name
+        self.silent = False
+        self.lost = ()
+        self.heard = []
+        self._net = net
+        room = self.room = samples.Room(
+            endpoints, clock.RuntimeClock(), configuration, name
+        )
+        self.owners = owners_module.Owners(
+            name, 1.0, room.members, room.world, lambda: True, room.log
+        )
+        self.lessee = lessee_module.Lessee(
+            name, self.owners, room.board, self.tell, room.ticker, room.log
+        )
+        self.leases = leases_module.Leases(room.board)
+        self.lessor = lessor_module.Lessor(
+            name,
+            room.dispatcher,
+            self.leases,
+            room.world,
+            room.board,
+            room.health,
+            self.tell,
+            room.ticker,
+        )
+        room.dispatcher.owners = self.owners
+        room.dispatcher.lessee = self.lessee
+
+    def tell(self, instance, message):
+        """Hand a message to another node, as a datagram would come."""
+        other = self._net[instance]
+        if other.silent or isinstance(message, other.lost):
+            return
+        data = messages.CODEC.encode(message)
+        gevent.spawn(other.take, messages.CODEC.unpack(data))
+
+    def take(self, message):
+        """Take a message."""
+        self.heard.append(message)
+        match message:
+            case messages.Ask():
+                self.lessor.take_ask(message)
+            case messages.Begun():
+                self.lessor.take_begun(message)
+            case messages.Ended():
+                self.lessor.take_ended(message)
+            case messages.Holding():
+                self.lessor.take_holding(message)
+            case _:
+                self.lessee.take(message)
+
+    def acquire(self, request_id="r1", route=None, tried=()):
+        """Ask for a place for a request that arrives now."""
+        work = samples.make_work(request_id, route, self.room.ticker.now())
+        return self.room.dispatcher.acquire(
+            work, samples.ENGINES, frozenset(tried)
+        )
+
+    def count(self, endpoint="e1"):
+        """Return the requests that it counts at an endpoint."""
+        return self.room.board.get_load(endpoint).requests
+
+
+class LeasingTest(testtools.TestCase):
+    """A fleet large enough for owners, with one endpoint of two slots."""
+
+    def setUp(self):
+        """Make the nodes, each of which hears of all others."""
+        super().setUp()
+        self.net = {}
+        self.names = [f"i{n}" for n in range(ownership.MIN_INSTANCES)]
+        for name in self.names:
+            self.net[name] = Node(name, self.net, [samples.make_endpoint()])
+        for node in self.net.values():
+            for other in self.names:
+                report = test_membership.make_report(other)
+                node.room.members.hear(report, node.room.ticker.now())
+        node = self.net["i0"]
+        self.owner = self.net[self.find_owner(node)]
+        rest = [n for n in self.net.values() if n is not self.owner]
+        self.one, self.two = rest[:2]
+
+    def find_owner(self, node):
+        """Return the owner that a node sees."""
+        pool = ownership.Pool(service=samples.ENGINES, number=0)
+        return node.owners.find(pool, node.room.ticker.now())
+
+    def configure(self, route):
+        """Put a route into force on all nodes."""
+        for node in self.net.values():
+            node.room.world.configuration = samples.make_configuration(
+                (route,)
+            )
+
+    def settle(self):
+        """Let messages that are on their way arrive."""
+        gevent.sleep(0.01)
+
+    def test_all_see_the_same_owner(self):
+        """No message is needed for it."""
+        owners = {self.find_owner(node) for node in self.net.values()}
+        self.assertEqual({self.owner.name}, owners)
+
+    def test_small_fleet_decides_by_itself(self):
+        """Its reports are fresh enough, and no hop is added."""
+        node = Node("alone", self.net, [samples.make_endpoint()])
+        found = node.acquire()
+        self.assertFalse(found.leased)
+
+    def test_place_counts_at_the_owner_until_it_is_given_back(self):
+        """Two instances fill an endpoint of which both know nothing."""
+        first = self.one.acquire("r1")
+        second = self.two.acquire("r2")
+        self.assertTrue(first.leased and second.leased)
+        self.assertEqual(2, self.owner.count())
+        self.assertEqual([], self.one.room.board.list_own())
+        first.run.verdict = board_module.Verdict.GOOD
+        self.one.room.dispatcher.release(first, "r1")
+        self.settle()
+        self.assertEqual(1, self.owner.count())
+
+    def test_freed_place_goes_to_the_most_urgent_of_all(self):
+        """Two callers wait at two instances, the lower tier for longer.
+
+        The place that a third instance gives back goes to the higher tier,
+        though its request came later and elsewhere: the owner's queue is
+        the only one.
+        """
+        taken = [self.owner.acquire(f"t{n}") for n in range(3)]
+        low = samples.make_route(tier=2)
+        later = gevent.spawn(self.one.acquire, "low", low)
+        gevent.sleep(0.02)
+        sooner = gevent.spawn(self.two.acquire, "high")
+        gevent.sleep(0.02)
+        self.owner.room.dispatcher.release(taken[0], "t0")
+        found = sooner.get(timeout=1)
+        self.assertEqual("e1", found.endpoint.name)
+        self.assertFalse(later.ready())
+        later.kill()
+
+    def test_waits_in_vain_and_is_told_when_to_come_back(self):
+        """All places stay taken.
+
+        The caller hears so after its patience, and the owner forgets its
+        request.
+        """
+        for number in range(3):
+            self.owner.acquire(f"t{number}")
+        route = samples.make_route(objective=0.05)
+        self.configure(route)
+        found = self.one.acquire("late", route)
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+        self.settle()
+        self.assertEqual(0, self.owner.room.dispatcher.count_waiting())
+
+    def test_owner_dies_and_nobody_waits_for_it(self):
+        """The owner is killed.
+
+        The first request notices within 0.15 s and is sent by its own
+        instance's choice; the next ones ask the next owner, which hears of
+        what runs with the next renewal.
+        """
+        held = self.one.acquire("held")
+        self.assertTrue(held.leased)
+        self.owner.silent = True
+        began = self.one.room.ticker.now()
+        found = self.one.acquire("r1")
+        self.assertFalse(found.leased)
+        self.assertLess(self.one.room.ticker.now() - began, 0.3)
+        second = self.net[self.find_owner(self.one)]
+        self.assertIsNot(self.owner, second)
+        self.one.lessee.renew()
+        self.settle()
+        self.assertEqual(1, second.leases.has("held", "e1"))
+
+    def test_lost_grant_is_sent_again(self):
+        """The answer to the first question is lost.
+
+        The second question gets the same place, and it counts once.
+        """
+        self.one.lost = (messages.Granted,)
+        asked = gevent.spawn(self.one.acquire, "r1")
+        gevent.sleep(0.03)
+        self.one.lost = ()
+        found = asked.get(timeout=1)
+        self.assertTrue(found.leased)
+        self.assertEqual(1, self.owner.count())
+
+    def test_caller_that_leaves_while_it_waits(self):
+        """Its request is taken out of the owner's queue.
+
+        A place that is granted at the same moment is given back.
+        """
+        taken = [self.owner.acquire(f"t{n}") for n in range(3)]
+        waits = gevent.spawn(self.one.acquire, "gone")
+        gevent.sleep(0.02)
+        self.owner.room.dispatcher.release(taken[0], "t0")
+        waits.kill()
+        self.settle()
+        self.assertEqual(2, self.owner.count())
+        self.assertEqual(0, self.owner.room.dispatcher.count_waiting())
+
+    def test_failures_that_others_saw_count_at_the_owner(self):
+        """Load: 45 endpoints and 60 instances, of which each sees little.
+
+        One instance finds an endpoint dark, and the next caller, at
+        another instance, is not sent there.
+        """
+        found = self.one.acquire("r1")
+        found.run.verdict = board_module.Verdict.UNREACHABLE
+        self.one.room.dispatcher.release(found, "r1")
+        self.settle()
+        route = samples.make_route(objective=0.05)
+        self.configure(route)
+        second = self.two.acquire("r2", route)
+        self.assertEqual(errors.Code.OVERLOADED, second.code)
+
+    def test_owner_that_does_not_know_the_route(self):
+        """It has an older configuration: the asker decides by itself."""
+        self.owner.room.world.configuration = samples.make_configuration(
+            (samples.make_route(name="old"),)
+        )
+        found = self.one.acquire("r1")
+        self.assertIsInstance(found, dispatcher_module.Booking)
+        self.assertFalse(found.leased)
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -14,6 +14,7 @@
         "incarnation": "1",
         "number": number,
         "data_centre": "a",
+        "capacity": 1.0,
         "callers": f"10.0.0.1:{len(name)}",
         "peers": f"10.0.0.{len(name)}:9",
         "ready": True,
--- a/tests/scheduler/direct/test_cold.py
+++ b/tests/scheduler/direct/test_cold.py
@@ -31,7 +31,7 @@
         now = 0.0
         while now < 2.5:
             for name, own in starts.items():
-                if own.may_send("e", name, names, RATE, now):
+                if own.may_send("e", cold.Sender(name, names), RATE, now):
                     own.note_send("e", now)
                     sends.append(now)
             now += gap
@@ -67,5 +67,30 @@
         own.set_cold("e", 1.0)
         for _ in range(50):
             own.note_send("e", 0.5)
-        self.assertFalse(own.may_send("e", "i", ("i",), RATE, 0.9))
-        self.assertTrue(own.may_send("e", "i", ("i",), RATE, 1.0))
+        share = cold.Sender("i", ("i",))
+        self.assertFalse(own.may_send("e", share, RATE, 0.9))
+        self.assertTrue(own.may_send("e", share, RATE, 1.0))
+
+    def test_two_owners_and_instances_that_find_none(self):
+        """Views of who owns an endpoint differ for a moment.
+
+        Two instances hand out places at a cold endpoint at once, and all
+        others that have a part of the rate send by themselves besides.
+        """
+        names = tuple(f"i{n}" for n in range(60))
+        shares = [cold.Owner(), cold.Owner()]
+        shares += [cold.Sender(name, names) for name in names]
+        sends = []
+        starts = [cold.ColdStarts() for _ in shares]
+        for own in starts:
+            own.set_cold("e", 10.0)
+        for step in range(100):
+            now = step * 0.025
+            for own, share in zip(starts, shares, strict=True):
+                if own.may_send("e", share, RATE, now):
+                    own.note_send("e", now)
+                    sends.append(now)
+        busiest = max(
+            sum(1 for s in sends if at <= s < at + 1.0) for at in sends
+        )
+        self.assertLessEqual(busiest, BOUND)
--- a/tests/scheduler/direct/test_selection.py
+++ b/tests/scheduler/direct/test_selection.py
@@ -22,9 +22,7 @@
         self.board = board_module.Board()
         self.health = health_module.Health()
         self.cold = cold_module.ColdStarts()
-        self.selector = selection.Selector(
-            "own", self.board, self.health, self.cold
-        )
+        self.selector = selection.Selector(self.board, self.health, self.cold)
         self.service = samples.make_service()
         self.endpoints = [
             samples.make_endpoint(name, slots=4) for name in ("a", "b")
@@ -35,9 +33,13 @@
         """Return the name of the endpoint for a request, or None."""
         self.number += 1
         work = samples.make_work(f"r{self.number}", now=NOW, **work)
-        place = self.selector.choose(
-            work, self.service, self.endpoints, ("own",), NOW
-        )
+        share = cold_module.Sender("own", ("own",))
+        usable = [
+            e
+            for e in self.endpoints
+            if self.selector.has_room(e, self.service, share, NOW)
+        ]
+        place = self.selector.choose(work, self.service, usable, NOW)
         return place.endpoint.name if place else None
 
     def load(self, endpoint, count, **work):
@@ -127,7 +129,7 @@
         run = self.board.note_sent("a", samples.make_work(now=NOW), NOW)
         for _ in range(10):
             self.board.note_answer("a", run, NOW + 0.5)
-        self.board.note_end("a", run.work.request_id)
+        self.board.note_end("a", run.request_id)
         self.assertEqual("b", self.choose())
 
 
