Keep an owner of endpoints from falling silent under a flood of questions

Hundreds of requests waited behind hot workspaces, each asked again after 0.15 s, and each end of a request made the owner look at all endpoints for all of them. Ruled out: lost datagrams (both owners fell silent for all at once). Change: capacity is share times speed; all news that have come make one look (test: 1,000 kicks, 1 look; failed with 1,000); a look stops when no endpoint has room and counts requests without adding up prompts; a waiting request asks again after 0.4 s.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -135,7 +135,7 @@
         )
         self.owners = owners_module.Owners(
             settings.instance,
-            settings.cores,
+            settings.capacity,
             self.members,
             self.world,
             self.is_ready,
@@ -349,7 +349,7 @@
             incarnation=self._incarnation,
             number=self._number,
             data_centre=settings.data_centre,
-            capacity=settings.cores,
+            capacity=settings.capacity,
             callers=str(settings.callers),
             peers=str(settings.peers),
             ready=self.is_ready(),
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import gevent
 from gevent import event as gevent_event
 
 from citronport import clock
@@ -24,6 +25,11 @@
 """Pause between two looks at waiting requests when nothing else happens: a
 pause for a suspect or cold endpoint ends without an event."""
 
+SHARE_SECONDS = 0.05
+"""Age up to which the list of the instances is used again: reports that
+change it come every 0.1 s or later, and a choice takes less time than the
+list of ninety."""
+
 RETRY_SHARE = 0.3
 """Longest time to come back, as a share of what the caller has left; it
 waits for a third of that at most."""
@@ -89,6 +95,11 @@
         self._ticker = ticker
         self._selector = selection.Selector(board, health, cold)
         self._queues: dict[str, waiting.Queue] = {}
+        self._kicked = False
+        self._share: cold_module.Share = cold_module.Sender(own, (own,))
+        self._share_until = float("-inf")
+        self._instances = 1
+        self._is_majority = False
         self.owners: owners_module.Owners | None = None
         self.lessee: lessee_module.Lessee | None = None
 
@@ -137,7 +148,19 @@
         self.kick()
 
     def kick(self) -> None:
-        """Look whether requests that wait have a place now."""
+        """Look soon whether requests that wait have a place now.
+
+        Load: an owner that hears of a thousand ends and questions a second
+        while hundreds of requests wait. Harm: a look at all endpoints for
+        each takes longer than the time between two, and the owner falls
+        silent. All news that have come are taken before one look.
+        """
+        if not self._kicked and any(map(len, self._queues.values())):
+            self._kicked = True
+            gevent.spawn(self._look)
+
+    def _look(self) -> None:
+        self._kicked = False
         for service, queue in self._queues.items():
             if len(queue):
                 self._match(service, queue)
@@ -146,7 +169,7 @@
         """Look at the waiting requests for ever."""
         while True:
             self._ticker.sleep(KICK_SECONDS)
-            self.kick()
+            self._look()
 
     def count_waiting(self) -> int:
         """Return how many requests wait."""
@@ -205,25 +228,25 @@
         def choose(waiter: waiting.Waiter) -> Booking | None:
             return self._book(waiter, known, view, now)
 
-        for waiter, booking in queue.match(choose, now):
+        matched = queue.match(choose, now, lambda: not view.endpoints)
+        for waiter, booking in matched:
             waiter.handle.set(booking)
 
     def _view(self, service: models.Service, now: float) -> "_View":
         """Return what may be chosen now, for all that wait."""
-        instances = self._members.list_known(now)
         endpoints = self._world.list_endpoints(service.name)
-        number = selection.count_candidates(len(endpoints), len(instances))
-        grants = False
-        if self.owners is not None:
-            tenure = self.owners.get_tenure(service.name, now)
-            if tenure is not None:
-                number = len(endpoints)
-                # One that has just become the owner does not know what the
-                # one before handed out in this second.
-                grants = tenure > cold_module.WINDOW_SECONDS
-        share: cold_module.Share = cold_module.Sender(self._own, instances)
-        if grants and self._members.compute_reach(now) > quota.MAJORITY:
-            share = cold_module.Owner()
+        number = selection.count_candidates(len(endpoints), self._instances)
+        share = self._get_share(now)
+        tenure = (
+            self.owners.get_tenure(service.name, now) if self.owners else None
+        )
+        if tenure is not None:
+            number = len(endpoints)
+            # One that has just become the owner does not know what the one
+            # before handed out in this second, and one without a majority
+            # in reach may not be the only one.
+            if tenure > cold_module.WINDOW_SECONDS and self._is_majority:
+                share = cold_module.Owner()
         usable = [
             e
             for e in endpoints
@@ -231,6 +254,17 @@
         ]
         return _View(endpoints=usable, share=share, number=number)
 
+    def _get_share(self, now: float) -> cold_module.Share:
+        if now >= self._share_until:
+            instances = self._members.list_known(now)
+            self._share = cold_module.Sender(self._own, instances)
+            self._share_until = now + SHARE_SECONDS
+            self._instances = len(instances)
+            self._is_majority = (
+                self._members.compute_reach(now) > quota.MAJORITY
+            )
+        return self._share
+
     def _book(
         self,
         waiter: waiting.Waiter,
--- a/citronport/relay/lessee.py
+++ b/citronport/relay/lessee.py
@@ -19,9 +19,11 @@
 """How long an answer may stay out: two links of a millisecond, and an owner
 that reads a configuration of a thousand routes meanwhile."""
 
-ASK_AGAIN_SECONDS = 0.15
-"""Pause between two questions for a request that waits. An owner that died
-shows by it, and a lost answer is sent again."""
+ASK_AGAIN_SECONDS = 0.4
+"""Pause between two questions for a request that waits, two objectives of
+0.3 to 0.8 s at most. An owner that died shows by it, and a lost answer is
+sent again; at 0.15 s the questions of 300 waiting requests kept an owner
+busier than its work."""
 
 MAX_UNANSWERED = 2
 """Questions without an answer after which an owner is passed over: one is
--- a/citronport/relay/lessor.py
+++ b/citronport/relay/lessor.py
@@ -17,9 +17,9 @@
 
 LOG = "lessor:"
 
-FORGET_SECONDS = 0.6
+FORGET_SECONDS = 1.4
 """How long a request waits whose instance does not ask again: it asks every
-0.15 s, and four questions in a row hardly get lost."""
+0.4 s, and three questions in a row hardly get lost."""
 
 Tell = collections.abc.Callable[[str, messages.Leasing], None]
 
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -81,7 +81,8 @@
         store: where the platform's store listens.
         seeds: ``peers`` of some instances, which may be stale or down.
         memory_mb: memory beyond which the process is killed.
-        cores: processor cores that the process may use.
+        cores: part of a processor core that the process may use.
+        core_speed: how fast that core is, against a common one.
         files: file descriptors that the process may have.
         bounds: what the operators promise.
         log_level: from which level on log lines are written.
@@ -107,10 +108,16 @@
     ] = ()
     memory_mb: float = pydantic.Field(default=150.0, gt=0)
     cores: float = pydantic.Field(default=1.0, gt=0)
+    core_speed: float = pydantic.Field(default=1.0, gt=0)
     files: int = pydantic.Field(default=1024, ge=64)
     bounds: Bounds = Bounds()
     log_level: common.LogLevel = common.LogLevel.INFO
 
+    @property
+    def capacity(self) -> float:
+        """Return what the process can do, in common processor cores."""
+        return self.cores * self.core_speed
+
 
 def read_settings(path: pathlib.Path) -> result.Result[Settings, str]:
     """Read and check a settings file; see ``settings.read_settings``."""
--- a/citronport/scheduler/direct/board.py
+++ b/citronport/scheduler/direct/board.py
@@ -280,6 +280,12 @@
             return own
         return Load(own.requests + others[0], own.unread + others[1])
 
+    def count_requests(self, endpoint: str) -> int:
+        """Return the requests at an endpoint, of all instances."""
+        others = self._others.get(endpoint)
+        own = len(self._own.get(endpoint, ()))
+        return own if others is None else own + others[0]
+
     def count_own(self, endpoint: str) -> int:
         """Return the requests of this instance at an endpoint."""
         return len(self._own.get(endpoint, ()))
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -138,8 +138,8 @@
     ) -> bool:
         """Return whether an endpoint may get one more request now."""
         name = endpoint.name
-        load = self._board.get_load(name)
-        if load.requests >= endpoint.slots + SPARE_REQUESTS:
+        requests = self._board.count_requests(name)
+        if requests >= endpoint.slots + SPARE_REQUESTS:
             return False
         if not self._health.may_use(name, now):
             return False
@@ -182,7 +182,7 @@
         reading = pace * work.prompt_tokens * board_module.READ_SECONDS
         if min(longest, reading) < STALL_SHARE * work.route.max_gap:
             return 0.0
-        running = self._board.get_load(endpoint.name).requests
+        running = self._board.count_requests(endpoint.name)
         return STALL_SECONDS * running
 
     def _weigh_length(
--- a/citronport/scheduler/direct/waiting.py
+++ b/citronport/scheduler/direct/waiting.py
@@ -82,15 +82,19 @@
         self,
         choose: collections.abc.Callable[[Waiter], Any],
         now: float,
+        is_full: collections.abc.Callable[[], bool] = lambda: False,
     ) -> list[tuple[Waiter, Any]]:
         """Take out the requests for which there is a place now.
 
         Args:
             choose: returns and books the place of a request, or None.
             now: clock time, seconds.
+            is_full: whether nobody else can get a place.
         """
         matched = []
         for waiter in self.list_in_order(now):
+            if is_full():
+                break
             place = choose(waiter)
             if place is not None:
                 self._waiters.remove(waiter)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -64,3 +64,41 @@
         work = samples.make_work("r", route, room.ticker.now())
         found = room.dispatcher.acquire(work, samples.ENGINES, frozenset())
         self.assertEqual(errors.Code.NO_ENDPOINT, found.code)
+
+    def test_a_flood_of_news_is_one_look(self):
+        """Load: an owner that hears of a thousand ends a second.
+
+        Hundreds of requests wait, and each end would make the owner look
+        at all endpoints for all of them: it falls silent, and all who ask
+        it give up on it at once. All news that have come make one look.
+        """
+        room = samples.Room([samples.make_endpoint()])
+        for number in range(3):
+            self.acquire(room, f"t{number}")
+        waiter = gevent.spawn(self.acquire, room, "w")
+        gevent.sleep(0)
+        looks = []
+        room.world.list_endpoints = lambda service: looks.append(service) or []
+        for _ in range(1000):
+            room.dispatcher.kick()
+        gevent.sleep(0)
+        self.assertEqual([samples.ENGINES], looks)
+        waiter.kill()
+
+    def test_nobody_waits_and_nothing_is_looked_at(self):
+        """Calm: an end that nobody waits for costs nothing."""
+        room = samples.Room([samples.make_endpoint()])
+        taken = self.acquire(room, "t")
+        looks = []
+        room.world.list_endpoints = lambda service: looks.append(service) or []
+        room.dispatcher.release(taken, "t")
+        gevent.sleep(0)
+        self.assertEqual([], looks)
+
+    def acquire(self, room, request_id):
+        """Ask for a place for a request that arrives now."""
+        return room.dispatcher.acquire(
+            samples.make_work(request_id, now=room.ticker.now()),
+            samples.ENGINES,
+            frozenset(),
+        )
