Split listeners and leasing out of the wiring of an instance

Change: relay/listeners.py makes the servers, relay/leasing.py joins both sides of leasing and is what the test drives. No behaviour changes. Ruled out: nothing to rule out.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -12,12 +12,9 @@
 from citronport import clock
 from citronport import const
 from citronport import errors
-from citronport import settings as common_settings
 from citronport import tasks
-from citronport.callers import connections
 from citronport.callers import server as caller_server
 from citronport.platform import client as store_client
-from citronport.platform import const as wire
 from citronport.platform import models as wire_models
 from citronport.relay import application
 from citronport.relay import dispatcher as dispatcher_module
@@ -25,19 +22,17 @@
 from citronport.relay import fleet as fleet_module
 from citronport.relay import follower as follower_module
 from citronport.relay import jobs
-from citronport.relay import lessee as lessee_module
-from citronport.relay import lessor as lessor_module
+from citronport.relay import leasing as leasing_module
+from citronport.relay import listeners
 from citronport.relay import membership
 from citronport.relay import messages
 from citronport.relay import metrics
 from citronport.relay import mirror as mirror_module
-from citronport.relay import owners as owners_module
 from citronport.relay import settings as settings_module
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
-from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
 
@@ -56,12 +51,6 @@
 SETTINGS_SECONDS = 2.0
 """Pause between two looks at whether the settings file has changed."""
 
-BODY_MEMORY_SHARE = 0.2
-"""Part of the memory that bodies of requests may take together."""
-
-RESERVED_FILES = 200
-"""File descriptors that are left for files, as the machines require."""
-
 
 class Instance:
     """One entry instance that sends requests to endpoints by itself.
@@ -132,34 +121,19 @@
             self.follower,
             self._log,
         )
-        self.owners = owners_module.Owners(
+        self.leasing = leasing_module.Leasing(
             settings.instance,
             settings.capacity,
             self.members,
             self.world,
-            self.is_ready,
-            self._log,
-        )
-        self.lessee = lessee_module.Lessee(
-            settings.instance,
-            self.owners,
-            self.board,
-            self.fleet.tell,
-            ticker,
-            self._log,
-        )
-        self.lessor = lessor_module.Lessor(
-            settings.instance,
             self.dispatcher,
-            leases_module.Leases(self.board),
-            self.world,
             self.board,
             self.health,
+            self.is_ready,
             self.fleet.tell,
             ticker,
+            self._log,
         )
-        self.dispatcher.owners = self.owners
-        self.dispatcher.lessee = self.lessee
         self._budgets: dict[str, retries.RetryBudget] = {}
         self.application = application.Application(
             jobs.Parts(
@@ -180,7 +154,9 @@
             lambda: ticker.now() - self.follower.answered,
             ticker,
         )
-        self._callers = self._make_caller_server()
+        self._callers = listeners.make_caller_server(
+            settings, self.application
+        )
         self._tasks = tasks.Supervisor(ticker, self._note_death)
 
     def serve(self) -> None:
@@ -246,46 +222,16 @@
         return tuple(sorted(found))
 
     def _make_servers(self) -> list[caller_server.Server]:
-        settings = self._settings
-        lookups = application.Lookups(self.list_addresses)
-        readiness = application.Readiness(self.is_ready)
         return [
             self._callers,
-            _make_server(settings.lookups, lookups),
-            _make_server(settings.readiness, readiness),
-            _make_server(
-                common_settings.Listener(
-                    address=settings.callers.address, port=settings.metrics
-                ),
+            *listeners.make_other_servers(
+                self._settings,
+                application.Lookups(self.list_addresses),
+                application.Readiness(self.is_ready),
                 application.Metrics(self._read_state, self.counts),
             ),
         ]
 
-    def _make_caller_server(self) -> caller_server.Server:
-        server = _make_server(
-            self._settings.callers, self.application, self._make_limits()
-        )
-        server.single_headers = wire.SINGLE
-        return server
-
-    def _make_limits(self) -> connections.Limits:
-        settings = self._settings
-        limits = connections.Limits(
-            connections=(settings.files - RESERVED_FILES) // 2,
-            bodies_bytes=int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE),
-        )
-        configuration = self.world.configuration
-        if configuration is None:
-            return limits
-        told = configuration.limits
-        return connections.Limits(
-            connections=limits.connections,
-            bodies_bytes=limits.bodies_bytes,
-            idle_seconds=told.idle_seconds,
-            head_seconds=told.head_seconds,
-            body_bytes=told.body_bytes,
-        )
-
     def _start_tasks(self) -> None:
         keep = self._tasks.keep
         keep("follower", self.follower.follow)
@@ -293,7 +239,7 @@
         keep("reporter", self.fleet.report_again_and_again)
         keep("catch-up", self.fleet.catch_up)
         keep("dispatcher", self.dispatcher.kick_again_and_again)
-        keep("renewer", self._renew_again_and_again)
+        keep("renewer", self.leasing.renew_again_and_again)
         keep("sweeper", self._sweep_again_and_again)
         keep("settings", self._watch_settings)
 
@@ -313,14 +259,9 @@
         while True:
             self._ticker.sleep(SWEEP_SECONDS)
             self.world.sweep(self._ticker.now())
-            self.lessor.sweep()
+            self.leasing.lessor.sweep()
             self.is_ready()
 
-    def _renew_again_and_again(self) -> None:
-        while True:
-            self._ticker.sleep(leases_module.RENEW_SECONDS)
-            self.lessee.renew()
-
     def _watch_settings(self) -> None:
         seen = _get_changed(self._path)
         while True:
@@ -370,17 +311,7 @@
         self.dispatcher.kick()
 
     def _take_leasing(self, message: messages.Leasing) -> None:
-        match message:
-            case messages.Ask():
-                self.lessor.take_ask(message)
-            case messages.Begun():
-                self.lessor.take_begun(message)
-            case messages.Ended():
-                self.lessor.take_ended(message)
-            case messages.Holding():
-                self.lessor.take_holding(message)
-            case _:
-                self.lessee.take(message)
+        self.leasing.take(message)
 
     def _can_rest(self) -> bool:
         now = self._ticker.now()
@@ -402,7 +333,9 @@
         now = self._ticker.now()
         self.follower.returned = max(self.follower.returned, returned)
         self.world.apply(news, now, self.follower.returned)
-        self._callers.connections.limits = self._make_limits()
+        self._callers.connections.limits = listeners.make_limits(
+            self._settings, self.world.configuration
+        )
         self.is_ready()
         self.dispatcher.kick()
 
@@ -449,16 +382,6 @@
         logging.error("%s task %s died.", LOG, name)
 
 
-def _make_server(
-    listener: settings_module.Listener,
-    app: object,
-    limits: connections.Limits | None = None,
-) -> caller_server.Server:
-    return caller_server.make_server(
-        str(listener.address), listener.port, app, limits
-    )
-
-
 def _get_changed(path: pathlib.Path) -> tuple[int, int]:
     try:
         status = path.stat()
--- /dev/null
+++ b/citronport/relay/listeners.py
@@ -0,0 +1,74 @@
+"""The servers of an instance, one for each kind of question."""
+
+from citronport import settings as common_settings
+from citronport.callers import connections
+from citronport.callers import server as caller_server
+from citronport.platform import const as wire
+from citronport.relay import application as application_module
+from citronport.relay import settings as settings_module
+from citronport.scheduler.direct import models
+
+BODY_MEMORY_SHARE = 0.2
+"""Part of the memory that bodies of requests may take together."""
+
+RESERVED_FILES = 200
+"""File descriptors that are left for files, as the machines require."""
+
+
+def make_caller_server(
+    settings: settings_module.Settings,
+    application: application_module.Application,
+) -> caller_server.Server:
+    """Return the server for callers' requests."""
+    limits = make_limits(settings, None)
+    server = _make_server(settings.callers, application, limits)
+    server.single_headers = wire.SINGLE
+    return server
+
+
+def make_limits(
+    settings: settings_module.Settings,
+    configuration: models.Configuration | None,
+) -> connections.Limits:
+    """Return what callers may send, and how long they may take."""
+    limits = connections.Limits(
+        connections=(settings.files - RESERVED_FILES) // 2,
+        bodies_bytes=int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE),
+    )
+    if configuration is None:
+        return limits
+    told = configuration.limits
+    return connections.Limits(
+        connections=limits.connections,
+        bodies_bytes=limits.bodies_bytes,
+        idle_seconds=told.idle_seconds,
+        head_seconds=told.head_seconds,
+        body_bytes=told.body_bytes,
+    )
+
+
+def make_other_servers(
+    settings: settings_module.Settings,
+    lookups: application_module.Lookups,
+    readiness: application_module.Readiness,
+    metrics: application_module.Metrics,
+) -> list[caller_server.Server]:
+    """Return the servers for lookups, readiness and metrics."""
+    address = common_settings.Listener(
+        address=settings.callers.address, port=settings.metrics
+    )
+    return [
+        _make_server(settings.lookups, lookups),
+        _make_server(settings.readiness, readiness),
+        _make_server(address, metrics),
+    ]
+
+
+def _make_server(
+    listener: settings_module.Listener,
+    application: object,
+    limits: connections.Limits | None = None,
+) -> caller_server.Server:
+    return caller_server.make_server(
+        str(listener.address), listener.port, application, limits
+    )
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -6,12 +6,9 @@
 from citronport import clock
 from citronport import errors
 from citronport.relay import dispatcher as dispatcher_module
-from citronport.relay import lessee as lessee_module
-from citronport.relay import lessor as lessor_module
+from citronport.relay import leasing as leasing_module
 from citronport.relay import messages
-from citronport.relay import owners as owners_module
 from citronport.scheduler.direct import board as board_module
-from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import ownership
 from tests.relay import samples
 from tests.relay import test_membership
@@ -37,25 +34,19 @@
         room = self.room = samples.Room(
             endpoints, clock.RuntimeClock(), configuration, name
         )
-        self.owners = owners_module.Owners(
-            name, 1.0, room.members, room.world, lambda: True, room.log
-        )
-        self.lessee = lessee_module.Lessee(
-            name, self.owners, room.board, self.tell, room.ticker, room.log
-        )
-        self.leases = leases_module.Leases(room.board)
-        self.lessor = lessor_module.Lessor(
+        self.leasing = leasing_module.Leasing(
             name,
-            room.dispatcher,
-            self.leases,
+            1.0,
+            room.members,
             room.world,
+            room.dispatcher,
             room.board,
             room.health,
+            lambda: True,
             self.tell,
             room.ticker,
+            room.log,
         )
-        room.dispatcher.owners = self.owners
-        room.dispatcher.lessee = self.lessee
 
     def tell(self, instance, message):
         """Hand a message to another node, as a datagram would come."""
@@ -68,17 +59,7 @@
     def take(self, message):
         """Take a message."""
         self.heard.append(message)
-        match message:
-            case messages.Ask():
-                self.lessor.take_ask(message)
-            case messages.Begun():
-                self.lessor.take_begun(message)
-            case messages.Ended():
-                self.lessor.take_ended(message)
-            case messages.Holding():
-                self.lessor.take_holding(message)
-            case _:
-                self.lessee.take(message)
+        self.leasing.take(message)
 
     def acquire(self, request_id="r1", route=None, tried=()):
         """Ask for a place for a request that arrives now."""
@@ -114,7 +95,7 @@
     def find_owner(self, node):
         """Return the owner that a node sees."""
         pool = ownership.Pool(service=samples.ENGINES, number=0)
-        return node.owners.find(pool, node.room.ticker.now())
+        return node.leasing.owners.find(pool, node.room.ticker.now())
 
     def configure(self, route):
         """Put a route into force on all nodes."""
@@ -200,9 +181,9 @@
         self.assertLess(self.one.room.ticker.now() - began, 0.3)
         second = self.net[self.find_owner(self.one)]
         self.assertIsNot(self.owner, second)
-        self.one.lessee.renew()
+        self.one.leasing.lessee.renew()
         self.settle()
-        self.assertEqual(1, second.leases.has("held", "e1"))
+        self.assertEqual(1, second.leasing.leases.has("held", "e1"))
 
     def test_lost_grant_is_sent_again(self):
         """The answer to the first question is lost.
