--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -190,13 +190,18 @@
 
         The second question gets the same place, and it counts once.
         """
+        for node in self.net.values():
+            second = samples.make_endpoint("e2")
+            node.room.world.endpoints["e2"] = second
+            node.room.world._index()
         self.one.lost = (messages.Granted,)
         asked = gevent.spawn(self.one.acquire, "r1")
         gevent.sleep(0.03)
         self.one.lost = ()
         found = asked.get(timeout=1)
         self.assertTrue(found.leased)
-        self.assertEqual(1, self.owner.count())
+        counts = [self.owner.count(name) for name in ("e1", "e2")]
+        self.assertEqual(1, sum(counts))
 
     def test_caller_that_leaves_while_it_waits(self):
         """Its request is taken out of the owner's queue.
