Tell a new owner at once what runs at its endpoints

Change: an instance renews as soon as it names another owner. Ruled out: a handover by the old owner, which may be dead.

--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 
+import gevent
+
 from citronport import clock
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
@@ -57,7 +59,7 @@
     ) -> None:
         self._ticker = ticker
         self.owners = owners_module.Owners(
-            own, capacity, members, world, is_ready, log
+            own, capacity, members, world, is_ready, log, self._note_change
         )
         self.lessee = lessee_module.Lessee(
             own, self.owners, board, tell, ticker, log
@@ -83,6 +85,13 @@
             case messages.Granted() | messages.Queued() | messages.Declined():
                 self.lessee.take(message)
 
+    def _note_change(self) -> None:
+        # A new owner takes full endpoints for idle until it hears what
+        # runs there, and hands out their places once more. Each instance
+        # tells it with its first question, and not up to half a second
+        # later.
+        gevent.spawn(self.lessee.renew)
+
     def renew_again_and_again(self) -> None:
         """Tell owners what this instance holds, for ever."""
         while True:
--- a/citronport/relay/owners.py
+++ b/citronport/relay/owners.py
@@ -26,6 +26,7 @@
         world: which endpoints there are.
         is_ready: whether this instance may own endpoints.
         log: where changes of owners are told.
+        note_change: called when an owner has changed.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         world: world_module.World,
         is_ready: collections.abc.Callable[[], bool],
         log: eventlog.Log,
+        note_change: collections.abc.Callable[[], None],
     ) -> None:
         self._own = own
         self._capacity = capacity
@@ -43,6 +45,7 @@
         self._world = world
         self._is_ready = is_ready
         self._log = log
+        self._note_change = note_change
         self._suspects: dict[str, float] = {}
         self._candidates: tuple[ownership.Candidate, ...] = ()
         self._owners: dict[ownership.Pool, str | None] = {}
@@ -131,3 +134,4 @@
                 candidates=len(self._candidates),
             )
         )
+        self._note_change()
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -8,6 +8,7 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import leasing as leasing_module
 from citronport.relay import messages
+from citronport.relay import owners as owners_module
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import ownership
 from tests.relay import samples
@@ -185,6 +186,26 @@
         self.settle()
         self.assertEqual(1, second.leasing.leases.has("held", "e1"))
 
+    def test_owner_that_leaves_is_followed_by_one_that_knows(self):
+        """The owner is told to stop, while an endpoint is full.
+
+        The next owner hears of what runs from each instance as soon as
+        that names it, and not up to half a second later: it would hand out
+        the same places once more.
+        """
+        held = self.one.acquire("held")
+        self.assertTrue(held.leased)
+        report = test_membership.make_report(
+            self.owner.name, number=9, leaving=True
+        )
+        now = self.one.room.ticker.now()
+        self.one.room.members.hear(report, now)
+        gevent.sleep(owners_module.VIEW_SECONDS)
+        second = self.net[self.find_owner(self.one)]
+        self.assertIsNot(self.owner, second)
+        self.settle()
+        self.assertTrue(second.leasing.leases.has("held", "e1"))
+
     def test_short_patience_says_nothing_of_the_owner(self):
         """A request has 0.09 s left to wait, and one question gets lost.
 
