Count leases in the metrics, and tell the age of what readers heard

Cause: metrics did not show who chose endpoints, and an instance that leaves the store to others told an age of 0 whatever the readers' state was. Change: citronport_leased_sends_total and citronport_leases; the age is that of the newest answer which a reader in reach has told of. Tests: the age (test_resting_asks_nothing), the pages of metrics.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -98,7 +98,7 @@
             ticker,
             self._take_store_news,
             self._log,
-            self._can_rest,
+            self._rest,
         )
         self.dispatcher = dispatcher_module.Dispatcher(
             settings.instance,
@@ -313,14 +313,12 @@
     def _take_leasing(self, message: messages.Leasing) -> None:
         self.leasing.take(message)
 
-    def _can_rest(self) -> bool:
+    def _rest(self) -> float | None:
         now = self._ticker.now()
-        sources = sum(
-            0 <= r.store_seconds <= follower_module.SOURCE_SECONDS
-            for r in self.members.list_fresh(now)
-        )
-        return follower_module.may_rest(
-            self._settings.instance, self.members.list_known(now), sources
+        return follower_module.rest(
+            self._settings.instance,
+            self.members.list_known(now),
+            [r.store_seconds for r in self.members.list_fresh(now)],
         )
 
     def _take_store_news(self, news: list[wire_models.Item]) -> None:
@@ -358,6 +356,7 @@
             cold=sum(
                 self.cold.is_cold(name, now) for name in self.world.endpoints
             ),
+            leases=len(self.leasing.leases),
             lines_dropped=sum(self._log.dropped.values()),
             oldest_report_seconds=self.members.get_oldest_age(now),
         )
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -60,15 +60,25 @@
     return cold.choose_senders("store", instances, READERS)
 
 
-def may_rest(own: str, instances: tuple[str, ...], sources: int) -> bool:
+def rest(
+    own: str, instances: tuple[str, ...], ages: list[float]
+) -> float | None:
     """Return whether an instance can leave the store to others.
 
     Args:
         own: its name.
         instances: all that are known, with itself.
-        sources: readers in reach whose store answers.
+        ages: of the store's newest answers to those in reach, seconds; -1
+            of one that leaves the store to others.
+
+    Returns:
+        The age of the newest answer to others, seconds; None if the
+        instance has to ask by itself.
     """
-    return sources >= MIN_SOURCES and own not in choose_readers(instances)
+    sources = [age for age in ages if 0 <= age <= SOURCE_SECONDS]
+    if len(sources) < MIN_SOURCES or own in choose_readers(instances):
+        return None
+    return min(sources)
 
 
 class Follower:
@@ -80,7 +90,8 @@
         ticker: the clock.
         deliver: called with what changed.
         log: where losses of the store are told.
-        can_rest: whether others read the store for this instance.
+        find_age: returns the age of the store's newest answer to others
+            that read it for this instance; None if it has to ask itself.
     """
 
     def __init__(
@@ -90,9 +101,9 @@
         ticker: clock.Clock,
         deliver: collections.abc.Callable[[list[models.Item]], None],
         log: eventlog.Log,
-        can_rest: collections.abc.Callable[[], bool] = lambda: False,
+        find_age: collections.abc.Callable[[], float | None] = lambda: None,
     ) -> None:
-        self._can_rest = can_rest
+        self._find_age = find_age
         self._store = store
         self._mirror = mirror
         self._ticker = ticker
@@ -118,9 +129,10 @@
 
     def rest(self) -> bool:
         """Return whether nothing is to be asked of the store now."""
-        self.resting = not self._stale and self._can_rest()
-        if self.resting:
-            self.answered = self._ticker.now()
+        age = None if self._stale else self._find_age()
+        self.resting = age is not None
+        if age is not None:
+            self.answered = self._ticker.now() - age
             self._failing_since = None
         return self.resting
 
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -30,6 +30,7 @@
         requests: by kind of route, tier and outcome.
         refusals: by name of the numbered code.
         sends: to endpoints, by what came of them.
+        leased: sends whose endpoint its owner chose.
         repeats: sends beyond the first of a request.
         first: time to the first byte of an answer, by kind of route.
         pauses: longest pause of each stream.
@@ -42,6 +43,7 @@
         )
         self.refusals: collections.Counter[str] = collections.Counter()
         self.sends: collections.Counter[str] = collections.Counter()
+        self.leased = 0
         self.repeats = 0
         self.first: dict[str, histogram.Histogram] = collections.defaultdict(
             make_histogram
@@ -67,6 +69,7 @@
         store_calls: calls to the store since the start.
         endpoints: listed endpoints.
         cold: of these, cold ones.
+        leases: places handed out to other instances now.
         lines_dropped: log lines not written since they were last told.
         oldest_report_seconds: age of the oldest report in use.
     """
@@ -83,6 +86,7 @@
     store_calls: int
     endpoints: int
     cold: int
+    leases: int
     lines_dropped: int
     oldest_report_seconds: float
 
@@ -128,6 +132,7 @@
     gauge("store_revision", "Known up to here.", state.store_revision)
     gauge("endpoints", "Listed endpoints.", state.endpoints)
     gauge("endpoints_cold", "Cold endpoints.", state.cold)
+    gauge("leases", "Places handed out to others now.", state.leases)
     gauge(
         "report_age_seconds",
         "Age of the oldest report in use.",
@@ -157,6 +162,11 @@
             for r, number in counts.sends.items()
         ),
     )
+    counter(
+        "leased_sends_total",
+        "Sends to endpoints that their owner chose.",
+        [({}, counts.leased)],
+    )
     counter(
         "repeats_total",
         "Sends beyond the first of a request.",
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -51,6 +51,7 @@
 ) -> None:
     """Tell that a request goes to an endpoint now, and why there."""
     parts.counts.sends["sent"] += 1
+    parts.counts.leased += booking.leased
     parts.log.write(
         eventlog.RequestSent(
             request=job.work.request_id,
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -21,7 +21,7 @@
         self.ticker = clock.ManualClock(100.0)
         self.mirror = mirror_module.Mirror()
         self.news = []
-        self.can_rest = False
+        self.age = None
         store = client.Client(self.store.address, 0.2)
         self.addCleanup(store.close)
         self.follower = follower_module.Follower(
@@ -30,7 +30,7 @@
             self.ticker,
             lambda news: self.news.extend(i.key for i in news),
             samples.make_log(self.ticker),
-            lambda: self.can_rest,
+            lambda: self.age,
         )
 
     def test_reads_once_then_watches(self):
@@ -69,10 +69,9 @@
         """Of sixty instances eight watch the store; of seven all do."""
         for size, reading in ((60, follower_module.READERS), (7, 7)):
             names = tuple(f"i{n}" for n in range(size))
-            resting = [
-                follower_module.may_rest(n, names, reading) for n in names
-            ]
-            self.assertEqual(reading, resting.count(False))
+            ages = [0.5] * reading + [-1.0] * (size - reading)
+            rests = [follower_module.rest(n, names, ages) for n in names]
+            self.assertEqual(reading, rests.count(None))
 
     def test_all_read_where_too_few_readers_reach_the_store(self):
         """The store turns the readers away and serves the others.
@@ -81,17 +80,18 @@
         wait for news which nobody can tell them.
         """
         names = tuple(f"i{n}" for n in range(60))
-        few = follower_module.MIN_SOURCES - 1
-        resting = [follower_module.may_rest(n, names, few) for n in names]
-        self.assertNotIn(True, resting)
+        ages = [0.5] * (follower_module.MIN_SOURCES - 1) + [-1.0, 9.0] * 5
+        rests = [follower_module.rest(n, names, ages) for n in names]
+        self.assertEqual([None] * 60, rests)
 
     def test_resting_asks_nothing_and_goes_on_from_where_it_was(self):
         """Others read for this instance; when they can't, it watches."""
         self.follower.step()
-        self.can_rest = True
+        self.age = 1.5
         self.assertTrue(self.follower.rest())
+        self.assertEqual(98.5, self.follower.answered)
         self.store.put("servers/a", {})
-        self.can_rest = False
+        self.age = None
         self.assertFalse(self.follower.rest())
         self.follower.step()
         self.assertEqual(["op/config", "servers/a"], self.news)
@@ -101,7 +101,7 @@
 
     def test_nobody_rests_before_the_first_copy(self):
         """A started instance knows nothing that news could add to."""
-        self.can_rest = True
+        self.age = 1.5
         self.assertFalse(self.follower.rest())
 
     def test_all_pages_are_read(self):
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -24,6 +24,7 @@
     store_calls=30,
     endpoints=13,
     cold=1,
+    leases=1,
     lines_dropped=0,
     oldest_report_seconds=0.1,
 )
