Keep a request off the endpoint that failed it while others are full

Change: it goes back only if no other endpoint is listed. Ruled out: leaving the look at room to each choice, which an owner with hundreds of waiting requests can't afford.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -252,7 +252,12 @@
             for e in endpoints
             if self._selector.has_room(e, service, share, now)
         ]
-        return _View(endpoints=usable, share=share, number=number)
+        return _View(
+            endpoints=usable,
+            listed=frozenset(e.name for e in endpoints),
+            share=share,
+            number=number,
+        )
 
     def _get_share(self, now: float) -> cold_module.Share:
         if now >= self._share_until:
@@ -273,7 +278,8 @@
         now: float,
     ) -> Booking | None:
         seen = [e for e in view.endpoints if e.name not in waiter.tried]
-        seen = seen or view.endpoints
+        if not seen and waiter.tried >= view.listed:
+            seen = view.endpoints
         if not waiter.leased and view.number < len(seen):
             seen = random.sample(seen, view.number)
         place = self._selector.choose(waiter.work, service, seen, now)
@@ -312,10 +318,12 @@
 
     Attributes:
         endpoints: those with room; one that fills up is taken out.
+        listed: names of all, with those that have no room.
         share: what this instance may send to cold endpoints.
         number: how many of them, drawn by chance, one choice looks at.
     """
 
     endpoints: list[models.Endpoint]
+    listed: frozenset[str]
     share: cold_module.Share
     number: int
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -57,6 +57,31 @@
         found = waiter.get(timeout=1)
         self.assertEqual("e1", found.endpoint.name)
 
+    def test_failed_endpoint_is_not_tried_again_while_others_are_full(self):
+        """A request failed at one endpoint; the other is full.
+
+        It waits for the other and does not go back to where it failed,
+        though there is room; with no other listed it may.
+        """
+        endpoints = [samples.make_endpoint(name) for name in ("e1", "e2")]
+        room = samples.Room(endpoints)
+        for number in range(3):
+            work = samples.make_work(f"t{number}", now=room.ticker.now())
+            room.board.note_sent("e2", work, room.ticker.now())
+        route = samples.make_route(objective=0.02)
+        work = samples.make_work("r", route, room.ticker.now())
+        found = room.dispatcher.acquire(
+            work, samples.ENGINES, frozenset({"e1"})
+        )
+        self.assertIsInstance(found, errors.Refusal)
+        del room.world.endpoints["e2"]
+        room.world._index()
+        again = samples.make_work("r2", route, room.ticker.now())
+        found = room.dispatcher.acquire(
+            again, samples.ENGINES, frozenset({"e1"})
+        )
+        self.assertEqual("e1", found.endpoint.name)
+
     def test_no_endpoint_is_told_as_such(self):
         """No endpoint is listed: the caller hears so after its wait."""
         room = samples.Room([])
