Keep one copy of the type of what sends messages on leases

Cause: the alias Tell stood in leasing.py, lessee.py and lessor.py. Change: it stands once in messages.py, beside the messages. An annotation only; nothing that runs changes. Ruled out: eventlog.py and messages.py, alike in shape alone.

--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -17,8 +17,6 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
 
-Tell = collections.abc.Callable[[str, messages.Leasing], None]
-
 
 class Leasing:
     """Hands messages on leases to the side that they are for.
@@ -53,7 +51,7 @@
         board: board_module.Board,
         health: health_module.Health,
         is_ready: collections.abc.Callable[[], bool],
-        tell: Tell,
+        tell: messages.Tell,
         ticker: clock.Clock,
         log: eventlog.Log,
     ) -> None:
--- a/citronport/relay/lessee.py
+++ b/citronport/relay/lessee.py
@@ -1,6 +1,5 @@
 """Asks the owner of endpoints for places, and gives them back."""
 
-import collections.abc
 import dataclasses
 import random
 
@@ -36,7 +35,6 @@
 
 
 Answer = messages.Granted | InVain
-Tell = collections.abc.Callable[[str, messages.Leasing], None]
 
 
 class Lessee:
@@ -56,7 +54,7 @@
         own: str,
         owners: owners_module.Owners,
         board: board_module.Board,
-        tell: Tell,
+        tell: messages.Tell,
         ticker: clock.Clock,
         log: eventlog.Log,
     ) -> None:
--- a/citronport/relay/lessor.py
+++ b/citronport/relay/lessor.py
@@ -21,8 +21,6 @@
 """How long a request waits whose instance does not ask again: it asks every
 0.4 s, and three questions in a row hardly get lost."""
 
-Tell = collections.abc.Callable[[str, messages.Leasing], None]
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Applicant:
@@ -69,7 +67,7 @@
         world: world_module.World,
         board: board_module.Board,
         health: health_module.Health,
-        tell: Tell,
+        tell: messages.Tell,
         ticker: clock.Clock,
     ) -> None:
         self._own = own
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -1,5 +1,6 @@
 """Typed messages between instances that send by themselves."""
 
+import collections.abc
 import dataclasses
 
 from citronport import codec
@@ -205,6 +206,9 @@
 
 Leasing = Ask | Granted | Queued | Declined | Begun | Ended | Holding
 
+Tell = collections.abc.Callable[[str, Leasing], None]
+"""Sends a message on leases to an instance, named."""
+
 Message = Report | Want | Held | Leasing
 
 CODEC: codec.Codec[Message] = codec.Codec(
