--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -168,9 +168,13 @@
         configuration = self._parts.world.configuration
         wait = refusal.retry_after
         fields = environ[caller_const.ENVIRON_FIELDS]
+        route = self._parts.world.routes.find(
+            fields.get("host", ""), environ["PATH_INFO"]
+        )
         self._parts.log.write(
             eventlog.RequestRefused(
                 request=fields.get(wire.REQUEST_ID, ""),
+                route=route.name if route else "",
                 code=int(refusal.code),
                 status=refusal.meaning.status,
                 retry_after=-1.0 if wait is None else wait,
--- a/citronport/relay/eventlog.py
+++ b/citronport/relay/eventlog.py
@@ -165,6 +165,7 @@
 
     Attributes:
         request: its id; empty if its head holds none.
+        route: name of the route; empty if none fits.
         code: numbered result code.
         status: HTTP status.
         retry_after: seconds until it may come back; -1 if that is no use.
@@ -174,6 +175,7 @@
     """
 
     request: str
+    route: str
     code: int
     status: int
     retry_after: float
@@ -231,6 +233,9 @@
     Attributes:
         request: its id.
         route: name of the route.
+        repeat: what the route allows to be sent a second time.
+        objective: seconds in which an answer is worth most.
+        max_gap: longest pause of a stream in time, seconds; 0: not said.
         tier: 0 is served first.
         outcome: "answered", "refused", "cut" or "left".
         status: HTTP status; 0 if none was sent.
@@ -246,6 +251,9 @@
 
     request: str
     route: str
+    repeat: str
+    objective: float
+    max_gap: float
     tier: int
     outcome: str
     status: int
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -107,6 +107,9 @@
         eventlog.RequestEnded(
             request=work.request_id,
             route=work.route.name,
+            repeat=str(work.route.repeat),
+            objective=work.route.objective,
+            max_gap=work.route.max_gap or 0.0,
             tier=work.tier,
             outcome=progress.outcome,
             status=progress.status,
--- /dev/null
+++ b/measures/losses.py
@@ -0,0 +1,308 @@
+"""Where a day of the users' bench loses its worth, and for what reason.
+
+Reads what one played day leaves: the bench's report, the sheet of the
+deployment, and the lines that the instances wrote. The report knows what
+each kind of request earned and what was taken off; the lines know why a
+request waited, was refused or was cut. The shares add up to the whole.
+
+Usage: script/measure losses SHEET REPORT LINES [--json FILE]
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import tomllib
+from typing import Any
+
+from citronport import errors
+
+WAITED_SHARE = 0.5
+"""Share of the objective from which on a wait here, and not the endpoint,
+made an answer late."""
+
+UNSEEN = "no line of an instance tells why"
+
+PREPAID = "cost of running: machines, processor, memory, links, store"
+"""Prices of what is in use, whatever becomes of the requests."""
+
+RUNNING_COSTS = frozenset(
+    {
+        "machine-seconds",
+        "processor seconds",
+        "memory, GB x seconds",
+        "GB between zones",
+        "GB between geos",
+        "new connections to servers",
+        "cloud calls",
+        "probes and requests without id",
+    }
+)
+"""The bench's names of these prices."""
+
+Reasons = collections.Counter[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kind:
+    """A kind of request, as the sheet tells it.
+
+    Attributes:
+        name: on the sheet.
+        repeat: what may be sent twice, in this project's words.
+        objective: seconds.
+        prompt: mean tokens to read; 0 for a plain request.
+        worth: of an answer in time.
+        late_worth: of a late one.
+    """
+
+    name: str
+    repeat: str
+    objective: float
+    prompt: float
+    worth: float
+    late_worth: float
+
+
+REPEATS = {
+    "stream": "stream",
+    "unsafe": "non-idempotent",
+    "safe": "idempotent",
+}
+"""The sheet's words for what may be sent twice."""
+
+
+def read_kinds(sheet: dict[str, Any]) -> list[Kind]:
+    """Return the kinds of request of a sheet."""
+    return [
+        Kind(
+            name=row["name"],
+            repeat=REPEATS[row["kind"]],
+            objective=row["aim_ms"] / 1000,
+            prompt=row.get("stream", {})
+            .get("prompt_tokens", {})
+            .get("mean", 0.0),
+            worth=row["worth"],
+            late_worth=row["late_worth"],
+        )
+        for row in sheet["classes"]
+    ]
+
+
+def read_lines(text: str) -> collections.abc.Iterator[dict[str, Any]]:
+    """Return the instances' lines; others in the file are passed over."""
+    for line in text.splitlines():
+        start = line.find('{"at"')
+        if start < 0:
+            continue
+        try:
+            yield json.loads(line[start:])
+        except json.JSONDecodeError:
+            # The bench cuts what a killed process had half written.
+            continue
+
+
+def find_routes(
+    lines: list[dict[str, Any]], kinds: list[Kind]
+) -> dict[str, Kind]:
+    """Return the kind of request that each route carries.
+
+    Names of routes are new each day: a route is known by what may be
+    repeated, its objective and the mean length of its prompts.
+    """
+    prompts: dict[str, float] = {
+        line["request"]: line["prompt"]
+        for line in lines
+        if line["event"] == "request_sent"
+    }
+    seen: dict[str, list[float]] = collections.defaultdict(list)
+    traits: dict[str, tuple[str, float]] = {}
+    for line in lines:
+        if line["event"] != "request_ended":
+            continue
+        route = line["route"]
+        traits[route] = (line["repeat"], line["objective"])
+        if line["request"] in prompts:
+            seen[route].append(prompts[line["request"]])
+    found = {}
+    for route, (repeat, objective) in traits.items():
+        alike = [k for k in kinds if k.repeat == repeat]
+        if not alike:
+            continue
+        mean = sum(seen[route]) / max(1, len(seen[route]))
+        found[route] = min(
+            alike,
+            key=lambda k: (
+                abs(k.objective - objective) > 0.2 * k.objective,
+                abs(k.prompt - mean),
+            ),
+        )
+    return found
+
+
+def name_reason(line: dict[str, Any]) -> tuple[str, str] | None:
+    """Return how a request ended and why; None if it was in time."""
+    objective = line["objective"]
+    match line["outcome"]:
+        case "answered" if line["status"] >= 500:
+            return ("failed", "the endpoint answered with a failure")
+        case "answered":
+            gap = line["max_gap"]
+            if line["waited"] > WAITED_SHARE * objective and (
+                line["first"] > objective
+            ):
+                return ("late", "waited here for a place")
+            if line["first"] > objective:
+                return ("late", "the endpoint began late")
+            if 0 < gap < line["longest"]:
+                return ("late", "the stream paused")
+            return None
+        case "refused":
+            name = errors.Code(line["code"]).name.lower()
+            held = " after a wait" if line["waited"] > 0.05 else " at once"
+            return ("refused", f"{name}{held}")
+        case "cut":
+            return ("failed", "cut at the endpoint")
+        case _:
+            return ("failed", "the caller left")
+
+
+def gather_reasons(
+    lines: list[dict[str, Any]], routes: dict[str, Kind]
+) -> dict[tuple[str, str], Reasons]:
+    """Count reasons by kind of request and outcome."""
+    counts: dict[tuple[str, str], Reasons] = collections.defaultdict(
+        collections.Counter
+    )
+    for line in lines:
+        kind = None
+        found = None
+        if line["event"] == "request_ended":
+            kind = routes.get(line["route"])
+            found = name_reason(line)
+        elif line["event"] == "request_refused":
+            kind = routes.get(line["route"])
+            name = errors.Code(line["code"]).name.lower()
+            found = ("refused", f"{name} at once")
+        if kind is not None and found is not None:
+            counts[kind.name, found[0]][found[1]] += 1
+    return counts
+
+
+def split(amount: float, reasons: Reasons) -> dict[str, float]:
+    """Divide a loss among reasons as often as each was seen."""
+    total = sum(reasons.values())
+    if not total:
+        return {UNSEEN: amount} if amount else {}
+    return {why: amount * n / total for why, n in reasons.items()}
+
+
+def list_losses(
+    kind: Kind, row: dict[str, Any], reasons: dict[tuple[str, str], Reasons]
+) -> dict[str, float]:
+    """Return what a kind of request lost, by reason, in its worth.
+
+    The report's own sum holds the sizes of the requests; the counts of
+    outcomes only divide it.
+    """
+    late = row["late"] * (kind.worth - kind.late_worth)
+    refused = row["refused"] * kind.worth
+    failed = row["failed"] * kind.worth
+    owed = (row["n"] - row["not_owed"]) * kind.worth
+    lost = (1 - row["worth"]) * owed
+    seen = late + refused + failed
+    if not seen:
+        return {UNSEEN: lost} if lost > 0 else {}
+    scale = lost / seen
+    found: dict[str, float] = collections.defaultdict(float)
+    for outcome, amount in (
+        ("late", late),
+        ("refused", refused),
+        ("failed", failed),
+    ):
+        counts = reasons.get((kind.name, outcome), collections.Counter())
+        unseen = row[outcome] - sum(counts.values())
+        if unseen > 0 and outcome != "refused":
+            counts = counts + collections.Counter(
+                {
+                    "late": {"late since the caller's first try": unseen},
+                    "failed": {"no instance was reached or it died": unseen},
+                }[outcome]
+            )
+        for why, part in split(amount * scale, counts).items():
+            found[f"{outcome}: {why}"] += part
+    return dict(found)
+
+
+def add_up(
+    sheet: dict[str, Any],
+    report: dict[str, Any],
+    lines: list[dict[str, Any]],
+) -> dict[str, dict[str, float]]:
+    """Return all that keeps a day's worth below one, by part and reason."""
+    kinds = read_kinds(sheet)
+    reasons = gather_reasons(lines, find_routes(lines, kinds))
+    rows = {row["name"]: row for row in report["classes"]}
+    losses = {
+        kind.name: list_losses(kind, rows[kind.name], reasons)
+        for kind in kinds
+        if kind.name in rows
+    }
+    whole = sum(sum(part.values()) for part in losses.values())
+    parts = {name: (weight, got) for name, weight, got in report["parts"]}
+    weight, got = parts.pop("whole day")
+    scale = weight * (1 - got) / whole if whole else 0.0
+    table = {
+        name: {why: amount * scale for why, amount in part.items()}
+        for name, part in losses.items()
+    }
+    for name, (weight, got) in parts.items():
+        table[name] = {"below one": weight * (1 - got)}
+    prices: dict[str, float] = collections.defaultdict(float)
+    for name, _, taken in report["prices"]:
+        named = PREPAID if name in RUNNING_COSTS else name
+        prices[named] += taken
+    table["prices"] = {k: v for k, v in prices.items() if v > 0}
+    return table
+
+
+def render(table: dict[str, dict[str, float]], worth: float) -> str:
+    """Return the table as text, largest losses first."""
+    rows = sorted(
+        (
+            (amount, part, why)
+            for part, reasons in table.items()
+            for why, amount in reasons.items()
+        ),
+        reverse=True,
+    )
+    total = sum(amount for amount, _, _ in rows)
+    out = [f"worth {worth:.3f}, lost {total:.3f}"]
+    out += [
+        f"{amount:8.4f}  {part:16}  {why}"
+        for amount, part, why in rows
+        if amount >= 0.0005
+    ]
+    rest = sum(amount for amount, _, _ in rows if amount < 0.0005)
+    out.append(f"{rest:8.4f}  all smaller ones")
+    return "\n".join(out)
+
+
+def run(sheet: str, report: str, lines: str, json_file: str = "") -> None:
+    """Print where a played day lost its worth.
+
+    Args:
+        sheet: the deployment's file.
+        report: what the bench wrote of the day.
+        lines: its output with the lines of all instances.
+        json_file: where the table goes too.
+    """
+    with open(sheet, "rb") as file:
+        described = tomllib.load(file)
+    day = json.loads(pathlib.Path(report).read_text())
+    text = pathlib.Path(lines).read_text(errors="replace")
+    table = add_up(described, day, list(read_lines(text)))
+    print(render(table, day["G"]))
+    if json_file:
+        pathlib.Path(json_file).write_text(json.dumps(table, indent=1))
