Let a request wait a moment for an instance's first configuration

Change: a request waits up to 1 s, and a quarter of its caller's patience, for the first configuration; an instance that knows nothing fetches from a neighbour at once and not after 0.3 s. The wait is refused at once when it is over, with a time to come back.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -29,6 +29,18 @@
 NOTHING_KNOWN_SECONDS = 0.5
 """When to come back to an instance that knows no configuration yet."""
 
+START_WAIT_SECONDS = 1.0
+"""How long a request may wait for the first configuration: a store that
+answers gives it within a tenth of a second, one that returns from an outage
+within a second, the time after which a silent question is asked again."""
+
+START_WAIT_SHARE = 0.25
+"""The same as a share of the caller's own patience, so that it can still
+come back and be served."""
+
+START_LOOK_SECONDS = 0.02
+"""Pause between two looks for the first configuration."""
+
 LEAVING_SECONDS = 0.1
 """When to come back to another instance than one that leaves."""
 
@@ -104,21 +116,21 @@
     def _check(
         self, environ: Environ, body: bytes, arrived: float
     ) -> result.Result[jobs.Job, errors.Refusal]:
-        configuration = self._parts.world.configuration
+        fields = environ[caller_const.ENVIRON_FIELDS]
+        match requests.parse_request(fields):
+            case result.Err(refusal):
+                return result.Err(refusal)
+            case result.Ok(head):
+                pass
+        configuration = self._await_configuration(head, arrived)
         if configuration is None:
             return _err(errors.Code.NO_CATALOGUE, NOTHING_KNOWN_SECONDS)
         if self._is_closing():
             return _err(errors.Code.LEAVING, LEAVING_SECONDS)
-        fields = environ[caller_const.ENVIRON_FIELDS]
         path = environ["PATH_INFO"]
         route = self._parts.world.routes.find(fields["host"], path)
         if route is None:
             return _err(errors.Code.UNKNOWN_PATH)
-        match requests.parse_request(fields):
-            case result.Err(refusal):
-                return result.Err(refusal)
-            case result.Ok(head):
-                pass
         workspace = None
         units = 0.0
         if configuration.keys is not None and not route.public:
@@ -145,6 +157,27 @@
             )
         )
 
+    def _await_configuration(
+        self, head: requests.CallerRequest, arrived: float
+    ) -> models.Configuration | None:
+        """Return the configuration in force; wait a moment for the first.
+
+        Load: all instances lose power and start again while the store is
+        away, and callers come to them at once. Harm: refused in the first
+        second, callers that come back once only are refused for good, as
+        their second try meets an instance that knows no more. The wait is
+        short, since nobody knows how long the store stays away.
+        """
+        patience = START_WAIT_SECONDS
+        if head.patience is not None:
+            patience = min(patience, START_WAIT_SHARE * head.patience)
+        until = arrived + patience
+        while self._parts.world.configuration is None:
+            if self._is_closing() or self._ticker.now() >= until:
+                return None
+            self._ticker.sleep(START_LOOK_SECONDS)
+        return self._parts.world.configuration
+
     def _charge(
         self,
         workspace: models.Workspace,
--- a/citronport/relay/fleet.py
+++ b/citronport/relay/fleet.py
@@ -221,7 +221,9 @@
             return
         if self._behind_since is None:
             self._behind_since = now
-        lag = 0.0 if self._follower.resting else LAG_SECONDS
+        # One that has just started knows nothing that it could serve with.
+        asks_itself = self._mirror.revision > 0 and not self._follower.resting
+        lag = LAG_SECONDS if asks_itself else 0.0
         if now - self._behind_since < lag:
             return
         newest = self._choose_newest(ahead)
