Run a resumable stream elsewhere when it fails before its first event

Change: whatever a route allows to run twice does, within maxAttempts and the budget of repeats. The new test failed on the code before.

--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -295,12 +295,11 @@
         return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
 
     def _should_try_another(self, answer: requests.EndpointAnswer) -> bool:
+        # Load: an endpoint that fails part of its requests while it looks
+        # well. Harm: a long prompt is lost to a failure that came before
+        # its first event. Whatever may run twice goes elsewhere.
         self.progress.ran += 1
-        if answer.status < 500:
-            return False
-        if self._work.route.repeat != models.Repeat.IDEMPOTENT:
-            return False
-        if not self._may_go_on():
+        if answer.status < 500 or not self._may_go_on():
             return False
         self._note_failed(f"status {answer.status}", "yes")
         return True
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -238,6 +238,32 @@
         self.assertEqual("2", second.requests[0][2]["last-event-id"])
         self.assertEqual(1, len(self.started))
 
+    def test_resumable_stream_that_fails_at_once_runs_elsewhere(self):
+        """The first endpoint answers 500 before any event.
+
+        The caller has got nothing yet and its route allows another run:
+        it gets the whole stream of the second endpoint, and no failure.
+        """
+        one, two = (fakes.make_event(n) for n in (1, 2))
+        first = fakes.Endpoint(self, fakes.answer(500, b"broken"))
+        second = fakes.Endpoint(self, fakes.stream(one, two))
+        self.prepare(
+            first, second, repeat=models.Repeat.STREAM, resumable=True
+        )
+        self.room.health.note_answer("e1", False, self.room.ticker.now())
+        self.assertEqual(200, self.ask())
+        self.assertEqual(one + two, self.body)
+        self.assertNotIn("last-event-id", second.requests[0][2])
+
+    def test_stream_that_may_run_once_fails_at_once(self):
+        """Its caller gets the endpoint's own word; nothing runs again."""
+        first = fakes.Endpoint(self, fakes.answer(500, b"broken"))
+        second = fakes.Endpoint(self, fakes.stream(fakes.make_event(1)))
+        self.prepare(first, second, repeat=models.Repeat.STREAM)
+        self.room.health.note_answer("e1", False, self.room.ticker.now())
+        self.assertEqual(500, self.ask())
+        self.assertEqual([], second.requests)
+
     def test_resumed_stream_meets_a_failure(self):
         """The first endpoint crashes midway, the second answers 500.
 
