Charge a new instance for no past, and let it begin with a bare burst

Cause: an instance that starts anew charged its buckets with all that the others had let pass since their start, once a bucket existed; and one instance out of reach took the whole tolerance of limits from all others for half a minute. Both refuse callers that are within their limit. Change: a first report is only the base of later ones; a majority gives up of the tolerance what the missing part may use; 0.7 of the tolerance is used (0.5 before); new buckets hold the bare burst, so that a kill of all instances under a flood does not hand the tolerance out twice.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -304,10 +304,8 @@
         )
 
     def _take_report(self, report: messages.Report) -> None:
-        now = self._ticker.now()
         self.board.hear(report.instance, [tuple(row) for row in report.loads])
-        sender_name = f"{report.instance}/{report.incarnation}"
-        self.quotas.hear(sender_name, report.passed, now)
+        self.quotas.hear(report.instance, report.incarnation, report.passed)
         self.dispatcher.kick()
 
     def _take_leasing(self, message: messages.Leasing) -> None:
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -8,13 +8,13 @@
 
 from citronport.scheduler.direct import models
 
-TOLERANCE_SHARE = 0.5
+TOLERANCE_SHARE = 0.7
 """Part of the operators' tolerance that is used.
 
 Totals of other instances are a report late, so that a bucket drained at the
 very limit refuses requests that are within it. Erring upwards costs nobody
-anything while the sum stays in the tolerance; the other half is for what
-is let pass between two reports.
+anything while the sum stays in the tolerance; the rest is for what is let
+pass between two reports.
 """
 
 RETRY_FLOOR_SECONDS = 0.1
@@ -38,6 +38,12 @@
 """
 
 
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    incarnation: str
+    totals: dict[str, float]
+
+
 @dataclasses.dataclass(slots=True)
 class _Bucket:
     level: float
@@ -58,7 +64,8 @@
         self._slack = slack * TOLERANCE_SHARE
         self._buckets: dict[str, _Bucket] = {}
         self._totals: dict[str, float] = {}
-        self._heard: dict[tuple[str, str], float] = {}
+        self._heard: dict[str, _Heard] = {}
+        self._began: float | None = None
 
     def admit(
         self,
@@ -81,7 +88,7 @@
         if workspace.rate <= 0:
             return None
         rate, burst = self._share(workspace, reach)
-        bucket = self._refill(workspace.name, rate, burst, now)
+        bucket = self._find(workspace, rate, burst, now)
         # Load: large requests among many small ones, over the limit. Harm:
         # the small ones take each unit as it comes, and the large ones of
         # the same workspace never find enough. Whoever comes while there
@@ -102,18 +109,33 @@
         bucket.promised += units
         return min(max(wait, RETRY_FLOOR_SECONDS), RETRY_CEILING_SECONDS)
 
-    def hear(self, sender: str, totals: dict[str, float], now: float) -> None:
+    def hear(
+        self, sender: str, incarnation: str, totals: dict[str, float]
+    ) -> None:
         """Charge what another instance has let pass since its last word.
 
+        Load: an instance that has just started, among others that run for
+        long. Harm: charged with all that they ever let pass, it refuses
+        every workspace for as long as a burst takes to come back. The
+        first word of an instance only tells where its totals stand; one
+        that is known and has started anew counts from nothing.
+
         Args:
-            sender: name and incarnation of the other instance.
+            sender: name of the other instance.
+            incarnation: of that start of it.
             totals: its running totals by workspace.
-            now: clock time, seconds.
         """
+        heard = self._heard.get(sender)
+        if heard is None:
+            self._heard[sender] = _Heard(incarnation, dict(totals))
+            return
+        if heard.incarnation != incarnation:
+            heard.incarnation = incarnation
+            heard.totals.clear()
         for name, total in totals.items():
             # A total falls where a request was refused after all.
-            known = self._heard.get((sender, name), 0.0)
-            self._heard[sender, name] = total
+            known = heard.totals.get(name, 0.0)
+            heard.totals[name] = total
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.level -= total - known
@@ -141,23 +163,40 @@
 
         Load: one workspace at many times its limit while instances can
         not hear each other. Harm: each part of the fleet would let the
-        whole limit pass. Only one part can be a majority; the others keep
-        to a part of their share.
+        whole limit pass. Only one part can be a majority; it leaves to
+        the others what these may use, and so keeps most of the tolerance
+        while a single instance is away. The others keep to a part of
+        their share.
         """
-        if reach >= 1.0:
-            over, slack = self._over, self._slack
-        elif reach > MAJORITY:
-            over, slack = 1.0, 0.0
+        if reach > MAJORITY:
+            others = (1.0 - reach) * MINORITY_SHARE
+            over, slack = max(1.0, self._over - others), self._slack
         else:
             over, slack = reach * MINORITY_SHARE, 0.0
         return workspace.rate * over, workspace.burst * over + slack
 
-    def _refill(
-        self, name: str, rate: float, burst: float, now: float
+    def _find(
+        self,
+        workspace: models.Workspace,
+        rate: float,
+        burst: float,
+        now: float,
     ) -> _Bucket:
-        bucket = self._buckets.get(name)
+        """Return the bucket of a workspace, filled up to now.
+
+        Load: all instances are killed and start again while one workspace
+        is far beyond its limit. Harm: full buckets would hand out a second
+        time, within the operators' window, the burst and the tolerance
+        that were used before. A new instance begins with the bare burst
+        and gains the tolerance at the pace of the limit.
+        """
+        if self._began is None:
+            self._began = now
+        bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = self._buckets[name] = _Bucket(burst, now)
+            level = workspace.burst + (now - self._began) * rate
+            bucket = _Bucket(min(burst, level), now)
+            self._buckets[workspace.name] = bucket
         gained = max(0.0, now - bucket.at) * rate
         # A debt deeper than a burst would lock a workspace out for long
         # after one late report of a busy second.
