Learn what requests take in steps of their engines, and use no sheet's figures

Cause: times of the first two deployments stood in the decisions (3.2 ms a step, 19.5 us a prompt token, chunks of 1,024, answers of 22.5 ms, stays of 1 s). Change: paces are milliseconds a step; a profile for each service (steps to a first event, for each prompt token, and until the end) is fitted to what ran and told in reports; a START profile is used for the first requests. The order of waiting requests and the choice of an endpoint go by it. The stall of streams counts from the reading of the whole prompt, as the size of a chunk isn't known. Untried plain endpoints look a little better than the best of the others. Protocol 3 between instances.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -33,6 +33,7 @@
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import profiles as profiles_module
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
 
@@ -300,11 +301,17 @@
             ),
             passed=self.quotas.get_totals(),
             loads=self.board.list_own(idle_rows),
+            profiles=self.board.profiles.list_learnt(),
             members=self.members.list_members(now),
         )
 
     def _take_report(self, report: messages.Report) -> None:
         self.board.hear(report.instance, [tuple(row) for row in report.loads])
+        for service, begin, read, stay in report.profiles:
+            self.board.profiles.hear(
+                service,
+                profiles_module.Profile(begin=begin, read=read, stay=stay),
+            )
         self.quotas.hear(report.instance, report.incarnation, report.passed)
         self.dispatcher.kick()
 
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -126,7 +126,10 @@
 
     def enter(self, waiter: waiting.Waiter, service: str) -> None:
         """Give a request a place at once, or let it wait for one."""
-        queue = self._queues.setdefault(service, waiting.Queue())
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = waiting.Queue(lambda w: self._expect(w, service))
+            self._queues[service] = queue
         queue.add(waiter)
         self._match(service, queue)
 
@@ -144,7 +147,9 @@
         if booking.leased and self.lessee is not None:
             self.lessee.end(booking.endpoint.name, booking.run)
             return
-        self._board.note_end(booking.endpoint.name, request_id)
+        self._board.note_end(
+            booking.endpoint.name, request_id, self._ticker.now()
+        )
         self.kick()
 
     def kick(self) -> None:
@@ -259,6 +264,14 @@
             number=number,
         )
 
+    def _expect(self, work: models.Work, service: str) -> float:
+        """Return the time from a send to the first event, seconds."""
+        if not work.prompt_tokens:
+            return 0.0
+        profile = self._board.profiles.get(service)
+        step = self._board.get_typical_pace() * board_module.PACE_SECONDS
+        return step * (profile.begin + profile.read * work.prompt_tokens)
+
     def _get_share(self, now: float) -> cold_module.Share:
         if now >= self._share_until:
             instances = self._members.list_known(now)
@@ -288,7 +301,10 @@
         name = place.endpoint.name
         self._cold.note_send(name, now)
         self._health.note_send(name)
-        run = self._board.note_sent(name, waiter.work, now)
+        is_free = self._board.count_requests(name) < place.endpoint.slots
+        run = self._board.note_sent(
+            name, waiter.work, now, service.name if is_free else ""
+        )
         if not self._selector.has_room(
             place.endpoint, service, view.share, now
         ):
--- a/citronport/relay/eventlog.py
+++ b/citronport/relay/eventlog.py
@@ -198,7 +198,7 @@
         hint: tokens that the caller expects.
         expected: seconds to the first event, as estimated.
         load: requests that are known to be there.
-        pace: known pace of the endpoint, 1 is nominal.
+        pace: known pace of the endpoint, milliseconds a step.
         leased: whether the owner of the endpoint chose it.
     """
 
--- a/citronport/relay/lessor.py
+++ b/citronport/relay/lessor.py
@@ -116,7 +116,7 @@
             return
         self._granted.pop(ended.request, None)
         self._learn(ended, now)
-        self._leases.end(ended.request, ended.endpoint)
+        self._leases.end(ended.request, ended.endpoint, now)
         self._dispatcher.kick()
 
     def take_holding(self, holding: messages.Holding) -> None:
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -5,7 +5,7 @@
 
 from citronport import codec
 
-PROTOCOL = 2
+PROTOCOL = 3
 """Version of this protocol; others are not understood."""
 
 MAX_MESSAGE_BYTES = 8_000_000
@@ -33,7 +33,10 @@
         passed: units let pass since its start, by workspace.
         loads: for each endpoint with work or a known pace: its name, own
             requests there, prompt tokens not read yet, pace in
-            millionths of the nominal one (0: not known).
+            nanoseconds a step (0: not known).
+        profiles: for each service of which it has learnt what requests
+            take: its name, steps until a first event, for each prompt
+            token, and until the end.
         members: instances that it has heard of lately: name, incarnation,
             address for other instances.
     """
@@ -52,6 +55,7 @@
     store_seconds: float
     passed: dict[str, float]
     loads: list[tuple[str, int, int, int]]
+    profiles: list[tuple[str, float, float, float]]
     members: list[tuple[str, str, str]]
 
 
@@ -128,7 +132,7 @@
         endpoint: where it may go now.
         seconds: expected time to the first event.
         load: requests that run there, with this one.
-        pace: of the endpoint, in millionths of the nominal one.
+        pace: of the endpoint, nanoseconds a step.
     """
 
     protocol: int
@@ -175,7 +179,7 @@
         request: id of the request.
         endpoint: where its place was; empty if it stops waiting.
         verdict: a ``board.Verdict`` on the endpoint.
-        pace: measured, in millionths of the nominal one; 0 if it was not.
+        pace: measured, nanoseconds a step; 0 if it was not.
         seconds: time of a plain answer; 0 without one.
     """
 
--- a/citronport/scheduler/direct/board.py
+++ b/citronport/scheduler/direct/board.py
@@ -5,17 +5,15 @@
 import enum
 
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import profiles
 
-STEP_SECONDS = 0.0032
-"""Time of one step of an engine at pace 1: each running request gets a
-token. From the deployments' sheets, 3.09 ms and more."""
+PACE_SECONDS = 0.001
+"""Unit of a pace: the time of one step of an engine, in which each running
+request gets a token, in milliseconds."""
 
-READ_SECONDS = 0.0000195
-"""Time to read one prompt token at pace 1, with the steps in between of
-the requests that run: a chunk of 1,024 tokens takes 16.6 ms, a step 3.2."""
-
-CHUNK_TOKENS = 1024
-"""Prompt tokens that an engine reads in one step, from the sheets."""
+START_PACE = 5.0
+"""Pace of an engine before any was measured, milliseconds; with the first
+streams, a third of a second after a start, it is not used any more."""
 
 PACE_EVENTS = 4
 """Events over which a pace is measured. Shorter spans are coarse, since
@@ -29,8 +27,9 @@
 """Weight of the newest measured pace."""
 
 MIN_PACE = 0.2
-MAX_PACE = 20.0
-"""Bounds of a measured pace; what lies beyond comes from a cut or pause."""
+MAX_PACE = 500.0
+"""Bounds of a measured pace, milliseconds; what lies beyond comes from a
+cut or pause."""
 
 MAX_IDLE_ROWS = 12
 """Paces told in one report of endpoints without own work: with 45 endpoints
@@ -43,8 +42,12 @@
 ANSWER_WEIGHT = 0.2
 """Weight of the newest answer of a plain service in its mean time."""
 
-PLAIN_SECONDS = 0.0225
-"""Time of a plain answer before one was measured, from the sheets."""
+START_ANSWER_SECONDS = 0.05
+"""Time of a plain answer before any was measured."""
+
+UNTRIED_SHARE = 0.9
+"""What an untried endpoint's answer is taken to need, as a share of the
+fastest known one's."""
 
 
 class Verdict(enum.IntEnum):
@@ -74,6 +77,9 @@
         longest: longest pause between two events, seconds.
         taken: time of a plain answer, seconds; 0 before.
         verdict: what it has shown of the endpoint.
+        service: that its times are learnt for; empty if they are not.
+        ahead: prompt tokens that the endpoint had not read when it was
+            sent, of other requests.
     """
 
     request_id: str
@@ -89,6 +95,8 @@
     longest: float = 0.0
     taken: float = 0.0
     verdict: Verdict = Verdict.NOTHING
+    service: str = ""
+    ahead: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,9 +119,14 @@
 
 
 class Board:
-    """Loads and paces of all endpoints, as seen by one instance."""
+    """Loads and paces of all endpoints, as seen by one instance.
+
+    Attributes:
+        profiles: what requests of a service take, in steps.
+    """
 
     def __init__(self) -> None:
+        self.profiles = profiles.Profiles()
         self._own: dict[str, dict[str, Run]] = {}
         # Requests of this instance whose places another one handed out:
         # they count there, and would count twice if told from here.
@@ -126,10 +139,23 @@
         # among 45 endpoints would else look at 60 reports for each.
         self._others: dict[str, list[int]] = {}
         self._middles: dict[str, float] = {}
+        self._typical: float | None = None
 
-    def note_sent(self, endpoint: str, work: models.Work, now: float) -> Run:
-        """Note that a request goes to an endpoint; return its record."""
+    def note_sent(
+        self, endpoint: str, work: models.Work, now: float, service: str = ""
+    ) -> Run:
+        """Note that a request goes to an endpoint; return its record.
+
+        Args:
+            endpoint: where.
+            work: the request.
+            now: clock time, seconds.
+            service: of the endpoint, if a slot is free there: what the
+                request takes is then learnt, and no wait for a slot.
+        """
         run = Run(work.request_id, work.prompt_tokens, now)
+        run.service = service
+        run.ahead = self.get_load(endpoint).unread if service else 0
         self._own.setdefault(endpoint, {})[work.request_id] = run
         return run
 
@@ -151,6 +177,7 @@
         run = self._own.get(endpoint, {}).get(request_id)
         if run is not None and run.first is None:
             run.first = now
+            self._learn_begin(endpoint, run, now)
 
     def note_events(
         self, endpoint: str, run: Run, events: int, tokens: int, now: float
@@ -168,6 +195,7 @@
             run.first = run.mark = run.last = now
             run.mark_events = 0
             run.events = events - 1
+            self._learn_begin(endpoint, run, now)
             return
         run.longest = max(run.longest, now - run.last)
         run.last = now
@@ -182,7 +210,7 @@
         # others' prompts, which is load and not pace.
         run.best = each if run.best is None else min(run.best, each)
         if run.spans >= PACE_SPANS:
-            self._learn(endpoint, run.best / (tokens * STEP_SECONDS))
+            self._learn(endpoint, run.best / (tokens * PACE_SECONDS))
             run.best, run.spans = None, 0
 
     def note_answer(self, endpoint: str, run: Run, now: float) -> None:
@@ -192,11 +220,23 @@
 
     def note_taken(self, endpoint: str, taken: float) -> None:
         """Take the time of one plain answer, seconds."""
-        known = self._answers.get(endpoint, PLAIN_SECONDS)
+        known = self._answers.get(endpoint, taken)
         self._answers[endpoint] = known + ANSWER_WEIGHT * (taken - known)
 
-    def note_end(self, endpoint: str, request_id: str) -> None:
-        """Note that a request has ended or left an endpoint."""
+    def note_end(
+        self, endpoint: str, request_id: str, now: float | None = None
+    ) -> None:
+        """Note that a request has ended or left an endpoint.
+
+        Args:
+            endpoint: where it was.
+            request_id: of the request.
+            now: clock time, seconds, if the place was used to its end.
+        """
+        run = self._own.get(endpoint, {}).get(request_id)
+        if run and run.service and run.first is not None and now is not None:
+            step = self.get_pace(endpoint) * PACE_SECONDS
+            self.profiles.note_end(run.service, (now - run.sent) / step)
         _remove(self._own, endpoint, request_id)
 
     def note_lease_end(self, endpoint: str, request_id: str) -> None:
@@ -263,6 +303,7 @@
             idle_rows: how many of these paces.
         """
         rows = []
+        self._typical = None
         idle = [name for name in self._paces if name not in self._own]
         turn = self._turn = (self._turn + idle_rows) % max(1, len(idle))
         told = (idle[turn:] + idle[:turn])[:idle_rows]
@@ -291,7 +332,7 @@
         return len(self._own.get(endpoint, ()))
 
     def get_pace(self, endpoint: str) -> float:
-        """Return the time of a step, as a multiple of the nominal one."""
+        """Return the time of one step, milliseconds."""
         middle = self._middles.get(endpoint)
         if middle is None:
             middle = self._middles[endpoint] = self._find_middle(endpoint)
@@ -307,13 +348,32 @@
         if own is not None:
             known.append(own)
         if not known:
-            return 1.0
-        known.sort()
-        return known[len(known) // 2]
+            return self.get_typical_pace()
+        return _find_median(known)
+
+    def get_typical_pace(self) -> float:
+        """Return the middle of all known paces, milliseconds.
+
+        An engine that nobody has measured yet is taken for a common one.
+        It is looked up anew with each report, as hundreds of paces change
+        a little all the time.
+        """
+        if self._typical is None:
+            known = list(self._paces.values())
+            for heard in self._heard.values():
+                known += heard.paces.values()
+            self._typical = _find_median(known) if known else START_PACE
+        return self._typical
 
     def get_answer_seconds(self, endpoint: str) -> float:
         """Return the mean time of a plain answer, seconds."""
-        return self._answers.get(endpoint, PLAIN_SECONDS)
+        seconds = self._answers.get(endpoint)
+        if seconds is not None:
+            return seconds
+        # An endpoint that nobody has tried yet looks a little better than
+        # the best of the others, or it would never be tried.
+        best = min(self._answers.values(), default=START_ANSWER_SECONDS)
+        return UNTRIED_SHARE * best
 
     def forget(self, endpoint: str) -> None:
         """Drop what is known of an endpoint that is gone."""
@@ -338,6 +398,14 @@
             if total == [0, 0]:
                 del self._others[name]
 
+    def _learn_begin(self, endpoint: str, run: Run, now: float) -> None:
+        if run.service:
+            step = self.get_pace(endpoint) * PACE_SECONDS
+            tokens = run.ahead + run.prompt_tokens
+            self.profiles.note_begun(
+                run.service, tokens, (now - run.sent) / step
+            )
+
     def _learn(self, endpoint: str, pace: float) -> None:
         pace = min(MAX_PACE, max(MIN_PACE, pace))
         known = self._paces.get(endpoint)
@@ -348,6 +416,11 @@
             self._paces[endpoint] = known + PACE_WEIGHT * (pace - known)
 
 
+def _find_median(values: list[float]) -> float:
+    values.sort()
+    return values[len(values) // 2]
+
+
 def _remove(
     runs: dict[str, dict[str, Run]], endpoint: str, request_id: str
 ) -> None:
--- a/citronport/scheduler/direct/leases.py
+++ b/citronport/scheduler/direct/leases.py
@@ -69,10 +69,18 @@
         """Note a lease whose request counts on the board already."""
         self._leases[request_id, endpoint] = _Lease(holder, now, now)
 
-    def end(self, request_id: str, endpoint: str) -> None:
-        """End a lease; one that is not known changes nothing."""
+    def end(
+        self, request_id: str, endpoint: str, now: float | None = None
+    ) -> None:
+        """End a lease; one that is not known changes nothing.
+
+        Args:
+            request_id: of the request.
+            endpoint: where it was.
+            now: clock time, seconds, if its holder gave it back.
+        """
         if self._leases.pop((request_id, endpoint), None) is not None:
-            self._board.note_end(endpoint, request_id)
+            self._board.note_end(endpoint, request_id, now)
 
     def begin(self, request_id: str, endpoint: str, now: float) -> None:
         """Note that the request of a lease has got its first event."""
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -9,9 +9,6 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
 
-RESIDENCE_SECONDS = 1.0
-"""Mean time for which a stream holds a slot at pace 1, from the sheets."""
-
 SPARE_REQUESTS = 1
 """Requests beyond an endpoint's slots that may be sent there.
 
@@ -45,10 +42,6 @@
 COLD_SECONDS = 0.3
 """What a cold endpoint counts against a warm one, seconds."""
 
-OVERHEAD_SECONDS = 0.01
-"""Links and set-up of one request, seconds."""
-
-
 FULL_VIEW_INSTANCES = 12
 """Instances up to which each looks at all endpoints: their reports are 0.15
 s old at most, about what a prompt takes to read."""
@@ -157,11 +150,15 @@
         if service.engine is None:
             each = self._board.get_answer_seconds(endpoint.name)
             return each * (1 + ahead / endpoint.slots)
-        pace = self._board.get_pace(endpoint.name)
-        wait = pace * ahead * RESIDENCE_SECONDS / endpoint.slots
+        profile = self._board.profiles.get(service.name)
+        step = self._get_step(endpoint)
+        wait = step * ahead * profile.stay / endpoint.slots
         tokens = load.unread + work.prompt_tokens
-        reading = pace * tokens * board_module.READ_SECONDS
-        return OVERHEAD_SECONDS + wait + reading
+        return wait + step * (profile.begin + profile.read * tokens)
+
+    def _get_step(self, endpoint: models.Endpoint) -> float:
+        pace = self._board.get_pace(endpoint.name)
+        return pace * board_module.PACE_SECONDS
 
     def _weigh_stall(
         self,
@@ -176,11 +173,9 @@
         # are concerned: these go where they make nobody late.
         if service.engine is None or work.route.max_gap is None:
             return 0.0
-        pace = self._board.get_pace(endpoint.name)
-        step = board_module.READ_SECONDS * board_module.CHUNK_TOKENS
-        longest = pace * step * service.engine.event_tokens
-        reading = pace * work.prompt_tokens * board_module.READ_SECONDS
-        if min(longest, reading) < STALL_SHARE * work.route.max_gap:
+        profile = self._board.profiles.get(service.name)
+        reading = self._get_step(endpoint) * profile.read * work.prompt_tokens
+        if reading < STALL_SHARE * work.route.max_gap:
             return 0.0
         running = self._board.count_requests(endpoint.name)
         return STALL_SECONDS * running
@@ -199,8 +194,7 @@
         left = work.deadline - now
         if service.engine is None or left <= 0:
             return 0.0
-        pace = self._board.get_pace(endpoint.name)
-        token = board_module.STEP_SECONDS * BUSY_FACTOR * pace
+        token = self._get_step(endpoint) * BUSY_FACTOR
         share = work.expected_tokens * token / left
         over = min(1.0, share) - LENGTH_SHARE
         return max(0.0, over) / (1 - LENGTH_SHARE) * LENGTH_SECONDS
--- a/citronport/scheduler/direct/waiting.py
+++ b/citronport/scheduler/direct/waiting.py
@@ -4,7 +4,6 @@
 import dataclasses
 from typing import Any
 
-from citronport.scheduler.direct import board
 from citronport.scheduler.direct import models
 
 PATIENCE_OBJECTIVES = 2.0
@@ -14,9 +13,6 @@
 PATIENCE_SHARE = 0.5
 """Longest wait as a share of the time until the deadline."""
 
-BEGIN_SECONDS = 0.03
-"""Time from the send to the first event beyond the reading of the prompt."""
-
 RETRY_SECONDS = 0.5
 """When a request that waited in vain should come back, at least."""
 
@@ -48,10 +44,26 @@
     return max(0.0, min(objective - spent, PATIENCE_SHARE * left))
 
 
+def expect_at_once(work: models.Work) -> float:
+    """Return no time at all until a first event, for plain services."""
+    del work
+    return 0.0
+
+
 class Queue:
-    """Requests of one service that wait, most urgent first."""
+    """Requests of one service that wait, most urgent first.
 
-    def __init__(self) -> None:
+    Args:
+        expect: returns the time from a send to the first event, seconds.
+    """
+
+    def __init__(
+        self,
+        expect: collections.abc.Callable[[models.Work], float] = (
+            expect_at_once
+        ),
+    ) -> None:
+        self._expect = expect
         self._waiters: list[Waiter] = []
 
     def __len__(self) -> int:
@@ -76,7 +88,7 @@
         first; within a tier those that can still be in time go before
         those that are late already, and the more urgent route first.
         """
-        return sorted(self._waiters, key=lambda w: _make_rank(w, now))
+        return sorted(self._waiters, key=lambda w: self._make_rank(w, now))
 
     def match(
         self,
@@ -101,9 +113,10 @@
                 matched.append((waiter, place))
         return matched
 
-
-def _make_rank(waiter: Waiter, now: float) -> tuple[int, bool, int, float]:
-    work = waiter.work
-    begin = work.prompt_tokens * board.READ_SECONDS + BEGIN_SECONDS
-    late = now + begin > work.arrived + work.route.objective
-    return (work.tier, late, work.route.tier, work.arrived)
+    def _make_rank(
+        self, waiter: Waiter, now: float
+    ) -> tuple[int, bool, int, float]:
+        work = waiter.work
+        begun = now + self._expect(work)
+        late = begun > work.arrived + work.route.objective
+        return (work.tier, late, work.route.tier, work.arrived)
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -23,6 +23,7 @@
         "store_seconds": 0.1,
         "passed": {},
         "loads": [],
+        "profiles": [],
         "members": [],
     }
     return messages.Report(**{**fields, **changes})
