Take an endpoint for unreachable when another one answers at its address

Endpoints that died are listed for some seconds; their successors have their addresses. The old names look idle while all others are full, draw each request that waits, cost a repeat of the budget each, and the request ends refused. Ruled out: endpoints that are full (56 sends answered 503).

--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -53,6 +53,8 @@
         request_id: id of the request that it answers; empty if not said.
         signature: the endpoint's signature; empty if there is none.
         ran: False only if the endpoint says that it did not run it.
+        replaced: whether another endpoint than the one that was meant has
+            answered, at the same address.
         headers: what a caller gets, names as the endpoint wrote them.
     """
 
@@ -60,6 +62,7 @@
     request_id: str
     signature: str
     ran: bool
+    replaced: bool
     headers: tuple[tuple[str, str], ...]
 
 
@@ -150,6 +153,7 @@
         request_id=str(answer.get(const.REQUEST_ID, "")),
         signature=str(answer.get(const.SIGNATURE, "")),
         ran=not not_run,
+        replaced=status == const.STATUS_MISDIRECTED,
         headers=headers,
     )
 
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -111,6 +111,14 @@
                     self._note_unreachable(reason)
                     if self.progress.attempts >= MAX_SENDS:
                         return self._refuse_busy()
+                case upstream.Replaced():
+                    # Load: endpoints that died and were started anew, while
+                    # the list still names the old ones. Harm: one that is
+                    # gone looks idle and takes each request that finds the
+                    # others full; it counts as out of reach at once.
+                    self._note_unreachable("another endpoint answers there")
+                    if not self._may_repeat():
+                        return self._refuse_busy()
                 case upstream.NotRun(status=status):
                     self._note_failed(f"status {status}", "no")
                     if not self._may_repeat():
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -37,6 +37,11 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Replaced:
+    """Another endpoint answers at the address; it did not run the request."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answered:
     """The head of an answer came; its body can be read."""
@@ -44,7 +49,7 @@
     answer: requests.EndpointAnswer
 
 
-Outcome = Unreachable | Broken | NotRun | Answered
+Outcome = Unreachable | Broken | NotRun | Replaced | Answered
 
 
 class Exchange:
@@ -82,6 +87,8 @@
         answer = requests.parse_answer(head)
         if answer.request_id and answer.request_id != self._request_id:
             return Broken(reason="answer to another request")
+        if answer.replaced:
+            return Replaced()
         if not answer.ran:
             return NotRun(status=answer.status)
         if 200 <= answer.status < 300 and not (
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -164,6 +164,25 @@
         self.prepare(other, good, repeat=models.Repeat.NON_IDEMPOTENT)
         self.assertEqual(200, self.ask())
 
+    def test_replaced_endpoint_draws_no_more_requests(self):
+        """An endpoint died; its successor has its address, not its name.
+
+        The list names the old one for some seconds. It looks idle while
+        the other endpoint is full. The first request finds out; the next
+        ones wait for the other and are not spent on the one that is gone.
+        """
+        other = fakes.Endpoint(self, fakes.answer(421, signed=False))
+        full = fakes.Endpoint(self, fakes.answer())
+        self.prepare(
+            other, full, repeat=models.Repeat.NON_IDEMPOTENT, objective=0.04
+        )
+        for number in range(3):
+            work = samples.make_work(f"t{number}")
+            self.room.board.note_sent("e1", work, 0.0)
+        for _ in range(3):
+            self.assertEqual(503, self.ask())
+        self.assertEqual(1, len(other.requests))
+
     def test_answer_to_another_request_is_not_passed_on(self):
         """A late answer of an earlier request comes: not this caller's."""
         crossed = fakes.Endpoint(self, fakes.answer(200, X_Attempt_Id="other"))
