--- a/citronport/scheduler/direct/waiting.py
+++ b/citronport/scheduler/direct/waiting.py
@@ -85,8 +85,9 @@
         Load: more work than the endpoints take for some seconds. Harm: in
         order of arrival all would be late, and short work of a low tier
         would go ahead of what costs its caller most. A higher tier goes
-        first; within a tier those that can still be in time go before
-        those that are late already, and the more urgent route first.
+        first, and within a tier the more urgent route: a late answer of
+        it is still worth more than one in time of the next. Of one route
+        those that can still be in time go before those that are late.
         """
         return sorted(self._waiters, key=lambda w: self._make_rank(w, now))
 
@@ -115,8 +116,8 @@
 
     def _make_rank(
         self, waiter: Waiter, now: float
-    ) -> tuple[int, bool, int, float]:
+    ) -> tuple[int, int, bool, float]:
         work = waiter.work
         begun = now + self._expect(work)
         late = begun > work.arrived + work.route.objective
-        return (work.tier, late, work.route.tier, work.arrived)
+        return (work.tier, work.route.tier, late, work.arrived)
--- a/tests/scheduler/direct/test_waiting.py
+++ b/tests/scheduler/direct/test_waiting.py
@@ -1,5 +1,7 @@
 """Who waits, who goes first, and for how long."""
 
+import dataclasses
+
 import testtools
 
 from citronport.scheduler.direct import waiting
@@ -35,6 +37,18 @@
         waiters = [make_waiter("late", -2.0), make_waiter("fresh", 0.0)]
         self.assertEqual(["fresh", "late"], self.order(waiters, 0.1))
 
+    def test_urgent_route_before_lateness(self):
+        """Load: a burst, all of one workspace's tier.
+
+        A long draft that is late already goes before a tag that could be
+        in time: the work of its caller would be lost for a label.
+        """
+        draft = make_waiter("draft", -2.0, tier=0)
+        tag = make_waiter("tag", 0.0, tier=2)
+        for waiter in (draft, tag):
+            waiter.work = dataclasses.replace(waiter.work, tier=1)
+        self.assertEqual(["draft", "tag"], self.order([tag, draft], 0.1))
+
     def test_match_takes_out_who_got_a_place(self):
         """Places go in order; the others go on waiting."""
         queue = waiting.Queue()
