Split what is told in log lines from how it is written

Change: relay/events.py holds the events, relay/eventlog.py the writer; the page test looks for events where they are now.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -13,7 +13,7 @@
 from citronport.platform import const as wire
 from citronport.platform import models as wire_models
 from citronport.platform import requests
-from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import jobs
 from citronport.relay import metrics
 from citronport.relay import refusals
@@ -211,7 +211,7 @@
             fields.get("host", ""), environ["PATH_INFO"]
         )
         self._parts.log.write(
-            eventlog.RequestRefused(
+            events.RequestRefused(
                 request=fields.get(wire.REQUEST_ID, ""),
                 route=route.name if route else "",
                 code=int(refusal.code),
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -19,6 +19,7 @@
 from citronport.relay import application
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import fleet as fleet_module
 from citronport.relay import follower as follower_module
 from citronport.relay import jobs
@@ -166,7 +167,7 @@
         gevent.signal_handler(signal.SIGHUP, self.reload)
         self._tasks.report_unhandled()
         self._log.write(
-            eventlog.Started(
+            events.Started(
                 incarnation=self._incarnation, version=const.VERSION
             )
         )
@@ -177,14 +178,14 @@
         self._start_tasks()
         self._stopped.wait()
         self._drain()
-        self._log.write(eventlog.Stopped(requests=self.application.running))
+        self._log.write(events.Stopped(requests=self.application.running))
 
     def stop(self) -> None:
         """Order a graceful shutdown; a second order changes nothing."""
         if self._leaving:
             return
         self._leaving = True
-        self._log.write(eventlog.Leaving(requests=self.application.running))
+        self._log.write(events.Leaving(requests=self.application.running))
         self.fleet.send(self._describe())
         self._stopped.set()
 
@@ -194,7 +195,7 @@
             case result.Err(reason):
                 fault = int(errors.InputFault.BAD_SETTINGS)
                 self._log.write(
-                    eventlog.SettingsReloaded(
+                    events.SettingsReloaded(
                         accepted=False, detail=f"{fault}: {reason}"
                     )
                 )
@@ -203,7 +204,7 @@
                 self.fleet.use(settings)
                 self._budgets.clear()
                 self._log.write(
-                    eventlog.SettingsReloaded(accepted=True, detail="")
+                    events.SettingsReloaded(accepted=True, detail="")
                 )
 
     def is_ready(self) -> bool:
@@ -211,7 +212,7 @@
         ready = self.world.configuration is not None and not self._leaving
         if ready != self._ready:
             self._ready = ready
-            self._log.write(eventlog.Ready(ready=ready))
+            self._log.write(events.Ready(ready=ready))
         return ready
 
     def list_addresses(self) -> tuple[str, ...]:
--- a/citronport/relay/explanation.py
+++ b/citronport/relay/explanation.py
@@ -10,6 +10,7 @@
 
 from citronport import errors
 from citronport.relay import eventlog
+from citronport.relay import events
 
 CONTEXT_SECONDS = 5.0
 """How long before a request's first line a change still counts as near:
@@ -18,10 +19,10 @@
 _REQUEST_EVENTS = frozenset(
     eventlog.get_event_name(kind)
     for kind in (
-        eventlog.RequestRefused,
-        eventlog.RequestSent,
-        eventlog.SendFailed,
-        eventlog.RequestEnded,
+        events.RequestRefused,
+        events.RequestSent,
+        events.SendFailed,
+        events.RequestEnded,
     )
 )
 
--- a/citronport/relay/fleet.py
+++ b/citronport/relay/fleet.py
@@ -13,6 +13,7 @@
 from citronport import clock
 from citronport.platform import models
 from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import follower as follower_module
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
@@ -238,7 +239,7 @@
         returned = self._ticker.now() - held.returned_seconds
         self._behind_since = None
         self._log.write(
-            eventlog.NewsFromPeer(
+            events.NewsFromPeer(
                 peer=newest.instance, revision=held.revision, items=len(news)
             )
         )
@@ -333,7 +334,7 @@
         fresh = {r.instance for r in self._members.list_fresh(now)}
         for name in fresh ^ self._reachable:
             self._log.write(
-                eventlog.PeerChanged(
+                events.PeerChanged(
                     peer=name,
                     in_reach=name in fresh,
                     known=len(self._members.list_known(now)),
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -10,6 +10,7 @@
 from citronport.platform import const
 from citronport.platform import models
 from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import membership
 from citronport.relay import mirror as mirror_module
 from citronport.scheduler.direct import cold
@@ -189,7 +190,7 @@
             if away > OUTAGE_SECONDS + WATCH_SECONDS:
                 self.returned = now
             self._log.write(
-                eventlog.StoreBack(
+                events.StoreBack(
                     away_seconds=away, revision=self._mirror.revision
                 )
             )
@@ -200,7 +201,5 @@
         if self._failing_since is None:
             self._failing_since = self._ticker.now()
             self._log.write(
-                eventlog.StoreLost(
-                    reason=reason, revision=self._mirror.revision
-                )
+                events.StoreLost(reason=reason, revision=self._mirror.revision)
             )
--- a/citronport/relay/lessee.py
+++ b/citronport/relay/lessee.py
@@ -7,6 +7,7 @@
 
 from citronport import clock
 from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import messages
 from citronport.relay import owners as owners_module
 from citronport.scheduler.direct import board as board_module
@@ -217,7 +218,7 @@
 
     def _suspect(self, owner: str) -> None:
         self._owners.suspect(owner, self._ticker.now())
-        self._log.write(eventlog.OwnerSilent(owner=owner))
+        self._log.write(events.OwnerSilent(owner=owner))
 
     def _make_ask(
         self,
--- a/citronport/relay/owners.py
+++ b/citronport/relay/owners.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import membership as membership_module
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import ownership
@@ -127,7 +128,7 @@
         self._told[pool] = owner
         self._since[pool] = now
         self._log.write(
-            eventlog.OwnerChanged(
+            events.OwnerChanged(
                 service=pool.service,
                 pool=pool.number,
                 owner=owner or "",
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -4,7 +4,7 @@
 
 from citronport import errors
 from citronport.relay import dispatcher as dispatcher_module
-from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import jobs
 
 
@@ -53,7 +53,7 @@
     parts.counts.sends["sent"] += 1
     parts.counts.leased += booking.leased
     parts.log.write(
-        eventlog.RequestSent(
+        events.RequestSent(
             request=job.work.request_id,
             endpoint=booking.endpoint.name,
             attempt=progress.attempts,
@@ -89,7 +89,7 @@
     """
     parts.counts.sends[f"failed, ran: {ran}"] += 1
     parts.log.write(
-        eventlog.SendFailed(
+        events.SendFailed(
             request=job.work.request_id,
             endpoint=endpoint,
             attempt=progress.attempts,
@@ -104,7 +104,7 @@
     _count_end(parts, job, progress)
     work = job.work
     parts.log.write(
-        eventlog.RequestEnded(
+        events.RequestEnded(
             request=work.request_id,
             route=work.route.name,
             repeat=str(work.route.repeat),
--- a/citronport/relay/world.py
+++ b/citronport/relay/world.py
@@ -10,6 +10,7 @@
 from citronport.platform import const
 from citronport.platform import models as wire
 from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.scheduler.direct import cold
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import routing
@@ -125,7 +126,7 @@
             case result.Err(reason):
                 # The one in force stays: a broken one would refuse all.
                 self._log.write(
-                    eventlog.InputRejected(
+                    events.InputRejected(
                         code=int(errors.InputFault.BAD_CONFIGURATION),
                         key=item.key,
                         revision=item.revision,
@@ -144,7 +145,7 @@
         self.configuration = configuration
         self.routes = routing.Routes(configuration.routes)
         self._log.write(
-            eventlog.ConfigurationInForce(
+            events.ConfigurationInForce(
                 version=configuration.version,
                 revision=revision,
                 routes=len(configuration.routes),
@@ -163,7 +164,7 @@
                 if endpoint.data_centre == name:
                     self._set_cold(endpoint, now)
         self._log.write(
-            eventlog.DataCentreChanged(
+            events.DataCentreChanged(
                 data_centre=name,
                 evacuated=item.value is not None,
                 revision=item.revision,
@@ -180,7 +181,7 @@
             else:
                 self._drop(name)
             self._log.write(
-                eventlog.EndpointGone(
+                events.EndpointGone(
                     endpoint=name, revision=item.revision, lapsed=lapsing
                 )
             )
@@ -190,7 +191,7 @@
                 # An entry that can't be read names no endpoint to use.
                 self._drop(name)
                 self._log.write(
-                    eventlog.InputRejected(
+                    events.InputRejected(
                         code=int(errors.InputFault.BAD_ENDPOINT),
                         key=item.key,
                         revision=item.revision,
@@ -218,7 +219,7 @@
             self._cold.set_cold(endpoint.name, now + endpoint.cold_seconds)
         if known != endpoint:
             self._log.write(
-                eventlog.EndpointListed(
+                events.EndpointListed(
                     endpoint=endpoint.name,
                     service=endpoint.service,
                     data_centre=endpoint.data_centre,
--- a/tests/relay/test_eventlog.py
+++ b/tests/relay/test_eventlog.py
@@ -8,6 +8,7 @@
 
 from citronport import clock
 from citronport.relay import eventlog
+from citronport.relay import events
 
 
 class EventlogTest(testtools.TestCase):
@@ -37,7 +38,7 @@
 
     def test_a_line_holds_name_and_fields(self):
         """What a reader needs stands on each line."""
-        self.log.write(eventlog.Ready(ready=True))
+        self.log.write(events.Ready(ready=True))
         (line,) = self.read_lines()
         self.assertEqual(
             ("entry-1", "ready", True, 10.0),
@@ -47,9 +48,9 @@
     def test_a_flood_is_bounded_and_counted(self):
         """Beyond the bound lines are dropped; the next second tells."""
         for _ in range(eventlog.LINES_PER_SECOND + 50):
-            self.log.write(eventlog.Ready(ready=True))
+            self.log.write(events.Ready(ready=True))
         self.ticker.advance(1.0)
-        self.log.write(eventlog.Ready(ready=False))
+        self.log.write(events.Ready(ready=False))
         lines = self.read_lines()
         dropped = [x for x in lines if x["event"] == "lines_dropped"]
         self.assertEqual({"ready": 50}, dropped[0]["by_event"])
@@ -64,11 +65,11 @@
         for second in range(40):
             self.ticker.advance(1.0)
             for _ in range(eventlog.LINES_PER_SECOND):
-                self.log.write(eventlog.Ready(ready=bool(second)))
+                self.log.write(events.Ready(ready=bool(second)))
         self.assertGreater(sum(self.log.dropped.values()), 0)
         before = len(self.read_lines())
         self.assertGreater(before, 0)
         self.ticker.advance(1.0)
-        self.log.write(eventlog.Ready(ready=True))
+        self.log.write(events.Ready(ready=True))
         names = [line["event"] for line in self.read_lines()]
         self.assertIn("lines_dropped", names)
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -7,6 +7,7 @@
 import testtools
 
 from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import metrics
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -43,7 +44,7 @@
         """Each event has a row, and each row is an event."""
         kinds = [
             value
-            for value in vars(eventlog).values()
+            for value in vars(events).values()
             if dataclasses.is_dataclass(value)
         ]
         told = {eventlog.get_event_name(kind) for kind in kinds}
