Keep each instance to its part of what is left of a limit

Eighty instances whose reports are a second old see the same units left and all hand them out; seven that were killed together begin with a full burst each, all the more as requests now wait for their first configuration. Ruled out: the tolerance alone (0.7 and 0.5 of it both break). Change: until the others hear of it (one report), an instance lets pass no more than one and a half parts of what is left, plus one request of any size. An instance counts as new by its own start, not by its first request.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -56,6 +56,7 @@
         parts: shared by all requests.
         quotas: limits of workspaces.
         compute_reach: returns the share of the instances in reach.
+        get_lag: returns the time until others hear of this one, seconds.
         is_leaving: whether new connections should end with their answer.
         is_closing: whether no new request is taken any more.
         get_store_age: returns the age of the store's newest answer.
@@ -67,6 +68,7 @@
         parts: jobs.Parts,
         quotas: quota.Quotas,
         compute_reach: collections.abc.Callable[[], float],
+        get_lag: collections.abc.Callable[[], float],
         is_leaving: collections.abc.Callable[[], bool],
         is_closing: collections.abc.Callable[[], bool],
         get_store_age: collections.abc.Callable[[], float],
@@ -75,6 +77,7 @@
         self._parts = parts
         self._quotas = quotas
         self._compute_reach = compute_reach
+        self._get_lag = get_lag
         self._is_leaving = is_leaving
         self._is_closing = is_closing
         self._get_store_age = get_store_age
@@ -190,6 +193,7 @@
             self._compute_reach(),
             now,
             self._parts.count_instances(),
+            self._get_lag(),
         )
         if wait is None:
             return None
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -85,7 +85,9 @@
         self.health = health_module.Health()
         self.cold = cold_module.ColdStarts()
         self.quotas = quota.Quotas(
-            settings.bounds.limit_over, settings.bounds.limit_slack
+            settings.bounds.limit_over,
+            settings.bounds.limit_slack,
+            ticker.now(),
         )
         self.members = membership.Membership(settings.instance)
         self.mirror = mirror_module.Mirror()
@@ -151,6 +153,7 @@
             ),
             self.quotas,
             lambda: self.members.compute_reach(ticker.now()),
+            lambda: max(fleet_module.REPORT_SECONDS, self.members.get_pause()),
             lambda: self._leaving,
             lambda: self._closing,
             lambda: ticker.now() - self.follower.answered,
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -31,6 +31,11 @@
 NEW_INSTANCES = 8
 """Instances among which a new one divides limits, at least."""
 
+SPREAD = 1.5
+"""How much more than its part of what is left of a limit an instance lets
+pass before the others hear of it: callers draw instances by chance, so that
+one gets more of a workspace's requests than another for a while."""
+
 MAJORITY = 0.5
 """Share of the instances above which a part of the fleet is the only one
 that is so large."""
@@ -56,6 +61,9 @@
     level: float
     at: float
     promised: float = 0.0
+    # What this instance has let pass that others can't have heard of yet.
+    recent: float = 0.0
+    recent_until: float = 0.0
 
 
 class Quotas:
@@ -64,15 +72,22 @@
     Args:
         over: share beyond a limit that the operators tolerate.
         slack: units beyond a limit that they tolerate besides.
+        started: clock time of this instance's start, seconds; by default
+            it runs for long.
     """
 
-    def __init__(self, over: float = 0.0, slack: float = 0.0) -> None:
+    def __init__(
+        self,
+        over: float = 0.0,
+        slack: float = 0.0,
+        started: float = float("-inf"),
+    ) -> None:
         self._over = 1.0 + over * TOLERANCE_SHARE
         self._slack = slack * TOLERANCE_SHARE
         self._buckets: dict[str, _Bucket] = {}
         self._totals: dict[str, float] = {}
         self._heard: dict[str, _Heard] = {}
-        self._began: float | None = None
+        self._started = started
 
     def admit(
         self,
@@ -81,6 +96,7 @@
         reach: float,
         now: float,
         instances: int = 1,
+        lag: float = 0.0,
     ) -> float | None:
         """Let a request pass, or tell when to come back.
 
@@ -90,23 +106,22 @@
             reach: share of the instances whose totals are fresh, 0 to 1.
             now: clock time, seconds.
             instances: how many there may be.
+            lag: time until the others hear of what passes, seconds.
 
         Returns:
             None if it may pass, else the pause in seconds.
         """
         if workspace.rate <= 0:
             return None
-        if self._began is None:
-            self._began = now
-        is_new = now - self._began < NEW_SECONDS
-        if is_new and not self._heard:
+        age = now - self._started
+        if age < NEW_SECONDS and not self._heard:
             rate, burst = divide(workspace, instances)
         else:
             rate, burst = self._share(workspace, reach)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            level = divide(workspace, instances)[1] if is_new else burst
-            bucket = _Bucket(level, now)
+            level = divide(workspace, instances)[1] + age * rate
+            bucket = _Bucket(min(burst, level), now)
             self._buckets[workspace.name] = bucket
         _refill(bucket, rate, burst, now)
         # Load: large requests among many small ones, over the limit. Harm:
@@ -115,7 +130,8 @@
         # is something left may pass; what it takes beyond that is paid by
         # those that come after it.
         needed = min(1.0, units)
-        if bucket.level >= needed:
+        if bucket.level >= needed and _has_part(bucket, instances, now):
+            _note_recent(bucket, units, lag, now)
             bucket.level -= units
             bucket.promised = max(0.0, bucket.promised - units)
             name = workspace.name
@@ -205,6 +221,29 @@
     bucket.at = now
 
 
+def _has_part(bucket: _Bucket, instances: int, now: float) -> bool:
+    """Return whether this instance has not yet let pass its part for now.
+
+    Load: a workspace at many times its limit in a fleet whose reports are
+    a second old. Harm: each instance sees the same units left and hands
+    them out; together they let pass many times what is there. The size of
+    the request does not matter, as for the limit itself.
+    """
+    if now >= bucket.recent_until:
+        return True
+    left = bucket.level + bucket.recent
+    return bucket.recent <= SPREAD * left / instances
+
+
+def _note_recent(
+    bucket: _Bucket, units: float, lag: float, now: float
+) -> None:
+    if now >= bucket.recent_until:
+        bucket.recent = 0.0
+        bucket.recent_until = now + lag
+    bucket.recent += units
+
+
 def divide(workspace: models.Workspace, instances: int) -> tuple[float, float]:
     """Return the rate and burst of an instance that has just started.
 
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -51,6 +51,7 @@
             parts,
             quota.Quotas(),
             lambda: 1.0,
+            lambda: 0.1,
             lambda: False,
             lambda: False,
             lambda: 0.0,
