Divide what is left of a limit more strictly among instances

With requests of any size let pass, one and a half parts each are too much. Change: one and a quarter parts, and 0.6 of the tolerance.

--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -8,7 +8,7 @@
 
 from citronport.scheduler.direct import models
 
-TOLERANCE_SHARE = 0.7
+TOLERANCE_SHARE = 0.6
 """Part of the operators' tolerance that is used.
 
 Totals of other instances are a report late, so that a bucket drained at the
@@ -31,7 +31,7 @@
 NEW_INSTANCES = 8
 """Instances among which a new one divides limits, at least."""
 
-SPREAD = 1.5
+SPREAD = 1.25
 """How much more than its part of what is left of a limit an instance lets
 pass before the others hear of it: callers draw instances by chance, so that
 one gets more of a workspace's requests than another for a while."""
