Move what one request shows of an engine out of the board

Change: scheduler/direct/runs.py holds Run with begin and measure, and the Verdict; the board keeps loads, paces and profiles. Conclusion: behaviour is as before; tests of direct/ and relay/ pass.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -18,6 +18,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import waiting
 
@@ -48,7 +49,7 @@
     """
 
     place: selection.Place
-    run: board_module.Run
+    run: runs.Run
     load: int
     pace: float
     leased: bool = False
@@ -269,7 +270,7 @@
         if not work.prompt_tokens:
             return 0.0
         profile = self._board.profiles.get(service)
-        step = self._board.get_typical_pace() * board_module.PACE_SECONDS
+        step = self._board.get_typical_pace() * runs.PACE_SECONDS
         return step * (profile.begin + profile.read * work.prompt_tokens)
 
     def _get_share(self, now: float) -> cold_module.Share:
--- a/citronport/relay/lessee.py
+++ b/citronport/relay/lessee.py
@@ -13,6 +13,7 @@
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import ownership
+from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import waiting
 
 ASK_SECONDS = 0.06
@@ -127,7 +128,7 @@
         for owner in self._list_owners(endpoint, *grant):
             self._tell(owner, begun)
 
-    def end(self, endpoint: str, run: board_module.Run) -> None:
+    def end(self, endpoint: str, run: runs.Run) -> None:
         """Give a place back, with what was seen of the endpoint."""
         self._board.note_lease_end(endpoint, run.request_id)
         grant = self._grants.pop((run.request_id, endpoint), None)
@@ -246,7 +247,7 @@
         self,
         request_id: str,
         endpoint: str,
-        run: board_module.Run | None = None,
+        run: runs.Run | None = None,
     ) -> messages.Ended:
         pace = self._board.get_own_pace(endpoint) or 0.0
         return messages.Ended(
@@ -254,7 +255,7 @@
             instance=self._own,
             request=request_id,
             endpoint=endpoint,
-            verdict=int(run.verdict if run else board_module.Verdict.NOTHING),
+            verdict=int(run.verdict if run else runs.Verdict.NOTHING),
             pace=int(pace * 1e6) if run and run.first is not None else 0,
             seconds=run.taken if run else 0.0,
         )
--- a/citronport/relay/lessor.py
+++ b/citronport/relay/lessor.py
@@ -13,6 +13,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import waiting
 
 LOG = "lessor:"
@@ -194,11 +195,11 @@
         if ended.seconds:
             self._board.note_taken(name, ended.seconds)
         match ended.verdict:
-            case board_module.Verdict.GOOD:
+            case runs.Verdict.GOOD:
                 self._health.note_answer(name, True, now)
-            case board_module.Verdict.FAILED:
+            case runs.Verdict.FAILED:
                 self._health.note_answer(name, False, now)
-            case board_module.Verdict.UNREACHABLE:
+            case runs.Verdict.UNREACHABLE:
                 self._health.note_unreachable(name, now)
             case _:
                 self._health.note_unsent(name)
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -14,8 +14,8 @@
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
-from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import runs
 
 MAX_SENDS = 4
 """Endpoints that may turn one request away before it is refused."""
@@ -368,14 +368,14 @@
         name = self._booking.endpoint.name
         self._parts.health.note_answer(name, good, now)
         self._booking.run.verdict = (
-            board_module.Verdict.GOOD if good else board_module.Verdict.FAILED
+            runs.Verdict.GOOD if good else runs.Verdict.FAILED
         )
 
     def _note_unreachable(self, reason: str) -> None:
         assert self._booking is not None
         name = self._booking.endpoint.name
         self._parts.health.note_unreachable(name, self._parts.ticker.now())
-        self._booking.run.verdict = board_module.Verdict.UNREACHABLE
+        self._booking.run.verdict = runs.Verdict.UNREACHABLE
         self._tell_failed(name, reason, "no")
 
     def _note_failed(self, reason: str, ran: str) -> None:
@@ -383,7 +383,7 @@
             return
         name = self._booking.endpoint.name
         self._parts.health.note_answer(name, False, self._parts.ticker.now())
-        self._booking.run.verdict = board_module.Verdict.FAILED
+        self._booking.run.verdict = runs.Verdict.FAILED
         self._tell_failed(name, reason, ran)
 
     def _note_silence(self, *, late: bool) -> None:
--- a/citronport/scheduler/direct/board.py
+++ b/citronport/scheduler/direct/board.py
@@ -2,27 +2,15 @@
 
 import collections.abc
 import dataclasses
-import enum
 
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import profiles
-
-PACE_SECONDS = 0.001
-"""Unit of a pace: the time of one step of an engine, in which each running
-request gets a token, in milliseconds."""
+from citronport.scheduler.direct import runs
 
 START_PACE = 5.0
 """Pace of an engine before any was measured, milliseconds; with the first
 streams, a third of a second after a start, it is not used any more."""
 
-PACE_EVENTS = 4
-"""Events over which a pace is measured. Shorter spans are coarse, since
-events that arrive together carry no time between them."""
-
-PACE_SPANS = 4
-"""Spans of which the smallest counts: sixteen events, a third of a second
-on a common engine, hardly ever all hold the reading of a prompt."""
-
 PACE_WEIGHT = 0.3
 """Weight of the newest measured pace."""
 
@@ -50,55 +38,6 @@
 fastest known one's."""
 
 
-class Verdict(enum.IntEnum):
-    """What a request shows of the health of its endpoint."""
-
-    NOTHING = 0
-    GOOD = 1
-    FAILED = 2
-    UNREACHABLE = 3
-
-
-@dataclasses.dataclass(slots=True)
-class Run:
-    """One request at an endpoint.
-
-    Attributes:
-        request_id: of the request.
-        prompt_tokens: tokens to read.
-        sent: clock time at which it was sent.
-        first: clock time of its first event; None before.
-        events: events since its first.
-        mark: clock time of the event at which the present span began.
-        mark_events: events at that time.
-        spans: spans measured since the last pace was learnt.
-        best: smallest time of one event in these, seconds.
-        last: clock time of its newest event.
-        longest: longest pause between two events, seconds.
-        taken: time of a plain answer, seconds; 0 before.
-        verdict: what it has shown of the endpoint.
-        service: that its times are learnt for; empty if they are not.
-        ahead: prompt tokens that the endpoint had not read when it was
-            sent, of other requests.
-    """
-
-    request_id: str
-    prompt_tokens: int
-    sent: float
-    first: float | None = None
-    events: int = 0
-    mark: float = 0.0
-    mark_events: int = 0
-    spans: int = 0
-    best: float | None = None
-    last: float = 0.0
-    longest: float = 0.0
-    taken: float = 0.0
-    verdict: Verdict = Verdict.NOTHING
-    service: str = ""
-    ahead: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """What runs at an endpoint.
@@ -127,10 +66,10 @@
 
     def __init__(self) -> None:
         self.profiles = profiles.Profiles()
-        self._own: dict[str, dict[str, Run]] = {}
+        self._own: dict[str, dict[str, runs.Run]] = {}
         # Requests of this instance whose places another one handed out:
         # they count there, and would count twice if told from here.
-        self._leased: dict[str, dict[str, Run]] = {}
+        self._leased: dict[str, dict[str, runs.Run]] = {}
         self._paces: dict[str, float] = {}
         self._answers: dict[str, float] = {}
         self._turn = 0
@@ -143,7 +82,7 @@
 
     def note_sent(
         self, endpoint: str, work: models.Work, now: float, service: str = ""
-    ) -> Run:
+    ) -> runs.Run:
         """Note that a request goes to an endpoint; return its record.
 
         Args:
@@ -153,21 +92,23 @@
             service: of the endpoint, if a slot is free there: what the
                 request takes is then learnt, and no wait for a slot.
         """
-        run = Run(work.request_id, work.prompt_tokens, now)
+        run = runs.Run(work.request_id, work.prompt_tokens, now)
         run.service = service
         run.ahead = self.get_load(endpoint).unread if service else 0
         self._own.setdefault(endpoint, {})[work.request_id] = run
         return run
 
-    def note_leased(self, endpoint: str, work: models.Work, now: float) -> Run:
+    def note_leased(
+        self, endpoint: str, work: models.Work, now: float
+    ) -> runs.Run:
         """Note a request whose place another instance has handed out."""
-        run = Run(work.request_id, work.prompt_tokens, now)
+        run = runs.Run(work.request_id, work.prompt_tokens, now)
         self._leased.setdefault(endpoint, {})[work.request_id] = run
         return run
 
     def note_held(self, endpoint: str, request_id: str, unread: int) -> None:
         """Note another instance's request, which counts here from now on."""
-        run = Run(request_id, unread, 0.0)
+        run = runs.Run(request_id, unread, 0.0)
         if not unread:
             run.first = 0.0
         self._own.setdefault(endpoint, {})[request_id] = run
@@ -180,7 +121,12 @@
             self._learn_begin(endpoint, run, now)
 
     def note_events(
-        self, endpoint: str, run: Run, events: int, tokens: int, now: float
+        self,
+        endpoint: str,
+        run: runs.Run,
+        events: int,
+        tokens: int,
+        now: float,
     ) -> None:
         """Note events of a stream.
 
@@ -192,28 +138,14 @@
             now: clock time, seconds.
         """
         if run.first is None:
-            run.first = run.mark = run.last = now
-            run.mark_events = 0
-            run.events = events - 1
+            run.begin(events, now)
             self._learn_begin(endpoint, run, now)
             return
-        run.longest = max(run.longest, now - run.last)
-        run.last = now
-        run.events += events
-        span = run.events - run.mark_events
-        if span < PACE_EVENTS:
-            return
-        each = (now - run.mark) / span
-        run.mark, run.mark_events = now, run.events
-        run.spans += 1
-        # The smallest of several spans: longer ones hold the reading of
-        # others' prompts, which is load and not pace.
-        run.best = each if run.best is None else min(run.best, each)
-        if run.spans >= PACE_SPANS:
-            self._learn(endpoint, run.best / (tokens * PACE_SECONDS))
-            run.best, run.spans = None, 0
-
-    def note_answer(self, endpoint: str, run: Run, now: float) -> None:
+        pace = run.measure(events, tokens, now)
+        if pace is not None:
+            self._learn(endpoint, pace)
+
+    def note_answer(self, endpoint: str, run: runs.Run, now: float) -> None:
         """Note the whole answer of a plain service."""
         run.taken = now - run.sent
         self.note_taken(endpoint, run.taken)
@@ -235,7 +167,7 @@
         """
         run = self._own.get(endpoint, {}).get(request_id)
         if run and run.service and run.first is not None and now is not None:
-            step = self.get_pace(endpoint) * PACE_SECONDS
+            step = self.get_pace(endpoint) * runs.PACE_SECONDS
             self.profiles.note_end(run.service, (now - run.sent) / step)
         _remove(self._own, endpoint, request_id)
 
@@ -243,12 +175,12 @@
         """Note that a leased request has ended or left an endpoint."""
         _remove(self._leased, endpoint, request_id)
 
-    def list_leased(self) -> list[tuple[str, Run]]:
+    def list_leased(self) -> list[tuple[str, runs.Run]]:
         """Return the leased requests with their endpoints."""
         return [
             (endpoint, run)
-            for endpoint, runs in self._leased.items()
-            for run in runs.values()
+            for endpoint, held in self._leased.items()
+            for run in held.values()
         ]
 
     def get_own_pace(self, endpoint: str) -> float | None:
@@ -384,11 +316,11 @@
             heard.paces.pop(endpoint, None)
 
     def _count_own(self, endpoint: str) -> Load:
-        runs = self._own.get(endpoint)
-        if not runs:
+        here = self._own.get(endpoint)
+        if not here:
             return Load(0, 0)
-        unread = sum(r.prompt_tokens for r in runs.values() if r.first is None)
-        return Load(len(runs), unread)
+        unread = sum(r.prompt_tokens for r in here.values() if r.first is None)
+        return Load(len(here), unread)
 
     def _add(self, loads: dict[str, tuple[int, int]], sign: int) -> None:
         for name, (requests, unread) in loads.items():
@@ -398,9 +330,9 @@
             if total == [0, 0]:
                 del self._others[name]
 
-    def _learn_begin(self, endpoint: str, run: Run, now: float) -> None:
+    def _learn_begin(self, endpoint: str, run: runs.Run, now: float) -> None:
         if run.service:
-            step = self.get_pace(endpoint) * PACE_SECONDS
+            step = self.get_pace(endpoint) * runs.PACE_SECONDS
             tokens = run.ahead + run.prompt_tokens
             self.profiles.note_begun(
                 run.service, tokens, (now - run.sent) / step
@@ -422,11 +354,11 @@
 
 
 def _remove(
-    runs: dict[str, dict[str, Run]], endpoint: str, request_id: str
+    requests: dict[str, dict[str, runs.Run]], endpoint: str, request_id: str
 ) -> None:
-    known = runs.get(endpoint)
+    known = requests.get(endpoint)
     if known is None:
         return
     known.pop(request_id, None)
     if not known:
-        del runs[endpoint]
+        del requests[endpoint]
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -8,6 +8,7 @@
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import runs
 
 SPARE_REQUESTS = 1
 """Requests beyond an endpoint's slots that may be sent there.
@@ -158,7 +159,7 @@
 
     def _get_step(self, endpoint: models.Endpoint) -> float:
         pace = self._board.get_pace(endpoint.name)
-        return pace * board_module.PACE_SECONDS
+        return pace * runs.PACE_SECONDS
 
     def _weigh_stall(
         self,
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -9,8 +9,8 @@
 from citronport.relay import leasing as leasing_module
 from citronport.relay import messages
 from citronport.relay import owners as owners_module
-from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import ownership
+from citronport.scheduler.direct import runs
 from tests.relay import samples
 from tests.relay import test_membership
 
@@ -127,7 +127,7 @@
         self.assertTrue(first.leased and second.leased)
         self.assertEqual(2, self.owner.count())
         self.assertEqual([], self.one.room.board.list_own())
-        first.run.verdict = board_module.Verdict.GOOD
+        first.run.verdict = runs.Verdict.GOOD
         self.one.room.dispatcher.release(first, "r1")
         self.settle()
         self.assertEqual(1, self.owner.count())
@@ -257,7 +257,7 @@
         another instance, is not sent there.
         """
         found = self.one.acquire("r1")
-        found.run.verdict = board_module.Verdict.UNREACHABLE
+        found.run.verdict = runs.Verdict.UNREACHABLE
         self.one.room.dispatcher.release(found, "r1")
         self.settle()
         route = samples.make_route(objective=0.05)
--- a/tests/scheduler/direct/test_fleet_load.py
+++ b/tests/scheduler/direct/test_fleet_load.py
@@ -15,6 +15,7 @@
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
+from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import waiting
 from tests.relay import samples
@@ -115,7 +116,7 @@
         self.outcome = Outcome()
         for chooser in self._choosers:
             for name, engine in self._engines.items():
-                pace = engine.pace * STEP_SECONDS / board_module.PACE_SECONDS
+                pace = engine.pace * STEP_SECONDS / runs.PACE_SECONDS
                 chooser.board.hear_pace("all", name, pace)
         self._plan(pressure)
 
