Tell a request at once when it would wait in vain

Change: the owner compares what waits ahead with the rate at which places come free (slots over the learnt stay) and answers Full with a pause; the caller hears 503 and when to come back. Reports tell profiles in one of eight, which saves a tenth of their bytes.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -50,6 +50,10 @@
 SWEEP_SECONDS = 0.25
 """Pause between two looks at what has run out."""
 
+PROFILE_REPORTS = 8
+"""One report in so many tells what requests take: it changes slowly, and
+would be a tenth of all bytes between instances."""
+
 SETTINGS_SECONDS = 2.0
 """Pause between two looks at whether the settings file has changed."""
 
@@ -305,7 +309,11 @@
             ),
             passed=self.quotas.get_totals(),
             loads=self.board.list_own(idle_rows),
-            profiles=self.board.profiles.list_learnt(),
+            profiles=(
+                self.board.profiles.list_learnt()
+                if self._number % PROFILE_REPORTS == 0
+                else []
+            ),
             members=self.members.list_members(now),
         )
 
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -116,7 +116,9 @@
         waiter = waiting.Waiter(
             work=work, since=now, tried=tried, handle=woken
         )
-        self.enter(waiter, service)
+        pause = self.enter(waiter, service)
+        if pause is not None:
+            return self._refuse(work, service, pause)
         try:
             # Not "get": its timeout could not be told from the one for
             # the whole request, which has to end the request.
@@ -125,14 +127,39 @@
             self.withdraw(waiter, service)
         return woken.value or self._refuse(work, service)
 
-    def enter(self, waiter: waiting.Waiter, service: str) -> None:
-        """Give a request a place at once, or let it wait for one."""
+    def enter(self, waiter: waiting.Waiter, service: str) -> float | None:
+        """Give a request a place at once, or let it wait for one.
+
+        Returns:
+            None; or if it would wait in vain, and does not, after how many
+            seconds it may find a place.
+        """
         queue = self._queues.get(service)
         if queue is None:
             queue = waiting.Queue(lambda w: self._expect(w, service))
             self._queues[service] = queue
         queue.add(waiter)
         self._match(service, queue)
+        if not queue.holds(waiter):
+            return None
+        wait = self._forecast(waiter, service, queue)
+        if wait <= waiting.compute_patience(waiter.work, waiter.since):
+            return None
+        queue.remove(waiter)
+        return wait
+
+    def _forecast(
+        self, waiter: waiting.Waiter, service: str, queue: waiting.Queue
+    ) -> float:
+        now = self._ticker.now()
+        configuration = self._world.configuration
+        known = configuration and configuration.services.get(service)
+        endpoints = self._world.list_endpoints(service)
+        if not known or not endpoints:
+            # Nothing is known that a forecast could go by.
+            return 0.0
+        places = self._selector.compute_places(known, endpoints)
+        return queue.forecast(waiter, places, now)
 
     def withdraw(self, waiter: waiting.Waiter, service: str) -> None:
         """Take a request out that waits no longer."""
@@ -189,14 +216,17 @@
             return None
         match self.lessee.ask(work, service, tried):
             case messages.Granted() as granted:
-                return self._take(granted, work)
-            case lessee_module.InVain():
-                return self._refuse(work, service)
+                return self._take(granted, work, self.lessee)
+            case lessee_module.InVain(pause=pause):
+                return self._refuse(work, service, pause)
             case None:
                 return None
 
     def _take(
-        self, granted: messages.Granted, work: models.Work
+        self,
+        granted: messages.Granted,
+        work: models.Work,
+        lessee: lessee_module.Lessee,
     ) -> Booking | None:
         name = granted.endpoint
         now = self._ticker.now()
@@ -205,8 +235,7 @@
         if endpoint is None:
             # The owner is ahead with the store's news, or behind: this
             # instance knows no address for the name.
-            assert self.lessee is not None
-            self.lessee.end(name, run)
+            lessee.end(name, run)
             return None
         self._cold.note_send(name, now)
         self._health.note_send(name)
@@ -317,15 +346,22 @@
             pace=self._board.get_pace(name),
         )
 
-    def _refuse(self, work: models.Work, service: str) -> errors.Refusal:
+    def _refuse(
+        self, work: models.Work, service: str, pause: float = 0.0
+    ) -> errors.Refusal:
         listed = self._world.list_endpoints(service)
         code = errors.Code.OVERLOADED if listed else errors.Code.NO_ENDPOINT
         left = max(0.0, work.deadline - self._ticker.now())
-        # Spread by chance: callers that are refused in one burst would
-        # else come back in one.
-        pause = waiting.RETRY_SECONDS * random.uniform(1.0, 2.0)
+        # Most callers come back once: no sooner than a place may be free.
+        # Spread by chance: those that are refused in one burst would else
+        # come back in one.
+        pause = max(pause, waiting.RETRY_SECONDS)
+        longest = RETRY_SHARE * left
         return errors.Refusal(
-            code=code, retry_after=min(pause, RETRY_SHARE * left)
+            code=code,
+            retry_after=random.uniform(
+                min(pause, 0.5 * longest), min(2 * pause, longest)
+            ),
         )
 
 
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -80,7 +80,12 @@
                 self.lessor.take_ended(message)
             case messages.Holding():
                 self.lessor.take_holding(message)
-            case messages.Granted() | messages.Queued() | messages.Declined():
+            case (
+                messages.Granted()
+                | messages.Queued()
+                | messages.Full()
+                | messages.Declined()
+            ):
                 self.lessee.take(message)
 
     def _note_change(self) -> None:
--- a/citronport/relay/lessee.py
+++ b/citronport/relay/lessee.py
@@ -33,7 +33,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class InVain:
-    """The request waited at the owner as long as it may."""
+    """The request waited at the owner as long as it may, or would.
+
+    Attributes:
+        pause: seconds after which it may find a place; 0 if not known.
+    """
+
+    pause: float = 0.0
 
 
 Answer = messages.Granted | InVain
@@ -199,13 +205,15 @@
                     found = self._stay(answers, end)
                     if found is not None:
                         return found
+                case messages.Full(seconds=seconds):
+                    return InVain(pause=seconds)
                 case messages.Declined():
                     return None
         return InVain()
 
     def _stay(
         self, answers: gevent_queue.SimpleQueue, end: float
-    ) -> messages.Granted | None:
+    ) -> Answer | None:
         """Wait in the owner's queue until it is time to ask again."""
         until = min(end, self._ticker.now() + ASK_AGAIN_SECONDS)
         while (left := until - self._ticker.now()) > 0:
@@ -213,8 +221,11 @@
                 answer = answers.get(timeout=left)
             except gevent_queue.Empty:
                 return None
-            if isinstance(answer, messages.Granted):
-                return answer
+            match answer:
+                case messages.Granted():
+                    return answer
+                case messages.Full(seconds=seconds):
+                    return InVain(pause=seconds)
         return None
 
     def _suspect(self, owner: str) -> None:
--- a/citronport/relay/lessor.py
+++ b/citronport/relay/lessor.py
@@ -97,7 +97,10 @@
                 self._decline(ask)
                 return
             applicant = _Applicant(ask, now, self._grant)
-            self._enter(applicant, work, now)
+            pause = self._enter(applicant, work, now)
+            if pause is not None:
+                self._turn_away(ask, pause)
+                return
         applicant.seen = now
         if ask.request in self._applicants:
             queued = messages.Queued(
@@ -144,7 +147,7 @@
 
     def _enter(
         self, applicant: _Applicant, work: models.Work, now: float
-    ) -> None:
+    ) -> float | None:
         waiter = waiting.Waiter(
             work=work,
             since=now,
@@ -154,7 +157,14 @@
         )
         applicant.waiter = waiter
         self._applicants[work.request_id] = applicant
-        self._dispatcher.enter(waiter, applicant.ask.service)
+        return self._dispatcher.enter(waiter, applicant.ask.service)
+
+    def _turn_away(self, ask: messages.Ask, pause: float) -> None:
+        del self._applicants[ask.request]
+        full = messages.Full(
+            protocol=messages.PROTOCOL, request=ask.request, seconds=pause
+        )
+        self._tell(ask.instance, full)
 
     def _grant(
         self, applicant: _Applicant, booking: dispatcher_module.Booking
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -152,6 +152,21 @@
     request: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Full:
+    """Answers ``Ask``: the request would wait in vain.
+
+    Attributes:
+        protocol: version of the protocol.
+        request: id of the request.
+        seconds: after which it may find a place.
+    """
+
+    protocol: int
+    request: str
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Declined:
     """Answers ``Ask``: the receiver can't decide on this request."""
@@ -208,7 +223,7 @@
     leases: list[tuple[str, str, int]]
 
 
-Leasing = Ask | Granted | Queued | Declined | Begun | Ended | Holding
+Leasing = Ask | Granted | Queued | Full | Declined | Begun | Ended | Holding
 
 Tell = collections.abc.Callable[[str, Leasing], None]
 """Sends a message on leases to an instance, named."""
@@ -223,6 +238,7 @@
         Ask,
         Granted,
         Queued,
+        Full,
         Declined,
         Begun,
         Ended,
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -43,6 +43,9 @@
 COLD_SECONDS = 0.3
 """What a cold endpoint counts against a warm one, seconds."""
 
+MIN_STAY_SECONDS = 0.001
+"""Shortest time that a place is taken to be held."""
+
 FULL_VIEW_INSTANCES = 12
 """Instances up to which each looks at all endpoints: their reports are 0.15
 s old at most, about what a prompt takes to read."""
@@ -157,6 +160,29 @@
         tokens = load.unread + work.prompt_tokens
         return wait + step * (profile.begin + profile.read * tokens)
 
+    def compute_places(
+        self,
+        service: models.Service,
+        endpoints: collections.abc.Iterable[models.Endpoint],
+    ) -> float:
+        """Return how many places come free a second when all are taken.
+
+        Endpoints that are out of reach at the moment count: most are back
+        before a request's patience is over.
+        """
+        return sum(
+            e.slots / max(MIN_STAY_SECONDS, self._get_stay(service, e))
+            for e in endpoints
+        )
+
+    def _get_stay(
+        self, service: models.Service, endpoint: models.Endpoint
+    ) -> float:
+        if service.engine is None:
+            return self._board.get_answer_seconds(endpoint.name)
+        profile = self._board.profiles.get(service.name)
+        return profile.stay * self._get_step(endpoint)
+
     def _get_step(self, endpoint: models.Endpoint) -> float:
         pace = self._board.get_pace(endpoint.name)
         return pace * runs.PACE_SECONDS
--- a/citronport/scheduler/direct/waiting.py
+++ b/citronport/scheduler/direct/waiting.py
@@ -74,6 +74,10 @@
         """Let a request wait."""
         self._waiters.append(waiter)
 
+    def holds(self, waiter: Waiter) -> bool:
+        """Return whether a request still waits."""
+        return waiter in self._waiters
+
     def remove(self, waiter: Waiter) -> None:
         """Take a request out that no longer waits."""
         if waiter in self._waiters:
@@ -91,6 +95,34 @@
         """
         return sorted(self._waiters, key=lambda w: self._make_rank(w, now))
 
+    def forecast(self, waiter: Waiter, places: float, now: float) -> float:
+        """Return how long a request will wait at least, seconds.
+
+        Load: more work than the endpoints take, for longer than requests
+        wait. Harm: those at the end of the queue wait as long as they may
+        and then hear that they have to come back: the time in which they
+        could have been served is gone. What goes before a request is known
+        when it comes. More urgent ones that come later are not foreseen:
+        counted at the rate of late, they turned away requests in bursts
+        of two seconds that were over before their patience was.
+
+        Args:
+            waiter: the request; it may stand in the queue already.
+            places: that come free a second.
+            now: clock time, seconds.
+
+        Returns:
+            The time; infinite if no place comes free.
+        """
+        own = self._make_rank(waiter, now)
+        ahead = sum(
+            w is not waiter and self._make_rank(w, now) <= own
+            for w in self._waiters
+        )
+        if not ahead:
+            return 0.0
+        return ahead / places if places > 0 else float("inf")
+
     def match(
         self,
         choose: collections.abc.Callable[[Waiter], Any],
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -34,6 +34,29 @@
         self.assertGreater(found.retry_after, 0)
         self.assertEqual(0, room.dispatcher.count_waiting())
 
+    def test_hears_at_once_that_it_would_wait_in_vain(self):
+        """Load: a service that is full for longer than requests wait.
+
+        Forty requests wait for two places that are held for seconds. The
+        next one hears at once that it has not run and when to come back:
+        no sooner than half a second later, and with time left to be served.
+        """
+        room = samples.Room([samples.make_endpoint()])
+        for number in range(3):
+            self.acquire(room, f"t{number}")
+        waiters = [
+            gevent.spawn(self.acquire, room, f"w{number}")
+            for number in range(40)
+        ]
+        gevent.sleep(0)
+        began = room.ticker.now()
+        found = self.acquire(room, "late")
+        self.assertLess(room.ticker.now() - began, 0.05)
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+        self.assertGreaterEqual(found.retry_after, 0.5)
+        self.assertLess(found.retry_after, 0.3 * 15.0)
+        gevent.killall(waiters)
+
     def test_freed_place_goes_to_who_waits(self):
         """A caller waits and gets the place that another gives back."""
         room = samples.Room([samples.make_endpoint()])
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -166,6 +166,28 @@
         self.settle()
         self.assertEqual(0, self.owner.room.dispatcher.count_waiting())
 
+    def test_hears_at_once_that_it_would_wait_in_vain(self):
+        """The owner's endpoint is full, and forty requests wait there.
+
+        A request of another instance hears within a moment that it has not
+        run, and when to come back; the owner keeps nothing of it.
+        """
+        for number in range(3):
+            self.owner.acquire(f"t{number}")
+        waiting = [
+            gevent.spawn(self.owner.acquire, f"w{number}")
+            for number in range(40)
+        ]
+        gevent.sleep(0)
+        began = self.one.room.ticker.now()
+        found = self.one.acquire("late")
+        self.assertLess(self.one.room.ticker.now() - began, 0.1)
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+        self.assertGreaterEqual(found.retry_after, 0.5)
+        self.settle()
+        self.assertLessEqual(self.owner.room.dispatcher.count_waiting(), 40)
+        gevent.killall(waiting)
+
     def test_owner_dies_and_nobody_waits_for_it(self):
         """The owner is killed.
 
--- a/tests/scheduler/direct/test_selection.py
+++ b/tests/scheduler/direct/test_selection.py
@@ -140,6 +140,17 @@
         self.board.note_end("a", run.request_id)
         self.assertEqual("b", self.choose())
 
+    def test_places_that_come_free(self):
+        """Two engines of four slots, one at half of the other's speed.
+
+        A request stays 300 steps: places come free every 300 ms and every
+        600 ms for each slot, whatever runs there now.
+        """
+        self.set_pace("a", 1.0 / COMMON_PACE)
+        self.set_pace("b", 2.0 / COMMON_PACE)
+        places = self.selector.compute_places(self.service, self.endpoints)
+        self.assertAlmostEqual(4 / 0.3 + 4 / 0.6, places, delta=0.1)
+
 
 class HerdTest(testtools.TestCase):
     """Load: sixty instances that hear of each other late."""
--- a/tests/scheduler/direct/test_waiting.py
+++ b/tests/scheduler/direct/test_waiting.py
@@ -62,6 +62,52 @@
         )
         self.assertEqual(2, len(queue))
 
+    def fill(self, queue, count, now=0.0, **route):
+        """Let some requests wait."""
+        for number in range(count):
+            queue.add(make_waiter(f"{route}-{number}", now, **route))
+
+    def test_forecast_of_a_burst(self):
+        """Load: a burst puts twenty requests before a new one.
+
+        Places come free at forty a second, so that the wait is half a
+        second: it waits, since it can still be in time.
+        """
+        queue = waiting.Queue()
+        self.fill(queue, 20)
+        waiter = make_waiter("new")
+        queue.add(waiter)
+        self.assertAlmostEqual(0.5, queue.forecast(waiter, 40.0, 0.0))
+
+    def test_forecast_of_a_flood(self):
+        """Load: a hundred requests of a more urgent route wait.
+
+        At forty places a second a request of the next route would wait two
+        and a half seconds, whatever comes meanwhile; one of the first
+        route that has just come stands behind its like only.
+        """
+        queue = waiting.Queue()
+        self.fill(queue, 100, tier=0)
+        self.fill(queue, 50, tier=2)
+        waiter = make_waiter("new", tier=1)
+        queue.add(waiter)
+        self.assertAlmostEqual(2.5, queue.forecast(waiter, 40.0, 0.0))
+
+    def test_no_place_comes_free(self):
+        """All endpoints are out of reach: a wait has no end."""
+        queue = waiting.Queue()
+        self.fill(queue, 1)
+        waiter = make_waiter("new")
+        queue.add(waiter)
+        self.assertEqual(float("inf"), queue.forecast(waiter, 0.0, 0.0))
+
+    def test_nothing_ahead(self):
+        """The first in the queue gets the next place."""
+        queue = waiting.Queue()
+        waiter = make_waiter("new")
+        queue.add(waiter)
+        self.assertEqual(0.0, queue.forecast(waiter, 0.0, 0.0))
+
     def test_patience(self):
         """Two objectives, but never most of the time that is left."""
         work = samples.make_work()
