Use more of the limits' tolerance where reports are fresh

Cause: the part of the tolerance that is used was one figure for all fleets; what has to be kept back is what passes between two reports, a tenth of a second with seven instances and a second with eighty. Change: 0.8 of the tolerance less 0.3 for each second between reports, 0.5 at least.

--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -8,8 +8,9 @@
 
 from citronport.scheduler.direct import models
 
-TOLERANCE_SHARE = 0.6
-"""Part of the operators' tolerance that is used.
+TOLERANCE_SHARE = 0.8
+"""Part of the operators' tolerance that is used in a fleet whose instances
+hear each other at once.
 
 Totals of other instances are a report late, so that a bucket drained at the
 very limit refuses requests that are within it. Erring upwards costs nobody
@@ -17,6 +18,12 @@
 pass between two reports.
 """
 
+LAG_SHARE = 0.3
+"""Part of the tolerance that is kept back for each second between reports."""
+
+MIN_TOLERANCE_SHARE = 0.5
+"""Part of the tolerance that is used however late the reports are."""
+
 RETRY_FLOOR_SECONDS = 0.1
 """Shortest time to come back, so that a caller does not spin."""
 
@@ -82,8 +89,8 @@
         slack: float = 0.0,
         started: float = float("-inf"),
     ) -> None:
-        self._over = 1.0 + over * TOLERANCE_SHARE
-        self._slack = slack * TOLERANCE_SHARE
+        self._over = over
+        self._slack = slack
         self._buckets: dict[str, _Bucket] = {}
         self._totals: dict[str, float] = {}
         self._heard: dict[str, _Heard] = {}
@@ -117,7 +124,7 @@
         if age < NEW_SECONDS and not self._heard:
             rate, burst = divide(workspace, instances)
         else:
-            rate, burst = self._share(workspace, reach)
+            rate, burst = self._share(workspace, reach, lag)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             level = divide(workspace, instances)[1] + age * rate
@@ -193,7 +200,7 @@
         return self._totals
 
     def _share(
-        self, workspace: models.Workspace, reach: float
+        self, workspace: models.Workspace, reach: float, lag: float
     ) -> tuple[float, float]:
         """Return the rate and burst that this instance may count on.
 
@@ -205,8 +212,10 @@
         their share.
         """
         if reach > MAJORITY:
+            used = max(MIN_TOLERANCE_SHARE, TOLERANCE_SHARE - LAG_SHARE * lag)
             others = (1.0 - reach) * MINORITY_SHARE
-            over, slack = max(1.0, self._over - others), self._slack
+            over = max(1.0, 1.0 + self._over * used - others)
+            slack = self._slack * used
         else:
             over, slack = reach * MINORITY_SHARE, 0.0
         return workspace.rate * over, workspace.burst * over + slack
