Divide a limit among instances only while a workspace floods them

Ruled out: a larger part; the test of a flood fails from 1.5 parts on. Change: parts count only where less is left than twice what passes until the next report; what passed of late is kept for some seconds, and a debt of up to six seconds of the rate is paid back and not forgiven at a burst. Tests: instances that run for a while have heard of each other before the flood begins; bounds are as they were.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -324,7 +324,12 @@
                 service,
                 profiles_module.Profile(begin=begin, read=read, stay=stay),
             )
-        self.quotas.hear(report.instance, report.incarnation, report.passed)
+        self.quotas.hear(
+            report.instance,
+            report.incarnation,
+            report.passed,
+            self._ticker.now(),
+        )
         self.dispatcher.kick()
 
     def _take_leasing(self, message: messages.Leasing) -> None:
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 from citronport.scheduler.direct import models
 
@@ -43,6 +44,17 @@
 pass before the others hear of it: callers draw instances by chance, so that
 one gets more of a workspace's requests than another for a while."""
 
+FLOW_SECONDS = 4.0
+"""Time in which half of what passed is forgotten: longer than a debt that
+keeps a flood out, after which it would come in as one again."""
+
+FLOW_MARGIN = 2.0
+"""How much more than of late may pass until the next report."""
+
+DEBT_SECONDS = 6.0
+"""Deepest debt of a bucket, in seconds of its rate: what late reports charge
+beyond it is forgiven, so that no workspace is locked out for longer."""
+
 MAJORITY = 0.5
 """Share of the instances above which a part of the fleet is the only one
 that is so large."""
@@ -71,6 +83,22 @@
     # What this instance has let pass that others can't have heard of yet.
     recent: float = 0.0
     recent_until: float = 0.0
+    # What all instances have let pass of late, older units counting less.
+    flow: float = 0.0
+    flow_at: float = 0.0
+
+    def note_flow(self, units: float, now: float) -> None:
+        """Count units that passed somewhere."""
+        self.flow = self._compute_sum(now) + units
+        self.flow_at = now
+
+    def compute_flow(self, now: float) -> float:
+        """Return the units that pass a second, of late."""
+        return math.log(2) / FLOW_SECONDS * self._compute_sum(now)
+
+    def _compute_sum(self, now: float) -> float:
+        age = max(0.0, now - self.flow_at)
+        return self.flow * 0.5 ** (age / FLOW_SECONDS)
 
 
 class Quotas:
@@ -137,8 +165,9 @@
         # is something left may pass; what it takes beyond that is paid by
         # those that come after it.
         needed = min(1.0, units)
-        if bucket.level >= needed and _has_part(bucket, instances, now):
+        if bucket.level >= needed and _has_part(bucket, instances, lag, now):
             _note_recent(bucket, units, lag, now)
+            bucket.note_flow(units, now)
             bucket.level -= units
             bucket.promised = max(0.0, bucket.promised - units)
             name = workspace.name
@@ -153,7 +182,11 @@
         return min(max(wait, RETRY_FLOOR_SECONDS), RETRY_CEILING_SECONDS)
 
     def hear(
-        self, sender: str, incarnation: str, totals: dict[str, float]
+        self,
+        sender: str,
+        incarnation: str,
+        totals: dict[str, float],
+        now: float,
     ) -> None:
         """Charge what another instance has let pass since its last word.
 
@@ -167,6 +200,7 @@
             sender: name of the other instance.
             incarnation: of that start of it.
             totals: its running totals by workspace.
+            now: clock time, seconds.
         """
         heard = self._heard.get(sender)
         if heard is None:
@@ -182,6 +216,7 @@
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.level -= total - known
+                bucket.note_flow(max(0.0, total - known), now)
 
     def give_back(self, workspace: models.Workspace, units: float) -> None:
         """Undo an admission whose request was refused and has not run.
@@ -223,23 +258,26 @@
 
 def _refill(bucket: _Bucket, rate: float, burst: float, now: float) -> None:
     gained = max(0.0, now - bucket.at) * rate
-    # A debt deeper than a burst would lock a workspace out for long after
-    # one late report of a busy second.
-    bucket.level = max(-burst, min(burst, bucket.level + gained))
+    deepest = -max(burst, DEBT_SECONDS * rate)
+    bucket.level = max(deepest, min(burst, bucket.level + gained))
     bucket.promised = max(0.0, bucket.promised - gained)
     bucket.at = now
 
 
-def _has_part(bucket: _Bucket, instances: int, now: float) -> bool:
+def _has_part(bucket: _Bucket, instances: int, lag: float, now: float) -> bool:
     """Return whether this instance has not yet let pass its part for now.
 
     Load: a workspace at many times its limit in a fleet whose reports are
     a second old. Harm: each instance sees the same units left and hands
-    them out; together they let pass many times what is there. The size of
-    the request does not matter, as for the limit itself.
+    them out; together they let pass many times what is there. Parts count
+    only where less is left than passes until the next report, as callers
+    do not come to instances in equal parts. The size of the request does
+    not matter, as for the limit itself.
     """
     if now >= bucket.recent_until:
         return True
+    if bucket.level >= FLOW_MARGIN * bucket.compute_flow(now) * lag:
+        return True
     left = bucket.level + bucket.recent
     return bucket.recent <= SPREAD * left / instances
 
