Keep debts of limits to six reports' worth

Change: the deepest debt is six reports' worth of the rate, or a burst; in a fleet of seven that is a burst again, in one of eighty six seconds as now. test_a_long_request_locks_nobody_out_for_long failed on the code before.

--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -51,9 +51,10 @@
 FLOW_MARGIN = 2.0
 """How much more than of late may pass until the next report."""
 
-DEBT_SECONDS = 6.0
-"""Deepest debt of a bucket, in seconds of its rate: what late reports charge
-beyond it is forgiven, so that no workspace is locked out for longer."""
+DEBT_REPORTS = 6.0
+"""Deepest debt of a bucket, in reports' worth of its rate, or a burst if
+that is more. A flood that came in between two reports is paid back; a long
+request in a fleet of fresh reports locks nobody out for seconds."""
 
 MAJORITY = 0.5
 """Share of the instances above which a part of the fleet is the only one
@@ -158,7 +159,7 @@
             level = divide(workspace, instances)[1] + age * rate
             bucket = _Bucket(min(burst, level), now)
             self._buckets[workspace.name] = bucket
-        _refill(bucket, rate, burst, now)
+        _refill(bucket, rate, burst, lag, now)
         # Load: large requests among many small ones, over the limit. Harm:
         # the small ones take each unit as it comes, and the large ones of
         # the same workspace never find enough. Whoever comes while there
@@ -256,9 +257,11 @@
         return workspace.rate * over, workspace.burst * over + slack
 
 
-def _refill(bucket: _Bucket, rate: float, burst: float, now: float) -> None:
+def _refill(
+    bucket: _Bucket, rate: float, burst: float, lag: float, now: float
+) -> None:
     gained = max(0.0, now - bucket.at) * rate
-    deepest = -max(burst, DEBT_SECONDS * rate)
+    deepest = -max(burst, DEBT_REPORTS * lag * rate)
     bucket.level = max(deepest, min(burst, bucket.level + gained))
     bucket.promised = max(0.0, bucket.promised - gained)
     bucket.at = now
--- a/tests/scheduler/direct/test_quota.py
+++ b/tests/scheduler/direct/test_quota.py
@@ -143,6 +143,18 @@
         shares = [passed[units] / asked[units] for units in (100.0, 900.0)]
         self.assertGreater(shares[1], 0.75 * shares[0])
 
+    def test_a_long_request_locks_nobody_out_for_long(self):
+        """One request of six bursts passes in a fleet of fresh reports.
+
+        Those after it wait until a burst is paid back, and no longer.
+        """
+        quotas = quota.Quotas()
+        workspace = make_workspace(rate=1000.0, burst=1000.0)
+        first = quotas.admit(workspace, 6000.0, 1.0, 0.0, 7, 0.1)
+        self.assertIsNone(first)
+        self.assertIsNotNone(quotas.admit(workspace, 1.0, 1.0, 0.5, 7, 0.1))
+        self.assertIsNone(quotas.admit(workspace, 1.0, 1.0, 1.7, 7, 0.1))
+
     def test_within_its_limit_nobody_is_refused(self):
         """A caller below the limit on all instances is always served."""
         fleet = [quota.Quotas(OVER, SLACK) for _ in range(7)]
