Call a home that never greeted unreachable

The old link to the killed home was gone, while its kernel still accepted a new one for a moment: the repeat was written to it and the link closed before the home's greeting. Change: a link that closes before the greeting of a home counts as a home that can't be reached. Both answers say that the outcome is unknown; other roles keep theirs, as what was written may have run. test_home_that_never_greeted_is_unreachable reproduces it without load and failed before (3002 != 1106).

--- a/citronport/instances/peers.py
+++ b/citronport/instances/peers.py
@@ -157,6 +157,11 @@
         try:
             refusal = _relay(inbox, run)
             ended = True
+            if role == const.ROLE_HOME and chosen.peer is None:
+                # The kernel of a dying process still accepts links. One
+                # that closes before the greeting never reached the home;
+                # what an earlier copy did there is not known, as ever.
+                return _make_unreachable(role)
             return refusal
         finally:
             del self._exchanges[key]
