Name to each caller at most 64 instances of its own

Cause: an answer to a lookup may name 64 addresses. Change: rendezvous hashing of the caller's address over the instances that may be used, weighted by their cores: each caller has its own few, the same ones whichever instance it asks, and keeps its connections. The hashing of readers, cold starts, owners and callers is one module, ranking.py. Ruled out: another draw with each answer; callers drop open connections to addresses that an answer lacks.

--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -6,6 +6,8 @@
 
 PATH_READY: Final = "/citronport/readyz"
 PATH_LOOKUP: Final = "/citronport/resolve"
+LOOKUP_ADDRESSES: Final = 64
+"""Addresses that an answer to a lookup may name."""
 
 # Calls to the store
 
--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -233,11 +233,11 @@
     """The WSGI application that tells callers which instances to use.
 
     Args:
-        list_addresses: returns the addresses for callers.
+        list_addresses: returns the addresses for a caller, given its own.
     """
 
     def __init__(
-        self, list_addresses: collections.abc.Callable[[], tuple[str, ...]]
+        self, list_addresses: collections.abc.Callable[[str], tuple[str, ...]]
     ) -> None:
         self._list_addresses = list_addresses
 
@@ -248,7 +248,7 @@
         if environ["PATH_INFO"] != wire.PATH_LOOKUP:
             refusal = errors.Refusal(code=errors.Code.UNKNOWN_PATH)
             return refusals.answer(start_response, refusal)
-        addresses = self._list_addresses()
+        addresses = self._list_addresses(environ.get("REMOTE_ADDR", ""))
         if not addresses:
             refusal = errors.Refusal(
                 code=errors.Code.NO_CATALOGUE,
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -15,6 +15,7 @@
 from citronport import tasks
 from citronport.callers import server as caller_server
 from citronport.platform import client as store_client
+from citronport.platform import const as store_const
 from citronport.platform import models as wire_models
 from citronport.relay import application
 from citronport.relay import dispatcher as dispatcher_module
@@ -38,6 +39,7 @@
 from citronport.scheduler.direct import profiles as profiles_module
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import ranking
 
 LOG = "relay:"
 
@@ -230,13 +232,31 @@
             self._log.write(events.Ready(ready=ready))
         return ready
 
-    def list_addresses(self) -> tuple[str, ...]:
-        """Return the addresses that callers should use."""
+    def list_addresses(self, caller: str) -> tuple[str, ...]:
+        """Return the addresses that a caller should use.
+
+        Load: callers that may name 64 of 195 instances. Harm: given all,
+        each keeps the first ones, which carry the whole load while the
+        others idle. Every caller has its own few, the same ones whichever
+        instance it asks, so that it can keep its connections.
+
+        Args:
+            caller: its address.
+        """
         now = self._ticker.now()
-        found = [r.callers for r in self.members.list_usable(now)]
+        capacities = {
+            r.callers: r.capacity for r in self.members.list_usable(now)
+        }
         if self.is_ready():
-            found.append(str(self._settings.callers))
-        return tuple(sorted(found))
+            own = self._settings
+            capacities[str(own.callers)] = own.capacity
+        return tuple(
+            sorted(
+                ranking.choose_by_weight(
+                    caller, capacities, store_const.LOOKUP_ADDRESSES
+                )
+            )
+        )
 
     def _make_servers(self) -> list[caller_server.Server]:
         return [
--- a/citronport/relay/fleet.py
+++ b/citronport/relay/fleet.py
@@ -14,7 +14,7 @@
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
 from citronport.relay import settings as settings_module
-from citronport.scheduler.direct import cold
+from citronport.scheduler.direct import ranking
 
 LOG = "fleet:"
 
@@ -202,9 +202,7 @@
             if instance in readers:
                 continue
             address = self._members.get_address(instance)
-            if address and own in cold.choose_senders(
-                instance, readers, TELLERS
-            ):
+            if address and own in ranking.choose(instance, readers, TELLERS):
                 self._put(data, address)
 
     def _note_reach(self) -> None:
--- a/citronport/scheduler/direct/cold.py
+++ b/citronport/scheduler/direct/cold.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-import xxhash
+from citronport.scheduler.direct import ranking
 
 WINDOW_SECONDS = 1.1
 """Span over which sends to a cold endpoint are counted.
@@ -46,21 +46,6 @@
 Share = Sender | Owner
 
 
-def choose_senders(
-    endpoint: str, instances: tuple[str, ...], senders: int
-) -> tuple[str, ...]:
-    """Return the instances that may send to a cold endpoint.
-
-    With more instances than requests a second, a whole request a second
-    each would already be too much; a few of them, other ones for each
-    endpoint, get it.
-    """
-    if len(instances) <= senders:
-        return instances
-    ranked = sorted(instances, key=lambda i: _hash(endpoint, i))
-    return tuple(ranked[:senders])
-
-
 def count_allowed(rate: float, instances: int) -> int:
     """Return the requests a window that each sender may send."""
     return max(1, int(rate * COLD_SHARE / max(1, instances)))
@@ -97,8 +82,10 @@
             case Owner():
                 return sent < max(1, int(rate * GRANT_SHARE))
             case Sender(own=own, instances=instances):
+                # With more instances than requests a second, a whole
+                # request a second each would already be too much.
                 senders = max(1, int(rate * COLD_SHARE))
-                chosen = choose_senders(endpoint, instances, senders)
+                chosen = ranking.choose(endpoint, instances, senders)
                 if own not in chosen:
                     return False
                 return sent < count_allowed(rate, len(chosen))
@@ -120,7 +107,3 @@
         while sent and sent[0] <= now - WINDOW_SECONDS:
             sent.popleft()
         return len(sent)
-
-
-def _hash(endpoint: str, instance: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{endpoint} {instance}".encode())
--- a/citronport/scheduler/direct/ownership.py
+++ b/citronport/scheduler/direct/ownership.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-import xxhash
+from citronport.scheduler.direct import ranking
 
 MIN_INSTANCES = 2
 """Instances from which on places are leased. Seven gain too, though reports
@@ -54,7 +54,7 @@
 
 def find_pool(service: str, endpoint: str, pools: int) -> Pool:
     """Return the pool that an endpoint belongs to."""
-    return Pool(service=service, number=_hash(endpoint) % pools)
+    return Pool(service=service, number=ranking.compute_hash(endpoint) % pools)
 
 
 def choose_owner(pool: Pool, candidates: tuple[Candidate, ...]) -> str | None:
@@ -74,8 +74,6 @@
     most = max(c.capacity for c in candidates)
     able = [c for c in candidates if c.capacity >= CAPACITY_SHARE * most]
     key = f"{pool.service} {pool.number}"
-    return max(able, key=lambda c: _hash(f"{key} {c.instance}")).instance
-
-
-def _hash(text: str) -> int:
-    return xxhash.xxh3_64_intdigest(text.encode())
+    return max(
+        able, key=lambda c: ranking.compute_hash(f"{key} {c.instance}")
+    ).instance
--- a/tests/scheduler/direct/test_cold.py
+++ b/tests/scheduler/direct/test_cold.py
@@ -5,6 +5,7 @@
 import testtools
 
 from citronport.scheduler.direct import cold
+from citronport.scheduler.direct import ranking
 
 RATE = 11.0
 BOUND = RATE * 1.5 + 5
@@ -51,11 +52,7 @@
         new = (
             cold.count_allowed(
                 RATE,
-                len(
-                    cold.choose_senders(
-                        "e", tuple(f"i{n}" for n in range(11)), 8
-                    )
-                ),
+                len(ranking.choose("e", tuple(f"i{n}" for n in range(11)), 8)),
             )
             * 4
         )
