Tell data centres of each other by summaries in large fleets

Cause: every instance reported to every other one, so that what each reads was bounded by its age: 2.4 s at 195 instances, 6.4 s at 510. Change: from 13 instances on an instance reports to its own data centre only. Two envoys of a data centre, by rendezvous hashing, tell each other one of all its instances and the sum of what these let pass, 3 times a second, to a receiver drawn anew each time, which passes it on to its neighbours. One envoy's sums are believed at a time; the next goes on where it stopped. A row of an earlier start does not replace a later one. Seeds introduce newcomers to their neighbours. Running totals have a module of their own (usage.py), and so have buckets. An envoy believed at its first word lost a second of what passed (found by test_change_of_envoys in a run of all tests; the next envoy now goes on from what it said when the silent one spoke last).

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -32,14 +32,15 @@
 from citronport.relay import mirror as mirror_module
 from citronport.relay import news as news_module
 from citronport.relay import settings as settings_module
+from citronport.relay import summaries
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import profiles as profiles_module
 from citronport.scheduler.direct import quota
-from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import ranking
+from citronport.scheduler.direct import retries
 
 LOG = "relay:"
 
@@ -53,10 +54,6 @@
 SWEEP_SECONDS = 0.25
 """Pause between two looks at what has run out."""
 
-PROFILE_REPORTS = 8
-"""One report in so many tells what requests take: it changes slowly, and
-would be a tenth of all bytes between instances."""
-
 SETTINGS_SECONDS = 2.0
 """Pause between two looks at whether the settings file has changed."""
 
@@ -96,7 +93,9 @@
             settings.bounds.limit_slack,
             ticker.now(),
         )
-        self.members = membership.Membership(settings.instance)
+        self.members = membership.Membership(
+            settings.instance, settings.data_centre
+        )
         self.mirror = mirror_module.Mirror()
         self.world = world_module.World(
             self.cold, self._forget_endpoint, self._log
@@ -109,8 +108,8 @@
             ticker,
             self._take_store_news,
             self._log,
-            self._is_reader,
             self._rest,
+            self._is_reader,
         )
         self.dispatcher = dispatcher_module.Dispatcher(
             settings.instance,
@@ -128,6 +127,15 @@
             self._describe,
             self._take_report,
             self._take_leasing,
+            summaries.Summaries(
+                settings.instance,
+                self._incarnation,
+                settings.data_centre,
+                self.members,
+                self.quotas,
+                self.board.profiles,
+                self._describe,
+            ),
             self._log,
         )
         self.news = news_module.News(
@@ -167,7 +175,7 @@
             ),
             self.quotas,
             lambda: self.members.compute_reach(ticker.now()),
-            lambda: max(fleet_module.REPORT_SECONDS, self.members.get_pause()),
+            lambda: max(fleet_module.REPORT_SECONDS, self.members.get_lag()),
             lambda: self._leaving,
             lambda: self._closing,
             lambda: ticker.now() - self.follower.answered,
@@ -275,6 +283,7 @@
         keep("follower", self.follower.follow)
         keep("receiver", self.fleet.receive)
         keep("reporter", self.fleet.report_again_and_again)
+        keep("envoy", self.fleet.summarize_again_and_again)
         keep("catch-up", self.news.catch_up)
         keep("dispatcher", self.dispatcher.kick_again_and_again)
         keep("renewer", self.leasing.renew_again_and_again)
@@ -309,16 +318,20 @@
                 seen = changed
                 self.reload()
 
-    def _describe(self) -> messages.Report:
+    def _describe(self, data_centre: str = "") -> messages.Report:
+        """Return this instance's report.
+
+        Args:
+            data_centre: whose members it names; any by default.
+        """
         now = self._ticker.now()
         settings = self._settings
         self._number += 1
         fresh = self.members.list_fresh(now)
         self.board.drop_silent({r.instance for r in fresh})
-        large = len(self.members.list_known(now)) >= membership.LARGE_FLEET
         idle_rows = (
             board_module.LEASED_IDLE_ROWS
-            if large
+            if self.members.is_large()
             else board_module.MAX_IDLE_ROWS
         )
         return messages.Report(
@@ -338,15 +351,14 @@
             ),
             passed=self.quotas.get_totals(),
             loads=self.board.list_own(idle_rows),
-            profiles=(
-                self.board.profiles.list_learnt()
-                if self._number % PROFILE_REPORTS == 0
-                else []
-            ),
-            members=self.members.list_members(now),
+            profiles=self.board.profiles.list_learnt(),
+            members=self.members.list_members(now, data_centre),
         )
 
     def _take_report(self, report: messages.Report) -> None:
+        if self.members.is_far(report.data_centre):
+            # What it let pass comes with the sums of its data centre.
+            return
         self.board.hear(report.instance, [tuple(row) for row in report.loads])
         for service, begin, read, stay in report.profiles:
             self.board.profiles.hear(
@@ -372,6 +384,11 @@
             [r.store_seconds for r in self.members.list_fresh(now)],
         )
 
+    def _is_reader(self) -> bool:
+        instances = self.members.list_known(self._ticker.now())
+        readers = follower_module.choose_readers(instances)
+        return self._settings.instance in readers
+
     def _take_store_news(self, news: list[wire_models.Item]) -> None:
         self._take_news(news, self.follower.returned)
         self.fleet.tell_news()
@@ -384,11 +401,6 @@
         self.world.apply(news, now, self.follower.returned)
         self._callers.connections.limits = listeners.make_limits(
             self._settings, self.world.configuration
-    def _is_reader(self) -> bool:
-        instances = self.members.list_known(self._ticker.now())
-        readers = follower_module.choose_readers(instances)
-        return self._settings.instance in readers
-
         )
         self.is_ready()
         self.dispatcher.kick()
--- a/citronport/relay/fleet.py
+++ b/citronport/relay/fleet.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import random
 
 from absl import logging
@@ -14,6 +15,7 @@
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
 from citronport.relay import settings as settings_module
+from citronport.relay import summaries as summaries_module
 from citronport.scheduler.direct import ranking
 
 LOG = "fleet:"
@@ -27,7 +29,11 @@
 fit into the time after which it counts as out of reach."""
 
 SEED_SECONDS = 1.0
-"""Pause between two reports to seeds that are not known as instances."""
+"""Pause between two reports to seeds while new instances show up."""
+
+SETTLED_SEED_SECONDS = 10.0
+"""The same later: only two parts of a fleet that have forgotten each other
+in a long cut need it."""
 
 TELLERS = 2
 """Readers that tell an instance of news at once. Each reader of 60 instances
@@ -49,6 +55,7 @@
         describe: returns this instance's report.
         take_report: called with each fresh report.
         take_leasing: called with each message on leases.
+        summaries: of data centres.
         log: where changes are told.
     """
 
@@ -57,9 +64,10 @@
         settings: settings_module.Settings,
         members: membership_module.Membership,
         ticker: clock.Clock,
-        describe: collections.abc.Callable[[], messages.Report],
+        describe: messages.Describe,
         take_report: collections.abc.Callable[[messages.Report], None],
         take_leasing: collections.abc.Callable[[messages.Leasing], None],
+        summaries: summaries_module.Summaries,
         log: eventlog.Log,
     ) -> None:
         self._settings = settings
@@ -68,6 +76,7 @@
         self._describe = describe
         self._take_report = take_report
         self._take_leasing = take_leasing
+        self._summaries = summaries
         self._log = log
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._seeded = float("-inf")
@@ -89,10 +98,27 @@
             busy = any(row[1] for row in report.loads)
             pause = REPORT_SECONDS if busy else IDLE_REPORT_SECONDS
             self.send(report, max(pause, self._members.get_pause()))
+            self._members.drop_gone(self._ticker.now())
             self._note_reach()
 
+    def summarize_again_and_again(self) -> None:
+        """Tell other data centres of this one for ever."""
+        while True:
+            self.tell_summary()
+            self._ticker.sleep(membership_module.SUMMARY_SECONDS)
+
+    def tell_summary(self) -> None:
+        """Tell the data centres that this instance is an envoy to."""
+        now = self._ticker.now()
+        targets = self._members.choose_targets(now)
+        if not targets:
+            return
+        data = messages.pack(self._summaries.make(now))
+        for target in targets:
+            self._put(data, target)
+
     def send(self, report: messages.Report, seconds: float = 0.0) -> None:
-        """Send a report to all known instances, and to seeds now and then.
+        """Send a report to other instances, and to seeds now and then.
 
         Load: sixty reports of 2 KB at once on a link of 10 Mbit/s. Harm:
         what does not fit into its queue is lost, each time the same ones;
@@ -106,9 +132,13 @@
         """
         now = self._ticker.now()
         targets = set(self._members.list_addresses(now))
-        if now - self._seeded >= SEED_SECONDS:
+        settled = self._members.is_settled(now)
+        pause = SETTLED_SEED_SECONDS if settled else SEED_SECONDS
+        if now - self._seeded >= pause:
             self._seeded = now
-            targets |= {str(seed) for seed in self._settings.seeds}
+            seeds = {str(seed) for seed in self._settings.seeds}
+            self._ask_seeds(seeds - {str(self._settings.peers)})
+            targets |= seeds
         targets.discard(str(self._settings.peers))
         data = messages.CODEC.encode(report)
         for chosen in split_targets(targets):
@@ -120,6 +150,15 @@
         if seconds and not targets:
             self._ticker.sleep(seconds)
 
+    def _ask_seeds(self, seeds: set[str]) -> None:
+        meet = messages.Meet(
+            protocol=messages.PROTOCOL,
+            peers=str(self._settings.peers),
+            data_centre=self._settings.data_centre,
+        )
+        for seed in seeds:
+            self._put(messages.CODEC.encode(meet), seed)
+
     def tell(self, instance: str, message: messages.Leasing) -> None:
         """Send a message on leases to an instance, this one included."""
         if instance == self._settings.instance:
@@ -134,7 +173,7 @@
         while True:
             data, sender = self._socket.recvfrom(READ_BYTES)
             try:
-                message = messages.CODEC.unpack(data)
+                message = messages.unpack(messages.CODEC.unpack(data))
             except ValueError as error:
                 logging.warning(
                     "%s a datagram of %s is no message: %s.",
@@ -152,6 +191,10 @@
                 if self._members.hear(message, self._ticker.now()):
                     self._take_report(message)
                     self._greet()
+            case messages.Meet():
+                self._introduce(message)
+            case messages.Summary():
+                self._take_summary(message)
             case messages.Want() | messages.Held() | messages.Packed():
                 # These go over streams; here they are somebody's mistake.
                 logging.warning(
@@ -160,23 +203,39 @@
             case _:
                 self._take_leasing(message)
 
+    def _take_summary(self, summary: messages.Summary) -> None:
+        if not self._summaries.take(summary, self._ticker.now()):
+            return
+        if summary.passed_on:
+            return
+        data = messages.pack(dataclasses.replace(summary, passed_on=True))
+        for address in self._members.list_addresses(self._ticker.now()):
+            self._put(data, address)
+
+    def _introduce(self, meet: messages.Meet) -> None:
+        # The summaries tell it of this data centre; it lacks neighbours
+        # that would pass them on to it.
+        if self._members.is_far(meet.data_centre):
+            report = self._describe(meet.data_centre)
+            self._put(messages.CODEC.encode(report), meet.peers)
+
     def _greet(self) -> None:
         """Report at once to instances that have just shown up.
 
         Load: all instances are killed and start again, and their callers
         come back in that moment. Harm: until they know each other, a third
         of a second and more with reports at rest, each hands out places by
-        itself, and all send to the endpoints that look idle. In a large
-        fleet the answers to one newcomer would fill its link; there the
-        next reports do.
+        itself, and all send to the endpoints that look idle.
         """
         strangers = self._members.take_strangers()
-        known = self._members.list_known(self._ticker.now())
-        if not strangers or len(known) >= membership_module.LARGE_FLEET:
+        if not strangers:
             return
+        now = self._ticker.now()
+        told = set(self._members.list_addresses(now))
         data = messages.CODEC.encode(self._describe())
         for address in strangers:
-            self._put(data, address)
+            if address in told:
+                self._put(data, address)
 
     def _put(self, data: bytes, address: str) -> None:
         host = address.rpartition(":")[0]
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -6,7 +6,7 @@
 
 from citronport import codec
 
-PROTOCOL = 4
+PROTOCOL = 5
 """Version of this protocol; others are not understood."""
 
 MAX_MESSAGE_BYTES = 8_000_000
@@ -39,7 +39,7 @@
             take: its name, steps until a first event, for each prompt
             token, and until the end.
         members: instances that it has heard of lately: name, incarnation,
-            address for other instances.
+            address for other instances, data centre.
     """
 
     protocol: int
@@ -57,7 +57,58 @@
     passed: dict[str, float]
     loads: list[tuple[str, int, int, int]]
     profiles: list[tuple[str, float, float, float]]
-    members: list[tuple[str, str, str]]
+    members: list[tuple[str, str, str, str]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Meet:
+    """Asks a seed for instances of one's own data centre.
+
+    Attributes:
+        protocol: version of the protocol.
+        peers: address of the sender for other instances.
+        data_centre: where it stands.
+    """
+
+    protocol: int
+    peers: str
+    data_centre: str
+
+
+Row = tuple[str, str, int, float, float, str, str, bool, bool, int, float]
+"""What a summary tells of one instance; see ``Summary.rows``."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Summary:
+    """What an envoy tells another data centre of its own one.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: the sender.
+        incarnation: unique for each start of its process.
+        number: grows with each summary of an incarnation.
+        data_centre: where the sender and all of these instances stand.
+        passed_on: whether it comes from an instance of the receiver's own
+            data centre, which has got it from the envoy.
+        rows: of each instance in reach its name, incarnation, number of
+            its report, age of that in seconds, and as the report tells
+            them ``capacity``, ``callers``, ``peers``, ``ready``,
+            ``leaving``, ``revision`` and ``store_seconds``.
+        passed: units that all instances there let pass since the sender's
+            start, by workspace.
+        profiles: as in a report.
+    """
+
+    protocol: int
+    instance: str
+    incarnation: str
+    number: int
+    data_centre: str
+    passed_on: bool
+    rows: list[Row]
+    passed: dict[str, float]
+    profiles: list[tuple[str, float, float, float]]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -242,10 +293,14 @@
 
 Leasing = Ask | Granted | Queued | Full | Declined | Begun | Ended | Holding
 
+Describe = collections.abc.Callable[..., Report]
+"""Returns the report of this instance; given a data centre, one that names
+members there."""
+
 Tell = collections.abc.Callable[[str, Leasing], None]
 """Sends a message on leases to an instance, named."""
 
-Message = Report | Want | Held | Packed | Leasing
+Message = Report | Meet | Summary | Want | Held | Packed | Leasing
 
 CODEC: codec.Codec[Message] = codec.Codec(
     (
@@ -261,6 +316,8 @@
         Ended,
         Holding,
         Packed,
+        Summary,
+        Meet,
     ),
     MAX_MESSAGE_BYTES,
 )
--- /dev/null
+++ b/citronport/relay/summaries.py
@@ -0,0 +1,142 @@
+"""Summaries by which data centres of a large fleet hear of each other."""
+
+from citronport.relay import membership as membership_module
+from citronport.relay import messages
+from citronport.scheduler.direct import profiles as profiles_module
+from citronport.scheduler.direct import quota
+
+
+class Summaries:
+    """Makes the summaries of one data centre and takes those of others.
+
+    Args:
+        instance: name of this instance.
+        incarnation: of this start of it.
+        data_centre: where it stands.
+        members: the other instances.
+        quotas: limits of workspaces.
+        profiles: what requests take.
+        describe: returns this instance's report.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        data_centre: str,
+        members: membership_module.Membership,
+        quotas: quota.Quotas,
+        profiles: profiles_module.Profiles,
+        describe: messages.Describe,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._data_centre = data_centre
+        self._members = members
+        self._quotas = quotas
+        self._profiles = profiles
+        self._describe = describe
+        self._number = 0
+        # Of each envoy its start and the number of its newest summary.
+        self._newest: dict[str, tuple[str, int]] = {}
+
+    def make(self, now: float) -> messages.Summary:
+        """Return what to tell other data centres of this one."""
+        self._number += 1
+        near = [*self._members.list_near(now), (self._describe(), 0.0)]
+        # One that learns is enough for a service: the owner of its pool.
+        profiles = {row[0]: row for r, _ in near for row in r.profiles}
+        return messages.Summary(
+            protocol=messages.PROTOCOL,
+            instance=self._instance,
+            incarnation=self._incarnation,
+            number=self._number,
+            data_centre=self._data_centre,
+            passed_on=False,
+            rows=[_make_row(report, age) for report, age in near],
+            passed=self._quotas.get_sums(),
+            profiles=list(profiles.values()),
+        )
+
+    def take(self, summary: messages.Summary, now: float) -> bool:
+        """Take a summary; return False if it is known already, or one's own.
+
+        Args:
+            summary: of any data centre.
+            now: clock time, seconds.
+        """
+        if summary.data_centre == self._data_centre:
+            return False
+        # The same summary comes straight and passed on, and one that was
+        # overtaken is of no use any more.
+        known = self._newest.get(summary.instance)
+        start = summary.incarnation
+        if known and known[0] == start and known[1] >= summary.number:
+            return False
+        self._newest[summary.instance] = (start, summary.number)
+        for row in summary.rows:
+            report, age = _read_row(summary, row)
+            self._members.hear(report, now - age)
+        self._quotas.hear_sums(
+            summary.data_centre, summary.instance, start, summary.passed, now
+        )
+        for service, begin, read, stay in summary.profiles:
+            self._profiles.hear(
+                service,
+                profiles_module.Profile(begin=begin, read=read, stay=stay),
+            )
+        return True
+
+
+def _make_row(report: messages.Report, age: float) -> messages.Row:
+    return (
+        report.instance,
+        report.incarnation,
+        report.number,
+        round(age, 3),
+        report.capacity,
+        report.callers,
+        report.peers,
+        report.ready,
+        report.leaving,
+        report.revision,
+        round(report.store_seconds, 3),
+    )
+
+
+def _read_row(
+    summary: messages.Summary, row: messages.Row
+) -> tuple[messages.Report, float]:
+    """Return the report that a row stands for, and its age in seconds."""
+    (
+        instance,
+        incarnation,
+        number,
+        age,
+        capacity,
+        callers,
+        peers,
+        ready,
+        leaving,
+        revision,
+        store_seconds,
+    ) = row
+    report = messages.Report(
+        protocol=messages.PROTOCOL,
+        instance=instance,
+        incarnation=incarnation,
+        number=number,
+        data_centre=summary.data_centre,
+        capacity=capacity,
+        callers=callers,
+        peers=peers,
+        ready=ready,
+        leaving=leaving,
+        revision=revision,
+        store_seconds=store_seconds,
+        passed={},
+        loads=[],
+        profiles=[],
+        members=[],
+    )
+    return report, age
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -4,10 +4,9 @@
 total; each charges its own bucket with what all of them let pass.
 """
 
-import dataclasses
-import math
-
+from citronport.scheduler.direct import buckets as bucket_module
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import usage
 
 TOLERANCE_SHARE = 0.8
 """Part of the operators' tolerance that is used in a fleet whose instances
@@ -39,23 +38,6 @@
 NEW_INSTANCES = 8
 """Instances among which a new one divides limits, at least."""
 
-SPREAD = 1.25
-"""How much more than its part of what is left of a limit an instance lets
-pass before the others hear of it: callers draw instances by chance, so that
-one gets more of a workspace's requests than another for a while."""
-
-FLOW_SECONDS = 4.0
-"""Time in which half of what passed is forgotten: longer than a debt that
-keeps a flood out, after which it would come in as one again."""
-
-FLOW_MARGIN = 2.0
-"""How much more than of late may pass until the next report."""
-
-DEBT_REPORTS = 6.0
-"""Deepest debt of a bucket, in reports' worth of its rate, or a burst if
-that is more. A flood that came in between two reports is paid back; a long
-request in a fleet of fresh reports locks nobody out for seconds."""
-
 MAJORITY = 0.5
 """Share of the instances above which a part of the fleet is the only one
 that is so large."""
@@ -70,38 +52,6 @@
 """
 
 
-@dataclasses.dataclass(slots=True)
-class _Heard:
-    incarnation: str
-    totals: dict[str, float]
-
-
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    level: float
-    at: float
-    promised: float = 0.0
-    # What this instance has let pass that others can't have heard of yet.
-    recent: float = 0.0
-    recent_until: float = 0.0
-    # What all instances have let pass of late, older units counting less.
-    flow: float = 0.0
-    flow_at: float = 0.0
-
-    def note_flow(self, units: float, now: float) -> None:
-        """Count units that passed somewhere."""
-        self.flow = self._compute_sum(now) + units
-        self.flow_at = now
-
-    def compute_flow(self, now: float) -> float:
-        """Return the units that pass a second, of late."""
-        return math.log(2) / FLOW_SECONDS * self._compute_sum(now)
-
-    def _compute_sum(self, now: float) -> float:
-        age = max(0.0, now - self.flow_at)
-        return self.flow * 0.5 ** (age / FLOW_SECONDS)
-
-
 class Quotas:
     """Token buckets of all workspaces, as seen by one instance.
 
@@ -120,9 +70,8 @@
     ) -> None:
         self._over = over
         self._slack = slack
-        self._buckets: dict[str, _Bucket] = {}
-        self._totals: dict[str, float] = {}
-        self._heard: dict[str, _Heard] = {}
+        self._buckets: dict[str, bucket_module.Bucket] = {}
+        self._usage = usage.Usage()
         self._started = started
 
     def admit(
@@ -150,29 +99,25 @@
         if workspace.rate <= 0:
             return None
         age = now - self._started
-        if age < NEW_SECONDS and not self._heard:
+        if age < NEW_SECONDS and self._usage.is_alone:
             rate, burst = divide(workspace, instances)
         else:
             rate, burst = self._share(workspace, reach, lag)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             level = divide(workspace, instances)[1] + age * rate
-            bucket = _Bucket(min(burst, level), now)
+            bucket = bucket_module.Bucket(min(burst, level), now)
             self._buckets[workspace.name] = bucket
-        _refill(bucket, rate, burst, lag, now)
+        bucket.refill(rate, burst, lag, now)
         # Load: large requests among many small ones, over the limit. Harm:
         # the small ones take each unit as it comes, and the large ones of
         # the same workspace never find enough. Whoever comes while there
         # is something left may pass; what it takes beyond that is paid by
         # those that come after it.
         needed = min(1.0, units)
-        if bucket.level >= needed and _has_part(bucket, instances, lag, now):
-            _note_recent(bucket, units, lag, now)
-            bucket.note_flow(units, now)
-            bucket.level -= units
-            bucket.promised = max(0.0, bucket.promised - units)
-            name = workspace.name
-            self._totals[name] = self._totals.get(name, 0.0) + units
+        if bucket.level >= needed and bucket.has_part(instances, lag, now):
+            bucket.take(units, lag, now)
+            self._usage.add(workspace.name, units)
             return None
         # Load: a workspace far beyond its limit. Harm: refused callers who
         # all hear when the next unit is free come back at once, and all but
@@ -186,38 +131,55 @@
         self,
         sender: str,
         incarnation: str,
-        totals: dict[str, float],
+        totals: usage.Units,
         now: float,
     ) -> None:
         """Charge what another instance has let pass since its last word.
 
-        Load: an instance that has just started, among others that run for
-        long. Harm: charged with all that they ever let pass, it refuses
-        every workspace for as long as a burst takes to come back. The
-        first word of an instance only tells where its totals stand; one
-        that is known and has started anew counts from nothing.
-
         Args:
             sender: name of the other instance.
             incarnation: of that start of it.
             totals: its running totals by workspace.
             now: clock time, seconds.
         """
-        heard = self._heard.get(sender)
-        if heard is None:
-            self._heard[sender] = _Heard(incarnation, dict(totals))
-            return
-        if heard.incarnation != incarnation:
-            heard.incarnation = incarnation
-            heard.totals.clear()
-        for name, total in totals.items():
-            # A total falls where a request was refused after all.
-            known = heard.totals.get(name, 0.0)
-            heard.totals[name] = total
+        self._charge(self._usage.hear(sender, incarnation, totals), now)
+
+    def hear_sums(
+        self,
+        data_centre: str,
+        envoy: str,
+        incarnation: str,
+        sums: usage.Units,
+        now: float,
+    ) -> None:
+        """Charge what another data centre has let pass since its last word.
+
+        Args:
+            data_centre: whose instances let it pass.
+            envoy: the instance there that tells.
+            incarnation: of that start of it.
+            sums: its ``get_sums``.
+            now: clock time, seconds.
+        """
+        passed = self._usage.hear_sums(
+            data_centre, envoy, incarnation, sums, now
+        )
+        self._charge(passed, now)
+
+    def get_totals(self) -> usage.Units:
+        """Return what this instance has let pass, by workspace."""
+        return self._usage.get_own()
+
+    def get_sums(self) -> usage.Units:
+        """Return what its data centre has let pass, by workspace."""
+        return self._usage.get_sums()
+
+    def _charge(self, passed: usage.Units, now: float) -> None:
+        for name, units in passed.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
-                bucket.level -= total - known
-                bucket.note_flow(max(0.0, total - known), now)
+                bucket.level -= units
+                bucket.note_flow(max(0.0, units), now)
 
     def give_back(self, workspace: models.Workspace, units: float) -> None:
         """Undo an admission whose request was refused and has not run.
@@ -229,11 +191,7 @@
         if bucket is None or workspace.rate <= 0:
             return
         bucket.level += units
-        self._totals[workspace.name] -= units
-
-    def get_totals(self) -> dict[str, float]:
-        """Return what this instance has let pass, by workspace."""
-        return self._totals
+        self._usage.add(workspace.name, -units)
 
     def _share(
         self, workspace: models.Workspace, reach: float, lag: float
@@ -257,43 +215,6 @@
         return workspace.rate * over, workspace.burst * over + slack
 
 
-def _refill(
-    bucket: _Bucket, rate: float, burst: float, lag: float, now: float
-) -> None:
-    gained = max(0.0, now - bucket.at) * rate
-    deepest = -max(burst, DEBT_REPORTS * lag * rate)
-    bucket.level = max(deepest, min(burst, bucket.level + gained))
-    bucket.promised = max(0.0, bucket.promised - gained)
-    bucket.at = now
-
-
-def _has_part(bucket: _Bucket, instances: int, lag: float, now: float) -> bool:
-    """Return whether this instance has not yet let pass its part for now.
-
-    Load: a workspace at many times its limit in a fleet whose reports are
-    a second old. Harm: each instance sees the same units left and hands
-    them out; together they let pass many times what is there. Parts count
-    only where less is left than passes until the next report, as callers
-    do not come to instances in equal parts. The size of the request does
-    not matter, as for the limit itself.
-    """
-    if now >= bucket.recent_until:
-        return True
-    if bucket.level >= FLOW_MARGIN * bucket.compute_flow(now) * lag:
-        return True
-    left = bucket.level + bucket.recent
-    return bucket.recent <= SPREAD * left / instances
-
-
-def _note_recent(
-    bucket: _Bucket, units: float, lag: float, now: float
-) -> None:
-    if now >= bucket.recent_until:
-        bucket.recent = 0.0
-        bucket.recent_until = now + lag
-    bucket.recent += units
-
-
 def divide(workspace: models.Workspace, instances: int) -> tuple[float, float]:
     """Return the rate and burst of an instance that has just started.
 
--- a/tests/relay/nodes.py
+++ b/tests/relay/nodes.py
@@ -10,6 +10,9 @@
 from citronport.relay import mirror as mirror_module
 from citronport.relay import news
 from citronport.relay import settings as settings_module
+from citronport.relay import summaries
+from citronport.scheduler.direct import profiles
+from citronport.scheduler.direct import quota
 from tests.relay import samples
 from tests.relay import test_membership
 
@@ -17,18 +20,19 @@
 class Node:
     """An instance and its copy of the store, without callers."""
 
-    def __init__(self, test, number, subnet):
+    def __init__(self, test, number, subnet, data_centre="a"):
         host = f"127.{subnet}.{number}"
         self.name = f"i{number}"
         self.address = f"{host}:8229"
         self.taken = []
         self.mirror = mirror_module.Mirror()
-        self.members = membership.Membership(self.name)
+        self.members = membership.Membership(self.name, data_centre)
+        self.quotas = quota.Quotas()
         ticker = clock.RuntimeClock()
         listeners = ("callers", "readiness", "lookups", "peers", "store")
         settings = settings_module.Settings(
             instance=self.name,
-            data_centre="a",
+            data_centre=data_centre,
             reports=7600,
             metrics=9464,
             **{name: f"{host}:8229" for name in listeners},
@@ -48,6 +52,15 @@
             self.describe,
             lambda report: None,
             lambda message: None,
+            summaries.Summaries(
+                self.name,
+                "1",
+                data_centre,
+                self.members,
+                self.quotas,
+                profiles.Profiles(),
+                self.describe,
+            ),
             log,
         )
         self.news = news.News(
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -120,7 +120,7 @@
         self.board = board_module.Board()
         self.health = health_module.Health()
         self.cold = cold_module.ColdStarts()
-        self.members = membership.Membership(own)
+        self.members = membership.Membership(own, "a")
         self.log = make_log(self.ticker)
         self.world = world_module.World(self.cold, self.board.forget, self.log)
         self.world.configuration = configuration or make_configuration()
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -54,11 +54,11 @@
         ticker = clock.RuntimeClock()
         for one, other in ((seed, third), (third, seed)):
             one.members.hear(other.describe(), ticker.now())
-        told = [(third.name, "1", third.address)]
+        told = [(third.name, "1", third.address, "a")]
         seed.fleet._describe = lambda: test_membership.make_report(
             seed.name, number=9, peers=seed.address, members=told
         )
-        new.members._learn([(seed.name, "1", seed.address)], ticker.now())
+        new.members._learn([(seed.name, "1", seed.address, "a")], ticker.now())
         new.fleet.send(new.describe())
         gevent.sleep(0.1)
         fresh = new.members.list_fresh(ticker.now())
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -35,7 +35,7 @@
     def setUp(self):
         """Make the view of an instance that hears of two others."""
         super().setUp()
-        self.members = membership.Membership("own")
+        self.members = membership.Membership("own", "a")
         self.members.hear(make_report("x"), 0.0)
         self.members.hear(make_report("yy"), 0.0)
 
@@ -77,7 +77,10 @@
 
     def test_others_of_others(self):
         """A seed tells of an instance that was not known."""
-        told = [("zzz", "1", "10.0.0.3:9"), ("own", "1", "10.0.0.9:9")]
+        told = [
+            ("zzz", "1", "10.0.0.3:9", "a"),
+            ("own", "1", "10.0.0.9:9", "a"),
+        ]
         self.members.hear(make_report("x", 2, members=told), 1.0)
         self.assertIn("10.0.0.3:9", self.members.list_addresses(1.0))
         self.assertNotIn("10.0.0.9:9", self.members.list_addresses(1.0))
--- /dev/null
+++ b/tests/relay/test_summaries.py
@@ -0,0 +1,189 @@
+"""How the data centres of a large fleet hear of each other."""
+
+import testtools
+
+from citronport.relay import membership
+from citronport.scheduler.direct import models
+from tests.relay import networks
+
+BOUND_SECONDS = 2.2
+"""Time after which a silent instance has to be out of reach for all."""
+
+
+class LargeFleetTest(testtools.TestCase):
+    """Sixty instances in six data centres."""
+
+    def setUp(self):
+        """Start them all at once; each knows three seeds."""
+        super().setUp()
+        self.network = networks.Network(60, 6)
+        self.nodes = list(self.network.nodes.values())
+        self.names = {node.name for node in self.nodes}
+
+    def assert_all_in_reach(self, nodes):
+        """Assert that these hear of each other."""
+        names = {node.name for node in nodes}
+        for node in nodes:
+            self.assertEqual(names - {node.name}, node.list_fresh())
+
+    def test_all_meet_after_a_start(self):
+        """A fleet that starts together does not stay in pieces."""
+        self.network.run(4.0)
+        self.assert_all_in_reach(self.nodes)
+
+    def test_all_meet_though_the_seeds_start_last(self):
+        """Each asks the seeds before they listen, and is alone for long."""
+        network = networks.Network(24, 4)
+        seeds = {network.nodes[address] for address in network.seeds}
+        network.dead = seeds
+        network.run(0.5)
+        for seed in seeds:
+            seed.start(network.seeds)
+        network.dead = set()
+        network.run(2.5)
+        self.nodes = list(network.nodes.values())
+        self.assert_all_in_reach(self.nodes)
+
+    def test_dead_instance_is_out_of_reach_in_time(self):
+        """Callers and places do not go to one that died seconds ago."""
+        self.network.run(4.0)
+        self.network.dead = {self.nodes[40]}
+        self.network.run(BOUND_SECONDS)
+        for node in self.nodes:
+            if node not in self.network.dead:
+                self.assertNotIn(self.nodes[40].name, node.list_fresh())
+
+    def test_dead_envoys_do_not_silence_their_data_centre(self):
+        """Both envoys of a data centre die; its others stay in reach."""
+        self.network.run(4.0)
+        now = self.network.ticker.now()
+        place = self.nodes[0].data_centre
+        near = [n for n in self.nodes if n.data_centre == place]
+        envoys = [n for n in near if n.members.choose_targets(now)]
+        self.network.dead = set(envoys[: membership.ENVOYS])
+        self.network.run(3.0)
+        alive = [n for n in self.nodes if n not in self.network.dead]
+        self.assert_all_in_reach(alive)
+
+    def test_instance_that_starts_anew_is_known_by_its_new_start(self):
+        """Rows of the start before do not replace those of the new one."""
+        self.network.run(4.0)
+        again = self.nodes[20]
+        again.start(self.network.seeds)
+        self.network.run(2.0)
+        self.assert_all_in_reach(self.nodes)
+        far = next(n for n in self.nodes if n.data_centre != again.data_centre)
+        report = far.members._members[again.name].report
+        self.assertEqual(again.incarnation, report.incarnation)
+
+    def test_halves_find_each_other_after_a_cut(self):
+        """Two parts that lost each other for a minute are one again."""
+        self.network.run(4.0)
+        half = {n.name for n in self.nodes[:30]}
+        self.network.is_cut = lambda a, b: (a.name in half) != (b.name in half)
+        self.network.run(8.0)
+        self.assert_all_in_reach(self.nodes[:30])
+        self.network.is_cut = lambda a, b: False
+        self.network.run(4.0)
+        self.assert_all_in_reach(self.nodes)
+
+    def test_one_that_lost_the_others_is_taken_back(self):
+        """An instance that was cut off comes back without a new start."""
+        self.network.run(4.0)
+        lost = self.nodes[7]
+        self.network.is_cut = lambda a, b: lost in (a, b)
+        self.network.run(4.0)
+        self.assertEqual(set(), lost.list_fresh())
+        self.network.is_cut = lambda a, b: False
+        self.network.run(2.0)
+        self.assert_all_in_reach(self.nodes)
+
+
+class CostTest(testtools.TestCase):
+    """Load: many instances that all tell of themselves."""
+
+    def measure(self, instances, data_centres):
+        """Return datagrams an instance reads, and bytes between places.
+
+        Both a second, in a fleet that knows itself.
+        """
+        network = networks.Network(instances, data_centres)
+        network.run(4.0)
+        for node in network.nodes.values():
+            node.heard.clear()
+        network.crosses = 0
+        network.run(2.0)
+        # Seeds read more until no new instance shows up any more.
+        nodes = [n for a, n in network.nodes.items() if a not in network.seeds]
+        most = max(sum(n.heard.values()) for n in nodes)
+        return most / 2.0, network.crosses / 2.0
+
+    def test_reading_does_not_grow_with_the_fleet(self):
+        """Control that takes a part of a core for each hundred instances."""
+        for instances, data_centres in ((24, 4), (72, 6)):
+            most, _ = self.measure(instances, data_centres)
+            self.assertLess(most, 1.7 * membership.REPORTS_PER_SECOND)
+
+    def test_few_bytes_go_between_data_centres(self):
+        """Links between data centres that carry a report of each to each."""
+        instances = 72
+        _, crosses = self.measure(instances, 6)
+        self.assertLess(crosses / instances, 6000)
+
+
+class SumsTest(testtools.TestCase):
+    """Limits that are counted over data centres."""
+
+    def setUp(self):
+        """Make a settled fleet and a workspace with a limit."""
+        super().setUp()
+        self.network = networks.Network(48, 4)
+        self.nodes = list(self.network.nodes.values())
+        self.network.run(4.0)
+        self.workspace = models.Workspace(
+            name="w",
+            tier=0,
+            rate=1.0,
+            burst=10000.0,
+            counts_tokens=True,
+            plain_tokens=100.0,
+        )
+        for node in self.nodes:
+            self.charge(node, 0.0)
+
+    def charge(self, node, units):
+        """Let units pass at an instance."""
+        self.assertIsNone(
+            node.quotas.admit(
+                self.workspace,
+                units,
+                1.0,
+                self.network.ticker.now(),
+                len(self.nodes),
+                0.4,
+            )
+        )
+
+    def get_level(self, node):
+        """Return what an instance sees left."""
+        return node.quotas._buckets["w"].level
+
+    def test_what_passes_is_charged_once_everywhere(self):
+        """Two envoys that tell the same would use up a limit twice."""
+        self.charge(self.nodes[5], 4000.0)
+        self.network.run(2.0)
+        for node in self.nodes:
+            self.assertAlmostEqual(6000.0, self.get_level(node), delta=1.0)
+
+    def test_change_of_envoys_neither_opens_nor_shuts_a_limit(self):
+        """An envoy dies while units pass; none counts twice or never."""
+        near = [n for n in self.nodes if n.data_centre == "dc1"]
+        far = next(n for n in self.nodes if n.data_centre == "dc2")
+        believed, _ = far.quotas._usage._believed["dc1"]
+        self.network.dead = {n for n in near if n.name == believed}
+        alive = [n for n in near if n not in self.network.dead]
+        for number in range(8):
+            self.charge(alive[number % len(alive)], 500.0)
+            self.network.run(0.25)
+        self.network.run(2.0)
+        self.assertAlmostEqual(6000.0, self.get_level(far), delta=500.0)
