Wait until the others are known after a start

Cause: after a loss of power all instances start within half a second. Change: one that is alone asks the seeds after 0.1, 0.2, 0.4 s; summaries name members of other data centres; requests and readiness wait until no new instance has shown up for 0.15 s, 0.6 s at most. Ruled out: a wait of fixed length, which small fleets, met within milliseconds, do not need.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -30,7 +30,8 @@
 """When to come back to an instance that knows no configuration yet."""
 
 START_WAIT_SECONDS = 1.0
-"""How long a request may wait for the first configuration: a store that
+"""How long a request may wait for the first configuration, and for the
+other instances to be known: a store that
 answers gives it within a tenth of a second, one that returns from an outage
 within a second, the time after which a silent question is asked again."""
 
@@ -39,7 +40,7 @@
 come back and be served."""
 
 START_LOOK_SECONDS = 0.02
-"""Pause between two looks for the first configuration."""
+"""Pause between two looks at whether the start is over."""
 
 LEAVING_SECONDS = 0.1
 """When to come back to another instance than one that leaves."""
@@ -60,6 +61,7 @@
         is_leaving: whether new connections should end with their answer.
         is_closing: whether no new request is taken any more.
         get_store_age: returns the age of the store's newest answer.
+        is_meeting: whether the other instances are not known yet.
         ticker: the clock.
     """
 
@@ -72,6 +74,7 @@
         is_leaving: collections.abc.Callable[[], bool],
         is_closing: collections.abc.Callable[[], bool],
         get_store_age: collections.abc.Callable[[], float],
+        is_meeting: collections.abc.Callable[[], bool],
         ticker: clock.Clock,
     ) -> None:
         self._parts = parts
@@ -81,6 +84,7 @@
         self._is_leaving = is_leaving
         self._is_closing = is_closing
         self._get_store_age = get_store_age
+        self._is_meeting = is_meeting
         self._ticker = ticker
         self.running = 0
 
@@ -125,7 +129,7 @@
                 return result.Err(refusal)
             case result.Ok(head):
                 pass
-        configuration = self._await_configuration(head, arrived)
+        configuration = self._await_start(head, arrived)
         if configuration is None:
             return _err(errors.Code.NO_CATALOGUE, NOTHING_KNOWN_SECONDS)
         if self._is_closing():
@@ -160,10 +164,10 @@
             )
         )
 
-    def _await_configuration(
+    def _await_start(
         self, head: requests.CallerRequest, arrived: float
     ) -> models.Configuration | None:
-        """Return the configuration in force; wait a moment for the first.
+        """Return the configuration in force; wait a moment after a start.
 
         Load: all instances lose power and start again while the store is
         away, and callers come to them at once. Harm: refused in the first
@@ -175,9 +179,9 @@
         if head.patience is not None:
             patience = min(patience, START_WAIT_SHARE * head.patience)
         until = arrived + patience
-        while self._parts.world.configuration is None:
+        while self._parts.world.configuration is None or self._is_meeting():
             if self._is_closing() or self._ticker.now() >= until:
-                return None
+                break
             self._ticker.sleep(START_LOOK_SECONDS)
         return self._parts.world.configuration
 
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -48,6 +48,10 @@
 """How long an instance that leaves takes new work: callers keep the answer
 of a lookup for two seconds, and new answers name others at once."""
 
+MEET_SECONDS = 0.6
+"""How long an instance that has just started waits at most until it knows
+the others; it may be the only one."""
+
 END_SECONDS = 0.7
 """Time before the kill at which the process ends at the latest."""
 
@@ -179,6 +183,7 @@
             lambda: self._leaving,
             lambda: self._closing,
             lambda: ticker.now() - self.follower.answered,
+            self._is_meeting,
             ticker,
         )
         self._callers = listeners.make_caller_server(
@@ -235,7 +240,11 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should come here."""
-        ready = self.world.configuration is not None and not self._leaving
+        ready = (
+            self.world.configuration is not None
+            and not self._leaving
+            and not self._is_meeting()
+        )
         if ready != self._ready:
             self._ready = ready
             self._log.write(events.Ready(ready=ready))
@@ -267,6 +276,19 @@
             )
         )
 
+    def _is_meeting(self) -> bool:
+        """Return whether requests should wait until the others are known.
+
+        Load: all instances start again at once, and the callers of two
+        seconds come back to the first ones. Harm: one that knows nobody
+        takes all endpoints for its own. A hundred of them fill each engine
+        many times over, which turns away what could have waited a moment.
+        """
+        now = self._ticker.now()
+        if now - self._started >= MEET_SECONDS:
+            return False
+        return self.members.is_growing(now)
+
     def _make_servers(self) -> list[caller_server.Server]:
         return [
             self._callers,
--- a/citronport/relay/fleet.py
+++ b/citronport/relay/fleet.py
@@ -28,6 +28,11 @@
 """Pause between two reports of an instance without work: three of them
 fit into the time after which it counts as out of reach."""
 
+ALONE_SECONDS = 0.1
+"""First pause between two reports to seeds of an instance that has heard of
+nobody yet; each is twice as long as the one before. After a loss of power
+the seeds themselves may still be starting."""
+
 SEED_SECONDS = 1.0
 """Pause between two reports to seeds while new instances show up."""
 
@@ -80,6 +85,7 @@
         self._log = log
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._seeded = float("-inf")
+        self._alone_pause = ALONE_SECONDS / 2
         self._reachable: set[str] = set()
 
     def use(self, settings: settings_module.Settings) -> None:
@@ -132,10 +138,9 @@
         """
         now = self._ticker.now()
         targets = set(self._members.list_addresses(now))
-        settled = self._members.is_settled(now)
-        pause = SETTLED_SEED_SECONDS if settled else SEED_SECONDS
-        if now - self._seeded >= pause:
+        if now - self._seeded >= self._choose_seed_pause(now):
             self._seeded = now
+            self._alone_pause = min(2 * self._alone_pause, SEED_SECONDS)
             seeds = {str(seed) for seed in self._settings.seeds}
             self._ask_seeds(seeds - {str(self._settings.peers)})
             targets |= seeds
@@ -150,6 +155,11 @@
         if seconds and not targets:
             self._ticker.sleep(seconds)
 
+    def _choose_seed_pause(self, now: float) -> float:
+        if self._members.is_settled(now):
+            return SETTLED_SEED_SECONDS
+        return self._alone_pause if self._members.is_alone() else SEED_SECONDS
+
     def _ask_seeds(self, seeds: set[str]) -> None:
         meet = messages.Meet(
             protocol=messages.PROTOCOL,
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -45,8 +45,9 @@
 """Age up to which an instance counts as one that has just started."""
 
 START_GATHER_SECONDS = 0.8
-"""The same pause for one that has just started. Until it knows who reads the store for it, every instance of a large fleet
-watches by itself, and would ask again with each of many changes."""
+"""The same pause for one that has just started. Until it knows who reads
+the store for it, every instance of a large fleet watches by itself, and
+would ask again with each of many changes."""
 
 ANSWER_SECONDS = 0.8
 """How long the store may be silent beyond a watch's wait, and within an
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -51,6 +51,11 @@
 """The same once no new instance has been heard of for a while: names would
 be half of the bytes of a report."""
 
+GROWING_SECONDS = 0.15
+"""Time without a new instance after which one that has just started knows
+most of those that run: a seed and its neighbours answer in a few
+milliseconds, and the next report of a neighbour names others."""
+
 SETTLED_SECONDS = 10.0
 """Time without a new instance after which a fleet counts as settled."""
 
@@ -121,13 +126,21 @@
         """Return whether a data centre is told of by its envoys only."""
         return data_centre != self._data_centre and self.is_large()
 
+    def is_alone(self) -> bool:
+        """Return whether nobody else has been heard of yet."""
+        return not self._members
+
+    def is_growing(self, now: float) -> bool:
+        """Return whether this instance still gets to know the others."""
+        return self.is_alone() or now - self._grown < GROWING_SECONDS
+
     def is_settled(self, now: float) -> bool:
         """Return whether no new instance has been heard of for a while.
 
         Args:
             now: clock time, seconds.
         """
-        if not self._members:
+        if self.is_alone():
             return False
         return now - self._grown > SETTLED_SECONDS
 
@@ -151,9 +164,30 @@
         member.report = report
         member.heard = now
         member.peers = report.peers
-        self._learn(report.members, now)
+        self.learn(report.members, now)
         return True
 
+    def learn(
+        self,
+        members: collections.abc.Iterable[tuple[str, str, str, str]],
+        now: float,
+    ) -> None:
+        """Take the names and addresses that another instance tells.
+
+        Args:
+            members: rows as ``list_members`` makes them.
+            now: clock time, seconds.
+        """
+        for name, _, peers, data_centre in members:
+            if name == self._own:
+                continue
+            known = name in self._members
+            member = self._find(name, data_centre, peers, now)
+            if not known:
+                self._strangers.append(peers)
+            elif member.report is None:
+                member.peers = peers
+
     def drop_gone(self, now: float) -> None:
         """Forget the instances that nobody has heard of for long."""
         gone = [n for n, m in self._members.items() if not _is_tried(m, now)]
@@ -320,21 +354,6 @@
         # An envoy may still tell of the start before the latest one.
         return now >= member.heard
 
-    def _learn(
-        self,
-        members: collections.abc.Iterable[tuple[str, str, str, str]],
-        now: float,
-    ) -> None:
-        for name, _, peers, data_centre in members:
-            if name == self._own:
-                continue
-            known = name in self._members
-            member = self._find(name, data_centre, peers, now)
-            if not known:
-                self._strangers.append(peers)
-            elif member.report is None:
-                member.peers = peers
-
 
 def _is_tried(member: Member, now: float) -> bool:
     return now - max(member.heard, member.told) <= TRIED_SECONDS
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -98,6 +98,8 @@
         passed: units that all instances there let pass since the sender's
             start, by workspace.
         profiles: as in a report.
+        members: as in a report; two data centres that do not know each
+            other hear of each other by a third one.
     """
 
     protocol: int
@@ -109,6 +111,7 @@
     rows: list[Row]
     passed: dict[str, float]
     profiles: list[tuple[str, float, float, float]]
+    members: list[tuple[str, str, str, str]]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -56,6 +56,7 @@
             rows=[_make_row(report, age) for report, age in near],
             passed=self._quotas.get_sums(),
             profiles=list(profiles.values()),
+            members=self._members.list_members(now),
         )
 
     def take(self, summary: messages.Summary, now: float) -> bool:
@@ -77,6 +78,7 @@
         for row in summary.rows:
             report, age = _read_row(summary, row)
             self._members.hear(report, now - age)
+        self._members.learn(summary.members, now)
         self._quotas.hear_sums(
             summary.data_centre, summary.instance, start, summary.passed, now
         )
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -34,6 +34,7 @@
         """Make an instance that knows nothing."""
         super().setUp()
         self.clock = clock.ManualClock()
+        self.met = 0.0
         self.room = samples.Room([], self.clock)
         self.room.world.configuration = None
         parts = jobs.Parts(
@@ -55,6 +56,7 @@
             lambda: False,
             lambda: False,
             lambda: 0.0,
+            lambda: self.clock.now() < self.met,
             self.clock,
         )
 
@@ -110,3 +112,19 @@
         """A patient caller is not kept for longer than a second or so."""
         self.ask(15.0)
         self.assertLess(self.clock.now(), application.START_WAIT_SECONDS + 0.1)
+
+    def test_waits_until_the_others_are_known(self):
+        """One that knows nobody sends to engines that are full already."""
+        self.room.world.configuration = samples.make_configuration()
+        self.met = 0.4
+        status, _ = self.ask(4.0)
+        self.assertEqual("404", status)
+        self.assertGreaterEqual(self.clock.now(), 0.4)
+
+    def test_does_not_wait_for_others_in_vain(self):
+        """A short wait is all that an urgent request can afford."""
+        self.room.world.configuration = samples.make_configuration()
+        self.met = 9.0
+        status, _ = self.ask(1.0)
+        self.assertEqual("404", status)
+        self.assertLess(self.clock.now(), 0.3)
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -58,7 +58,7 @@
         seed.fleet._describe = lambda: test_membership.make_report(
             seed.name, number=9, peers=seed.address, members=told
         )
-        new.members._learn([(seed.name, "1", seed.address, "a")], ticker.now())
+        new.members.learn([(seed.name, "1", seed.address, "a")], ticker.now())
         new.fleet.send(new.describe())
         gevent.sleep(0.1)
         fresh = new.members.list_fresh(ticker.now())
--- a/tests/relay/test_summaries.py
+++ b/tests/relay/test_summaries.py
@@ -1,5 +1,7 @@
 """How the data centres of a large fleet hear of each other."""
 
+import random
+
 import testtools
 
 from citronport.relay import membership
@@ -44,6 +46,25 @@
         self.nodes = list(network.nodes.values())
         self.assert_all_in_reach(self.nodes)
 
+    def test_all_meet_soon_after_the_last_has_started(self):
+        """Two data centres that ask seeds of a third one stay strangers.
+
+        Starts are half a second apart, as after a loss of power; until all
+        are known, each instance takes all endpoints for its own.
+        """
+        draw = random.Random(1)
+        starts = {node: draw.uniform(0.0, 0.5) for node in self.nodes}
+        began = self.network.ticker.now()
+        self.network.dead = set(self.nodes)
+        while self.network.dead:
+            for node in list(self.network.dead):
+                if self.network.ticker.now() - began >= starts[node]:
+                    self.network.dead.discard(node)
+                    node.start(self.network.seeds)
+            self.network.run(0.02)
+        self.network.run(0.7)
+        self.assert_all_in_reach(self.nodes)
+
     def test_dead_instance_is_out_of_reach_in_time(self):
         """Callers and places do not go to one that died seconds ago."""
         self.network.run(4.0)
