Do not weigh cold endpoints against warm ones

Cause: the choice of an endpoint counted 0.3 s against a cold one, besides the bound on what a cold one gets. Ruled out: a rule that rests on it; the bound of cold.py is untouched and has its own tests. Conclusion: removed. It kept work from engines that were able to take it.

--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -40,9 +40,6 @@
 FAILURE_SECONDS = 2.0
 """What a certain failure counts against waiting, seconds."""
 
-COLD_SECONDS = 0.3
-"""What a cold endpoint counts against a warm one, seconds."""
-
 MIN_STAY_SECONDS = 0.001
 """Shortest time that a place is taken to be held."""
 
@@ -229,5 +226,4 @@
     def _weigh(self, endpoint: models.Endpoint, now: float) -> float:
         name = endpoint.name
         failures = self._health.get_failures(name, now)
-        cold = COLD_SECONDS if self._cold.is_cold(name, now) else 0.0
-        return failures * FAILURE_SECONDS + cold
+        return failures * FAILURE_SECONDS
