Do not weigh the streams that a long prompt makes late

Cause: the choice of an endpoint counted 0.1 s for each stream on a slow engine beside which a long prompt would be read. Ruled out: a rule; it is about lateness only. Conclusion: removed; pauses that are too long cost less than waiting.

--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -30,13 +30,6 @@
 """What an answer that takes all of the time left counts against waiting,
 seconds, growing from nothing at the share above."""
 
-STALL_SHARE = 0.9
-"""Share of the longest pause in time that reading a prompt may take from
-the streams that run beside it."""
-
-STALL_SECONDS = 0.1
-"""What one stream that is made late counts against waiting, seconds."""
-
 FAILURE_SECONDS = 2.0
 """What a certain failure counts against waiting, seconds."""
 
@@ -117,7 +110,6 @@
         for endpoint in endpoints:
             seconds = self.estimate(work, service, endpoint)
             cost = seconds + self._weigh(endpoint, now)
-            cost += self._weigh_stall(work, service, endpoint)
             cost += self._weigh_length(work, service, endpoint, now)
             if best is None or cost < best.cost:
                 best = Place(endpoint=endpoint, seconds=seconds, cost=cost)
@@ -184,26 +176,6 @@
         pace = self._board.get_pace(endpoint.name)
         return pace * runs.PACE_SECONDS
 
-    def _weigh_stall(
-        self,
-        work: models.Work,
-        service: models.Service,
-        endpoint: models.Endpoint,
-    ) -> float:
-        # Load: long prompts among running streams. Harm: an engine reads
-        # a chunk of a prompt at each step, so that an event of a slow one
-        # takes longer than the pause that is still in time, for all
-        # streams there. Only slow engines and prompts of several chunks
-        # are concerned: these go where they make nobody late.
-        if service.engine is None or work.route.max_gap is None:
-            return 0.0
-        profile = self._board.profiles.get(service.name)
-        reading = self._get_step(endpoint) * profile.read * work.prompt_tokens
-        if reading < STALL_SHARE * work.route.max_gap:
-            return 0.0
-        running = self._board.count_requests(endpoint.name)
-        return STALL_SECONDS * running
-
     def _weigh_length(
         self,
         work: models.Work,
