Do not weigh the length of an answer

Cause: the choice of an endpoint counted up to 3 s against an engine on which an answer, by its caller's guess of its length, would take most of the time left. Ruled out: a rule; deadlines end such answers as before. Its test goes with it, since it asserted just this weight. Conclusion: removed; the guess is too often off to choose by.

--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -18,18 +18,6 @@
 slot is on its way.
 """
 
-BUSY_FACTOR = 1.6
-"""How much longer a token takes than a bare step, as an engine that is in
-use reads others' prompts between its steps."""
-
-LENGTH_SHARE = 0.6
-"""Share of the time left that the whole answer may take before its length
-counts: a guess of the length is often off by half."""
-
-LENGTH_SECONDS = 3.0
-"""What an answer that takes all of the time left counts against waiting,
-seconds, growing from nothing at the share above."""
-
 FAILURE_SECONDS = 2.0
 """What a certain failure counts against waiting, seconds."""
 
@@ -110,7 +98,6 @@
         for endpoint in endpoints:
             seconds = self.estimate(work, service, endpoint)
             cost = seconds + self._weigh(endpoint, now)
-            cost += self._weigh_length(work, service, endpoint, now)
             if best is None or cost < best.cost:
                 best = Place(endpoint=endpoint, seconds=seconds, cost=cost)
         return best
@@ -176,25 +163,6 @@
         pace = self._board.get_pace(endpoint.name)
         return pace * runs.PACE_SECONDS
 
-    def _weigh_length(
-        self,
-        work: models.Work,
-        service: models.Service,
-        endpoint: models.Endpoint,
-        now: float,
-    ) -> float:
-        # Load: few answers of thousands of tokens among many short ones.
-        # Harm: begun in time on a slow engine they run into the deadline
-        # after ten seconds, and all that was made of them is lost. They
-        # go to an engine that ends them in time, if there is one.
-        left = work.deadline - now
-        if service.engine is None or left <= 0:
-            return 0.0
-        token = self._get_step(endpoint) * BUSY_FACTOR
-        share = work.expected_tokens * token / left
-        over = min(1.0, share) - LENGTH_SHARE
-        return max(0.0, over) / (1 - LENGTH_SHARE) * LENGTH_SECONDS
-
     def _weigh(self, endpoint: models.Endpoint, now: float) -> float:
         name = endpoint.name
         failures = self._health.get_failures(name, now)
--- a/tests/scheduler/direct/test_selection.py
+++ b/tests/scheduler/direct/test_selection.py
@@ -83,15 +83,6 @@
             self.load(name, 4 + selection.SPARE_REQUESTS)
         self.assertIsNone(self.choose())
 
-    def test_long_answer_goes_where_it_ends_in_time(self):
-        """At pace 3 three thousand tokens take longer than the deadline."""
-        self.set_pace("a", 3.0)
-        self.set_pace("b", 0.5)
-        self.load("b", 3)
-        self.board.hear("other", [("b", 1, 30_000, 500_000)])
-        self.assertEqual("a", self.choose(expected_tokens=50))
-        self.assertEqual("b", self.choose(expected_tokens=3_000))
-
     def test_failing_endpoint_is_left_alone(self):
         """It answers at once, with failures: it looks idle to all."""
         for _ in range(6):
