--- a/tests/scheduler/direct/test_fleet_load.py
+++ b/tests/scheduler/direct/test_fleet_load.py
@@ -43,6 +43,10 @@
 STEP_SECONDS = 0.0032
 """Time of a step of a common engine: each running request gets a token."""
 
+BUSY_FACTOR = 1.6
+"""How much longer a token takes than a bare step, as an engine that is in
+use reads others' prompts between its steps."""
+
 READ_SECONDS = 0.0000195
 """Time in which it reads a prompt token, with the steps in between."""
 
@@ -61,7 +65,7 @@
         reading = self.pace * work.prompt_tokens * READ_SECONDS
         first = max(admitted, self._reads_until) + reading
         self._reads_until = first
-        step = STEP_SECONDS * selection.BUSY_FACTOR
+        step = STEP_SECONDS * BUSY_FACTOR
         end = first + self.pace * work.expected_tokens * step
         heapq.heappush(self._slots, end)
         return first, end
