--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -75,6 +75,12 @@
         again = make_report("x", 1, incarnation="2")
         self.assertTrue(self.members.hear(again, 2.0))
 
+    def test_late_word_of_an_earlier_start(self):
+        """An envoy still tells of a process that has been started anew."""
+        again = make_report("x", 1, incarnation="2")
+        self.assertTrue(self.members.hear(again, 2.0))
+        self.assertFalse(self.members.hear(make_report("x", 9), 1.5))
+
     def test_others_of_others(self):
         """A seed tells of an instance that was not known."""
         told = [
