Name the one command that is not patched; say lookups without figures

Read as a newcomer: a tuple of commands was compared with the arguments, and two comments told a share of a start and the size of one deployment. No behaviour changes; test_main, test_instance and test_application pass.

--- a/citronport/__main__.py
+++ b/citronport/__main__.py
@@ -13,13 +13,13 @@
 
 import sys  # noqa: E402
 
-COMMANDS_UNPATCHED = ("relay",)
-"""Commands whose modules use gevent's own sockets and timers throughout."""
+UNPATCHED_COMMAND = "relay"
+"""Its modules use gevent's own sockets and timers throughout."""
 
 # Load: all instances start again at once after a loss of power. Harm: each
 # patched module has gevent look for plugins in every installed package,
-# which is a quarter of a start, and callers are refused for as long.
-if tuple(sys.argv[1:2]) != COMMANDS_UNPATCHED:
+# and callers are refused while that takes.
+if sys.argv[1:2] != [UNPATCHED_COMMAND]:
     import gevent.monkey
 
     gevent.monkey.patch_all()
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -254,10 +254,11 @@
     def list_addresses(self, caller: str) -> tuple[str, ...]:
         """Return the addresses that a caller should use.
 
-        Load: callers that may name 64 of 195 instances. Harm: given all,
-        each keeps the first ones, which carry the whole load while the
-        others idle. Every caller has its own few, the same ones whichever
-        instance it asks, so that it can keep its connections.
+        Load: hundreds of instances, of which an answer may name a few.
+        Harm: given all, each caller keeps the first ones, which carry the
+        whole load while the others idle. Every caller has its own few, the
+        same ones whichever instance it asks, so that it can keep its
+        connections.
 
         Args:
             caller: its address.
