Tell in log lines which requests ask for the same

The record of the incident could not tell copies of one request from requests of the same size, nor a connection that broke from other failures.

Change: a fingerprint (workspace, method, host, target, body) in request_sent and send_failed; cut in send_failed; a counter citronport_cut_sends_total. No decision rests on them yet.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -18,6 +18,7 @@
 from citronport.relay import metrics
 from citronport.relay import refusals
 from citronport.relay import sender
+from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import routing
@@ -150,14 +151,23 @@
             if refusal is not None:
                 return result.Err(refusal)
         work = make_work(head, route, workspace, arrived)
+        method = environ["REQUEST_METHOD"]
+        target = environ[caller_const.ENVIRON_TARGET]
         return result.Ok(
             jobs.Job(
                 work=work,
                 service=routing.choose_service(route, random.random()),
-                method=environ["REQUEST_METHOD"],
-                target=environ[caller_const.ENVIRON_TARGET],
+                method=method,
+                target=target,
                 fields=fields,
                 body=body,
+                fingerprint=fingerprints.make_fingerprint(
+                    workspace.name if workspace else "",
+                    method,
+                    route.host,
+                    target,
+                    body,
+                ),
                 workspace=workspace,
                 units=units,
                 version=configuration.version,
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -229,6 +229,7 @@
         load: requests that are known to be there.
         pace: known pace of the endpoint, milliseconds a step.
         leased: whether the owner of the endpoint chose it.
+        fingerprint: the same for all requests that ask for the same.
     """
 
     request: str
@@ -242,17 +243,30 @@
     load: int
     pace: float
     leased: bool
+    fingerprint: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SendFailed:
-    """A send brought no answer, or one that it did not run."""
+    """A send brought no answer, or one that it did not run.
+
+    Attributes:
+        request: its id.
+        endpoint: where it was sent.
+        attempt: number of the send, from 1.
+        what: what happened.
+        ran: "yes", "no" or "maybe".
+        cut: whether the endpoint's connection broke under it.
+        fingerprint: the same for all requests that ask for the same.
+    """
 
     request: str
     endpoint: str
     attempt: int
     what: str
     ran: str
+    cut: bool
+    fingerprint: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -26,6 +26,7 @@
         target: path and query, as they came.
         fields: headers by their names in lower case.
         body: the body.
+        fingerprint: the same for all requests that ask for the same.
         workspace: whose it is; None where no keys are used.
         units: what it was charged with.
         version: of the configuration that it was checked against.
@@ -37,6 +38,7 @@
     target: str
     fields: requests.Fields
     body: bytes
+    fingerprint: str
     workspace: models.Workspace | None
     units: float
     version: int
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -32,6 +32,7 @@
         sends: to endpoints, by what came of them.
         leased: sends whose endpoint its owner chose.
         repeats: sends beyond the first of a request.
+        cuts: sends under which the endpoint's connection broke.
         first: time to the first byte of an answer, by kind of route.
         pauses: longest pause of each stream.
         waits: time in the queue here.
@@ -45,6 +46,7 @@
         self.sends: collections.Counter[str] = collections.Counter()
         self.leased = 0
         self.repeats = 0
+        self.cuts = 0
         self.first: dict[str, histogram.Histogram] = collections.defaultdict(
             make_histogram
         )
@@ -191,6 +193,11 @@
         "Sends beyond the first of a request.",
         [({}, counts.repeats)],
     )
+    counter(
+        "cut_sends_total",
+        "Sends under which the endpoint's connection broke.",
+        [({}, counts.cuts)],
+    )
     counter(
         "store_calls_total",
         "Calls to the platform's store.",
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -65,6 +65,7 @@
             load=booking.load,
             pace=booking.pace,
             leased=booking.leased,
+            fingerprint=job.fingerprint,
         )
     )
 
@@ -76,6 +77,8 @@
     endpoint: str,
     what: str,
     ran: str,
+    *,
+    cut: bool = False,
 ) -> None:
     """Tell that a send brought no usable answer.
 
@@ -86,7 +89,9 @@
         endpoint: where it was sent.
         what: what happened.
         ran: "yes", "no" or "maybe".
+        cut: whether the endpoint's connection broke under it.
     """
+    parts.counts.cuts += cut
     parts.counts.sends[f"failed, ran: {ran}"] += 1
     parts.log.write(
         events.SendFailed(
@@ -95,6 +100,8 @@
             attempt=progress.attempts,
             what=what,
             ran=ran,
+            cut=cut,
+            fingerprint=job.fingerprint,
         )
     )
 
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -86,7 +86,7 @@
             try:
                 yield from self._pass_on(start_response, found)
             except (OSError, http_response.HTTPParseError) as error:
-                self._note_failed(type(error).__name__, "maybe")
+                self._note_failed(type(error).__name__, "maybe", cut=True)
                 if self._may_go_on():
                     continue
                 refusal = errors.Refusal(code=errors.Code.ENDPOINT_LOST)
@@ -123,9 +123,9 @@
                     self._note_failed(f"status {status}", "no")
                     if not self._may_repeat():
                         return self._refuse_busy()
-                case upstream.Broken(reason=reason):
+                case upstream.Broken(reason=reason, cut=cut):
                     self.progress.ran += 1
-                    self._note_failed(reason, "maybe")
+                    self._note_failed(reason, "maybe", cut=cut)
                     if not self._may_go_on():
                         return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
 
@@ -378,13 +378,15 @@
         self._booking.run.verdict = runs.Verdict.UNREACHABLE
         self._tell_failed(name, reason, "no")
 
-    def _note_failed(self, reason: str, ran: str) -> None:
+    def _note_failed(
+        self, reason: str, ran: str, *, cut: bool = False
+    ) -> None:
         if self._booking is None:
             return
         name = self._booking.endpoint.name
         self._parts.health.note_answer(name, False, self._parts.ticker.now())
         self._booking.run.verdict = runs.Verdict.FAILED
-        self._tell_failed(name, reason, ran)
+        self._tell_failed(name, reason, ran, cut=cut)
 
     def _note_silence(self, *, late: bool) -> None:
         # Load: an endpoint that takes requests and never answers. Harm: it
@@ -397,9 +399,17 @@
         if late or now - booking.run.sent >= SILENT_SECONDS:
             self._note_failed("silence", "maybe")
 
-    def _tell_failed(self, endpoint: str, what: str, ran: str) -> None:
+    def _tell_failed(
+        self, endpoint: str, what: str, ran: str, *, cut: bool = False
+    ) -> None:
         progress_module.tell_failed(
-            self._parts, self._job, self.progress, endpoint, what, ran
+            self._parts,
+            self._job,
+            self.progress,
+            endpoint,
+            what,
+            ran,
+            cut=cut,
         )
 
 
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -25,9 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Broken:
-    """No answer that can be used came; the request may have run."""
+    """No answer that can be used came; the request may have run.
+
+    Attributes:
+        reason: what came instead.
+        cut: whether the connection broke.
+    """
 
     reason: str
+    cut: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,7 +89,7 @@
             self._put(used, request)
             head = used.read_head()
         except (OSError, http_response.HTTPParseError) as error:
-            return Broken(reason=type(error).__name__)
+            return Broken(reason=type(error).__name__, cut=True)
         answer = requests.parse_answer(head)
         if answer.request_id and answer.request_id != self._request_id:
             return Broken(reason="answer to another request")
--- /dev/null
+++ b/citronport/scheduler/direct/fingerprints.py
@@ -0,0 +1,26 @@
+"""Tells whether two requests with different ids ask for the same."""
+
+import hashlib
+
+DIGEST_BYTES = 8
+
+
+def make_fingerprint(
+    workspace: str, method: str, host: str, target: str, body: bytes
+) -> str:
+    """Return a text that is the same for each repeat of a request.
+
+    Args:
+        workspace: whose request it is; empty where no keys are used.
+        method: HTTP method.
+        host: that the caller named.
+        target: path and query.
+        body: its body.
+    """
+    # Not xxh3: nobody may craft a request that bears another's fingerprint.
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (workspace, method, host, target):
+        data = part.encode("utf-8", "surrogateescape")
+        digest.update(b"%d:%b" % (len(data), data))
+    digest.update(body)
+    return digest.hexdigest()
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -56,7 +56,7 @@
             lambda: 1,
         )
 
-    def ask(self, **fields):
+    def ask(self, fingerprint="f1", **fields):
         """Send one request; return status, headers and body."""
         self.started = []
         job = jobs.Job(
@@ -76,6 +76,7 @@
                 **fields,
             },
             body=b"body",
+            fingerprint=fingerprint,
             workspace=test_quota.make_workspace(),
             units=1.0,
             version=1,
