--- /dev/null
+++ b/tests/relay/instances.py
@@ -0,0 +1,150 @@
+"""Instances as processes before a fake store, for tests."""
+
+import json
+import pathlib
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+import gevent
+import testtools
+
+from standins import processes
+from tests import addresses
+from tests.platform import test_models as wire_samples
+from tests.relay import fakes
+
+PORTS = {
+    "callers": 8221,
+    "readiness": 8224,
+    "lookups": 8220,
+    "peers": 8229,
+}
+REPORTS, METRICS = 7600, 9464
+SECONDS = 8.0
+"""How long anything may take that should take a moment."""
+
+
+class InstanceCase(testtools.TestCase):
+    """A store with a configuration, and an endpoint."""
+
+    def setUp(self):
+        """Start a store with a configuration, and an endpoint."""
+        super().setUp()
+        self.subnet = addresses.choose_subnet(14)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.running = processes.Processes(self.folder)
+        self.running.__enter__()
+        self.addCleanup(self.running.__exit__)
+        self.store = fakes.Store(self)
+        self.endpoint = fakes.Endpoint(self, fakes.answer())
+        self.put_configuration(7)
+        self.put_endpoint()
+
+    def put_configuration(self, version, **changes):
+        """Publish a version of the sample configuration."""
+        route = {
+            **wire_samples.ROUTE,
+            "trafficSplit": [{"service": "llm", "weight": 1}],
+            **changes,
+        }
+        value = {
+            **wire_samples.CONFIGURATION,
+            "version": version,
+            "routes": [route],
+        }
+        self.store.put("op/config", value)
+
+    def put_endpoint(self, name="i-1", **changes):
+        """Enter an endpoint into the list."""
+        entry = {
+            **wire_samples.ENTRY,
+            "address": self.endpoint.address,
+            "coldLeftMs": 0,
+            **changes,
+        }
+        self.store.put(f"servers/{name}", entry)
+
+    def start(self, number, store=None):
+        """Start an instance and wait until it listens."""
+        host = f"127.{self.subnet}.{number}"
+        lines = [f"{k}: {host}:{port}" for k, port in PORTS.items()]
+        text = "\n".join(
+            (
+                f"instance: entry-{number}",
+                "data_centre: a",
+                f"store: {store or self.store.address}",
+                f"seeds: 127.{self.subnet}.1:{PORTS['peers']}",
+                f"reports: {REPORTS}",
+                f"metrics: {METRICS}",
+                "bounds: {grace_seconds: 8, retry_ratio: 0.2}",
+                *lines,
+            )
+        )
+        path = self.folder / f"entry-{number}.yaml"
+        path.write_text(text + "\n")
+        self.running.start(f"entry-{number}", "citronport", "relay", str(path))
+        processes.wait_for_port(host, METRICS)
+        return host
+
+    def fetch(self, host, port, target, **headers):
+        """Return status, headers and body of a GET or POST."""
+        request = urllib.request.Request(
+            f"http://{host}:{port}{target}",
+            headers=headers,
+            method="POST" if headers else "GET",
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=SECONDS) as answer:
+                return answer.status, answer.headers, answer.read()
+        except urllib.error.HTTPError as error:
+            return error.code, error.headers, error.read()
+
+    def ask(self, host, request_id="id-1", key="key-1", path="/review/x"):
+        """Send a caller's request."""
+        return self.fetch(
+            host,
+            PORTS["callers"],
+            path,
+            **{
+                "Host": "shop.example",
+                "X-Attempt-Id": request_id,
+                "X-Api-Key": key,
+                "X-Deadline-Ms": "6000",
+                "X-Token-Counts": "100,10",
+            },
+        )
+
+    def lookup(self, host):
+        """Return the addresses that a lookup tells."""
+        target = "/citronport/resolve?name=shop.example&region=r&zone=a"
+        status, _, body = self.fetch(host, PORTS["lookups"], target)
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    def is_ready(self, host):
+        """Return whether an instance says that it is ready."""
+        status, _, _ = self.fetch(
+            host, PORTS["readiness"], "/citronport/readyz"
+        )
+        return status == 200
+
+    def wait_for(self, what, check):
+        """Wait until something holds."""
+        end = time.monotonic() + SECONDS
+        while time.monotonic() < end:
+            if check():
+                return
+            gevent.sleep(0.05)
+        self.fail(f"{what} took too long")
+
+    def read_log(self, number):
+        """Return the events that an instance has told."""
+        text = (self.folder / f"entry-{number}.log").read_text()
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith('{"at"')
+        ]
--- /dev/null
+++ b/tests/relay/test_crashing_request.py
@@ -0,0 +1,110 @@
+"""Requests under which endpoints end."""
+
+import time
+
+import gevent
+
+from tests.relay import fakes
+from tests.relay import instances
+
+STABLE_SECONDS = 3.0
+"""Time after the third end by which all instances know of the request."""
+
+ENDS = 3
+"""Endpoints that a request may end before it counts as their cause."""
+
+ALLOWED_SENDS = 3
+"""Sends of such a request to endpoints after that time."""
+
+CRASHING = "/review/crashing"
+
+
+class FragileEndpoint(fakes.Endpoint):
+    """An endpoint that one request ends; it starts again under a new name.
+
+    Args:
+        case: whose store lists it.
+        number: tells it from others.
+    """
+
+    def __init__(self, case, number):
+        super().__init__(case, fakes.answer())
+        self.case = case
+        self.number = number
+        self.starts = 0
+        self.ends = 0
+        self.list()
+
+    def list(self):
+        """Enter a new start of this endpoint into the list."""
+        self.starts += 1
+        self.name = f"e{self.number}-{self.starts}"
+        self.case.put_endpoint(self.name, address=self.address)
+
+    def _serve_request(self, sock, file):
+        request = fakes.read_request(file)
+        if request is None:
+            return
+        _, target, headers, _ = request
+        if target != CRASHING:
+            fakes.answer()(sock, headers)
+            return
+        self.ends += 1
+        self.case.store.delete(f"servers/{self.name}")
+        self.list()
+        fakes.stream(whole=False)(sock, headers)
+
+
+class CrashingRequestTest(instances.InstanceCase):
+    """Two instances before endpoints that one request ends."""
+
+    def setUp(self):
+        """Start endpoints and instances."""
+        super().setUp()
+        self.store.delete("servers/i-1")
+        self.endpoints = [FragileEndpoint(self, n) for n in range(4)]
+        self.hosts = [self.start(1), self.start(2)]
+        for host in self.hosts:
+            self.wait_for(
+                "meeting", lambda host=host: len(self.lookup(host)) == 2
+            )
+        self.asked = 0
+
+    def count_ends(self):
+        """Return how many endpoints have ended."""
+        return sum(e.ends for e in self.endpoints)
+
+    def ask_again(self, host, path=CRASHING):
+        """Ask for the same under a new id; return the status."""
+        self.asked += 1
+        return self.ask(host, f"id-{self.asked}", path=path)[0]
+
+    def end_three(self):
+        """Ask until three endpoints have ended, and wait."""
+        end = time.monotonic() + instances.SECONDS
+        while self.count_ends() < ENDS and time.monotonic() < end:
+            self.ask_again(self.hosts[self.asked % 2])
+        gevent.sleep(STABLE_SECONDS)
+
+    def test_repeats_do_not_end_endpoint_after_endpoint(self):
+        """Guards against a request that ends each endpoint it is sent to."""
+        self.end_three()
+        before = self.count_ends()
+        for _ in range(4):
+            for host in self.hosts:
+                self.ask_again(host)
+                gevent.sleep(0.1)
+        self.assertLessEqual(self.count_ends() - before, ALLOWED_SENDS)
+        for host in self.hosts:
+            self.assertEqual(200, self.ask_again(host, "/review/other"))
+
+    def test_instance_that_starts_later_knows_the_request(self):
+        """Guards against a restart after which all is tried once more."""
+        self.end_three()
+        host = self.start(3)
+        self.wait_for("the start", lambda: self.is_ready(host))
+        gevent.sleep(STABLE_SECONDS)
+        before = self.count_ends()
+        for _ in range(8):
+            self.ask_again(host)
+        self.assertLessEqual(self.count_ends() - before, ALLOWED_SENDS)
--- a/tests/relay/test_instance.py
+++ b/tests/relay/test_instance.py
@@ -1,157 +1,18 @@
 """Real instances before a fake store and fake endpoints."""
 
-import json
-import pathlib
 import re
 import signal
 import socket
-import tempfile
-import time
-import urllib.error
-import urllib.request
 
 import gevent
-import testtools
 
-from standins import processes
-from tests import addresses
-from tests.platform import test_models as wire_samples
 from tests.relay import fakes
+from tests.relay import instances
 
-PORTS = {
-    "callers": 8221,
-    "readiness": 8224,
-    "lookups": 8220,
-    "peers": 8229,
-}
-REPORTS, METRICS = 7600, 9464
-SECONDS = 8.0
-"""How long anything may take that should take a moment."""
 
-
-class InstanceTest(testtools.TestCase):
+class InstanceTest(instances.InstanceCase):
     """Two instances as processes of their own."""
 
-    def setUp(self):
-        """Start a store with a configuration, and an endpoint."""
-        super().setUp()
-        self.subnet = addresses.choose_subnet(14)
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = pathlib.Path(folder.name)
-        self.running = processes.Processes(self.folder)
-        self.running.__enter__()
-        self.addCleanup(self.running.__exit__)
-        self.store = fakes.Store(self)
-        self.endpoint = fakes.Endpoint(self, fakes.answer())
-        self.put_configuration(7)
-        self.put_endpoint()
-
-    def put_configuration(self, version, **changes):
-        """Publish a version of the sample configuration."""
-        route = {
-            **wire_samples.ROUTE,
-            "trafficSplit": [{"service": "llm", "weight": 1}],
-            **changes,
-        }
-        value = {
-            **wire_samples.CONFIGURATION,
-            "version": version,
-            "routes": [route],
-        }
-        self.store.put("op/config", value)
-
-    def put_endpoint(self, **changes):
-        """Enter the endpoint into the list."""
-        entry = {
-            **wire_samples.ENTRY,
-            "address": self.endpoint.address,
-            "coldLeftMs": 0,
-            **changes,
-        }
-        self.store.put("servers/i-1", entry)
-
-    def start(self, number, store=None):
-        """Start an instance and wait until it listens."""
-        host = f"127.{self.subnet}.{number}"
-        lines = [f"{k}: {host}:{port}" for k, port in PORTS.items()]
-        text = "\n".join(
-            (
-                f"instance: entry-{number}",
-                "data_centre: a",
-                f"store: {store or self.store.address}",
-                f"seeds: 127.{self.subnet}.1:{PORTS['peers']}",
-                f"reports: {REPORTS}",
-                f"metrics: {METRICS}",
-                "bounds: {grace_seconds: 8, retry_ratio: 0.2}",
-                *lines,
-            )
-        )
-        path = self.folder / f"entry-{number}.yaml"
-        path.write_text(text + "\n")
-        self.running.start(f"entry-{number}", "citronport", "relay", str(path))
-        processes.wait_for_port(host, METRICS)
-        return host
-
-    def fetch(self, host, port, target, **headers):
-        """Return status, headers and body of a GET or POST."""
-        request = urllib.request.Request(
-            f"http://{host}:{port}{target}",
-            headers=headers,
-            method="POST" if headers else "GET",
-        )
-        try:
-            with urllib.request.urlopen(request, timeout=SECONDS) as answer:
-                return answer.status, answer.headers, answer.read()
-        except urllib.error.HTTPError as error:
-            return error.code, error.headers, error.read()
-
-    def ask(self, host, request_id="id-1", key="key-1", path="/review/x"):
-        """Send a caller's request."""
-        return self.fetch(
-            host,
-            PORTS["callers"],
-            path,
-            **{
-                "Host": "shop.example",
-                "X-Attempt-Id": request_id,
-                "X-Api-Key": key,
-                "X-Deadline-Ms": "6000",
-                "X-Token-Counts": "100,10",
-            },
-        )
-
-    def lookup(self, host):
-        """Return the addresses that a lookup tells."""
-        target = "/citronport/resolve?name=shop.example&region=r&zone=a"
-        status, _, body = self.fetch(host, PORTS["lookups"], target)
-        return json.loads(body)["addresses"] if status == 200 else []
-
-    def is_ready(self, host):
-        """Return whether an instance says that it is ready."""
-        status, _, _ = self.fetch(
-            host, PORTS["readiness"], "/citronport/readyz"
-        )
-        return status == 200
-
-    def wait_for(self, what, check):
-        """Wait until something holds."""
-        end = time.monotonic() + SECONDS
-        while time.monotonic() < end:
-            if check():
-                return
-            gevent.sleep(0.05)
-        self.fail(f"{what} took too long")
-
-    def read_log(self, number):
-        """Return the events that an instance has told."""
-        text = (self.folder / f"entry-{number}.log").read_text()
-        return [
-            json.loads(line)
-            for line in text.splitlines()
-            if line.startswith('{"at"')
-        ]
-
     def test_from_lookup_to_answer(self):
         """A caller looks up, connects and gets the endpoint's answer.
 
@@ -159,7 +20,7 @@
         the log tell of them.
         """
         hosts = [self.start(1), self.start(2)]
-        expected = [f"{h}:{PORTS['callers']}" for h in hosts]
+        expected = [f"{h}:{instances.PORTS['callers']}" for h in hosts]
         for host in hosts:
             self.wait_for(
                 "meeting", lambda host=host: self.lookup(host) == expected
@@ -170,7 +31,7 @@
         self.assertEqual("seal", headers["X-Response-Seal"])
         self.assertEqual(401, self.ask(hosts[0], key="other")[0])
         self.assertEqual(404, self.ask(hosts[0], path="/other/x")[0])
-        _, _, text = self.fetch(hosts[0], METRICS, "/metrics")
+        _, _, text = self.fetch(hosts[0], instances.METRICS, "/metrics")
         self.assertRegex(
             text.decode(),
             re.compile(
@@ -232,11 +93,11 @@
             lambda: self.lookup(hosts[1]) == [f"{hosts[1]}:8221"],
         )
         self.assertFalse(self.is_ready(hosts[0]))
-        status, _, body = stream.get(timeout=SECONDS)
+        status, _, body = stream.get(timeout=instances.SECONDS)
         self.assertEqual((200, b"".join(events)), (status, body))
-        self.assertEqual(0, self.running.wait("entry-1", SECONDS))
+        self.assertEqual(0, self.running.wait("entry-1", instances.SECONDS))
         with self.assertRaises(OSError):
-            socket.create_connection((hosts[0], PORTS["callers"]), 1)
+            socket.create_connection((hosts[0], instances.PORTS["callers"]), 1)
 
     def test_leaving_endpoint_gets_no_new_work(self):
         """Its entry says so, or is gone; callers hear "not run"."""
