Do not send a request that has ended three endpoints

What callers saw: waves in which all endpoints of a service ended within a second, and everybody's streams with them; 23 endpoints ended under one request.

Cause: a request that crashes the endpoint which runs it comes again under a new id at any instance, and nothing ties its repeats together. Each was sent to one or two more endpoints (its own repeat within an attempt was allowed by route and budget). The class: limits kept per attempt where the harm adds up over all attempts; a failure that is counted against the endpoint alone, never against the request.

Ruled out: one attempt that goes on too long (no cut send beyond the second of its id in the record); endpoints that end by themselves (each of the seven ends from 38.1 to 38.4 s had a request of this size there that never got an event).

A connection that breaks under a request counts one end of that endpoint's start against the request's fingerprint; instances tell each other in reports and summaries (protocol 6), so that ends add up over the fleet and a start learns of them. From the third end without a whole answer since, no instance sends it; callers hear 2106 (503, not run, come back in ten minutes). A whole answer excuses it.

--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -41,6 +41,7 @@
     NO_ENDPOINT = 2103
     DEADLINE_PASSED_WAITING = 2104
     NO_CATALOGUE = 2105
+    BARRED = 2106
     LEAVING = 2201
     ENDPOINT_LOST = 3001
     INSTANCE_LOST = 3002
@@ -143,6 +144,9 @@
     Code.NO_CATALOGUE: _not_run(
         503, "this instance has no catalogue yet", may_retry=True
     ),
+    Code.BARRED: _not_run(
+        503, "several endpoints ended while they had this request"
+    ),
     Code.LEAVING: _not_run(503, "this instance is leaving", may_retry=True),
     Code.ENDPOINT_LOST: _unknown(
         502, "the connection to the endpoint broke after the request was sent"
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -41,6 +41,7 @@
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import ranking
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import suspects as suspects_module
 
 LOG = "relay:"
 
@@ -92,6 +93,7 @@
         self.board = board_module.Board()
         self.health = health_module.Health()
         self.cold = cold_module.ColdStarts()
+        self.suspects = suspects_module.Suspects()
         self.quotas = quota.Quotas(
             settings.bounds.limit_over,
             settings.bounds.limit_slack,
@@ -131,6 +133,7 @@
             self.members,
             self.quotas,
             self.board.profiles,
+            self.suspects,
             self._describe,
         )
         self.fleet = fleet_module.Fleet(
@@ -172,6 +175,7 @@
                 self.dispatcher,
                 self.board,
                 self.health,
+                self.suspects,
                 ticker,
                 self._log,
                 self.counts,
@@ -331,6 +335,7 @@
             self._ticker.sleep(SWEEP_SECONDS)
             self.world.sweep(self._ticker.now())
             self.leasing.lessor.sweep()
+            self.suspects.sweep(self._ticker.now())
             self.is_ready()
 
     def _watch_settings(self) -> None:
@@ -377,6 +382,7 @@
             loads=self.board.list_own(idle_rows),
             profiles=self.board.profiles.list_learnt(),
             members=self.members.list_members(now, data_centre),
+            suspects=self.suspects.list_told(now),
         )
 
     def _take_report(self, report: messages.Report) -> None:
@@ -395,6 +401,7 @@
             report.passed,
             self._ticker.now(),
         )
+        self.suspects.hear(report.suspects, self._ticker.now())
         self.dispatcher.kick()
 
     def _take_leasing(self, message: messages.Leasing) -> None:
@@ -456,6 +463,7 @@
                 self.cold.is_cold(name, now) for name in self.world.endpoints
             ),
             leases=len(self.leasing.leases),
+            barred=self.suspects.count_barred(),
             lines_dropped=sum(self._log.dropped.values()),
             oldest_report_seconds=self.members.get_oldest_age(now),
         )
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -269,6 +269,21 @@
     fingerprint: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestBarred:
+    """An endpoint too many ended under a request; it is not sent any more.
+
+    Attributes:
+        request: its id here; its caller repeats it under other ones.
+        endpoint: which ended last.
+        fingerprint: the same for all requests that ask for the same.
+    """
+
+    request: str
+    endpoint: str
+    fingerprint: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RequestEnded:
     """The caller's request has its final answer, or its caller left.
--- a/citronport/relay/explanation.py
+++ b/citronport/relay/explanation.py
@@ -22,6 +22,7 @@
         events.RequestRefused,
         events.RequestSent,
         events.SendFailed,
+        events.RequestBarred,
         events.RequestEnded,
     )
 )
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -13,6 +13,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import suspects as suspects_module
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,6 +53,7 @@
         dispatcher: finds places.
         board: loads and paces.
         health: which endpoints answer.
+        suspects: requests under which endpoints ended.
         ticker: the clock.
         log: where decisions are told.
         counts: get what happened.
@@ -65,6 +67,7 @@
         dispatcher: dispatcher_module.Dispatcher,
         board: board_module.Board,
         health: health_module.Health,
+        suspects: suspects_module.Suspects,
         ticker: clock.Clock,
         log: eventlog.Log,
         counts: metrics.Counts,
@@ -75,6 +78,7 @@
         self.dispatcher = dispatcher
         self.board = board
         self.health = health
+        self.suspects = suspects
         self.ticker = ticker
         self.log = log
         self.counts = counts
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -5,8 +5,9 @@
 import zlib
 
 from citronport import codec
+from citronport.scheduler.direct import suspects
 
-PROTOCOL = 5
+PROTOCOL = 6
 """Version of this protocol; others are not understood."""
 
 MAX_MESSAGE_BYTES = 8_000_000
@@ -40,6 +41,7 @@
             token, and until the end.
         members: instances that it has heard of lately: name, incarnation,
             address for other instances, data centre.
+        suspects: requests under which endpoints ended.
     """
 
     protocol: int
@@ -58,6 +60,7 @@
     loads: list[tuple[str, int, int, int]]
     profiles: list[tuple[str, float, float, float]]
     members: list[tuple[str, str, str, str]]
+    suspects: list[suspects.Row]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -100,6 +103,7 @@
         profiles: as in a report.
         members: as in a report; two data centres that do not know each
             other hear of each other by a third one.
+        suspects: as in a report.
     """
 
     protocol: int
@@ -112,6 +116,7 @@
     passed: dict[str, float]
     profiles: list[tuple[str, float, float, float]]
     members: list[tuple[str, str, str, str]]
+    suspects: list[suspects.Row]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -79,6 +79,7 @@
         endpoints: listed endpoints.
         cold: of these, cold ones.
         leases: places handed out to other instances now.
+        barred: requests that are not sent, as endpoints ended under them.
         lines_dropped: log lines not written since they were last told.
         oldest_report_seconds: age of the oldest report in use.
     """
@@ -103,6 +104,7 @@
     endpoints: int
     cold: int
     leases: int
+    barred: int
     lines_dropped: int
     oldest_report_seconds: float
 
@@ -154,6 +156,11 @@
     gauge("endpoints", "Listed endpoints.", state.endpoints)
     gauge("endpoints_cold", "Cold endpoints.", state.cold)
     gauge("leases", "Places handed out to others now.", state.leases)
+    gauge(
+        "requests_barred",
+        "Requests not sent, as endpoints ended under them.",
+        state.barred,
+    )
     gauge(
         "report_age_seconds",
         "Age of the oldest report in use.",
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -10,12 +10,14 @@
 from citronport.callers import replies
 from citronport.platform import requests
 from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import events as log_events
 from citronport.relay import jobs
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import runs
+from citronport.scheduler.direct import suspects
 
 MAX_SENDS = 4
 """Endpoints that may turn one request away before it is refused."""
@@ -107,29 +109,44 @@
                     if self._begun and not is_success(answer):
                         return self._lose(answer)
                     return answer
-                case upstream.Unreachable(reason=reason):
-                    self._note_unreachable(reason)
-                    if self.progress.attempts >= MAX_SENDS:
-                        return self._refuse_busy()
-                case upstream.Replaced():
-                    # Load: endpoints that died and were started anew, while
-                    # the list still names the old ones. Harm: one that is
-                    # gone looks idle and takes each request that finds the
-                    # others full; it counts as out of reach at once.
-                    self._note_unreachable("another endpoint answers there")
-                    if not self._may_repeat():
-                        return self._refuse_busy()
-                case upstream.NotRun(status=status):
-                    self._note_failed(f"status {status}", "no")
-                    if not self._may_repeat():
-                        return self._refuse_busy()
-                case upstream.Broken(reason=reason, cut=cut):
-                    self.progress.ran += 1
-                    self._note_failed(reason, "maybe", cut=cut)
-                    if not self._may_go_on():
-                        return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
+                case failure:
+                    refusal = self._weigh_failure(failure)
+                    if refusal is not None:
+                        return refusal
+
+    def _weigh_failure(
+        self, outcome: upstream.Failure
+    ) -> errors.Refusal | None:
+        """Return None if the request may go to one more endpoint."""
+        match outcome:
+            case upstream.Unreachable(reason=reason):
+                self._note_unreachable(reason)
+                if self.progress.attempts >= MAX_SENDS:
+                    return self._refuse_busy()
+            case upstream.Withheld():
+                return self._refuse_barred()
+            case upstream.Replaced():
+                # Load: endpoints that died and were started anew, while
+                # the list still names the old ones. Harm: one that is
+                # gone looks idle and takes each request that finds the
+                # others full; it counts as out of reach at once.
+                self._note_unreachable("another endpoint answers there")
+                if not self._may_repeat():
+                    return self._refuse_busy()
+            case upstream.NotRun(status=status):
+                self._note_failed(f"status {status}", "no")
+                if not self._may_repeat():
+                    return self._refuse_busy()
+            case upstream.Broken(reason=reason, cut=cut):
+                self.progress.ran += 1
+                self._note_failed(reason, "maybe", cut=cut)
+                if not self._may_go_on():
+                    return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
+        return None
 
     def _book(self) -> errors.Refusal | None:
+        if self._is_barred():
+            return self._refuse_barred()
         began = self._parts.ticker.now()
         found = self._parts.dispatcher.acquire(
             self._work, self._job.service, self._tried
@@ -162,6 +179,8 @@
         # and the send, so that no old view is acted on.
         if not self._parts.world.may_use(endpoint):
             return upstream.Unreachable(reason="no longer in use")
+        if self._is_barred():
+            return upstream.Withheld()
         if self.progress.attempts == 1:
             self._parts.budgets(self._job.service).note_first(now)
         progress_module.tell_sent(
@@ -220,6 +239,8 @@
             yield data
             data = self._exchange.read()
         self.progress.outcome = "answered"
+        if good:
+            self._note_whole()
 
     def _pass_events(
         self,
@@ -244,6 +265,7 @@
             yield rest
         self._note_good(True, self._parts.ticker.now())
         self.progress.outcome = "answered"
+        self._note_whole()
 
     def _note_events(self, events: bytes) -> None:
         booking = self._booking
@@ -319,7 +341,7 @@
             return False
         if route.repeat == models.Repeat.STREAM and not route.resumable:
             return False
-        if self.progress.ran >= route.max_endpoints:
+        if self.progress.ran >= route.max_endpoints or self._is_barred():
             return False
         return self._may_repeat()
 
@@ -344,6 +366,18 @@
             ),
         )
 
+    def _is_barred(self) -> bool:
+        return self._parts.suspects.is_barred(
+            self._job.fingerprint, self._parts.ticker.now()
+        )
+
+    def _refuse_barred(self) -> errors.Refusal:
+        if self.progress.ran:
+            return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
+        return errors.Refusal(
+            code=errors.Code.BARRED, retry_after=suspects.KEEP_SECONDS
+        )
+
     def _refuse_late(self) -> errors.Refusal:
         if self.progress.attempts:
             code = errors.Code.DEADLINE_PASSED_RUNNING
@@ -387,6 +421,25 @@
         self._parts.health.note_answer(name, False, self._parts.ticker.now())
         self._booking.run.verdict = runs.Verdict.FAILED
         self._tell_failed(name, reason, ran, cut=cut)
+        if cut:
+            self._note_end(self._booking.endpoint)
+
+    def _note_end(self, endpoint: models.Endpoint) -> None:
+        now = self._parts.ticker.now()
+        fingerprint = self._job.fingerprint
+        if self._parts.suspects.note_end(fingerprint, endpoint, now):
+            self._parts.log.write(
+                log_events.RequestBarred(
+                    request=self._work.request_id,
+                    endpoint=endpoint.name,
+                    fingerprint=fingerprint,
+                )
+            )
+
+    def _note_whole(self) -> None:
+        self._parts.suspects.note_whole(
+            self._job.fingerprint, self._parts.ticker.now()
+        )
 
     def _note_silence(self, *, late: bool) -> None:
         # Load: an endpoint that takes requests and never answers. Harm: it
@@ -397,7 +450,9 @@
             return
         now = self._parts.ticker.now()
         if late or now - booking.run.sent >= SILENT_SECONDS:
-            self._note_failed("silence", "maybe")
+            # The reset of an endpoint that ended may be lost on its way.
+            gone = booking.endpoint.name not in self._parts.world.endpoints
+            self._note_failed("silence", "maybe", cut=gone)
 
     def _tell_failed(
         self, endpoint: str, what: str, ran: str, *, cut: bool = False
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -4,6 +4,7 @@
 from citronport.relay import messages
 from citronport.scheduler.direct import profiles as profiles_module
 from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import suspects as suspects_module
 
 
 class Summaries:
@@ -16,6 +17,7 @@
         members: the other instances.
         quotas: limits of workspaces.
         profiles: what requests take.
+        suspects: requests under which endpoints ended.
         describe: returns this instance's report.
 
     Attributes:
@@ -31,6 +33,7 @@
         members: membership_module.Membership,
         quotas: quota.Quotas,
         profiles: profiles_module.Profiles,
+        suspects: suspects_module.Suspects,
         describe: messages.Describe,
     ) -> None:
         self._instance = instance
@@ -39,6 +42,7 @@
         self._members = members
         self._quotas = quotas
         self._profiles = profiles
+        self._suspects = suspects
         self._describe = describe
         self.made = 0
         self.taken = 0
@@ -62,6 +66,7 @@
             passed=self._quotas.get_sums(),
             profiles=list(profiles.values()),
             members=self._members.list_members(now),
+            suspects=self._suspects.list_told(now),
         )
 
     def take(self, summary: messages.Summary, now: float) -> bool:
@@ -85,6 +90,7 @@
             report, age = _read_row(summary, row)
             self._members.hear(report, now - age)
         self._members.learn(summary.members, now)
+        self._suspects.hear(summary.suspects, now)
         self._quotas.hear_sums(
             summary.data_centre, summary.instance, start, summary.passed, now
         )
@@ -146,5 +152,6 @@
         loads=[],
         profiles=[],
         members=[],
+        suspects=[],
     )
     return report, age
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -55,7 +55,13 @@
     answer: requests.EndpointAnswer
 
 
-Outcome = Unreachable | Broken | NotRun | Replaced | Answered
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Withheld:
+    """The request was barred while its connection came about."""
+
+
+Failure = Unreachable | Broken | NotRun | Replaced | Withheld
+Outcome = Answered | Failure
 
 
 class Exchange:
--- a/tests/relay/networks.py
+++ b/tests/relay/networks.py
@@ -12,6 +12,7 @@
 from citronport.relay import summaries
 from citronport.scheduler.direct import profiles
 from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import suspects
 from tests.relay import samples
 from tests.relay import test_membership
 
@@ -38,6 +39,7 @@
         self.heard = collections.Counter()
         self.members = membership.Membership(self.name, self.data_centre)
         self.quotas = quota.Quotas()
+        self.suspects = suspects.Suspects()
         listeners = ("callers", "readiness", "lookups", "peers", "store")
         settings = settings_module.Settings(
             instance=self.name,
@@ -61,6 +63,7 @@
                 self.members,
                 self.quotas,
                 profiles.Profiles(),
+                self.suspects,
                 self.describe,
             ),
             samples.make_log(ticker),
@@ -82,6 +85,7 @@
             members=self.members.list_members(
                 self.network.ticker.now(), data_centre
             ),
+            suspects=self.suspects.list_told(self.network.ticker.now()),
         )
 
     def take_report(self, report):
@@ -91,6 +95,7 @@
             self.quotas.hear(
                 report.instance, report.incarnation, report.passed, now
             )
+            self.suspects.hear(report.suspects, now)
 
     def put(self, data, address):
         """Send a datagram."""
--- a/tests/relay/nodes.py
+++ b/tests/relay/nodes.py
@@ -13,6 +13,7 @@
 from citronport.relay import summaries
 from citronport.scheduler.direct import profiles
 from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import suspects
 from tests.relay import samples
 from tests.relay import test_membership
 
@@ -28,6 +29,7 @@
         self.mirror = mirror_module.Mirror()
         self.members = membership.Membership(self.name, data_centre)
         self.quotas = quota.Quotas()
+        self.suspects = suspects.Suspects()
         ticker = clock.RuntimeClock()
         listeners = ("callers", "readiness", "lookups", "peers", "store")
         settings = settings_module.Settings(
@@ -59,6 +61,7 @@
                 self.members,
                 self.quotas,
                 profiles.Profiles(),
+                self.suspects,
                 self.describe,
             ),
             log,
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -11,6 +11,7 @@
 from citronport.relay import metrics
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import suspects
 from tests.relay import samples
 
 
@@ -42,6 +43,7 @@
             self.room.dispatcher,
             self.room.board,
             self.room.health,
+            suspects.Suspects(),
             self.clock,
             self.room.log,
             metrics.Counts(),
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -25,6 +25,7 @@
         "loads": [],
         "profiles": [],
         "members": [],
+        "suspects": [],
     }
     return messages.Report(**{**fields, **changes})
 
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -33,6 +33,7 @@
     endpoints=13,
     cold=1,
     leases=1,
+    barred=0,
     lines_dropped=0,
     oldest_report_seconds=0.1,
 )
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -11,6 +11,7 @@
 from citronport.relay import sender
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import suspects
 from tests.relay import fakes
 from tests.relay import samples
 from tests.scheduler.direct import test_quota
@@ -43,12 +44,14 @@
             ),
         )
         budget = retries.RetryBudget(1.0, 100.0)
+        self.suspects = suspects.Suspects()
         room = self.room
         self.parts = jobs.Parts(
             room.world,
             room.dispatcher,
             room.board,
             room.health,
+            self.suspects,
             room.ticker,
             room.log,
             metrics.Counts(),
--- a/tests/relay/test_summaries.py
+++ b/tests/relay/test_summaries.py
@@ -6,11 +6,16 @@
 
 from citronport.relay import membership
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import suspects
 from tests.relay import networks
+from tests.relay import samples
 
 BOUND_SECONDS = 2.2
 """Time after which a silent instance has to be out of reach for all."""
 
+STABLE_SECONDS = 3.0
+"""Time after which an instance that runs has to know what others know."""
+
 
 class LargeFleetTest(testtools.TestCase):
     """Sixty instances in six data centres."""
@@ -97,6 +102,23 @@
         report = far.members._members[again.name].report
         self.assertEqual(again.incarnation, report.incarnation)
 
+    def test_all_know_a_request_that_ended_endpoints_elsewhere(self):
+        """Guards against three more ends for each data centre or start."""
+        self.network.run(4.0)
+        for number in range(suspects.MAX_ENDS):
+            self.nodes[number].suspects.note_end(
+                "f1",
+                samples.make_endpoint(f"e{number}"),
+                self.network.ticker.now(),
+            )
+        self.network.run(STABLE_SECONDS)
+        again = self.nodes[20]
+        again.start(self.network.seeds)
+        self.network.run(STABLE_SECONDS)
+        now = self.network.ticker.now()
+        for node in self.nodes:
+            self.assertTrue(node.suspects.is_barred("f1", now))
+
     def test_halves_find_each_other_after_a_cut(self):
         """Two parts that lost each other for a minute are one again."""
         self.network.run(4.0)
