Tell in log lines which limits endpoints name

The record could not tell when an instance had heard of a limit, which two of the three hypotheses need.

Change: the header is decoded in platform/requests.py (a value that is no rate is left out with code 4004); endpoint_limited lines tell each change, citronport_endpoints_limited counts. Nothing is decided by it yet.

--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -56,6 +56,7 @@
     BAD_SETTINGS = 4001
     BAD_CONFIGURATION = 4002
     BAD_ENDPOINT = 4003
+    BAD_LIMIT = 4004
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -45,6 +45,7 @@
 SIGNATURE: Final = "x-response-seal"
 NOT_RUN: Final = "x-not-executed"
 RETRY_AFTER: Final = "retry-after"
+ENDPOINT_LIMIT: Final = "server-limit"
 
 RESERVED: Final = frozenset(
     (
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 import result
 
@@ -55,6 +56,8 @@
         ran: False only if the endpoint says that it did not run it.
         replaced: whether another endpoint than the one that was meant has
             answered, at the same address.
+        limit: requests a second that the endpoint takes from all instances
+            together, as it wrote it; None if it names none.
         headers: what a caller gets, names as the endpoint wrote them.
     """
 
@@ -63,6 +66,7 @@
     signature: str
     ran: bool
     replaced: bool
+    limit: str | None
     headers: tuple[tuple[str, str], ...]
 
 
@@ -154,10 +158,22 @@
         signature=str(answer.get(const.SIGNATURE, "")),
         ran=not not_run,
         replaced=status == const.STATUS_MISDIRECTED,
+        limit=answer.get(const.ENDPOINT_LIMIT),
         headers=headers,
     )
 
 
+def parse_limit(text: str) -> result.Result[float, str]:
+    """Decode the limit that an endpoint names, requests a second."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return result.Err("no number")
+    if not math.isfinite(rate) or rate < 0:
+        return result.Err("no rate")
+    return result.Ok(rate)
+
+
 def make_refusal_headers(refusal: errors.Refusal) -> list[tuple[str, str]]:
     """Return the headers of a refusal that tell when to come back."""
     if refusal.retry_after is None:
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -36,6 +36,7 @@
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import board as board_module
 from citronport.scheduler.direct import cold as cold_module
+from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import profiles as profiles_module
 from citronport.scheduler.direct import quota
@@ -93,6 +94,7 @@
         self.board = board_module.Board()
         self.health = health_module.Health()
         self.cold = cold_module.ColdStarts()
+        self.limits = endpoint_limits.EndpointLimits()
         self.suspects = suspects_module.Suspects()
         self.quotas = quota.Quotas(
             settings.bounds.limit_over,
@@ -175,6 +177,7 @@
                 self.dispatcher,
                 self.board,
                 self.health,
+                self.limits,
                 self.suspects,
                 ticker,
                 self._log,
@@ -462,6 +465,7 @@
             cold=sum(
                 self.cold.is_cold(name, now) for name in self.world.endpoints
             ),
+            limited=self.limits.count(),
             leases=len(self.leasing.leases),
             barred=self.suspects.count_barred(),
             lines_dropped=sum(self._log.dropped.values()),
@@ -472,6 +476,7 @@
         self.board.forget(name)
         self.health.forget(name)
         self.cold.forget(name)
+        self.limits.forget(name)
 
     def _get_budget(self, service: str) -> retries.RetryBudget:
         budget = self._budgets.get(service)
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -84,6 +84,20 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointLimited:
+    """An endpoint names another limit in its answers than before.
+
+    Attributes:
+        endpoint: its name.
+        rate: requests a second that it takes from all instances together;
+            -1 if it names no limit any more.
+    """
+
+    endpoint: str
+    rate: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EndpointGone:
     """An endpoint's entry was removed; lapsed: around a store outage."""
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -10,6 +10,7 @@
 from citronport.relay import metrics
 from citronport.relay import world as world_module
 from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import retries
@@ -53,6 +54,7 @@
         dispatcher: finds places.
         board: loads and paces.
         health: which endpoints answer.
+        limits: what endpoints in need have said they take.
         suspects: requests under which endpoints ended.
         ticker: the clock.
         log: where decisions are told.
@@ -67,6 +69,7 @@
         dispatcher: dispatcher_module.Dispatcher,
         board: board_module.Board,
         health: health_module.Health,
+        limits: endpoint_limits.EndpointLimits,
         suspects: suspects_module.Suspects,
         ticker: clock.Clock,
         log: eventlog.Log,
@@ -78,6 +81,7 @@
         self.dispatcher = dispatcher
         self.board = board
         self.health = health
+        self.limits = limits
         self.suspects = suspects
         self.ticker = ticker
         self.log = log
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -78,6 +78,7 @@
         news_behind_seconds: time for which others have known more.
         endpoints: listed endpoints.
         cold: of these, cold ones.
+        limited: of these, those that name a limit in their answers.
         leases: places handed out to other instances now.
         barred: requests that are not sent, as endpoints ended under them.
         lines_dropped: log lines not written since they were last told.
@@ -103,6 +104,7 @@
     news_behind_seconds: float
     endpoints: int
     cold: int
+    limited: int
     leases: int
     barred: int
     lines_dropped: int
@@ -155,6 +157,7 @@
     )
     gauge("endpoints", "Listed endpoints.", state.endpoints)
     gauge("endpoints_cold", "Cold endpoints.", state.cold)
+    gauge("endpoints_limited", "Those that name a limit.", state.limited)
     gauge("leases", "Places handed out to others now.", state.leases)
     gauge(
         "requests_barred",
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -12,6 +12,7 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import events as log_events
 from citronport.relay import jobs
+from citronport.relay import limits as limits_module
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
@@ -104,6 +105,7 @@
                 return refusal
             match self._send():
                 case upstream.Answered(answer=answer):
+                    self._note_limit(answer)
                     if self._should_try_another(answer):
                         continue
                     if self._begun and not is_success(answer):
@@ -133,8 +135,9 @@
                 self._note_unreachable("another endpoint answers there")
                 if not self._may_repeat():
                     return self._refuse_busy()
-            case upstream.NotRun(status=status):
-                self._note_failed(f"status {status}", "no")
+            case upstream.NotRun(answer=answer):
+                self._note_limit(answer)
+                self._note_failed(f"status {answer.status}", "no")
                 if not self._may_repeat():
                     return self._refuse_busy()
             case upstream.Broken(reason=reason, cut=cut):
@@ -436,6 +439,12 @@
                 )
             )
 
+    def _note_limit(self, answer: requests.EndpointAnswer) -> None:
+        assert self._booking is not None
+        limits_module.note_answer(
+            self._parts, self._booking.endpoint.name, answer.limit
+        )
+
     def _note_whole(self) -> None:
         self._parts.suspects.note_whole(
             self._job.fingerprint, self._parts.ticker.now()
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -40,7 +40,7 @@
 class NotRun:
     """The endpoint said that it did not run the request."""
 
-    status: int
+    answer: requests.EndpointAnswer
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -102,7 +102,7 @@
         if answer.replaced:
             return Replaced()
         if not answer.ran:
-            return NotRun(status=answer.status)
+            return NotRun(answer=answer)
         if 200 <= answer.status < 300 and not (
             answer.signature and answer.request_id
         ):
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -37,6 +37,13 @@
         self.assertFalse(head.counts_tokens)
         self.assertIsNone(head.patience)
 
+    def test_limit_of_an_endpoint(self):
+        """A rate, or a reason; nothing is read as no limit or as zero."""
+        self.assertEqual(2.6, requests.parse_limit("2.6").unwrap())
+        self.assertEqual(0.0, requests.parse_limit("0").unwrap())
+        for text in ("", "few", "-1", "nan", "inf"):
+            self.assertTrue(requests.parse_limit(text).is_err(), text)
+
     def test_faults(self):
         """A head that can't be read is refused, never read as zero."""
         for changes in (
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -9,6 +9,7 @@
 from citronport.relay import application
 from citronport.relay import jobs
 from citronport.relay import metrics
+from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import suspects
@@ -43,6 +44,7 @@
             self.room.dispatcher,
             self.room.board,
             self.room.health,
+            endpoint_limits.EndpointLimits(),
             suspects.Suspects(),
             self.clock,
             self.room.log,
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -32,6 +32,7 @@
     news_behind_seconds=0.0,
     endpoints=13,
     cold=1,
+    limited=0,
     leases=1,
     barred=0,
     lines_dropped=0,
