Move the instance's report out of its wiring

No behaviour changes: 21 tests of instances, crashing requests and summaries pass before and after (script/test relay.test_inst relay.test_crash relay.test_summ).

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -31,6 +31,7 @@
 from citronport.relay import metrics
 from citronport.relay import mirror as mirror_module
 from citronport.relay import news as news_module
+from citronport.relay import reports
 from citronport.relay import settings as settings_module
 from citronport.relay import summaries
 from citronport.relay import world as world_module
@@ -38,7 +39,6 @@
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
-from citronport.scheduler.direct import profiles as profiles_module
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import ranking
 from citronport.scheduler.direct import retries
@@ -87,7 +87,6 @@
         self._leaving = False
         self._closing = False
         self._ready = False
-        self._number = 0
         self._started = ticker.now()
         self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
@@ -128,6 +127,19 @@
             self.cold,
             ticker,
         )
+        self.reports = reports.Reports(
+            settings,
+            self._incarnation,
+            self.members,
+            self.board,
+            self.quotas,
+            self.suspects,
+            self.mirror,
+            self.follower,
+            self.is_ready,
+            lambda: self._leaving,
+            ticker,
+        )
         self.summaries = summaries.Summaries(
             settings.instance,
             self._incarnation,
@@ -136,13 +148,13 @@
             self.quotas,
             self.board.profiles,
             self.suspects,
-            self._describe,
+            self.reports.make,
         )
         self.fleet = fleet_module.Fleet(
             settings,
             self.members,
             ticker,
-            self._describe,
+            self.reports.make,
             self._take_report,
             self._take_leasing,
             self.summaries,
@@ -225,7 +237,7 @@
             return
         self._leaving = True
         self._log.write(events.Leaving(requests=self.application.running))
-        self.fleet.send(self._describe())
+        self.fleet.send(self.reports.make())
         self._stopped.set()
 
     def reload(self) -> None:
@@ -241,6 +253,7 @@
             case result.Ok(settings):
                 self._settings = settings
                 self.fleet.use(settings)
+                self.reports.use(settings)
                 self._budgets.clear()
                 self._log.write(
                     events.SettingsReloaded(accepted=True, detail="")
@@ -350,61 +363,8 @@
                 seen = changed
                 self.reload()
 
-    def _describe(self, data_centre: str = "") -> messages.Report:
-        """Return this instance's report.
-
-        Args:
-            data_centre: whose members it names; any by default.
-        """
-        now = self._ticker.now()
-        settings = self._settings
-        self._number += 1
-        fresh = self.members.list_fresh(now)
-        self.board.drop_silent({r.instance for r in fresh})
-        idle_rows = (
-            board_module.LEASED_IDLE_ROWS
-            if self.members.is_large()
-            else board_module.MAX_IDLE_ROWS
-        )
-        return messages.Report(
-            protocol=messages.PROTOCOL,
-            instance=settings.instance,
-            incarnation=self._incarnation,
-            number=self._number,
-            data_centre=settings.data_centre,
-            capacity=settings.capacity,
-            callers=str(settings.callers),
-            peers=str(settings.peers),
-            ready=self.is_ready(),
-            leaving=self._leaving,
-            revision=self.mirror.revision,
-            store_seconds=(
-                -1.0 if self.follower.resting else now - self.follower.answered
-            ),
-            passed=self.quotas.get_totals(),
-            loads=self.board.list_own(idle_rows),
-            profiles=self.board.profiles.list_learnt(),
-            members=self.members.list_members(now, data_centre),
-            suspects=self.suspects.list_told(now),
-        )
-
     def _take_report(self, report: messages.Report) -> None:
-        if self.members.is_far(report.data_centre):
-            # What it let pass comes with the sums of its data centre.
-            return
-        self.board.hear(report.instance, [tuple(row) for row in report.loads])
-        for service, begin, read, stay in report.profiles:
-            self.board.profiles.hear(
-                service,
-                profiles_module.Profile(begin=begin, read=read, stay=stay),
-            )
-        self.quotas.hear(
-            report.instance,
-            report.incarnation,
-            report.passed,
-            self._ticker.now(),
-        )
-        self.suspects.hear(report.suspects, self._ticker.now())
+        self.reports.take(report)
         self.dispatcher.kick()
 
     def _take_leasing(self, message: messages.Leasing) -> None:
--- /dev/null
+++ b/citronport/relay/reports.py
@@ -0,0 +1,120 @@
+"""The report that an instance tells others, and what it takes from theirs."""
+
+import collections.abc
+
+from citronport import clock
+from citronport.relay import follower as follower_module
+from citronport.relay import membership
+from citronport.relay import messages
+from citronport.relay import mirror as mirror_module
+from citronport.relay import settings as settings_module
+from citronport.scheduler.direct import board as board_module
+from citronport.scheduler.direct import profiles as profiles_module
+from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import suspects as suspects_module
+
+
+class Reports:
+    """Makes reports and takes those of other instances.
+
+    Args:
+        settings: of this instance.
+        incarnation: of this start of it.
+        members: the other instances.
+        board: loads and paces.
+        quotas: limits of workspaces.
+        suspects: requests under which endpoints ended.
+        mirror: copy of the store.
+        follower: reads the store.
+        is_ready: whether callers should come here.
+        is_leaving: whether this instance shuts down.
+        ticker: the clock.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        incarnation: str,
+        members: membership.Membership,
+        board: board_module.Board,
+        quotas: quota.Quotas,
+        suspects: suspects_module.Suspects,
+        mirror: mirror_module.Mirror,
+        follower: follower_module.Follower,
+        is_ready: collections.abc.Callable[[], bool],
+        is_leaving: collections.abc.Callable[[], bool],
+        ticker: clock.Clock,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._members = members
+        self._board = board
+        self._quotas = quotas
+        self._suspects = suspects
+        self._mirror = mirror
+        self._follower = follower
+        self._is_ready = is_ready
+        self._is_leaving = is_leaving
+        self._ticker = ticker
+        self._number = 0
+
+    def use(self, settings: settings_module.Settings) -> None:
+        """Take new settings; addresses of this instance stay."""
+        self._settings = settings
+
+    def make(self, data_centre: str = "") -> messages.Report:
+        """Return this instance's report.
+
+        Args:
+            data_centre: whose members it names; any by default.
+        """
+        now = self._ticker.now()
+        settings = self._settings
+        self._number += 1
+        fresh = self._members.list_fresh(now)
+        self._board.drop_silent({r.instance for r in fresh})
+        idle_rows = (
+            board_module.LEASED_IDLE_ROWS
+            if self._members.is_large()
+            else board_module.MAX_IDLE_ROWS
+        )
+        return messages.Report(
+            protocol=messages.PROTOCOL,
+            instance=settings.instance,
+            incarnation=self._incarnation,
+            number=self._number,
+            data_centre=settings.data_centre,
+            capacity=settings.capacity,
+            callers=str(settings.callers),
+            peers=str(settings.peers),
+            ready=self._is_ready(),
+            leaving=self._is_leaving(),
+            revision=self._mirror.revision,
+            store_seconds=(
+                -1.0
+                if self._follower.resting
+                else now - self._follower.answered
+            ),
+            passed=self._quotas.get_totals(),
+            loads=self._board.list_own(idle_rows),
+            profiles=self._board.profiles.list_learnt(),
+            members=self._members.list_members(now, data_centre),
+            suspects=self._suspects.list_told(now),
+        )
+
+    def take(self, report: messages.Report) -> None:
+        """Take a fresh report of another instance."""
+        if self._members.is_far(report.data_centre):
+            # What it let pass comes with the sums of its data centre.
+            return
+        now = self._ticker.now()
+        self._board.hear(report.instance, [tuple(row) for row in report.loads])
+        for service, begin, read, stay in report.profiles:
+            self._board.profiles.hear(
+                service,
+                profiles_module.Profile(begin=begin, read=read, stay=stay),
+            )
+        self._quotas.hear(
+            report.instance, report.incarnation, report.passed, now
+        )
+        self._suspects.hear(report.suspects, now)
