--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -20,6 +20,7 @@
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import selection
+from citronport.scheduler.direct import shares
 from citronport.scheduler.direct import waiting
 
 KICK_SECONDS = 0.025
@@ -97,7 +98,7 @@
         self._selector = selection.Selector(board, health, cold)
         self._queues: dict[str, waiting.Queue] = {}
         self._kicked = False
-        self._share: cold_module.Share = cold_module.Sender(own, (own,))
+        self._share: shares.Share = shares.Sender(own, (own,))
         self._share_until = float("-inf")
         self._instances = 1
         self._is_majority = False
@@ -281,7 +282,7 @@
             # before handed out in this second, and one without a majority
             # in reach may not be the only one.
             if tenure > cold_module.WINDOW_SECONDS and self._is_majority:
-                share = cold_module.Owner()
+                share = shares.Owner()
         usable = [
             e
             for e in endpoints
@@ -302,10 +303,10 @@
         step = self._board.get_typical_pace() * runs.PACE_SECONDS
         return step * (profile.begin + profile.read * work.prompt_tokens)
 
-    def _get_share(self, now: float) -> cold_module.Share:
+    def _get_share(self, now: float) -> shares.Share:
         if now >= self._share_until:
             instances = self._members.list_known(now)
-            self._share = cold_module.Sender(self._own, instances)
+            self._share = shares.Sender(self._own, instances)
             self._share_until = now + SHARE_SECONDS
             self._instances = len(instances)
             self._is_majority = (
@@ -378,5 +379,5 @@
 
     endpoints: list[models.Endpoint]
     listed: frozenset[str]
-    share: cold_module.Share
+    share: shares.Share
     number: int
--- a/citronport/scheduler/direct/cold.py
+++ b/citronport/scheduler/direct/cold.py
@@ -1,9 +1,9 @@
 """How much a cold endpoint gets from one instance."""
 
 import collections
-import dataclasses
 
 from citronport.scheduler.direct import ranking
+from citronport.scheduler.direct import shares
 
 WINDOW_SECONDS = 1.1
 """Span over which sends to a cold endpoint are counted.
@@ -25,27 +25,6 @@
 """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sender:
-    """One of many instances that send by themselves.
-
-    Attributes:
-        own: its name.
-        instances: all of them.
-    """
-
-    own: str
-    instances: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Owner:
-    """The instance that hands out the places of the endpoint."""
-
-
-Share = Sender | Owner
-
-
 def count_allowed(rate: float, instances: int) -> int:
     """Return the requests a window that each sender may send."""
     return max(1, int(rate * COLD_SHARE / max(1, instances)))
@@ -67,7 +46,7 @@
         return now < self._until.get(endpoint, 0.0)
 
     def may_send(
-        self, endpoint: str, share: Share, rate: float, now: float
+        self, endpoint: str, share: shares.Share, rate: float, now: float
     ) -> bool:
         """Return whether one more request fits to a cold endpoint.
 
@@ -79,9 +58,9 @@
             return True
         sent = self._count_sent(endpoint, now)
         match share:
-            case Owner():
+            case shares.Owner():
                 return sent < max(1, int(rate * GRANT_SHARE))
-            case Sender(own=own, instances=instances):
+            case shares.Sender(own=own, instances=instances):
                 # With more instances than requests a second, a whole
                 # request a second each would already be too much.
                 senders = max(1, int(rate * COLD_SHARE))
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -9,6 +9,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import runs
+from citronport.scheduler.direct import shares
 
 SPARE_REQUESTS = 1
 """Requests beyond an endpoint's slots that may be sent there.
@@ -106,7 +107,7 @@
         self,
         endpoint: models.Endpoint,
         service: models.Service,
-        share: cold_module.Share,
+        share: shares.Share,
         now: float,
     ) -> bool:
         """Return whether an endpoint may get one more request now."""
--- a/tests/scheduler/direct/test_cold.py
+++ b/tests/scheduler/direct/test_cold.py
@@ -6,6 +6,7 @@
 
 from citronport.scheduler.direct import cold
 from citronport.scheduler.direct import ranking
+from citronport.scheduler.direct import shares
 
 RATE = 11.0
 BOUND = RATE * 1.5 + 5
@@ -32,7 +33,7 @@
         now = 0.0
         while now < 2.5:
             for name, own in starts.items():
-                if own.may_send("e", cold.Sender(name, names), RATE, now):
+                if own.may_send("e", shares.Sender(name, names), RATE, now):
                     own.note_send("e", now)
                     sends.append(now)
             now += gap
@@ -64,7 +65,7 @@
         own.set_cold("e", 1.0)
         for _ in range(50):
             own.note_send("e", 0.5)
-        share = cold.Sender("i", ("i",))
+        share = shares.Sender("i", ("i",))
         self.assertFalse(own.may_send("e", share, RATE, 0.9))
         self.assertTrue(own.may_send("e", share, RATE, 1.0))
 
@@ -75,15 +76,15 @@
         others that have a part of the rate send by themselves besides.
         """
         names = tuple(f"i{n}" for n in range(60))
-        shares = [cold.Owner(), cold.Owner()]
-        shares += [cold.Sender(name, names) for name in names]
+        parts = [shares.Owner(), shares.Owner()]
+        parts += [shares.Sender(name, names) for name in names]
         sends = []
-        starts = [cold.ColdStarts() for _ in shares]
+        starts = [cold.ColdStarts() for _ in parts]
         for own in starts:
             own.set_cold("e", 10.0)
         for step in range(100):
             now = step * 0.025
-            for own, share in zip(starts, shares, strict=True):
+            for own, share in zip(starts, parts, strict=True):
                 if own.may_send("e", share, RATE, now):
                     own.note_send("e", now)
                     sends.append(now)
--- a/tests/scheduler/direct/test_fleet_load.py
+++ b/tests/scheduler/direct/test_fleet_load.py
@@ -17,6 +17,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import selection
+from citronport.scheduler.direct import shares
 from citronport.scheduler.direct import waiting
 from tests.relay import samples
 
@@ -114,7 +115,7 @@
             samples.make_endpoint(name, slots=SLOTS) for name in names
         ]
         self._service = samples.make_service(cold_rate=0.0)
-        self._share = cold_module.Sender("own", ("own",))
+        self._share = shares.Sender("own", ("own",))
         self._events = []
         self._number = itertools.count()
         self.outcome = Outcome()
--- a/tests/scheduler/direct/test_selection.py
+++ b/tests/scheduler/direct/test_selection.py
@@ -8,6 +8,7 @@
 from citronport.scheduler.direct import cold as cold_module
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import selection
+from citronport.scheduler.direct import shares
 from tests.relay import samples
 
 NOW = 100.0
@@ -36,7 +37,7 @@
         """Return the name of the endpoint for a request, or None."""
         self.number += 1
         work = samples.make_work(f"r{self.number}", now=NOW, **work)
-        share = cold_module.Sender("own", ("own",))
+        share = shares.Sender("own", ("own",))
         usable = [
             e
             for e in self.endpoints
