Tell suspects by the same rule as limits

Two modules chose in the same way what a report tells; suspects.py uses telling.py now. It also tells changes beyond eight in turn: before, an instance with forty victims of one crash told the same eight for a second, and the one request that was the cause might have been left out (new test test_ends_among_many_victims_add_up).

--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -73,7 +73,7 @@
             passed=self._quotas.get_sums(),
             profiles=list(profiles.values()),
             members=self._members.list_members(now),
-            suspects=self._suspects.list_told(now),
+            suspects=self._suspects.list_told(now, MAX_NEWS),
             limits=self._limits.list_told(now, MAX_NEWS),
         )
 
--- a/citronport/scheduler/direct/suspects.py
+++ b/citronport/scheduler/direct/suspects.py
@@ -5,6 +5,7 @@
 import zlib
 
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import telling
 
 MAX_ENDS = 3
 """Endpoints that may end under a request before it is barred. Each of them
@@ -13,12 +14,6 @@
 KEEP_SECONDS = 600.0
 """How long a request is remembered that nobody repeats."""
 
-NEWS_SECONDS = 1.0
-"""How long a change is told with each report: several may be lost."""
-
-MAX_NEWS = 8
-"""Changes told in one report; a crowded endpoint has as many requests."""
-
 MAX_KEPT = 2048
 """Requests remembered at once."""
 
@@ -39,13 +34,11 @@
         ends: when each endpoint ended under it.
         whole: when it was last answered whole.
         seen: when an endpoint last ended under it or a barred one came.
-        changed: when this instance last learnt something of it.
     """
 
     ends: dict[int, float] = dataclasses.field(default_factory=dict)
     whole: float = NEVER
     seen: float = NEVER
-    changed: float = NEVER
 
     @property
     def is_barred(self) -> bool:
@@ -79,7 +72,8 @@
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
-        self._turn = 0
+        self._barred: dict[str, None] = {}
+        self._telling = telling.Telling()
 
     def note_end(
         self, fingerprint: str, endpoint: models.Endpoint, now: float
@@ -93,7 +87,7 @@
         was_barred = suspect.is_barred
         suspect.seen = now
         if suspect.add(_digest(endpoint), now):
-            suspect.changed = now
+            self._note_change(fingerprint, suspect, now)
         self._trim()
         return suspect.is_barred and not was_barred
 
@@ -101,7 +95,7 @@
         """Note that a request was answered whole: it ends no endpoint."""
         suspect = self._suspects.get(fingerprint)
         if suspect is not None and suspect.clear(now):
-            suspect.changed = now
+            self._note_change(fingerprint, suspect, now)
 
     def is_barred(self, fingerprint: str, now: float) -> bool:
         """Return whether a request that came must not be sent."""
@@ -113,24 +107,16 @@
 
     def count_barred(self) -> int:
         """Return how many requests are barred."""
-        return sum(s.is_barred for s in self._suspects.values())
+        return len(self._barred)
 
-    def list_told(self, now: float) -> list[Row]:
-        """Return what to tell now: changes, and a barred request in turn.
+    def list_told(self, now: float, most: int = telling.MAX_NEWS) -> list[Row]:
+        """Return what to tell other instances now.
 
-        The latter is for instances that started since, or lost reports.
+        Args:
+            now: clock time, seconds.
+            most: changes to tell at once.
         """
-        news = []
-        barred = []
-        for fingerprint, suspect in self._suspects.items():
-            if now - suspect.changed <= NEWS_SECONDS:
-                news.append(fingerprint)
-            elif suspect.is_barred:
-                barred.append(fingerprint)
-        told = sorted(news, key=self._is_open)[:MAX_NEWS]
-        if barred:
-            self._turn = (self._turn + 1) % len(barred)
-            told.append(barred[self._turn])
+        told = self._telling.choose(self._barred, now, most)
         return [_make_row(f, self._suspects[f], now) for f in told]
 
     def hear(self, rows: collections.abc.Iterable[Row], now: float) -> None:
@@ -142,7 +128,7 @@
             for start, age in ends:
                 is_news |= suspect.add(start, now - age / 1000)
             if is_news:
-                suspect.changed = now
+                self._note_change(fingerprint, suspect, now)
         self._trim()
 
     def sweep(self, now: float) -> None:
@@ -153,13 +139,24 @@
             if now - suspect.seen > KEEP_SECONDS
         ]
         for fingerprint in over:
-            del self._suspects[fingerprint]
+            self._forget(fingerprint)
 
     def _find(self, fingerprint: str) -> _Suspect:
         return self._suspects.setdefault(fingerprint, _Suspect())
 
-    def _is_open(self, fingerprint: str) -> bool:
-        return not self._suspects[fingerprint].is_barred
+    def _note_change(
+        self, fingerprint: str, suspect: _Suspect, now: float
+    ) -> None:
+        self._telling.note_change(fingerprint, now)
+        if suspect.is_barred:
+            self._barred[fingerprint] = None
+        else:
+            self._barred.pop(fingerprint, None)
+
+    def _forget(self, fingerprint: str) -> None:
+        del self._suspects[fingerprint]
+        self._barred.pop(fingerprint, None)
+        self._telling.drop(fingerprint)
 
     def _trim(self) -> None:
         if len(self._suspects) <= MAX_KEPT:
@@ -174,7 +171,7 @@
             ),
         )
         for fingerprint in ranked[: MAX_KEPT // 8]:
-            del self._suspects[fingerprint]
+            self._forget(fingerprint)
 
 
 def _digest(endpoint: models.Endpoint) -> int:
--- a/tests/scheduler/direct/test_suspects.py
+++ b/tests/scheduler/direct/test_suspects.py
@@ -3,6 +3,7 @@
 import testtools
 
 from citronport.scheduler.direct import suspects
+from citronport.scheduler.direct import telling
 from tests.relay import samples
 
 FINGERPRINT = "f1"
@@ -92,6 +93,22 @@
             newcomer.hear(self.suspects.list_told(now), now)
         self.assertEqual(5, newcomer.count_barred())
 
+    def test_ends_among_many_victims_add_up(self):
+        """Guards against the cause of a crash hidden among its victims.
+
+        Each instance sees one end of it and those of forty others.
+        """
+        others = [suspects.Suspects() for _ in range(3)]
+        for number, other in enumerate(others):
+            for victim in range(40):
+                other.note_end(f"{number}-{victim}", make_endpoint(number), 0)
+            self.end(number, own=other)
+        for report in range(8):
+            now = 0.1 * report
+            for other in others:
+                self.suspects.hear(other.list_told(now), now)
+        self.assertTrue(self.is_barred(0.8))
+
     def test_forgotten_everywhere_once_nobody_asks(self):
         """Guards against instances that remind each other for ever."""
         other = suspects.Suspects()
@@ -125,4 +142,4 @@
             )
         self.assertTrue(self.is_barred(1.0))
         rows = self.suspects.list_told(number + 1.0)
-        self.assertLessEqual(len(rows), suspects.MAX_NEWS + 1)
+        self.assertLessEqual(len(rows), telling.MAX_NEWS + 1)
