--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -242,7 +242,7 @@
             yield data
             data = self._exchange.read()
         self.progress.outcome = "answered"
-        if good:
+        if is_success(answer):
             self._note_whole()
 
     def _pass_events(
--- a/citronport/scheduler/direct/endpoint_limits.py
+++ b/citronport/scheduler/direct/endpoint_limits.py
@@ -11,6 +11,10 @@
 """Part of a limit that instances use which find no owner of the endpoint;
 the rest is for those that do not know each other yet."""
 
+BUCKET_SECONDS = 0.5
+"""Requests that may go at once, as a time at the limit: two owners in a row
+have a bucket each."""
+
 MIN_RATE = 0.25
 """Requests a second that any endpoint gets: only an answer tells that it
 names a limit no longer."""
@@ -81,7 +85,8 @@
         part = _divide(endpoint, rate, share)
         limit = self._limits[endpoint]
         passed = max(0.0, now - limit.filled)
-        limit.tokens = min(max(1.0, part), limit.tokens + part * passed)
+        most = max(1.0, BUCKET_SECONDS * part)
+        limit.tokens = min(most, limit.tokens + part * passed)
         limit.filled = now
         return limit.tokens >= 1
 
--- a/tests/scheduler/direct/test_endpoint_limits.py
+++ b/tests/scheduler/direct/test_endpoint_limits.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import testtools
 
+from citronport.scheduler.direct import cold
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import shares
 
@@ -27,7 +28,7 @@
     """Instances that send as fast as they may, each with its own part."""
 
     def __init__(self, rate, parts):
-        self.parts = parts
+        self.parts = list(parts)
         self.limits = [endpoint_limits.EndpointLimits() for _ in parts]
         self.sends = []
         for own in self.limits:
@@ -96,6 +97,29 @@
         allowed = OVER * rate * WINDOW_SECONDS + EXTRA
         self.assertLessEqual(count_busiest(sending.sends), allowed)
 
+    @PROFILE
+    @hypothesis.given(
+        rate=strategies.floats(1.0, 40.0), gap=strategies.floats(0.5, 2.0)
+    )
+    def test_owners_that_change_again_and_again(self, rate, gap):
+        """Guards against a full bucket for each owner of a window.
+
+        One that has just become the owner has a sender's part at first, as
+        the dispatcher gives it.
+        """
+        senders = list_senders(7)
+        sending = Sending(rate, senders)
+        for turn in range(int(10.0 / gap)):
+            owner = turn % len(senders)
+            start = turn * gap
+            settled = start + min(gap, cold.WINDOW_SECONDS)
+            sending.parts[owner] = senders[owner]
+            sending.run(settled, start=start, active={owner})
+            sending.parts[owner] = shares.Owner()
+            sending.run(start + gap, start=settled, active={owner})
+        allowed = OVER * rate * WINDOW_SECONDS + EXTRA
+        self.assertLessEqual(count_busiest(sending.sends), allowed)
+
     def test_others_hear_of_a_limit_and_of_its_lifting(self):
         """Guards against an instance that goes on by an old answer."""
         one, two = [endpoint_limits.EndpointLimits() for _ in range(2)]
