Test where a request is barred and where a limit is read

Cause: the paths of the sender were covered by tests with real processes only, which do not reach each of them.

Change: six tests of the sender, on a barred request before the queue, within an attempt and while it connects, on failures that are no end, on an end without a reset, and on limits in any answer.

--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -337,6 +337,87 @@
             int(errors.Code.OVERLOADED), self.sender.progress.code
         )
 
+    def is_barred(self):
+        """Return whether the request of these tests is barred."""
+        return self.suspects.is_barred("f1", self.room.ticker.now())
+
+    def end_others(self, number):
+        """Let endpoints that this instance never sees end under it."""
+        for each in range(number):
+            self.suspects.note_end(
+                "f1",
+                samples.make_endpoint(f"other-{each}"),
+                self.room.ticker.now(),
+            )
+
+    def test_barred_request_reaches_no_endpoint(self):
+        """Guards against one more end for each caller's repeat."""
+        endpoint = fakes.Endpoint(self, fakes.answer())
+        self.prepare(endpoint)
+        self.end_others(suspects.MAX_ENDS)
+        self.assertEqual(503, self.ask())
+        self.assertEqual(
+            suspects.KEEP_SECONDS, float(self.started[-1][1]["retry-after"])
+        )
+        self.assertTrue(self.sender.progress.is_known_not_run)
+        self.assertEqual(200, self.ask(fingerprint="f2"))
+        self.assertEqual(1, len(endpoint.requests))
+
+    def test_request_barred_by_its_own_end_is_not_sent_again(self):
+        """Guards against a repeat within the attempt that ended the third."""
+        ending = fakes.Endpoint(self, fakes.hang_up)
+        other = fakes.Endpoint(self, fakes.answer())
+        self.prepare(ending, other)
+        self.room.health.note_answer("e1", False, self.room.ticker.now())
+        self.end_others(suspects.MAX_ENDS - 1)
+        self.assertEqual(502, self.ask())
+        self.assertEqual(0, len(other.requests))
+
+    def test_request_barred_while_it_connects_is_not_sent(self):
+        """Guards against news that come between the choice and the send."""
+        endpoint = fakes.Endpoint(self, fakes.answer())
+        self.prepare(endpoint)
+        world = self.room.world
+        may_use = world.may_use
+
+        def hear(endpoint):
+            self.end_others(suspects.MAX_ENDS)
+            return may_use(endpoint)
+
+        world.may_use = hear
+        self.assertEqual(503, self.ask())
+        self.assertEqual(0, len(endpoint.requests))
+
+    def test_failure_of_a_live_endpoint_is_no_end(self):
+        """Guards against a bar for failures that an endpoint tells."""
+        bad = fakes.Endpoint(self, fakes.answer(500))
+        self.prepare(bad)
+        self.end_others(suspects.MAX_ENDS - 1)
+        self.assertEqual(500, self.ask())
+        self.assertFalse(self.is_barred())
+
+    def test_endpoint_gone_without_a_reset_counts(self):
+        """Guards against an end whose reset is lost on its way."""
+        endpoint = fakes.Endpoint(self, fakes.say_nothing)
+        self.prepare(endpoint, timeout=0.1)
+        self.end_others(suspects.MAX_ENDS - 1)
+        gevent.spawn_later(0.05, self.room.world.endpoints.clear)
+        self.assertEqual(504, self.ask())
+        self.assertTrue(self.is_barred())
+
+    def test_limit_in_any_answer_is_noted(self):
+        """Guards against a limit that only refusals name."""
+        endpoint = fakes.Endpoint(self)
+        self.prepare(endpoint, repeat=models.Repeat.NON_IDEMPOTENT)
+        for script, rate in (
+            (fakes.answer(503, X_Not_Executed="1", Server_Limit="2.5"), 2.5),
+            (fakes.answer(Server_Limit="few"), 2.5),
+            (fakes.answer(), None),
+        ):
+            endpoint.scripts = [script]
+            self.ask()
+            self.assertEqual(rate, self.room.limits.get_rate("e0"))
+
 
 class LastEventTest(testtools.TestCase):
     """Finding the id of the last whole event."""
