--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -409,6 +409,8 @@
         """Guards against a limit that only refusals name."""
         endpoint = fakes.Endpoint(self)
         self.prepare(endpoint, repeat=models.Repeat.NON_IDEMPOTENT)
+        kicker = gevent.spawn(self.room.dispatcher.kick_again_and_again)
+        self.addCleanup(kicker.kill)
         for script, rate in (
             (fakes.answer(503, X_Not_Executed="1", Server_Limit="2.5"), 2.5),
             (fakes.answer(Server_Limit="few"), 2.5),
