Hash long bodies fast

Beside eight busy processes a body of 100 KB took 680 us for its fingerprint (a trial), a caller's largest one of 4 MB would hold up all others for 27 ms (worked out). The body's xxh3 is hashed in its place; workspace, method, host and path stay under blake2b, so that no workspace can bear another's fingerprint. 100 KB after: 8.5 us, 1 KB 5.3 us (same trial, as busy).

--- a/citronport/scheduler/direct/fingerprints.py
+++ b/citronport/scheduler/direct/fingerprints.py
@@ -2,6 +2,8 @@
 
 import hashlib
 
+import xxhash
+
 DIGEST_BYTES = 8
 
 
@@ -17,10 +19,11 @@
         target: path and query.
         body: its body.
     """
-    # Not xxh3: nobody may craft a request that bears another's fingerprint.
+    # No workspace may craft a request with the fingerprint of another's.
+    # Within its own it may: there the fast hash of long bodies is enough.
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for part in (workspace, method, host, target):
         data = part.encode("utf-8", "surrogateescape")
         digest.update(b"%d:%b" % (len(data), data))
-    digest.update(body)
+    digest.update(xxhash.xxh3_128_digest(body))
     return digest.hexdigest()
