Add a failing test of a gone endpoint whose limit is told for ever

Cause: instances forget a gone endpoint one after the other; one that still tells of its limit makes the others take it again, so that the row outlives its endpoint, is told in turn and counts in citronport_endpoints_limited. Ruled out: requests held back by it, as the name is in no list. Seen (script/test endpoint_limits): an hour later both of two instances still hold the row, (0, 0) expected, (1, 1) seen.

--- a/tests/scheduler/direct/test_endpoint_limits.py
+++ b/tests/scheduler/direct/test_endpoint_limits.py
@@ -160,3 +160,17 @@
         one.forget("e")
         self.assertIsNone(one.get_rate("e"))
         self.assertEqual([], one.list_told(0.1))
+
+    def test_gone_endpoint_is_not_told_for_ever(self):
+        """Guards against instances that remind each other of one gone."""
+        one, two = [endpoint_limits.EndpointLimits() for _ in range(2)]
+        one.note_answer("e", 2.0, 0.0)
+        two.hear(one.list_told(0.1), 0.1)
+        one.forget("e")
+        one.hear(two.list_told(0.2), 0.2)
+        two.forget("e")
+        for minute in range(1, 60):
+            now = 60.0 * minute
+            two.hear(one.list_told(now), now)
+            one.hear(two.list_told(now), now)
+        self.assertEqual((0, 0), (one.count(), two.count()))
