Let what instances announce lapse by the age of its origin

Cause: the limit of an endpoint that is gone had no age by which it lapsed; an instance that forgot it got it back from one that had not yet, and both repeated it from then on (known red). Suspects had such an age, but the time under way isn't part of an announced age, so that each time a row is passed on its observation seems a little newer. Step times of a gone endpoint had the same cause: a request that still runs there restores them after the endpoint was forgotten, and reports then name it in rotation without end.

Ruled out: members (dropped 300 s after the last report of their own), leases (each holder renews its own), summaries (ages of reports, carried).

The state of a removed endpoint is removed once more after a minute.

--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -26,6 +26,11 @@
 OUTAGE_RECOVERY_SECONDS = 3.0
 """Time after an outage during which a vanished entry counts as lapsed."""
 
+FORGET_AGAIN_SECONDS = 60.0
+"""When the state of a removed endpoint is removed once more. Requests that
+still run there, and reports of instances that learn later that it is gone,
+have restored parts of it meanwhile, which would be reported from then on."""
+
 MAX_REMEMBERED_STARTS = 2000
 """Number of remembered starts of endpoints. An endpoint whose entry returns
 must not count as newly started."""
@@ -42,7 +47,8 @@
 
     Args:
         cold_starts: receives the endpoints that are cold.
-        forget: called with the name of each removed endpoint.
+        forget: called with the name of each removed endpoint, and again
+            when nothing runs there any more.
         log: the event log.
     """
 
@@ -61,6 +67,7 @@
         self._log = log
         self._by_service: dict[str, list[models.Endpoint]] = {}
         self._lapsing: dict[str, float] = {}
+        self._removed: dict[str, float] = {}
         self._starts: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
@@ -95,9 +102,10 @@
         """Remove endpoints whose lapsed entries did not return in time."""
         expired = [n for n, until in self._lapsing.items() if now >= until]
         for name in expired:
-            self._drop(name)
+            self._drop(name, now)
         if expired:
             self._index()
+        self._forget_removed(now)
 
     def list_endpoints(self, service: str) -> list[models.Endpoint]:
         """Return the endpoints of a service that may get new work."""
@@ -184,7 +192,7 @@
             if lapsing and name in self.endpoints:
                 self._lapsing[name] = now + LAPSE_GRACE_SECONDS
             else:
-                self._drop(name)
+                self._drop(name, now)
             self._log.write(
                 events.EndpointGone(
                     endpoint=name, revision=item.revision, lapsed=lapsing
@@ -194,7 +202,7 @@
         match wire.parse_endpoint(item.key, item.value):
             case result.Err(reason):
                 # An invalid entry does not describe a usable endpoint.
-                self._drop(name)
+                self._drop(name, now)
                 self._log.write(
                     events.InputRejected(
                         code=int(errors.InputFault.BAD_ENDPOINT),
@@ -211,7 +219,7 @@
     ) -> None:
         known = self.endpoints.get(endpoint.name)
         if known is not None and known.start_id != endpoint.start_id:
-            self._drop(endpoint.name)
+            self._drop(endpoint.name, now)
         self._lapsing.pop(endpoint.name, None)
         self.endpoints[endpoint.name] = endpoint
         if endpoint.start_id not in self._starts:
@@ -241,11 +249,23 @@
         if service is not None and service.cold_seconds > 0:
             self._cold.set_cold(endpoint.name, now + service.cold_seconds)
 
-    def _drop(self, name: str) -> None:
+    def _drop(self, name: str, now: float) -> None:
         self._lapsing.pop(name, None)
         if self.endpoints.pop(name, None) is not None:
+            self._removed[name] = now
             self._forget(name)
 
+    def _forget_removed(self, now: float) -> None:
+        due = [
+            name
+            for name, at in self._removed.items()
+            if now - at >= FORGET_AGAIN_SECONDS
+        ]
+        for name in due:
+            del self._removed[name]
+            if name not in self.endpoints:
+                self._forget(name)
+
     def _index(self) -> None:
         self._by_service = {}
         for endpoint in self.endpoints.values():
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -359,6 +359,7 @@
             self.cluster_state.sweep(self._ticker.now())
             self.leasing.lease_server.sweep()
             self.suspects.remove_expired(self._ticker.now())
+            self.limits.remove_expired(self._ticker.now())
             self.is_ready()
 
     def _watch_settings(self) -> None:
--- a/citronport/scheduler/direct/endpoint_limits.py
+++ b/citronport/scheduler/direct/endpoint_limits.py
@@ -33,13 +33,11 @@
 
     Attributes:
         rate: requests per second; None for no limit.
-        reported_at: clock time of the answer that stated it, seconds.
         tokens: requests that may be sent now.
         refilled_at: clock time of the last refill, seconds.
     """
 
     rate: float | None
-    reported_at: float
     tokens: float
     refilled_at: float
 
@@ -68,7 +66,8 @@
             rate: requests per second that it accepts; None for no limit.
             now: clock time, seconds.
         """
-        return self._set(endpoint, rate, now, now)
+        self._announcements.record_observation(endpoint, now)
+        return self._set(endpoint, rate, now)
 
     def get_rate(self, endpoint: str) -> float | None:
         """Return the requests per second for an endpoint; None if unlimited.
@@ -112,17 +111,9 @@
             now: clock time, seconds.
             max_changes: most changes to return.
         """
-        rows = []
-        for name in self._announcements.select(
-            self._limited, now, max_changes
-        ):
-            limit = self._limits[name]
-            rate = limit.rate
-            rate_per_1000 = NO_LIMIT if rate is None else round(rate * 1000)
-            rows.append(
-                (name, rate_per_1000, round((now - limit.reported_at) * 1000))
-            )
-        return rows
+        self.remove_expired(now)
+        selected = self._announcements.select(self._limited, now, max_changes)
+        return [self._make_row(name, now) for name in selected]
 
     def apply_updates(
         self, rows: collections.abc.Iterable[Row], now: float
@@ -131,27 +122,47 @@
         for name, rate_per_1000, age in rows:
             rate = None if rate_per_1000 == NO_LIMIT else rate_per_1000 / 1000
             reported_at = now - age / 1000
+            if announcements.is_expired(reported_at, now):
+                continue
             known = self._limits.get(name)
-            if known is None or reported_at > known.reported_at:
-                self._set(name, rate, reported_at, now)
-            elif rate != known.rate:
+            if known is not None and rate == known.rate:
+                self._announcements.record_repeat(name, reported_at)
+            elif reported_at > self._announcements.get_observed_at(name):
+                self._announcements.record_observation(name, reported_at)
+                self._set(name, rate, now)
+            else:
                 # The other instance has an older answer: repeat the update.
                 self._announcements.record_change(name, now)
 
+    def remove_expired(self, now: float) -> None:
+        """Forget limits that no answer has stated for a long time.
+
+        Some instances learn later than others that an endpoint is gone.
+        Their updates restore its limit where it was forgotten already.
+        """
+        for name in self._announcements.list_expired(now):
+            self.forget(name)
+
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that is gone."""
         self._limits.pop(endpoint, None)
         self._limited.pop(endpoint, None)
         self._announcements.drop(endpoint)
 
-    def _set(
-        self, endpoint: str, rate: float | None, reported_at: float, now: float
-    ) -> bool:
+    def _make_row(self, endpoint: str, now: float) -> Row:
+        rate = self._limits[endpoint].rate
+        age = now - self._announcements.get_observed_at(endpoint)
+        return (
+            endpoint,
+            NO_LIMIT if rate is None else round(rate * 1000),
+            round(age * 1000),
+        )
+
+    def _set(self, endpoint: str, rate: float | None, now: float) -> bool:
         limit = self._limits.get(endpoint)
         if limit is None:
-            limit = _Limit(None, reported_at, 0.0, now)
+            limit = _Limit(None, 0.0, now)
             self._limits[endpoint] = limit
-        limit.reported_at = reported_at
         if limit.rate == rate:
             return False
         if limit.rate is None:
--- a/citronport/scheduler/direct/suspects.py
+++ b/citronport/scheduler/direct/suspects.py
@@ -12,7 +12,7 @@
 for all requests on the endpoint, so that a harmless request may well be
 involved in one or two."""
 
-KEEP_SECONDS = 600.0
+KEEP_SECONDS = announcements.KEEP_SECONDS
 """How long a request is remembered if it is not repeated."""
 
 MAX_SUSPECTS = 2048
@@ -34,13 +34,10 @@
     Attributes:
         crashes: time of the crash of each endpoint start.
         completed_at: time of its last complete answer.
-        last_seen: time of the last crash, or of the last repeat while it is
-            barred.
     """
 
     crashes: dict[int, float] = dataclasses.field(default_factory=dict)
     completed_at: float = NEVER
-    last_seen: float = NEVER
 
     @property
     def is_barred(self) -> bool:
@@ -91,7 +88,7 @@
         """
         suspect = self._find(fingerprint)
         was_barred = suspect.is_barred
-        suspect.last_seen = now
+        self._announcements.record_observation(fingerprint, now)
         if suspect.add_crash(_compute_start_hash(endpoint), now):
             self._record_change(fingerprint, suspect, now)
         self._trim()
@@ -108,7 +105,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.is_barred:
             return False
-        suspect.last_seen = now
+        self._announcements.record_observation(fingerprint, now)
         return True
 
     def count_barred(self) -> int:
@@ -124,16 +121,20 @@
             now: clock time, seconds.
             max_changes: most changes to return.
         """
+        self.remove_expired(now)
         selected = self._announcements.select(self._barred, now, max_changes)
-        return [_make_row(f, self._suspects[f], now) for f in selected]
+        return [self._make_row(f, now) for f in selected]
 
     def apply_updates(
         self, rows: collections.abc.Iterable[Row], now: float
     ) -> None:
         """Apply updates of another instance."""
         for fingerprint, seen_age, completed_age, crashes in rows:
+            last_seen = now - seen_age / 1000
+            if announcements.is_expired(last_seen, now):
+                continue
+            self._announcements.record_repeat(fingerprint, last_seen)
             suspect = self._find(fingerprint)
-            suspect.last_seen = max(suspect.last_seen, now - seen_age / 1000)
             changed = completed_age >= 0 and suspect.clear_crashes(
                 now - completed_age / 1000
             )
@@ -145,12 +146,7 @@
 
     def remove_expired(self, now: float) -> None:
         """Forget requests that have not occurred for a while."""
-        expired = [
-            fingerprint
-            for fingerprint, suspect in self._suspects.items()
-            if now - suspect.last_seen > KEEP_SECONDS
-        ]
-        for fingerprint in expired:
+        for fingerprint in self._announcements.list_expired(now):
             self._forget(fingerprint)
 
     def _find(self, fingerprint: str) -> _Suspect:
@@ -166,10 +162,23 @@
             self._barred.pop(fingerprint, None)
 
     def _forget(self, fingerprint: str) -> None:
-        del self._suspects[fingerprint]
+        self._suspects.pop(fingerprint, None)
         self._barred.pop(fingerprint, None)
         self._announcements.drop(fingerprint)
 
+    def _make_row(self, fingerprint: str, now: float) -> Row:
+        suspect = self._suspects[fingerprint]
+        last_seen = self._announcements.get_observed_at(fingerprint)
+        return (
+            fingerprint,
+            _compute_age_ms(last_seen, now),
+            _compute_age_ms(suspect.completed_at, now),
+            [
+                (start, _compute_age_ms(at, now))
+                for start, at in suspect.crashes.items()
+            ],
+        )
+
     def _trim(self) -> None:
         if len(self._suspects) <= MAX_SUSPECTS:
             return
@@ -179,7 +188,7 @@
             self._suspects,
             key=lambda f: (
                 self._suspects[f].is_barred,
-                self._suspects[f].last_seen,
+                self._announcements.get_observed_at(f),
             ),
         )
         for fingerprint in ranked[: MAX_SUSPECTS // 8]:
@@ -191,13 +200,5 @@
     return zlib.crc32(f"{name} {started}".encode())
 
 
-def _make_row(fingerprint: str, suspect: _Suspect, now: float) -> Row:
-    def compute_age(at: float) -> int:
-        return -1 if at == NEVER else max(0, round((now - at) * 1000))
-
-    return (
-        fingerprint,
-        compute_age(suspect.last_seen),
-        compute_age(suspect.completed_at),
-        [(start, compute_age(at)) for start, at in suspect.crashes.items()],
-    )
+def _compute_age_ms(at: float, now: float) -> int:
+    return -1 if at == NEVER else max(0, round((now - at) * 1000))
--- a/tests/relay/test_cluster_state.py
+++ b/tests/relay/test_cluster_state.py
@@ -8,6 +8,7 @@
 from citronport.platform import models as wire
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.scheduler.direct import cold_starts
+from citronport.scheduler.direct import load_tracker
 from tests.platform import test_models as wire_samples
 from tests.relay import samples
 
@@ -126,6 +127,37 @@
         self.put("servers/a", None, now=10.0)
         self.assertEqual([], self.list_names())
 
+    def test_removed_endpoint_is_forgotten_again(self):
+        """Guards against reports about an endpoint that is gone for long.
+
+        A request that still runs there measures its step time once more.
+        """
+        loads = load_tracker.LoadTracker()
+        state = cluster_state_module.ClusterState(
+            self.cold, loads.forget, samples.make_log(clock.ManualClock())
+        )
+        self.cluster_state = state
+        self.put_endpoint("a")
+        work = samples.make_work()
+        run = loads.record_send("a", work, 0.0)
+        self.put("servers/a", None, now=1.0)
+        for step in range(40):
+            loads.record_events("a", run, 1, 1, 1.0 + 0.1 * step)
+        loads.record_end("a", work.request_id)
+        self.assertIsNotNone(loads.get_own_step_ms("a"))
+        state.sweep(5.0 + cluster_state_module.FORGET_AGAIN_SECONDS)
+        self.assertEqual([], loads.make_report_rows())
+
+    def test_endpoint_that_is_back_is_not_forgotten_again(self):
+        """Guards against losing the state of an endpoint in use."""
+        self.put_endpoint("a")
+        self.put("servers/a", None, now=1.0)
+        self.put_endpoint("a", now=2.0)
+        self.cluster_state.sweep(
+            5.0 + cluster_state_module.FORGET_AGAIN_SECONDS
+        )
+        self.assertEqual(["a"], self.forgotten)
+
     def test_restarted_endpoint_invalidates_the_former_start(self):
         """A reservation at the former start must not be used any more."""
         self.put_endpoint("a", born=1)
