--- a/citronport/__main__.py
+++ b/citronport/__main__.py
@@ -24,12 +24,21 @@
 
     gevent.monkey.patch_all()
 
-from citronport import commands  # noqa: E402
-
 
 def run() -> None:
     """Run the command line."""
-    sys.exit(commands.run(sys.argv[1:]))
+    match sys.argv[1:]:
+        case ["relay", path] if not path.startswith("-"):
+            # Without the command line's library, which would delay the
+            # start of an instance.
+            from citronport import orders
+
+            code = orders.execute(orders.Relay(path=path))
+        case arguments:
+            from citronport import commands
+
+            code = commands.run(arguments)
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/citronport/catalogue/models.py
+++ b/citronport/catalogue/models.py
@@ -6,7 +6,7 @@
 import result
 
 from citronport import const
-from citronport import documents
+from citronport import validation
 from citronport.scheduler import models as scheduler_models
 
 
@@ -100,7 +100,7 @@
         known = {item.name for item in self.data_centres}
         for index, endpoint in enumerate(self.endpoints):
             if endpoint.data_centre not in known:
-                raise documents.make_error(
+                raise validation.make_error(
                     ("endpoints", index, "data_centre"),
                     f"no data centre {endpoint.data_centre}",
                 )
@@ -111,7 +111,7 @@
     seen = set()
     for index, value in enumerate(values):
         if value in seen:
-            raise documents.make_error(
+            raise validation.make_error(
                 (part, index, field), f"{value} stands twice"
             )
         seen.add(value)
@@ -126,7 +126,7 @@
 
 def parse_catalogue(text: str) -> result.Result[CatalogueModel, str]:
     """Parse and validate the YAML text of a catalogue."""
-    return documents.parse(text, CatalogueModel)
+    return validation.parse(text, CatalogueModel)
 
 
 def make_fleet(catalogue: CatalogueModel) -> scheduler_models.Fleet:
--- a/citronport/catalogue/store.py
+++ b/citronport/catalogue/store.py
@@ -8,6 +8,7 @@
 import result
 
 from citronport import documents
+from citronport import validation
 from citronport.catalogue import client
 from citronport.catalogue import const
 from citronport.catalogue import delta
@@ -160,7 +161,7 @@
     def _apply_catalogue(
         self, published: client.Published, document: delta.Document
     ) -> bool:
-        checked = documents.validate(
+        checked = validation.validate(
             document, published.value, models.CatalogueModel
         )
         match checked:
@@ -179,7 +180,7 @@
     def _apply_instances(
         self, published: client.Published, document: delta.Document
     ) -> bool:
-        checked = documents.validate(
+        checked = validation.validate(
             document, published.value, models.InstanceListModel
         )
         match checked:
--- a/citronport/codec.py
+++ b/citronport/codec.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 import msgpack
+import msgspec
 
 Message = TypeVar("Message")
 
@@ -17,7 +18,8 @@
     """Packs and unpacks the messages of one protocol.
 
     Args:
-        kinds: data classes of the messages; the index is the number.
+        kinds: data classes or structs of the messages; the index is the
+            number.
         max_bytes: size limit of a message from a peer.
     """
 
@@ -25,10 +27,7 @@
         self._kinds = kinds
         self._max_bytes = max_bytes
         self._numbers = {kind: number for number, kind in enumerate(kinds)}
-        self._fields = {
-            kind: tuple(field.name for field in dataclasses.fields(kind))
-            for kind in kinds
-        }
+        self._fields = {kind: _list_fields(kind) for kind in kinds}
 
     def encode(self, message: Message) -> bytes:
         """Return the wire format of a message."""
@@ -68,3 +67,9 @@
         return msgpack.Unpacker(
             max_buffer_size=self._max_bytes, strict_map_key=False
         )
+
+
+def _list_fields(kind: type) -> tuple[str, ...]:
+    if issubclass(kind, msgspec.Struct):
+        return kind.__struct_fields__
+    return tuple(field.name for field in dataclasses.fields(kind))
--- a/citronport/documents.py
+++ b/citronport/documents.py
@@ -1,12 +1,12 @@
 """Strict parsing of YAML documents; errors are reported with their line."""
 
+import collections.abc
 import contextlib
+import dataclasses
 import json
+import pathlib
 from typing import Any
-from typing import TypeVar
 
-import pydantic
-import pydantic_core
 import result
 import yaml
 
@@ -14,8 +14,26 @@
 """Limit of the errors reported in one line; a key that is missing in 6,000
 endpoints is a single error to the reader."""
 
+NO_MAPPING = "line 1: a mapping is needed at the top level"
+UNKNOWN_KEY = "unknown key"
+MISSING_VALUE = "a value is needed"
+NOT_A_NUMBER = "a plain number is needed, without a unit"
+
 Location = tuple[int | str, ...]
-Model = TypeVar("Model", bound=pydantic.BaseModel)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """An invalid value in a document.
+
+    Attributes:
+        location: path of the value from the top of the document.
+        message: what is wrong with it.
+    """
+
+    location: Location
+    message: str
+
 
 # The loader in C reads a catalogue of 0.8 MB in 1.1 s instead of 6.5 s. It is
 # missing only where PyYAML was built without libyaml.
@@ -75,73 +93,34 @@
         return result.Err("invalid YAML: " + " ".join(str(error).split()))
 
 
-def make_error(location: Location, message: str) -> Exception:
-    """Return the exception for an error that involves several fields.
-
-    Args:
-        location: path of the wrong value from the top of the document.
-        message: description of the error.
-    """
-    return pydantic_core.PydanticCustomError(
-        "clash", "{message}", {"message": message, "place": location}
-    )
+def read_text(path: pathlib.Path) -> result.Result[str, str]:
+    """Return the text of a file, or a one-line reason why it is unreadable."""
+    try:
+        return result.Ok(path.read_text())
+    except OSError as error:
+        return result.Err(f"{path}: {error.strerror}")
+    except UnicodeDecodeError:
+        return result.Err(f"{path}: not a text file")
 
 
-def parse(text: str, model: type[Model]) -> result.Result[Model, str]:
-    """Parse and validate a YAML text.
+def describe_faults(text: str, faults: collections.abc.Sequence[Fault]) -> str:
+    """Return one line that lists faults with their lines and paths.
 
     Args:
-        text: YAML.
-        model: the expected structure.
-
-    Returns:
-        The model, or one line that lists each error with its line and path.
+        text: the YAML text in which they are.
+        faults: the faults.
     """
-    match load(text):
-        case result.Err(reason):
-            return result.Err(reason)
-        case result.Ok(raw):
-            return validate(raw, text, model)
-
-
-def validate(
-    raw: Any, text: str, model: type[Model]
-) -> result.Result[Model, str]:
-    """Validate the value that ``load`` returned for a text; see ``parse``."""
-    if not isinstance(raw, dict):
-        return result.Err("line 1: a mapping is needed at the top level")
-    try:
-        return result.Ok(model.model_validate(raw))
-    except pydantic.ValidationError as error:
-        return result.Err(_describe_errors(text, error))
-
-
-def _describe_errors(text: str, error: pydantic.ValidationError) -> str:
     root = yaml.compose(text, Loader=_Base)
     parts = []
-    faults = error.errors(include_url=False)
-    for item in faults[:MAX_REPORTED_FAULTS]:
-        location = item.get("ctx", {}).get("place", item["loc"])
-        name = ".".join(str(step) for step in location) or "(top)"
-        line = _find_line(root, location)
-        parts.append(f"line {line}: {name}: {_describe(item)}")
+    for fault in faults[:MAX_REPORTED_FAULTS]:
+        name = ".".join(str(step) for step in fault.location) or "(top)"
+        line = _find_line(root, fault.location)
+        parts.append(f"line {line}: {name}: {fault.message}")
     if len(faults) > MAX_REPORTED_FAULTS:
         parts.append(f"and {len(faults) - MAX_REPORTED_FAULTS} more")
     return "; ".join(parts)
 
 
-def _describe(item: Any) -> str:
-    match item["type"]:
-        case "extra_forbidden":
-            return "unknown key"
-        case "missing":
-            return "a value is needed"
-        case "int_parsing" | "float_parsing" | "int_type" | "float_type":
-            return "a plain number is needed, without a unit"
-        case _:
-            return item["msg"]
-
-
 def _find_line(node: yaml.Node | None, location: Location) -> int:
     line = 1
     for step in location:
--- a/citronport/logs.py
+++ b/citronport/logs.py
@@ -1,18 +1,27 @@
 """Configuration of the log on standard error."""
 
+import enum
+
 from absl import flags
 from absl import logging
 
-from citronport import settings
+
+class Level(enum.StrEnum):
+    """Lowest level of the messages that are logged."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
 
 _LEVELS = {
-    settings.LogLevel.INFO: logging.INFO,
-    settings.LogLevel.WARNING: logging.WARNING,
-    settings.LogLevel.ERROR: logging.ERROR,
+    Level.INFO: logging.INFO,
+    Level.WARNING: logging.WARNING,
+    Level.ERROR: logging.ERROR,
 }
 
 
-def configure(level: settings.LogLevel) -> None:
+def configure(level: Level) -> None:
     """Log messages of a level and above to standard error."""
     # fire parses the command line. absl warns as long as its own flags are not
     # marked as parsed.
--- a/citronport/orders.py
+++ b/citronport/orders.py
@@ -16,9 +16,9 @@
 
 from citronport import clock
 from citronport import const
+from citronport import documents
 from citronport import errors
 from citronport import logs
-from citronport import settings
 
 EXIT_FAILED = 1
 EXIT_WRONG_USE = 2
@@ -104,13 +104,7 @@
         case Explain():
             return _explain(order)
         case CheckSettings():
-            return _check(
-                settings.read_settings(pathlib.Path(order.path)),
-                lambda checked: (
-                    f"{order.path}: valid: {checked.instance} in "
-                    f"{checked.data_centre}, callers at {checked.callers}"
-                ),
-            )
+            return _check_settings(order.path)
         case CheckCatalogue():
             return _check_catalogue(order.path)
         case ShowStatus():
@@ -130,6 +124,7 @@
 
 def _serve(order: Serve) -> int:
     from citronport import core
+    from citronport import settings
 
     match settings.read_settings(pathlib.Path(order.path)):
         case result.Err(reason):
@@ -188,10 +183,22 @@
             return 0
 
 
+def _check_settings(path: str) -> int:
+    from citronport import settings
+
+    return _check(
+        settings.read_settings(pathlib.Path(path)),
+        lambda checked: (
+            f"{path}: valid: {checked.instance} in "
+            f"{checked.data_centre}, callers at {checked.callers}"
+        ),
+    )
+
+
 def _check_catalogue(path: str) -> int:
     from citronport.catalogue import models as catalogue_models
 
-    text = settings.read_text(pathlib.Path(path))
+    text = documents.read_text(pathlib.Path(path))
     checked = text.and_then(
         lambda text: catalogue_models.parse_catalogue(text).map_err(
             lambda reason: f"{path}: {reason}"
@@ -209,6 +216,7 @@
 
 
 def _show_status(order: ShowStatus) -> int:
+    from citronport import settings
     from citronport.operators import client as operator_client
     from citronport.operators import models as operator_models
     from citronport.operators import overview
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -1,12 +1,13 @@
 """Decoders of the values in the platform's store."""
 
 import base64
-import binascii
 import dataclasses
 import json
+from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
-import pydantic
+import msgspec
 import result
 
 from citronport.platform import const
@@ -51,92 +52,100 @@
     more: bool = False
 
 
-class _WireModel(pydantic.BaseModel):
+_Count = Annotated[int, msgspec.Meta(ge=1)]
+_Weight = Annotated[float, msgspec.Meta(ge=0)]
+_PositiveInteger = Annotated[int, msgspec.Meta(gt=0)]
+_PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+_Prefix = Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$")]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
+_State = Annotated[str, msgspec.Meta(pattern="^(ready|draining)$")]
+
+
+_Model = TypeVar("_Model")
+
+
+class _WireModel(msgspec.Struct, frozen=True):
     # Unknown fields are ignored, since the platform may add some at any
     # time. A wrong type in a known field invalidates the whole value.
-    model_config = pydantic.ConfigDict(
-        extra="ignore", frozen=True, strict=True, populate_by_name=False
-    )
+    pass
 
 
-class _Item(_WireModel):
+class _Item(_WireModel, kw_only=True):
     key: str
     value: str = ""
     revision: int
     deleted: bool = False
 
 
-class _RangePage(_WireModel):
+class _RangePage(_WireModel, kw_only=True):
     items: tuple[_Item, ...]
-    revision: int = pydantic.Field(alias="currentRev")
-    more: bool = pydantic.Field(default=False, alias="morePages")
+    revision: int = msgspec.field(name="currentRev")
+    more: bool = msgspec.field(default=False, name="morePages")
 
 
-class _EventsPage(_WireModel):
+class _EventsPage(_WireModel, kw_only=True):
     events: tuple[_Item, ...]
-    revision: int = pydantic.Field(alias="currentRev")
+    revision: int = msgspec.field(name="currentRev")
 
 
-class _Split(_WireModel):
+class _Split(_WireModel, kw_only=True):
     service: str
-    weight: float = pydantic.Field(ge=0)
+    weight: _Weight
 
 
-class _Route(_WireModel):
+class _Route(_WireModel, kw_only=True):
     name: str
     host: str
-    prefix: str = pydantic.Field(pattern=r"^/(.*/)?$")
+    prefix: _Prefix
     kind: str
-    timeout_ms: float = pydantic.Field(alias="timeoutMs", gt=0)
+    timeout_ms: _PositiveNumber = msgspec.field(name="timeoutMs")
     # Despite its name this is the objective, not a bound on latency.
-    target_ms: float = pydantic.Field(default=0, alias="targetLatencyMs")
+    target_ms: float = msgspec.field(default=0, name="targetLatencyMs")
     priority: int = 0
     service: str | None = None
-    split: tuple[_Split, ...] = pydantic.Field(
-        default=(), alias="trafficSplit"
-    )
+    split: tuple[_Split, ...] = msgspec.field(default=(), name="trafficSplit")
     # Number of endpoints that a request may reach, not of all retries.
-    attempts: int = pydantic.Field(default=1, alias="maxAttempts", ge=1)
+    attempts: _Count = msgspec.field(default=1, name="maxAttempts")
     public: bool = False
     resumable: bool = False
-    gap_ms: float | None = pydantic.Field(default=None, alias="gapAimMs")
+    gap_ms: float | None = msgspec.field(default=None, name="gapAimMs")
 
 
-class _Engine(_WireModel):
-    slots: int = pydantic.Field(ge=1)
-    cache_tokens: int = pydantic.Field(default=0, alias="kvCapacity")
+class _Engine(_WireModel, kw_only=True):
+    slots: _Count
+    cache_tokens: int = msgspec.field(default=0, name="kvCapacity")
     # Tokens in one event of a stream.
-    stride: int = pydantic.Field(default=1, ge=1)
+    stride: _Count = 1
 
 
-class _Service(_WireModel):
+class _Service(_WireModel, kw_only=True):
     name: str
-    health_path: str = pydantic.Field(default="/healthz", alias="healthPath")
-    max_connections: int = pydantic.Field(default=0, alias="maxConns")
-    cold_s: float = pydantic.Field(default=0, alias="coldStartS")
-    cold_per_s: float = pydantic.Field(default=0, alias="coldPerS")
+    health_path: str = msgspec.field(default="/healthz", name="healthPath")
+    max_connections: int = msgspec.field(default=0, name="maxConns")
+    cold_s: float = msgspec.field(default=0, name="coldStartS")
+    cold_per_s: float = msgspec.field(default=0, name="coldPerS")
     engine: _Engine | None = None
 
 
-class _Limits(_WireModel):
-    head_bytes: int = pydantic.Field(alias="maxHeaderBytes", gt=0)
-    body_bytes: int = pydantic.Field(alias="maxBodyBytes", gt=0)
-    head_ms: float = pydantic.Field(alias="headerTimeoutMs", gt=0)
-    idle_ms: float = pydantic.Field(alias="idleTimeoutMs", gt=0)
+class _Limits(_WireModel, kw_only=True):
+    head_bytes: _PositiveInteger = msgspec.field(name="maxHeaderBytes")
+    body_bytes: _PositiveInteger = msgspec.field(name="maxBodyBytes")
+    head_ms: _PositiveNumber = msgspec.field(name="headerTimeoutMs")
+    idle_ms: _PositiveNumber = msgspec.field(name="idleTimeoutMs")
 
 
-class _Workspace(_WireModel):
+class _Workspace(_WireModel, kw_only=True):
     name: str
-    keys: tuple[str, ...] = pydantic.Field(default=(), alias="apiKeys")
+    keys: tuple[str, ...] = msgspec.field(default=(), name="apiKeys")
     priority: int | None = None
     # "tokens"; any other value means that requests are counted.
     unit: str = "requests"
-    plain_tokens: float = pydantic.Field(default=0, alias="plainTokens")
-    rate: float = pydantic.Field(default=0, alias="ratePerS")
+    plain_tokens: float = msgspec.field(default=0, name="plainTokens")
+    rate: float = msgspec.field(default=0, name="ratePerS")
     burst: float = 0
 
 
-class _Configuration(_WireModel):
+class _Configuration(_WireModel, kw_only=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
@@ -144,20 +153,20 @@
     tenants: tuple[_Workspace, ...] | None = None
 
 
-class _EndpointRecord(_WireModel):
+class _EndpointRecord(_WireModel, kw_only=True):
     service: str
-    address: str = pydantic.Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
+    address: _Address
     zone: str
-    slots: int = pydantic.Field(ge=1)
-    state: str = pydantic.Field(pattern="^(ready|draining)$")
-    cold_ms: float = pydantic.Field(default=0, alias="coldLeftMs")
+    slots: _Count
+    state: _State
+    cold_ms: float = msgspec.field(default=0, name="coldLeftMs")
     born: int = 0
 
 
 def parse_range(body: bytes) -> result.Result[StoreResponse, str]:
     """Decode a page of the store's items."""
     try:
-        page = _RangePage.model_validate_json(body)
+        page = _decode(body, _RangePage)
         return result.Ok(
             StoreResponse(
                 items=tuple(_make_item(item) for item in page.items),
@@ -165,21 +174,21 @@
                 more=page.more,
             )
         )
-    except (ValueError, binascii.Error) as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         return result.Err(_describe(error))
 
 
 def parse_events(body: bytes) -> result.Result[StoreResponse, str]:
     """Decode the changes in the response to a watch."""
     try:
-        page = _EventsPage.model_validate_json(body)
+        page = _decode(body, _EventsPage)
         return result.Ok(
             StoreResponse(
                 items=tuple(_make_item(item) for item in page.events),
                 revision=page.revision,
             )
         )
-    except (ValueError, binascii.Error) as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         return result.Err(_describe(error))
 
 
@@ -188,9 +197,9 @@
 ) -> result.Result[models.Configuration, str]:
     """Decode the operators' configuration."""
     try:
-        wire = _Configuration.model_validate_json(value)
+        wire = _decode(value, _Configuration)
         return result.Ok(_make_configuration(wire))
-    except (ValueError, KeyError) as error:
+    except (msgspec.MsgspecError, ValueError, KeyError) as error:
         return result.Err(_describe(error))
 
 
@@ -199,8 +208,8 @@
 ) -> result.Result[models.Endpoint, str]:
     """Decode the record of an endpoint."""
     try:
-        record = _EndpointRecord.model_validate_json(value)
-    except ValueError as error:
+        record = _decode(value, _EndpointRecord)
+    except (msgspec.MsgspecError, ValueError) as error:
         return result.Err(_describe(error))
     return result.Ok(
         models.Endpoint(
@@ -221,6 +230,12 @@
     return key.removeprefix(const.PREFIX_EVACUATED)
 
 
+def _decode(data: bytes, kind: type[_Model]) -> _Model:
+    # The decoder does not read the bytes of unknown fields, which may be
+    # invalid as well.
+    return msgspec.json.decode(data.decode(), type=kind)
+
+
 def _make_item(item: _Item) -> Item:
     value = None
     if not item.deleted:
@@ -308,13 +323,10 @@
 
 def _describe(error: Exception) -> str:
     # Reports only where and what kind an error is, never the value, since
-    # that may contain a caller's key.
-    if isinstance(error, pydantic.ValidationError):
-        faults = [
-            f"{'.'.join(map(str, f['loc']))}: {f['type']}"
-            for f in error.errors(include_url=False, include_input=False)
-        ]
-        return "; ".join(faults[:5])
+    # that may contain a caller's key. Texts of validation errors name types,
+    # bounds and the place.
+    if isinstance(error, msgspec.ValidationError):
+        return str(error)
     return type(error).__name__
 
 
--- a/citronport/relay/eventlog.py
+++ b/citronport/relay/eventlog.py
@@ -5,13 +5,14 @@
 """
 
 import collections
-import dataclasses
 import fcntl
 import json
 import os
 import re
 import time
 
+import msgspec
+
 from citronport import clock
 from citronport.relay import events
 
@@ -50,7 +51,7 @@
         flags = fcntl.fcntl(descriptor, fcntl.F_GETFL)
         fcntl.fcntl(descriptor, fcntl.F_SETFL, flags | os.O_NONBLOCK)
 
-    def write(self, event: object) -> None:
+    def write(self, event: msgspec.Struct) -> None:
         """Write one event, or count it as dropped."""
         now = self._ticker.now()
         name = get_event_name(type(event))
@@ -74,10 +75,12 @@
         )
         self._write_line(event, get_event_name(events.LinesDropped), now)
 
-    def _write_line(self, event: object, name: str, now: float) -> None:
+    def _write_line(
+        self, event: msgspec.Struct, name: str, now: float
+    ) -> None:
         fields = {
-            field.name: _shorten(getattr(event, field.name))
-            for field in dataclasses.fields(event)  # type: ignore[arg-type]
+            name: _shorten(value)
+            for name, value in msgspec.structs.asdict(event).items()
         }
         line = {
             "at": round(now, 4),
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -4,48 +4,42 @@
 line: both are part of the log format.
 """
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Started:
+class Started(msgspec.Struct, frozen=True, kw_only=True):
     """The process started."""
 
     incarnation: str
     version: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ready:
+class Ready(msgspec.Struct, frozen=True, kw_only=True):
     """The readiness of the instance changed."""
 
     ready: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Leaving:
+class Leaving(msgspec.Struct, frozen=True, kw_only=True):
     """A graceful shutdown was requested."""
 
     requests: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Stopped:
+class Stopped(msgspec.Struct, frozen=True, kw_only=True):
     """The process exits."""
 
     requests: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SettingsReloaded:
+class SettingsReloaded(msgspec.Struct, frozen=True, kw_only=True):
     """The settings file was read again."""
 
     accepted: bool
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationInForce:
+class ConfigurationInForce(msgspec.Struct, frozen=True, kw_only=True):
     """A new version of the configuration took effect."""
 
     version: int
@@ -54,8 +48,7 @@
     workspaces: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class InputRejected:
+class InputRejected(msgspec.Struct, frozen=True, kw_only=True):
     """A value in the store is invalid and was ignored."""
 
     code: int
@@ -64,8 +57,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DataCentreChanged:
+class DataCentreChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Operators evacuated a data centre or ended its evacuation."""
 
     data_centre: str
@@ -73,8 +65,7 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EndpointListed:
+class EndpointListed(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint appeared in the list, or its entry changed."""
 
     endpoint: str
@@ -85,8 +76,7 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EndpointLimited:
+class EndpointLimited(msgspec.Struct, frozen=True, kw_only=True):
     """The limit that an endpoint names in its answers changed.
 
     Attributes:
@@ -99,8 +89,7 @@
     rate: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EndpointGone:
+class EndpointGone(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint's entry was removed.
 
     Attributes:
@@ -115,16 +104,14 @@
     lapsed: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreLost:
+class StoreLost(msgspec.Struct, frozen=True, kw_only=True):
     """The store stopped answering."""
 
     reason: str
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreSilent:
+class StoreSilent(msgspec.Struct, frozen=True, kw_only=True):
     """A call to the store failed.
 
     Attributes:
@@ -138,16 +125,14 @@
     received: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StoreBack:
+class StoreBack(msgspec.Struct, frozen=True, kw_only=True):
     """The store answers again."""
 
     away_seconds: float
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerChanged:
+class PeerChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Another instance came into reach or went out of reach."""
 
     peer: str
@@ -155,8 +140,7 @@
     known: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NewsFromPeer:
+class NewsFromPeer(msgspec.Struct, frozen=True, kw_only=True):
     """Changes of the store were fetched from another instance.
 
     Attributes:
@@ -175,8 +159,7 @@
     received: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NewsFailed:
+class NewsFailed(msgspec.Struct, frozen=True, kw_only=True):
     """Another instance is ahead, and the fetch of its changes failed.
 
     Attributes:
@@ -194,8 +177,7 @@
     behind_seconds: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OwnerChanged:
+class OwnerChanged(msgspec.Struct, frozen=True, kw_only=True):
     """The owner of a service's endpoints, which grants slots, changed."""
 
     service: str
@@ -204,15 +186,13 @@
     candidates: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OwnerSilent:
+class OwnerSilent(msgspec.Struct, frozen=True, kw_only=True):
     """An owner did not answer and is skipped temporarily."""
 
     owner: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RequestRefused:
+class RequestRefused(msgspec.Struct, frozen=True, kw_only=True):
     """A request was refused before it was queued for a slot.
 
     Attributes:
@@ -238,8 +218,7 @@
     reach: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RequestSent:
+class RequestSent(msgspec.Struct, frozen=True, kw_only=True):
     """A request is sent to an endpoint.
 
     Attributes:
@@ -271,8 +250,7 @@
     fingerprint: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SendFailed:
+class SendFailed(msgspec.Struct, frozen=True, kw_only=True):
     """A send got no answer, or the answer that the request did not run.
 
     Attributes:
@@ -294,8 +272,7 @@
     fingerprint: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RequestBarred:
+class RequestBarred(msgspec.Struct, frozen=True, kw_only=True):
     """A request is barred, as too many endpoints crashed while it ran.
 
     Attributes:
@@ -309,8 +286,7 @@
     fingerprint: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RequestEnded:
+class RequestEnded(msgspec.Struct, frozen=True, kw_only=True):
     """A request got its final answer, or its caller disconnected.
 
     Attributes:
@@ -351,8 +327,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LinesDropped:
+class LinesDropped(msgspec.Struct, frozen=True, kw_only=True):
     """Lines were dropped since the last such line."""
 
     count: int
--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -2,11 +2,11 @@
 
 import collections.abc
 import contextlib
-import dataclasses
 import random
 
 from absl import logging
 from gevent import socket
+import msgspec
 
 from citronport import clock
 from citronport.relay import eventlog
@@ -238,7 +238,9 @@
             return
         if summary.is_forwarded:
             return
-        data = messages.pack(dataclasses.replace(summary, is_forwarded=True))
+        data = messages.pack(
+            msgspec.structs.replace(summary, is_forwarded=True)
+        )
         for address in self._members.list_addresses(self._ticker.now()):
             self._send_datagram(data, address)
 
--- a/citronport/relay/listeners.py
+++ b/citronport/relay/listeners.py
@@ -1,6 +1,5 @@
 """Servers of an instance: for callers, lookups, readiness and metrics."""
 
-from citronport import settings as common_settings
 from citronport.callers import connections
 from citronport.callers import server as caller_server
 from citronport.platform import const as wire
@@ -58,7 +57,7 @@
     metrics: application_module.Metrics,
 ) -> list[caller_server.Server]:
     """Return the servers for lookups, readiness and metrics."""
-    address = common_settings.Listener(
+    address = settings_module.Listener(
         address=settings.callers.address, port=settings.metrics
     )
     return [
@@ -74,5 +73,5 @@
     limits: connections.Limits | None = None,
 ) -> caller_server.Server:
     return caller_server.make_server(
-        str(listener.address), listener.port, application, limits
+        listener.address, listener.port, application, limits
     )
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -5,9 +5,10 @@
 """
 
 import collections.abc
-import dataclasses
 import zlib
 
+import msgspec
+
 from citronport import codec
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
@@ -20,8 +21,7 @@
 some thousand endpoints."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Report:
+class Report(msgspec.Struct, frozen=True, kw_only=True):
     """State of an instance, sent to the others several times a second.
 
     Attributes:
@@ -71,8 +71,7 @@
     limits: list[endpoint_limits.Row]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Meet:
+class Meet(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a seed for instances of the sender's data centre.
 
     Attributes:
@@ -90,8 +89,7 @@
 """State of one instance in a summary; see ``Summary.rows``."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Summary:
+class Summary(msgspec.Struct, frozen=True, kw_only=True):
     """State of a data centre, sent by one of its envoys to another one.
 
     Attributes:
@@ -130,8 +128,7 @@
     limits: list[endpoint_limits.Row]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Want:
+class Want(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the items of the store changed after a revision.
 
     Attributes:
@@ -145,8 +142,7 @@
     include_large: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Held:
+class Held(msgspec.Struct, frozen=True, kw_only=True):
     """Answers ``Want``.
 
     Attributes:
@@ -165,15 +161,13 @@
     is_complete: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Packed:
+class Packed(msgspec.Struct, frozen=True, kw_only=True):
     """Holds another message, encoded and compressed with zlib."""
 
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True, kw_only=True):
     """Asks the owner of a service's endpoints for a slot for a request.
 
     It is repeated until it is answered and while the request waits. It is
@@ -208,8 +202,7 @@
     tried: list[str]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Granted:
+class Granted(msgspec.Struct, frozen=True, kw_only=True):
     """Answers ``Ask``: the request has a slot.
 
     Attributes:
@@ -231,16 +224,14 @@
     pace: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Queued:
+class Queued(msgspec.Struct, frozen=True, kw_only=True):
     """Answers ``Ask``: the request waits for a slot."""
 
     protocol: int
     request: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Full:
+class Full(msgspec.Struct, frozen=True, kw_only=True):
     """Answers ``Ask``: the request would not get a slot in time.
 
     Attributes:
@@ -254,16 +245,14 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Declined:
+class Declined(msgspec.Struct, frozen=True, kw_only=True):
     """Answers ``Ask``: the instance asked can't decide on this request."""
 
     protocol: int
     request: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Begun:
+class Begun(msgspec.Struct, frozen=True, kw_only=True):
     """Notifies the owner that a request got its first event."""
 
     protocol: int
@@ -271,8 +260,7 @@
     endpoint: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ended:
+class Ended(msgspec.Struct, frozen=True, kw_only=True):
     """Notifies the owner that a request no longer needs its slot.
 
     Attributes:
@@ -294,8 +282,7 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Holding:
+class Holding(msgspec.Struct, frozen=True, kw_only=True):
     """Notifies an owner of all leases that the sender holds from it.
 
     Attributes:
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -1,13 +1,14 @@
 """Counters and histograms of an instance, served as Prometheus text."""
 
+import bisect
 import collections
 import collections.abc
 import dataclasses
+import typing
 from typing import Any
 
-import aioprometheus
-from aioprometheus import histogram
-from aioprometheus import renderer
+if typing.TYPE_CHECKING:
+    import aioprometheus
 
 BUCKETS = (
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0,
@@ -19,9 +20,22 @@
 _LABEL_REPLACEMENTS = str.maketrans({'"': "_", "\\": "_", "\n": "_"})
 
 
-def make_histogram() -> histogram.Histogram:
-    """Return an empty histogram of durations."""
-    return histogram.Histogram(*BUCKETS)
+class Durations:
+    """Histogram of durations.
+
+    Attributes:
+        counts: number of durations in each bucket, without lower ones.
+        total: sum of the durations, seconds.
+    """
+
+    def __init__(self) -> None:
+        self.counts = [0] * len(BUCKETS)
+        self.total = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Add a duration."""
+        self.counts[bisect.bisect_left(BUCKETS, seconds)] += 1
+        self.total += seconds
 
 
 class Counts:
@@ -49,11 +63,11 @@
         self.leased_sends = 0
         self.repeats = 0
         self.cut_sends = 0
-        self.first_byte_seconds: dict[str, histogram.Histogram] = (
-            collections.defaultdict(make_histogram)
+        self.first_byte_seconds: dict[str, Durations] = (
+            collections.defaultdict(Durations)
         )
-        self.longest_pauses = make_histogram()
-        self.queue_seconds = make_histogram()
+        self.longest_pauses = Durations()
+        self.queue_seconds = Durations()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -117,6 +131,11 @@
 
 def render(state: State, counts: Counts) -> tuple[bytes, str]:
     """Return the metrics in the text format, and their content type."""
+    # Imported at the first query: the library loads an event loop of its
+    # own, which would delay the start of an instance.
+    import aioprometheus
+    from aioprometheus import renderer
+
     registry = aioprometheus.Registry()
 
     def gauge(name: str, doc: str, value: float) -> None:
@@ -256,7 +275,11 @@
     )
 
 
-def _add_histograms(registry: aioprometheus.Registry, counts: Counts) -> None:
+def _add_histograms(
+    registry: "aioprometheus.Registry", counts: Counts
+) -> None:
+    import aioprometheus
+
     for name, doc, observed in (
         (
             "first_byte_seconds",
@@ -279,4 +302,15 @@
         )
         for kind, each in observed.items():
             labels = {"kind": kind} if kind else {}
-            collector.set_value(labels, each)
+            collector.set_value(labels, _make_histogram(each))
+
+
+def _make_histogram(durations: Durations) -> Any:
+    from aioprometheus import histogram
+
+    made = histogram.Histogram(*BUCKETS)
+    made.observations = sum(durations.counts)
+    made.sum = durations.total
+    for bound, count in zip(BUCKETS, durations.counts, strict=True):
+        made.buckets[bound] = count
+    return made
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -1,40 +1,44 @@
 """Settings of an instance in relay mode, read from YAML."""
 
+import dataclasses
 import pathlib
+import socket
 from typing import Annotated
 from typing import Any
 
-import pydantic
+import msgspec
 import result
 
+from citronport import const
 from citronport import documents
-from citronport import settings as common
+from citronport import logs
 
 MAX_NAME_BYTES = 64
 
+NO_LISTENER = 'an "ip:port" address is needed'
 
-def _parse_listener(value: Any) -> Any:
-    if not isinstance(value, str):
-        return value
-    host, _, port = value.rpartition(":")
-    return {"address": host, "port": port}
+Name = Annotated[
+    str,
+    msgspec.Meta(max_length=MAX_NAME_BYTES, pattern=const.NAME_PATTERN),
+]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+Number = Annotated[float, msgspec.Meta(ge=0)]
 
 
-def _split_list(value: Any) -> Any:
-    if value is None:
-        return ()
-    if not isinstance(value, str):
-        return value
-    return tuple(part for part in value.split(",") if part)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listener:
+    """An address to listen on, or to connect to."""
 
+    address: str
+    port: int
 
-Listener = Annotated[
-    common.Listener, pydantic.BeforeValidator(_parse_listener)
-]
-"""An address, also in the form "ip:port"."""
+    def __str__(self) -> str:
+        """Return "ip:port"."""
+        return f"{self.address}:{self.port}"
 
 
-class Bounds(pydantic.BaseModel):
+class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds that the operators guarantee to callers.
 
     Attributes:
@@ -50,26 +54,18 @@
             left may be used by another one.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-    grace_seconds: float = pydantic.Field(default=8.0, gt=0)
-    retry_ratio: float = pydantic.Field(default=0.2, ge=0)
-    retry_extra: float = pydantic.Field(default=0.0, ge=0)
-    retry_window_seconds: float = pydantic.Field(default=10.0, gt=0)
-    limit_over: float = pydantic.Field(default=0.0, ge=0)
-    limit_slack: float = pydantic.Field(default=0.0, ge=0)
-    reuse_seconds: float = pydantic.Field(default=2.0, ge=0)
+    grace_seconds: PositiveNumber = 8.0
+    retry_ratio: Number = 0.2
+    retry_extra: Number = 0.0
+    retry_window_seconds: PositiveNumber = 10.0
+    limit_over: Number = 0.0
+    limit_slack: Number = 0.0
+    reuse_seconds: Number = 2.0
 
-    @pydantic.model_validator(mode="before")
-    @classmethod
-    def drop_unset(cls, value: Any) -> Any:
-        """Use the default for a key without a value."""
-        if isinstance(value, dict):
-            return {k: v for k, v in value.items() if v is not None}
-        return value
 
-
-class Settings(pydantic.BaseModel):
+class Settings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Settings of an instance.
 
     Attributes:
@@ -91,30 +87,22 @@
         log_level: minimum level of log lines.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-    instance: str = pydantic.Field(
-        max_length=MAX_NAME_BYTES, pattern=common.NAME_PATTERN
-    )
-    data_centre: str = pydantic.Field(
-        max_length=MAX_NAME_BYTES, pattern=common.NAME_PATTERN
-    )
+    instance: Name
+    data_centre: Name
     callers: Listener
     readiness: Listener
     lookups: Listener
     peers: Listener
-    reports: int = pydantic.Field(ge=1, le=65535)
-    metrics: int = pydantic.Field(ge=1, le=65535)
+    reports: Port
+    metrics: Port
     store: Listener
-    seeds: Annotated[
-        tuple[Listener, ...], pydantic.BeforeValidator(_split_list)
-    ] = ()
-    memory_mb: float = pydantic.Field(default=150.0, gt=0)
-    cores: float = pydantic.Field(default=1.0, gt=0)
-    core_speed: float = pydantic.Field(default=1.0, gt=0)
-    files: int = pydantic.Field(default=1024, ge=64)
+    seeds: tuple[Listener, ...] = ()
+    memory_mb: PositiveNumber = 150.0
+    cores: PositiveNumber = 1.0
+    core_speed: PositiveNumber = 1.0
+    files: Annotated[int, msgspec.Meta(ge=64)] = 1024
     bounds: Bounds = Bounds()
-    log_level: common.LogLevel = common.LogLevel.INFO
+    log_level: logs.Level = logs.Level.INFO
 
     @property
     def capacity(self) -> float:
@@ -124,9 +112,92 @@
 
 def read_settings(path: pathlib.Path) -> result.Result[Settings, str]:
     """Read and check a settings file; see ``settings.read_settings``."""
-    match common.read_text(path):
+    match documents.read_text(path):
         case result.Err(reason):
             return result.Err(reason)
         case result.Ok(text):
-            checked = documents.parse(text, Settings)
-            return checked.map_err(lambda r: f"{path}: {r}")
+            return _parse(text).map_err(lambda r: f"{path}: {r}")
+
+
+def parse_listener(text: Any) -> Listener:
+    """Return the listener of a text in the form "ip:port".
+
+    Raises:
+        ValueError: the value is not such a text.
+    """
+    if not isinstance(text, str):
+        raise ValueError(NO_LISTENER)
+    host, _, port = text.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        socket.inet_pton(family, host)
+        number = msgspec.convert(port, Port, strict=False)
+    except (OSError, msgspec.ValidationError) as error:
+        raise ValueError(NO_LISTENER) from error
+    return Listener(host, number)
+
+
+def _parse(text: str) -> result.Result[Settings, str]:
+    match documents.load(text):
+        case result.Err(reason):
+            return result.Err(reason)
+        case result.Ok(dict() as raw):
+            if isinstance(raw.get("seeds"), str):
+                raw["seeds"] = [s for s in raw["seeds"].split(",") if s]
+            faults: list[documents.Fault] = []
+            settings = _convert(raw, Settings, (), faults)
+            if settings is None:
+                return result.Err(documents.describe_faults(text, faults))
+            return result.Ok(settings)
+        case _:
+            return result.Err(documents.NO_MAPPING)
+
+
+def _convert(
+    raw: dict,
+    kind: type[msgspec.Struct],
+    path: documents.Location,
+    faults: list[documents.Fault],
+) -> Any:
+    """Return the struct of a mapping; None if it has faults.
+
+    Converts field by field, so that each fault is found and not only the
+    first one. A key without a value gets its default.
+
+    Args:
+        raw: the mapping.
+        kind: the struct.
+        path: path of the mapping from the top of the document.
+        faults: receives the faults.
+    """
+    fields = {field.name: field for field in msgspec.structs.fields(kind)}
+    found = len(faults)
+    values = {}
+    for key in raw.keys() - fields.keys():
+        faults.append(
+            documents.Fault((*path, str(key)), documents.UNKNOWN_KEY)
+        )
+    for name, field in fields.items():
+        location = (*path, name)
+        value = raw.get(name)
+        if value is None:
+            if field.required:
+                faults.append(
+                    documents.Fault(location, documents.MISSING_VALUE)
+                )
+        elif field.type is Bounds and isinstance(value, dict):
+            values[name] = _convert(value, Bounds, location, faults)
+        else:
+            try:
+                values[name] = _convert_value(value, field.type)
+            except (msgspec.ValidationError, ValueError) as error:
+                faults.append(documents.Fault(location, str(error)))
+    return kind(**values) if len(faults) == found else None
+
+
+def _convert_value(value: Any, kind: Any) -> Any:
+    if kind is Listener:
+        return parse_listener(value)
+    if kind == tuple[Listener, ...] and isinstance(value, list):
+        return tuple(parse_listener(each) for each in value)
+    return msgspec.convert(value, kind, strict=False)
--- a/citronport/settings.py
+++ b/citronport/settings.py
@@ -1,24 +1,15 @@
 """Settings of an entry instance, read from YAML and validated."""
 
-import enum
 import ipaddress
 import pathlib
 
 import pydantic
 import result
 
+from citronport import const
 from citronport import documents
-
-NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]*$"
-"""Names are used in headers, tickets and metric labels."""
-
-
-class LogLevel(enum.StrEnum):
-    """Lowest level of the messages that are logged."""
-
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
+from citronport import logs
+from citronport import validation
 
 
 class Listener(pydantic.BaseModel):
@@ -63,13 +54,15 @@
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
-    instance: str = pydantic.Field(max_length=64, pattern=NAME_PATTERN)
-    data_centre: str = pydantic.Field(max_length=64, pattern=NAME_PATTERN)
+    instance: str = pydantic.Field(max_length=64, pattern=const.NAME_PATTERN)
+    data_centre: str = pydantic.Field(
+        max_length=64, pattern=const.NAME_PATTERN
+    )
     callers: Listener
     peers: Listener
     operators: Listener
     platform: tuple[Listener, ...] = pydantic.Field(min_length=1)
-    log_level: LogLevel = LogLevel.INFO
+    log_level: logs.Level = logs.Level.INFO
     trace_file: str | None = pydantic.Field(default=None, min_length=1)
     trace_share: float = pydantic.Field(default=1.0, ge=0, le=1)
     event_file: str | None = pydantic.Field(default=None, min_length=1)
@@ -85,12 +78,12 @@
         for index, (name, listener) in enumerate(listeners):
             for other_name, other in listeners[:index]:
                 if listener.overlaps(other):
-                    raise documents.make_error(
+                    raise validation.make_error(
                         (name, "port"),
                         f"{listener} is taken by {other_name} already",
                     )
         if self.event_file is not None and self.event_file == self.trace_file:
-            raise documents.make_error(
+            raise validation.make_error(
                 ("event_file",), "trace_file names the same file"
             )
         return self
@@ -105,7 +98,7 @@
     Returns:
         The settings, or one line that lists each error.
     """
-    match read_text(path):
+    match documents.read_text(path):
         case result.Err(reason):
             return result.Err(reason)
         case result.Ok(text):
@@ -114,14 +107,4 @@
 
 def parse_settings(text: str) -> result.Result[Settings, str]:
     """Parse the text of a settings file; see ``read_settings``."""
-    return documents.parse(text, Settings)
-
-
-def read_text(path: pathlib.Path) -> result.Result[str, str]:
-    """Return the text of a file, or a one-line reason why it is unreadable."""
-    try:
-        return result.Ok(path.read_text())
-    except OSError as error:
-        return result.Err(f"{path}: {error.strerror}")
-    except UnicodeDecodeError:
-        return result.Err(f"{path}: not a text file")
+    return validation.parse(text, Settings)
--- a/tests/relay/networks.py
+++ b/tests/relay/networks.py
@@ -49,7 +49,9 @@
             reports=7600,
             metrics=9464,
             seeds=seeds,
-            **dict.fromkeys(address_fields, self.address),
+            **dict.fromkeys(
+                address_fields, settings_module.parse_listener(self.address)
+            ),
         )
         self.gossip = gossip.Gossip(
             settings,
--- a/tests/relay/nodes.py
+++ b/tests/relay/nodes.py
@@ -39,7 +39,9 @@
             data_centre=data_centre,
             reports=7600,
             metrics=9464,
-            **{name: f"{host}:8229" for name in address_fields},
+            **dict.fromkeys(
+                address_fields, settings_module.parse_listener(self.address)
+            ),
         )
         log = samples.make_log(ticker)
         self.follower = follower_module.Follower(
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -1,9 +1,9 @@
 """The operations page lists the log events and metrics that exist."""
 
-import dataclasses
 import pathlib
 import re
 
+import msgspec
 import testtools
 
 from citronport.relay import eventlog
@@ -54,8 +54,9 @@
         kinds = [
             value
             for value in vars(events).values()
-            if dataclasses.is_dataclass(value)
+            if isinstance(value, type) and issubclass(value, msgspec.Struct)
         ]
+        self.assertNotEqual([], kinds)
         logged = {eventlog.get_event_name(kind) for kind in kinds}
         self.assertEqual(
             logged, set(re.findall(r"`(\w+)`", read_rows("The lines")))
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -126,3 +126,23 @@
             timeout=60,
         )
         self.assertEqual("0\n", done.stdout, done.stderr)
+
+    def test_relay_loads_no_library_that_it_does_not_need(self):
+        """Guards against libraries that delay each start of an instance."""
+        script = (
+            "import sys;"
+            "sys.argv = ['citronport', 'relay', 'no-such-file.yaml'];"
+            "import citronport.__main__ as main;"
+            "import citronport.relay.core;"
+            "import contextlib;"
+            "\nwith contextlib.suppress(SystemExit): main.run()\n"
+            "print({'aioprometheus', 'asyncio', 'fire', 'pydantic'}"
+            " & set(sys.modules))"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        self.assertEqual("set()\n", done.stdout, done.stderr)
