--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -334,6 +334,12 @@
             profile.base_steps + profile.steps_per_token * work.prompt_tokens
         )
 
+    def _is_late(
+        self, work: models.Work, service: models.Service, now: float
+    ) -> bool:
+        expected = now + self._estimate_first_event(work, service.name)
+        return expected > work.arrived + work.route.objective
+
     def _get_role(self, now: float) -> roles.Role:
         if now >= self._role_until:
             instances = self._members.list_known(now)
@@ -355,6 +361,10 @@
         candidates = [e for e in view.endpoints if e.name not in waiter.tried]
         if not candidates and waiter.tried >= view.listed:
             candidates = view.endpoints
+        if not self._is_late(waiter.work, service, now):
+            candidates = self._selector.list_for_prompt(
+                waiter.work, service, candidates
+            )
         if not waiter.leased and view.sample_size < len(candidates):
             candidates = random.sample(candidates, view.sample_size)
         placement = self._selector.choose(
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -20,6 +20,10 @@
 """Time until an owner learns of a free slot and a new request arrives there:
 the end of the lease, the grant and a new connection."""
 
+FAST_ENGINE_FACTOR = 1.25
+"""Step time, as a multiple of the typical one, up to which an engine gets
+prompts of any length. It allows for the spread among equal engines."""
+
 FAILURE_PENALTY_SECONDS = 2.0
 """Penalty for a failure share of 1, as additional waiting time."""
 
@@ -108,6 +112,41 @@
                 best = Placement(endpoint=endpoint, seconds=seconds, cost=cost)
         return best
 
+    def list_for_prompt(
+        self,
+        work: models.Work,
+        service: models.Service,
+        endpoints: collections.abc.Iterable[models.Endpoint],
+    ) -> list[models.Endpoint]:
+        """Return the endpoints where a prompt does not interrupt streams.
+
+        While an engine processes a long prompt, the streams that run there
+        get their events at the pace of the prompt's chunks. On an engine of a
+        third of the usual speed, most of them then pause for longer than
+        their callers allow, and come late. Short requests run there without
+        harm, so that the engine need not be idle.
+
+        Args:
+            work: the request.
+            service: service of the endpoints.
+            endpoints: the endpoints to choose from.
+        """
+        max_gap = work.route.max_gap
+        if service.engine is None or max_gap is None:
+            return list(endpoints)
+        profile = self._loads.profiles.get(service.name)
+        steps = (
+            service.engine.event_tokens
+            + profile.steps_per_token * work.prompt_tokens
+        )
+        max_step = max(
+            FAST_ENGINE_FACTOR * self._loads.get_typical_step_ms(),
+            max_gap / runs.SECONDS_PER_MS / steps,
+        )
+        return [
+            e for e in endpoints if self._loads.get_step_ms(e.name) <= max_step
+        ]
+
     def has_capacity(
         self,
         endpoint: models.Endpoint,
@@ -215,4 +254,8 @@
     def _compute_penalty(self, endpoint: models.Endpoint, now: float) -> float:
         name = endpoint.name
         failure_share = self._health.get_failure_share(name, now)
-        return failure_share * FAILURE_PENALTY_SECONDS
+        return failure_share * FAST_ENGINE_FACTOR = 1.25
+"""Step time, as a multiple of the typical one, up to which an engine gets
+prompts of any length. It allows for the spread among equal engines."""
+
+FAILURE_PENALTY_SECONDS
