--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -254,8 +254,4 @@
     def _compute_penalty(self, endpoint: models.Endpoint, now: float) -> float:
         name = endpoint.name
         failure_share = self._health.get_failure_share(name, now)
-        return failure_share * FAST_ENGINE_FACTOR = 1.25
-"""Step time, as a multiple of the typical one, up to which an engine gets
-prompts of any length. It allows for the spread among equal engines."""
-
-FAILURE_PENALTY_SECONDS
+        return failure_share * FAILURE_PENALTY_SECONDS
