Revert the refusal of overtaken requests: it refuses more

Hypothesis: requests that more urgent ones have pushed back are given up on and should get their answer at once, so that their callers come back earlier. Tried: ten times a second, each waiting request whose place in the queue, at the rate at which slots become free, gives a longer wait than it may wait is refused.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -28,9 +28,6 @@
 """Interval at which queued requests are matched without another trigger. No
 event signals that a suspect or cold endpoint may be used again."""
 
-REVIEW_INTERVAL_SECONDS = 0.1
-"""Interval at which waiting requests that were overtaken are refused."""
-
 ROLE_CACHE_SECONDS = 0.05
 """How long the list of instances is cached. Reports that change it arrive at
 intervals of 0.1 s or more, and choosing an endpoint takes less time than
@@ -41,36 +38,6 @@
 for at most a third of that time before a retry."""
 
 
-class _LocalHandle:
-    """Wakes a waiting request of this instance.
-
-    Attributes:
-        reservation: its reservation; None without one.
-        retry_seconds: time after which a slot is expected; 0 if unknown.
-    """
-
-    def __init__(self) -> None:
-        self.reservation: Reservation | None = None
-        self.retry_seconds = 0.0
-        self._decided = gevent_event.Event()
-
-    def set(self, reservation: "Reservation") -> None:
-        """Accept a reservation."""
-        self.reservation = reservation
-        self._decided.set()
-
-    def refuse(self, retry_seconds: float) -> None:
-        """End the wait without a reservation."""
-        self.retry_seconds = retry_seconds
-        self._decided.set()
-
-    def wait(self, seconds: float) -> None:
-        """Wait until the request is decided, for at most some seconds."""
-        # Its timeout raises nothing, unlike the deadline timeout of the whole
-        # request, which must end the request.
-        self._decided.wait(timeout=seconds)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Reservation:
     """Capacity of an endpoint that is reserved for one request.
@@ -150,20 +117,20 @@
         if found is not None:
             return found
         now = self._ticker.now()
-        handle = _LocalHandle()
+        assignment: gevent_event.AsyncResult = gevent_event.AsyncResult()
         waiter = wait_queue.Waiter(
-            work=work, waiting_since=now, tried=tried, handle=handle
+            work=work, waiting_since=now, tried=tried, handle=assignment
         )
         retry_seconds = self.enqueue(waiter, service)
         if retry_seconds is not None:
             return self._refuse(work, service, retry_seconds)
         try:
-            handle.wait(wait_queue.compute_max_wait(work, now))
+            # Not "get": its timeout is indistinguishable from the deadline
+            # timeout of the whole request, which must end the request.
+            assignment.wait(timeout=wait_queue.compute_max_wait(work, now))
         finally:
             self.cancel(waiter, service)
-        return handle.reservation or self._refuse(
-            work, service, handle.retry_seconds
-        )
+        return assignment.value or self._refuse(work, service)
 
     def enqueue(self, waiter: wait_queue.Waiter, service: str) -> float | None:
         """Queue a request and match it at once if there is capacity.
@@ -197,19 +164,15 @@
         service: str,
         queue: wait_queue.WaitQueue,
     ) -> float:
-        slot_rate = self._compute_slot_rate(service)
-        if slot_rate is None:
-            return 0.0
-        return queue.estimate_wait(waiter, slot_rate, self._ticker.now())
-
-    def _compute_slot_rate(self, service: str) -> float | None:
-        """Return the slots that become free per second; None if unknown."""
+        now = self._ticker.now()
         configuration = self._cluster_state.configuration
         known_service = configuration and configuration.services.get(service)
         endpoints = self._cluster_state.list_endpoints(service)
         if not known_service or not endpoints:
-            return None
-        return self._selector.compute_slot_rate(known_service, endpoints)
+            # There is no data to base a forecast on.
+            return 0.0
+        slot_rate = self._selector.compute_slot_rate(known_service, endpoints)
+        return queue.estimate_wait(waiter, slot_rate, now)
 
     def cancel(self, waiter: wait_queue.Waiter, service: str) -> None:
         """Remove a request from the queue."""
@@ -255,24 +218,9 @@
 
     def run_match_loop(self) -> None:
         """Match queued requests at a fixed interval, indefinitely."""
-        reviewed_at = self._ticker.now()
         while True:
             self._ticker.sleep(MATCH_INTERVAL_SECONDS)
             self._match_queues()
-            now = self._ticker.now()
-            if now - reviewed_at >= REVIEW_INTERVAL_SECONDS:
-                reviewed_at = now
-                self._refuse_overtaken(now)
-
-    def _refuse_overtaken(self, now: float) -> None:
-        for service, queue in self._queues.items():
-            if not len(queue):
-                continue
-            slot_rate = self._compute_slot_rate(service)
-            if slot_rate is None:
-                continue
-            for waiter, wait in queue.remove_overtaken(slot_rate, now):
-                waiter.handle.refuse(wait)
 
     def count_waiting(self) -> int:
         """Return the number of waiting requests."""
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -31,7 +31,6 @@
         ask: the lease request.
         last_asked: clock time of the newest lease request, seconds.
         grant: called with the reservation.
-        reject: called with the retry time if it gets none.
         waiter: the queue entry; None before the request is queued.
     """
 
@@ -40,17 +39,12 @@
     grant: collections.abc.Callable[
         ["_Applicant", dispatcher_module.Reservation], None
     ]
-    reject: collections.abc.Callable[[messages.Ask, float], None]
     waiter: wait_queue.Waiter | None = None
 
     def set(self, reservation: dispatcher_module.Reservation) -> None:
         """Accept a reservation; called by the queue's matching."""
         self.grant(self, reservation)
 
-    def refuse(self, retry_seconds: float) -> None:
-        """End the wait without a reservation; called by the dispatcher."""
-        self.reject(self.ask, retry_seconds)
-
 
 class LeaseServer:
     """Answers lease requests of other instances.
@@ -102,7 +96,7 @@
             if work is None:
                 self._decline(ask)
                 return
-            applicant = _Applicant(ask, now, self._grant, self._reject)
+            applicant = _Applicant(ask, now, self._grant)
             retry_seconds = self._enqueue(applicant, work, now)
             if retry_seconds is not None:
                 self._reject(ask, retry_seconds)
--- a/citronport/scheduler/direct/wait_queue.py
+++ b/citronport/scheduler/direct/wait_queue.py
@@ -126,36 +126,9 @@
             w is not waiter and self._compute_sort_key(w, now) <= own
             for w in self._waiters
         )
-        return _compute_wait(ahead, slot_rate)
-
-    def remove_overtaken(
-        self, slot_rate: float, now: float
-    ) -> list[tuple[Waiter, float]]:
-        """Remove the requests that will not get a slot in time to wait for it.
-
-        More urgent requests that arrive later push others back. Their callers
-        can come back earlier if they are refused now, and not at the end of
-        their longest wait.
-
-        Args:
-            slot_rate: slots that become free per second.
-            now: clock time, seconds.
-
-        Returns:
-            The requests, each with the least time that it would have waited,
-            seconds.
-        """
-        overtaken = []
-        kept = 0
-        for waiter in self.list_by_urgency(now):
-            wait = _compute_wait(kept, slot_rate)
-            if wait > compute_max_wait(waiter.work, now):
-                overtaken.append((waiter, wait))
-            else:
-                kept += 1
-        for waiter, _ in overtaken:
-            self._waiters.remove(waiter)
-        return overtaken
+        if not ahead:
+            return 0.0
+        return ahead / slot_rate if slot_rate > 0 else float("inf")
 
     def match(
         self,
@@ -187,9 +160,3 @@
         expected_start = now + self._expect_first_event(work)
         late = expected_start > work.arrived + work.route.objective
         return (work.tier, work.route.tier, late, work.arrived)
-
-
-def _compute_wait(ahead: int, slot_rate: float) -> float:
-    if not ahead:
-        return 0.0
-    return ahead / slot_rate if slot_rate > 0 else float("inf")
