Let a long prompt use any engine for half of its longest wait

Cause: a request with a long prompt waited for a fast engine until it could not be in time any more. Where half of the time to its deadline is shorter than its objective, it would have been refused before, while less urgent requests got the slow engines: no request of a higher tier may be shed while a lower one is served.

Ruled out on the present deployments: there the longest wait is twice the objective, so that the half begins after lateness does and nothing changes.

Change: the wait for a fast engine ends with half of the longest wait.

Before: test_long_prompt_is_not_refused_while_a_slow_engine_is_free fails (the request is refused); after: passes.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -337,11 +337,20 @@
             profile.base_steps + profile.steps_per_token * work.prompt_tokens
         )
 
-    def _is_late(
+    def _may_wait_for_fast_engine(
         self, work: models.Work, service: models.Service, now: float
     ) -> bool:
+        """Return whether a request need not use any engine yet.
+
+        Less urgent requests with short prompts use the slow engines in the
+        meantime. It must not be refused while these are served, so that half
+        of its longest wait remains for any engine.
+        """
         expected = now + self._estimate_first_event(work, service.name)
-        return expected > work.arrived + work.route.objective
+        if expected > work.arrived + work.route.objective:
+            return False
+        longest = wait_queue.compute_max_wait(work, work.arrived)
+        return wait_queue.compute_max_wait(work, now) > longest / 2
 
     def _get_role(self, now: float) -> roles.Role:
         if now >= self._role_until:
@@ -364,7 +373,7 @@
         candidates = [e for e in view.endpoints if e.name not in waiter.tried]
         if not candidates and waiter.tried >= view.listed:
             candidates = view.endpoints
-        if not self._is_late(waiter.work, service, now):
+        if self._may_wait_for_fast_engine(waiter.work, service, now):
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
             )
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -132,6 +132,28 @@
         found = room.dispatcher.acquire(late, samples.ENGINES, frozenset())
         self.assertEqual("e1", found.endpoint.name)
 
+    def test_long_prompt_is_not_refused_while_a_slow_engine_is_free(self):
+        """Guards against refusing a request while less urgent ones are served.
+
+        Its objective is so long that it could still be in time at the end of
+        its longest wait, which half of the time to its deadline limits.
+        """
+        endpoints = [samples.make_endpoint(n) for n in ("e1", "e2", "e3")]
+        room = samples.DispatcherFixture(endpoints)
+        now = room.ticker.now()
+        for name, step_ms in (("e1", 12.0), ("e2", 3.0), ("e3", 3.0)):
+            room.board.apply_step_ms("other", name, step_ms)
+        for number in range(6):
+            name = f"e{2 + number % 2}"
+            work = samples.make_work(f"t{number}", now=now)
+            room.board.record_send(name, work, now)
+        route = samples.make_route(objective=10.0, timeout=12.0)
+        work = samples.make_work(
+            "long", route, now - 3.5, prompt_tokens=20_000
+        )
+        found = room.dispatcher.acquire(work, samples.ENGINES, frozenset())
+        self.assertEqual("e1", found.endpoint.name)
+
     def test_no_endpoint_has_its_own_code(self):
         """Without a listed endpoint, the refusal after the wait says so."""
         room = samples.DispatcherFixture([])
