Count the wait for a fast engine from its start

Change: the wait for a fast engine ends when half of the longest wait, counted from the start of the wait, is over.

Before: script/test dispatcher: 1 failed (refused); after: 42 passed, 0 failed (dispatcher fleet_load selection leasing); with the condition taken out the test fails.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -338,7 +338,7 @@
         )
 
     def _may_wait_for_fast_engine(
-        self, work: models.Work, service: models.Service, now: float
+        self, waiter: wait_queue.Waiter, service: models.Service, now: float
     ) -> bool:
         """Return whether a request need not use any engine yet.
 
@@ -346,11 +346,11 @@
         meantime. It must not be refused while these are served, so that half
         of its longest wait remains for any engine.
         """
+        work, since = waiter.work, waiter.waiting_since
         expected = now + self._estimate_first_event(work, service.name)
         if expected > work.arrived + work.route.objective:
             return False
-        longest = wait_queue.compute_max_wait(work, work.arrived)
-        return wait_queue.compute_max_wait(work, now) > longest / 2
+        return now - since <= wait_queue.compute_max_wait(work, since) / 2
 
     def _get_role(self, now: float) -> roles.Role:
         if now >= self._role_until:
@@ -373,7 +373,7 @@
         candidates = [e for e in view.endpoints if e.name not in waiter.tried]
         if not candidates and waiter.tried >= view.listed:
             candidates = view.endpoints
-        if self._may_wait_for_fast_engine(waiter.work, service, now):
+        if self._may_wait_for_fast_engine(waiter, service, now):
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
             )
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -1,10 +1,12 @@
 """Reservations, queueing and refusals by the dispatcher."""
 
 import gevent
+from gevent import event as gevent_event
 import testtools
 
 from citronport import errors
 from citronport.relay import dispatcher as dispatcher_module
+from citronport.scheduler.direct import wait_queue
 from tests.relay import samples
 
 
@@ -148,11 +150,19 @@
             work = samples.make_work(f"t{number}", now=now)
             room.board.record_send(name, work, now)
         route = samples.make_route(objective=10.0, timeout=12.0)
-        work = samples.make_work(
-            "long", route, now - 3.5, prompt_tokens=20_000
-        )
-        found = room.dispatcher.acquire(work, samples.ENGINES, frozenset())
-        self.assertEqual("e1", found.endpoint.name)
+        handles = []
+        for waited in (2.5, 3.5):
+            since = now - waited
+            work = samples.make_work(
+                f"waited {waited}", route, since, prompt_tokens=20_000
+            )
+            handles.append(gevent_event.AsyncResult())
+            waiter = wait_queue.Waiter(
+                work=work, waiting_since=since, handle=handles[-1]
+            )
+            room.dispatcher.enqueue(waiter, samples.ENGINES)
+        self.assertIsNone(handles[0].value)
+        self.assertEqual("e1", handles[1].value.endpoint.name)
 
     def test_no_endpoint_has_its_own_code(self):
         """Without a listed endpoint, the refusal after the wait says so."""
