Match whole texts at the relay's border, and say what a number lacks

Cause: read on the diff: the patterns end in a dollar sign, which in the new decoder's patterns also stands before a line end, and its digits are those of any script. An address with a line end behind it, which was left out before, would have been taken. A number with a unit in a settings file got the decoder's words instead of ours.

Change: whole texts and ASCII digits; the former message.

--- a/citronport/const.py
+++ b/citronport/const.py
@@ -4,8 +4,10 @@
 
 VERSION: Final = "0.1.0"
 
-NAME_PATTERN: Final = r"^[A-Za-z0-9][A-Za-z0-9._-]*$"
-"""Names are used in headers, tickets and metric labels."""
+NAME: Final = r"[A-Za-z0-9][A-Za-z0-9._-]*"
+"""Pattern of names, which are used in headers, tickets and metric labels."""
+
+NAME_PATTERN: Final = f"^{NAME}$"
 
 TIERS: Final = 4
 """Tiers are numbered 0 (served first) to 3."""
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -56,9 +56,11 @@
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
 _PositiveInteger = Annotated[int, msgspec.Meta(gt=0)]
 _PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
-_Prefix = Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$")]
-_Address = Annotated[str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
-_State = Annotated[str, msgspec.Meta(pattern="^(ready|draining)$")]
+_Prefix = Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?\Z")]
+_Address = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]+\Z")
+]
+_State = Annotated[str, msgspec.Meta(pattern=r"^(ready|draining)\Z")]
 
 
 _Model = TypeVar("_Model")
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -19,7 +19,7 @@
 
 Name = Annotated[
     str,
-    msgspec.Meta(max_length=MAX_NAME_BYTES, pattern=const.NAME_PATTERN),
+    msgspec.Meta(max_length=MAX_NAME_BYTES, pattern=rf"^{const.NAME}\Z"),
 ]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
@@ -191,7 +191,7 @@
             try:
                 values[name] = _convert_value(value, field.type)
             except (msgspec.ValidationError, ValueError) as error:
-                faults.append(documents.Fault(location, str(error)))
+                faults.append(documents.Fault(location, _describe(error)))
     return kind(**values) if len(faults) == found else None
 
 
@@ -201,3 +201,10 @@
     if kind == tuple[Listener, ...] and isinstance(value, list):
         return tuple(parse_listener(each) for each in value)
     return msgspec.convert(value, kind, strict=False)
+
+
+def _describe(error: Exception) -> str:
+    text = str(error)
+    if text.startswith(("Expected `int`, got", "Expected `float`, got")):
+        return documents.NOT_A_NUMBER
+    return text
--- a/tests/platform/test_models.py
+++ b/tests/platform/test_models.py
@@ -141,6 +141,11 @@
             {"state": "resting"},
             {"address": "host:80"},
             {"address": 5},
+            {"address": "10.0.0.1:80\n"},
+            {"address": "10.0.0.1:\u0668\u0660"},
+            {"state": "ready\n"},
+            {"coldLeftMs": float("nan")},
+            {"coldLeftMs": float("inf")},
             {"born": "today"},
         ):
             self.assertTrue(self.parse(**changes).is_err(), changes)
--- a/tests/relay/test_settings.py
+++ b/tests/relay/test_settings.py
@@ -46,11 +46,21 @@
         text = TEXT.replace('"10.0.0.1:8229,10.0.0.2:8229"', "")
         self.assertEqual((), self.read(text).unwrap().seeds)
 
+    def test_all_errors_are_reported(self):
+        """Guards against a file that has to be corrected once per error."""
+        text = TEXT.replace("7600", "70000").replace("8221", "eighty")
+        wrong = self.read(text + "colour: red\n").unwrap_err()
+        for place in ("line 3: callers", "line 7: reports", "line 14: colour"):
+            self.assertIn(place, wrong)
+
     def test_errors_name_line_and_key(self):
         """Each error names the line and the key."""
         for wrong, place in (
             (TEXT.replace("8221", "eighty"), "line 3: callers"),
             (TEXT + "colour: red\n", "line 14: colour"),
             (TEXT.replace("7600", "70000"), "line 7: reports"),
+            (TEXT.replace("7600", "7600 ms"), "line 7: reports: a plain"),
+            (TEXT.replace("grace_seconds: 8", "grace_seconds: 0"), "line 12"),
+            (TEXT.replace('"a"', '"a b"'), "line 2: data_centre"),
         ):
             self.assertIn(place, self.read(wrong).unwrap_err())
