Move what is read of an answer out of the request's sender

sender.py held, beside the way of a request, two functions on the data of an answer: its success goes to the decoded answer itself, where the exchange with the endpoint asked the same again, and the id of the last event to the functions on events. A fixture of the dispatcher's tests that stood twice is one function.

--- a/citronport/callers/replies.py
+++ b/citronport/callers/replies.py
@@ -109,6 +109,18 @@
     return data[:end], data[end:]
 
 
+def find_last_event_id(events: bytes) -> str | None:
+    """Return the last event id in a series of complete events, if any."""
+    at = events.rfind(b"\nid:")
+    if at >= 0:
+        start = at + len(b"\nid:")
+    elif events.startswith(b"id:"):
+        start = len(b"id:")
+    else:
+        return None
+    return events[start : events.find(b"\n", start)].strip().decode("latin-1")
+
+
 def _make_headers(data: bytes) -> list[Header]:
     return [
         ("Content-Type", "application/json"),
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -70,6 +70,11 @@
     limit: str | None
     headers: tuple[tuple[str, str], ...]
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the endpoint answered with a success status."""
+        return 200 <= self.status < 300
+
 
 def parse_request(
     fields: Headers,
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -109,7 +109,7 @@
                     self._record_limit(answer)
                     if self._should_try_another(answer):
                         continue
-                    if self._is_started and not is_success(answer):
+                    if self._is_started and not answer.is_success:
                         return self._refuse_resumed(answer)
                     return answer
                 case failure:
@@ -211,7 +211,7 @@
         answer: requests.EndpointAnswer,
     ) -> collections.abc.Iterator[bytes]:
         is_stream = self._work.route.repeat == models.RepeatPolicy.STREAM
-        if is_stream and is_success(answer):
+        if is_stream and answer.is_success:
             yield from self._forward_stream(start_response, answer)
             return
         yield from self._forward_plain(start_response, answer)
@@ -243,7 +243,7 @@
             yield data
             data = self._exchange.read()
         self.progress.outcome = "answered"
-        if is_success(answer):
+        if answer.is_success:
             self._record_completion()
 
     def _forward_stream(
@@ -291,7 +291,7 @@
             engine.event_tokens if engine else 1,
             now,
         )
-        last = find_last_event_id(events)
+        last = replies.find_last_event_id(events)
         if last is not None:
             self._last_event_id = last
 
@@ -498,20 +498,3 @@
             ran,
             cut=cut,
         )
-
-
-def is_success(answer: requests.EndpointAnswer) -> bool:
-    """Return whether an endpoint answered with a success status."""
-    return 200 <= answer.status < 300
-
-
-def find_last_event_id(events: bytes) -> str | None:
-    """Return the last event id in a series of complete events, if any."""
-    at = events.rfind(b"\nid:")
-    if at >= 0:
-        start = at + len(b"\nid:")
-    elif events.startswith(b"id:"):
-        start = len(b"id:")
-    else:
-        return None
-    return events[start : events.find(b"\n", start)].strip().decode("latin-1")
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -104,9 +104,7 @@
             return Replaced()
         if not answer.ran:
             return NotRun(answer=answer)
-        if 200 <= answer.status < 300 and not (
-            answer.signature and answer.request_id
-        ):
+        if answer.is_success and not (answer.signature and answer.request_id):
             return Broken(reason="success without a signature")
         return Answered(answer=answer)
 
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -10,6 +10,19 @@
 from tests.relay import samples
 
 
+def make_room_with_a_slow_engine():
+    """Return a fixture in which only the slow one of three engines is free."""
+    endpoints = [samples.make_endpoint(n) for n in ("e1", "e2", "e3")]
+    room = samples.DispatcherFixture(endpoints)
+    now = room.ticker.now()
+    for name, step_ms in (("e1", 12.0), ("e2", 3.0), ("e3", 3.0)):
+        room.board.apply_step_ms("other", name, step_ms)
+    for number in range(6):
+        work = samples.make_work(f"t{number}", now=now)
+        room.board.record_send(f"e{2 + number % 2}", work, now)
+    return room
+
+
 class DispatcherTest(testtools.TestCase):
     """Requests that get reservations, wait for them or are refused."""
 
@@ -114,15 +127,8 @@
         Once it can't be in time any more, it goes to a slow engine, before
         less urgent requests get its slots.
         """
-        endpoints = [samples.make_endpoint(n) for n in ("e1", "e2", "e3")]
-        room = samples.DispatcherFixture(endpoints)
+        room = make_room_with_a_slow_engine()
         now = room.ticker.now()
-        for name, step_ms in (("e1", 12.0), ("e2", 3.0), ("e3", 3.0)):
-            room.board.apply_step_ms("other", name, step_ms)
-        for number in range(6):
-            name = f"e{2 + number % 2}"
-            work = samples.make_work(f"t{number}", now=now)
-            room.board.record_send(name, work, now)
         work = samples.make_work("long", now=now, prompt_tokens=20_000)
         waiting = gevent.spawn(
             room.dispatcher.acquire, work, samples.ENGINES, frozenset()
@@ -140,15 +146,8 @@
         Its objective is so long that it could still be in time at the end of
         its longest wait, which half of the time to its deadline limits.
         """
-        endpoints = [samples.make_endpoint(n) for n in ("e1", "e2", "e3")]
-        room = samples.DispatcherFixture(endpoints)
+        room = make_room_with_a_slow_engine()
         now = room.ticker.now()
-        for name, step_ms in (("e1", 12.0), ("e2", 3.0), ("e3", 3.0)):
-            room.board.apply_step_ms("other", name, step_ms)
-        for number in range(6):
-            name = f"e{2 + number % 2}"
-            work = samples.make_work(f"t{number}", now=now)
-            room.board.record_send(name, work, now)
         route = samples.make_route(objective=10.0, timeout=12.0)
         handles = []
         for waited in (2.5, 3.5):
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -435,6 +435,6 @@
     def test_ids(self):
         """The last id is returned, wherever it occurs."""
         both = fakes.make_event(7) + fakes.make_event(8)
-        self.assertEqual("8", sender.find_last_event_id(both))
-        self.assertEqual("7", sender.find_last_event_id(fakes.make_event(7)))
-        self.assertIsNone(sender.find_last_event_id(b"data: x\n\n"))
+        self.assertEqual("8", replies.find_last_event_id(both))
+        self.assertEqual("7", replies.find_last_event_id(fakes.make_event(7)))
+        self.assertIsNone(replies.find_last_event_id(b"data: x\n\n"))
