Log when an endpoint's answer says that it leaves or wants a pause

Cause: none of our lines tells that an answer held Server-Leaving or, with status 503, Retry-After, so that a record can't tell headers that nobody reads from headers that are read too late or by the wrong instance.

Ruled out: nothing yet; no decision changes.

Change: the two headers are decoded at the border of the platform (a value that can't be used is an input fault, 4005 and 4006), and each answer that holds one gives a line, endpoint_leaving or endpoint_paused. The module that read the limit of an answer now reads all that endpoints state there.

--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -57,6 +57,8 @@
     BAD_CONFIGURATION = 4002
     BAD_ENDPOINT = 4003
     BAD_LIMIT = 4004
+    BAD_LEAVING = 4005
+    BAD_PAUSE = 4006
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -46,6 +46,7 @@
 HEADER_NOT_RUN: Final = "x-not-executed"
 HEADER_RETRY_AFTER: Final = "retry-after"
 HEADER_ENDPOINT_LIMIT: Final = "server-limit"
+HEADER_LEAVING: Final = "server-leaving"
 
 RESERVED_HEADERS: Final = frozenset(
     (
@@ -98,5 +99,8 @@
 )
 """Headers that may occur once in a request; a duplicate is ambiguous."""
 
+STATUS_UNAVAILABLE: Final = 503
+"""Status of an endpoint that turns requests away."""
+
 STATUS_MISDIRECTED: Final = 421
 """Status of an endpoint other than the expected one; it ran nothing."""
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -59,6 +59,11 @@
             responded at the same address.
         limit: requests a second that the endpoint accepts from all
             instances together, undecoded; None if it states no limit.
+        leaving: whether the endpoint is about to stop, undecoded; None if
+            it does not say.
+        pause: seconds for which the endpoint, which turned the request
+            away, wants no further request of this instance, undecoded; None
+            if it states no time.
         headers: headers to pass to the caller, with unchanged names.
     """
 
@@ -68,6 +73,8 @@
     ran: bool
     misdirected: bool
     limit: str | None
+    leaving: str | None
+    pause: str | None
     headers: tuple[tuple[str, str], ...]
 
     @property
@@ -158,6 +165,7 @@
     not_run = (
         const.HEADER_NOT_RUN in answer or status == const.STATUS_MISDIRECTED
     )
+    turned_away = status == const.STATUS_UNAVAILABLE
     headers = tuple(
         (name, value)
         for name, value in answer.items()
@@ -170,19 +178,31 @@
         ran=not not_run,
         misdirected=status == const.STATUS_MISDIRECTED,
         limit=answer.get(const.HEADER_ENDPOINT_LIMIT),
+        leaving=answer.get(const.HEADER_LEAVING),
+        pause=answer.get(const.HEADER_RETRY_AFTER) if turned_away else None,
         headers=headers,
     )
 
 
 def parse_limit(text: str) -> result.Result[float, str]:
     """Decode the limit stated by an endpoint, in requests a second."""
-    try:
-        rate = float(text)
-    except ValueError:
-        return result.Err("not a number")
-    if not math.isfinite(rate) or rate < 0:
-        return result.Err("not a finite, non-negative rate")
-    return result.Ok(rate)
+    return _parse_non_negative(text)
+
+
+def parse_leaving(text: str) -> result.Result[bool, str]:
+    """Decode whether an endpoint is about to stop."""
+    match text.strip():
+        case "1":
+            return result.Ok(True)
+        case "0":
+            return result.Ok(False)
+        case _:
+            return result.Err("neither 0 nor 1")
+
+
+def parse_pause(text: str) -> result.Result[float, str]:
+    """Decode how long an endpoint wants no request, in seconds."""
+    return _parse_non_negative(text)
 
 
 def make_refusal_headers(refusal: errors.Refusal) -> list[tuple[str, str]]:
@@ -192,6 +212,16 @@
     return [(HEADER_RETRY_AFTER, f"{refusal.retry_after:.3f}")]
 
 
+def _parse_non_negative(text: str) -> result.Result[float, str]:
+    try:
+        number = float(text)
+    except ValueError:
+        return result.Err("not a number")
+    if not math.isfinite(number) or number < 0:
+        return result.Err("not a finite, non-negative number")
+    return result.Ok(number)
+
+
 def _parse_tokens(text: str | None) -> tuple[int, int, bool]:
     if text is None:
         return 0, 0, False
--- /dev/null
+++ b/citronport/relay/endpoint_headers.py
@@ -0,0 +1,102 @@
+"""Records what endpoints state about themselves in response headers."""
+
+import result
+
+from citronport import errors
+from citronport.platform import const
+from citronport.platform import requests
+from citronport.relay import events
+from citronport.relay import jobs
+from citronport.scheduler.direct import models
+
+
+def record_headers(
+    context: jobs.RelayContext,
+    endpoint: models.Endpoint,
+    answer: requests.EndpointAnswer,
+) -> None:
+    """Record the statements in the headers of an endpoint's response.
+
+    Args:
+        context: components shared by all requests.
+        endpoint: the endpoint that answered.
+        answer: its response, to any request.
+    """
+    _record_limit(context, endpoint.name, answer.limit)
+    if answer.leaving is not None:
+        _record_leaving(context, endpoint, answer.leaving)
+    if answer.pause is not None:
+        _record_pause(context, endpoint, answer.pause)
+
+
+def _record_limit(
+    context: jobs.RelayContext, endpoint: str, text: str | None
+) -> None:
+    rate = None
+    if text is not None:
+        match requests.parse_limit(text):
+            case result.Err(reason):
+                _log_invalid(
+                    context,
+                    errors.InputFault.BAD_LIMIT,
+                    f"{const.HEADER_ENDPOINT_LIMIT} of {endpoint}",
+                    reason,
+                )
+                return
+            case result.Ok(rate):
+                pass
+    if context.limits.record_limit(endpoint, rate, context.ticker.now()):
+        context.log.write(
+            events.EndpointLimited(
+                endpoint=endpoint, rate=-1.0 if rate is None else rate
+            )
+        )
+
+
+def _record_leaving(
+    context: jobs.RelayContext, endpoint: models.Endpoint, text: str
+) -> None:
+    match requests.parse_leaving(text):
+        case result.Err(reason):
+            _log_invalid(
+                context,
+                errors.InputFault.BAD_LEAVING,
+                f"{const.HEADER_LEAVING} of {endpoint.name}",
+                reason,
+            )
+        case result.Ok(True):
+            context.log.write(
+                events.EndpointLeaving(
+                    endpoint=endpoint.name, started=endpoint.started
+                )
+            )
+
+
+def _record_pause(
+    context: jobs.RelayContext, endpoint: models.Endpoint, text: str
+) -> None:
+    match requests.parse_pause(text):
+        case result.Err(reason):
+            _log_invalid(
+                context,
+                errors.InputFault.BAD_PAUSE,
+                f"{const.HEADER_RETRY_AFTER} of {endpoint.name}",
+                reason,
+            )
+        case result.Ok(seconds):
+            context.log.write(
+                events.EndpointPaused(endpoint=endpoint.name, seconds=seconds)
+            )
+
+
+def _log_invalid(
+    context: jobs.RelayContext,
+    fault: errors.InputFault,
+    key: str,
+    reason: str,
+) -> None:
+    context.log.write(
+        events.InputRejected(
+            code=int(fault), key=key, revision=0, reason=reason
+        )
+    )
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -89,6 +89,30 @@
     rate: float
 
 
+class EndpointLeaving(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint stated in an answer that it is leaving.
+
+    Attributes:
+        endpoint: name of the endpoint.
+        started: time of its start, Unix milliseconds; 0 if unknown.
+    """
+
+    endpoint: str
+    started: int
+
+
+class EndpointPaused(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint turned a request away and asked for a pause.
+
+    Attributes:
+        endpoint: name of the endpoint.
+        seconds: how long it wants no request of this instance.
+    """
+
+    endpoint: str
+    seconds: float
+
+
 class EndpointGone(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint's entry was removed.
 
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -10,9 +10,9 @@
 from citronport.callers import replies
 from citronport.platform import requests
 from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import endpoint_headers
 from citronport.relay import events as log_events
 from citronport.relay import jobs
-from citronport.relay import limits as limits_module
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
@@ -106,7 +106,7 @@
                 return refusal
             match self._send():
                 case upstream.Answered(answer=answer):
-                    self._record_limit(answer)
+                    self._record_headers(answer)
                     if self._should_try_another(answer):
                         continue
                     if self._is_started and not answer.is_success:
@@ -137,7 +137,7 @@
                 if not self._may_send_again():
                     return self._refuse_overloaded()
             case upstream.NotRun(answer=answer):
-                self._record_limit(answer)
+                self._record_headers(answer)
                 self._record_failure(f"status {answer.status}", "no")
                 if not self._may_send_again():
                     return self._refuse_overloaded()
@@ -455,10 +455,10 @@
                 )
             )
 
-    def _record_limit(self, answer: requests.EndpointAnswer) -> None:
+    def _record_headers(self, answer: requests.EndpointAnswer) -> None:
         assert self._reservation is not None
-        limits_module.record_limit(
-            self._context, self._reservation.endpoint.name, answer.limit
+        endpoint_headers.record_headers(
+            self._context, self._reservation.endpoint, answer
         )
 
     def _record_completion(self) -> None:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -44,6 +44,19 @@
         for text in ("", "few", "-1", "nan", "inf"):
             self.assertTrue(requests.parse_limit(text).is_err(), text)
 
+    def test_pause_of_an_endpoint(self):
+        """An invalid pause is an error, not zero or endless."""
+        self.assertEqual(2.5, requests.parse_pause("2.5").unwrap())
+        for text in ("", "Thu, 03 Dec 2026 18:00:00 GMT", "-1", "nan", "inf"):
+            self.assertTrue(requests.parse_pause(text).is_err(), text)
+
+    def test_leaving_of_an_endpoint(self):
+        """Only the two defined values are accepted."""
+        self.assertTrue(requests.parse_leaving("1").unwrap())
+        self.assertFalse(requests.parse_leaving("0").unwrap())
+        for text in ("", "true", "2"):
+            self.assertTrue(requests.parse_leaving(text).is_err(), text)
+
     def test_invalid_headers(self):
         """Invalid headers are refused; none is decoded as zero."""
         for changes in (
