--- a/tests/relay/test_endpoint_headers.py
+++ b/tests/relay/test_endpoint_headers.py
@@ -152,3 +152,52 @@
     def test_grants_of_another_instance_are_not_used(self):
         """Guards against work for a leaving endpoint by an owner's grant."""
         self.check_leaving(3)
+
+
+class PausingEndpointTest(EndpointHeadersCase):
+    """An endpoint turns requests away and asks each instance for a pause.
+
+    The other endpoint cannot carry the load by itself.
+    """
+
+    other_slots = 1
+
+    def check_pause(self, number):
+        """Check that each instance that was asked to keeps the pause."""
+        hosts = self.start_all(number)
+        self.apply_load(hosts, 1.0)
+        self.stating.turns_away = True
+        self.apply_load(hosts, 1.0)
+        self.stating.turns_away = False
+        self.apply_load(hosts, PAUSE_SECONDS)
+        first_answers = self.stating.get_first_answers()
+        self.assertTrue(first_answers)
+        for instance, asked_at in first_answers.items():
+            arrivals = [
+                at - asked_at
+                for at, sender in self.stating.arrivals
+                if sender == instance
+                and PAUSE_START_SECONDS < at - asked_at < PAUSE_SECONDS
+            ]
+            self.assertLessEqual(len(arrivals), MAX_REQUESTS_IN_PAUSE)
+        self.assertLessEqual(set(self.statuses), {200, 503})
+
+    def test_one_instance_keeps_the_pause(self):
+        """Guards against a full endpoint that is asked again and again."""
+        self.check_pause(1)
+
+    def test_grants_of_another_instance_keep_the_pause(self):
+        """Guards against an owner's grant for an endpoint in a pause."""
+        self.check_pause(3)
+
+    def test_endpoint_is_used_again_after_the_pause(self):
+        """Guards against an endpoint that is left out for ever."""
+        hosts = self.start_all(2)
+        self.apply_load(hosts, 0.5)
+        self.stating.turns_away = True
+        self.apply_load(hosts, 0.5)
+        self.stating.turns_away = False
+        self.apply_load(hosts, PAUSE_SECONDS + 1.0)
+        before = len(self.stating.arrivals)
+        self.apply_load(hosts, 1.0)
+        self.assertGreater(len(self.stating.arrivals), before)
