Send nothing more to an endpoint that says in its answers that it leaves

Cause: what an endpoint says of itself in an answer was passed on to the caller and read by nobody. The only source for leaving was the store, which refused all instances for 15 s around the statement.

Ruled out: late sends (all were seconds after the answer); a newer entry of the store (it answered nobody). That the owner's grants alone were at fault: with one instance, without leases, the test fails as well.

Change: ClusterState holds the starts of endpoints that are leaving, from their entries or from any answer (Server-Leaving), success or not. Such a start never becomes usable again: an older entry that says ready changes nothing, nor does an entry that vanishes and returns in an outage. An answer of another endpoint at the address (421) counts for nothing. The instance that got the answer notifies the owner of the endpoint, with a message of its own, so that the protocol's number rises; a grant that the owner made before is returned, the owner is notified again, and the request asks for another slot.

Conclusion: the check before each send now rests on what the endpoint itself said, so that neither the store nor another instance can undo it.

--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 
 from absl import logging
 import result
@@ -33,7 +34,33 @@
 
 MAX_REMEMBERED_STARTS = 2000
 """Number of remembered starts of endpoints. An endpoint whose entry returns
-must not count as newly started."""
+must not count as newly started, nor as usable if it is leaving."""
+
+
+class _RecentStarts:
+    """A bounded set of starts of endpoints; the oldest ones are dropped."""
+
+    def __init__(self) -> None:
+        self._starts: collections.OrderedDict[models.StartId, None] = (
+            collections.OrderedDict()
+        )
+
+    def __contains__(self, start_id: models.StartId) -> bool:
+        """Return whether a start is in the set."""
+        return start_id in self._starts
+
+    def add(self, start_id: models.StartId) -> bool:
+        """Add a start; return whether it is new."""
+        if start_id in self._starts:
+            return False
+        self._starts[start_id] = None
+        if len(self._starts) > MAX_REMEMBERED_STARTS:
+            self._starts.popitem(last=False)
+        return True
+
+    def discard(self, start_id: models.StartId) -> None:
+        """Remove a start, if it is in the set."""
+        self._starts.pop(start_id, None)
 
 
 class ClusterState:
@@ -68,9 +95,8 @@
         self._by_service: dict[str, list[models.Endpoint]] = {}
         self._lapsing: dict[str, float] = {}
         self._removed: dict[str, float] = {}
-        self._starts: collections.OrderedDict[tuple[str, int], None] = (
-            collections.OrderedDict()
-        )
+        self._starts = _RecentStarts()
+        self._leaving_starts = _RecentStarts()
         self._is_loaded = False
 
     def apply(
@@ -125,6 +151,22 @@
             and known.data_centre not in self.evacuated
         )
 
+    def record_leaving(self, start_id: models.StartId) -> bool:
+        """Record that an endpoint is leaving; return whether that is new.
+
+        An endpoint states it in its answers as well. While the store does
+        not answer, or not this instance, its entry says nothing of it.
+        """
+        if not self._leaving_starts.add(start_id):
+            return False
+        name, started = start_id
+        known = self.endpoints.get(name)
+        if known is not None and known.start_id == start_id:
+            self.endpoints[name] = dataclasses.replace(known, leaving=True)
+            self._index()
+        self._log.write(events.EndpointLeaving(endpoint=name, started=started))
+        return True
+
     def _apply_configuration(self, item: wire.Item) -> None:
         if item.value is None:
             # Operators replace the configuration and never delete it.
@@ -221,13 +263,15 @@
         if known is not None and known.start_id != endpoint.start_id:
             self._drop(endpoint.name, now)
         self._lapsing.pop(endpoint.name, None)
+        if endpoint.leaving:
+            self._leaving_starts.add(endpoint.start_id)
+        elif endpoint.start_id in self._leaving_starts:
+            # An endpoint that leaves never becomes ready again, so that an
+            # entry that says so is outdated.
+            endpoint = dataclasses.replace(endpoint, leaving=True)
         self.endpoints[endpoint.name] = endpoint
-        if endpoint.start_id not in self._starts:
-            self._starts[endpoint.start_id] = None
-            if len(self._starts) > MAX_REMEMBERED_STARTS:
-                self._starts.popitem(last=False)
-            if self._is_loaded:
-                self._set_cold(endpoint, now)
+        if self._starts.add(endpoint.start_id) and self._is_loaded:
+            self._set_cold(endpoint, now)
         if endpoint.cold_seconds > 0:
             self._cold.set_cold(endpoint.name, now + endpoint.cold_seconds)
         if known != endpoint:
@@ -251,9 +295,14 @@
 
     def _drop(self, name: str, now: float) -> None:
         self._lapsing.pop(name, None)
-        if self.endpoints.pop(name, None) is not None:
-            self._removed[name] = now
-            self._forget(name)
+        endpoint = self.endpoints.pop(name, None)
+        if endpoint is None:
+            return
+        if not endpoint.started:
+            # Its next start under this name could not be told from this one.
+            self._leaving_starts.discard(endpoint.start_id)
+        self._removed[name] = now
+        self._forget(name)
 
     def _forget_removed(self, now: float) -> None:
         due = [
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -197,6 +197,11 @@
         )
         self.schedule_match()
 
+    def report_leaving(self, endpoint: models.Endpoint) -> None:
+        """Report to the owner of an endpoint that it is leaving."""
+        if self.lease_client is not None:
+            self.lease_client.report_leaving(endpoint)
+
     def schedule_match(self) -> None:
         """Schedule one matching of queued requests with free capacity.
 
@@ -234,13 +239,20 @@
     ) -> Reservation | errors.Refusal | None:
         if self.lease_client is None:
             return None
-        match self.lease_client.acquire(work, service, tried):
-            case messages.Granted() as granted:
-                return self._accept_lease(granted, work, self.lease_client)
-            case lease_client_module.NoCapacity(retry_seconds=retry_seconds):
-                return self._refuse(work, service, retry_seconds)
-            case None:
-                return None
+        unusable: frozenset[str] = frozenset()
+        while True:
+            match self.lease_client.acquire(work, service, tried | unusable):
+                case messages.Granted() as granted:
+                    found = self._accept_lease(
+                        granted, work, self.lease_client
+                    )
+                    if found is not None or granted.endpoint in unusable:
+                        return found
+                    unusable |= {granted.endpoint}
+                case lease_client_module.NoCapacity(retry_seconds=seconds):
+                    return self._refuse(work, service, seconds)
+                case None:
+                    return None
 
     def _accept_lease(
         self,
@@ -252,10 +264,12 @@
         now = self._ticker.now()
         run = self._loads.record_leased_send(name, work, now)
         endpoint = self._cluster_state.endpoints.get(name)
-        if endpoint is None:
+        if endpoint is None or not self._cluster_state.may_use(endpoint):
             # The owner's copy of the store is newer or older than the one
-            # here, which has no address for the name.
+            # here, or the endpoint has told this instance that it leaves.
             lease_client.release(name, run)
+            if endpoint is not None and endpoint.leaving:
+                lease_client.report_leaving(endpoint, granted.instance)
             return None
         self._cold.record_send(name, now)
         self._limits.record_send(name)
--- a/citronport/relay/endpoint_headers.py
+++ b/citronport/relay/endpoint_headers.py
@@ -65,11 +65,8 @@
                 reason,
             )
         case result.Ok(True):
-            context.log.write(
-                events.EndpointLeaving(
-                    endpoint=endpoint.name, started=endpoint.started
-                )
-            )
+            if context.cluster_state.record_leaving(endpoint.start_id):
+                context.dispatcher.report_leaving(endpoint)
 
 
 def _record_pause(
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -137,6 +137,28 @@
         for owner in self._list_owners(endpoint, *grant):
             self._send(owner, begun)
 
+    def report_leaving(
+        self, endpoint: models.Endpoint, granted_by: str | None = None
+    ) -> None:
+        """Report to the owner of an endpoint that it is leaving.
+
+        Args:
+            endpoint: the endpoint.
+            granted_by: instance that granted a lease there; by default the
+                owner as known here.
+        """
+        owner = granted_by or self._owners.find_endpoint_owner(
+            endpoint.service, endpoint.name, self._ticker.now()
+        )
+        if owner is None or owner == self._own:
+            return
+        leaving = messages.EndpointLeaving(
+            protocol=messages.PROTOCOL,
+            endpoint=endpoint.name,
+            started=endpoint.started,
+        )
+        self._send(owner, leaving)
+
     def release(self, endpoint: str, run: runs.Run) -> None:
         """Return a lease and report how the endpoint performed."""
         self._loads.record_leased_end(endpoint, run.request_id)
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -125,6 +125,10 @@
         self._leases.end(ended.request, ended.endpoint, now)
         self._dispatcher.schedule_match()
 
+    def handle_leaving(self, leaving: messages.EndpointLeaving) -> None:
+        """Grant no more leases at an endpoint that is leaving."""
+        self._cluster_state.record_leaving((leaving.endpoint, leaving.started))
+
     def handle_holding(self, holding: messages.Holding) -> None:
         """Renew the leases that an instance holds."""
         held = [
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -91,6 +91,8 @@
                 self.lease_server.handle_begun(message)
             case messages.Ended():
                 self.lease_server.handle_ended(message)
+            case messages.EndpointLeaving():
+                self.lease_server.handle_leaving(message)
             case messages.Holding():
                 self.lease_server.handle_holding(message)
             case (
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -13,7 +13,7 @@
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
 
-PROTOCOL = 7
+PROTOCOL = 8
 """Version of this protocol; messages of other versions are dropped."""
 
 MAX_MESSAGE_BYTES = 8_000_000
@@ -282,6 +282,20 @@
     seconds: float
 
 
+class EndpointLeaving(msgspec.Struct, frozen=True, kw_only=True):
+    """Notifies the owner of an endpoint that the endpoint is leaving.
+
+    Attributes:
+        protocol: version of the protocol.
+        endpoint: name of the endpoint.
+        started: time of its start, Unix milliseconds; 0 if unknown.
+    """
+
+    protocol: int
+    endpoint: str
+    started: int
+
+
 class Holding(msgspec.Struct, frozen=True, kw_only=True):
     """Notifies an owner of all leases that the sender holds from it.
 
@@ -298,7 +312,15 @@
 
 
 LeaseMessage = (
-    Ask | Granted | Queued | Full | Declined | Begun | Ended | Holding
+    Ask
+    | Granted
+    | Queued
+    | Full
+    | Declined
+    | Begun
+    | Ended
+    | EndpointLeaving
+    | Holding
 )
 
 MakeReport = collections.abc.Callable[..., Report]
@@ -326,6 +348,7 @@
         Packed,
         Summary,
         Meet,
+        EndpointLeaving,
     ),
     MAX_MESSAGE_BYTES,
 )
--- a/citronport/scheduler/direct/models.py
+++ b/citronport/scheduler/direct/models.py
@@ -161,6 +161,10 @@
         return self._routes_by_name.get(name)
 
 
+StartId = tuple[str, int]
+"""Name of an endpoint, and the time of one of its starts."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Endpoint:
     """One start of an endpoint, as the platform lists it.
@@ -187,7 +191,7 @@
     started: int
 
     @property
-    def start_id(self) -> tuple[str, int]:
+    def start_id(self) -> StartId:
         """Key that identifies this start of the endpoint."""
         return (self.name, self.started)
 
--- a/tests/relay/test_cluster_state.py
+++ b/tests/relay/test_cluster_state.py
@@ -82,6 +82,36 @@
         self.put("op/evacuate/b", None)
         self.assertEqual(["b"], self.list_names())
 
+    def test_endpoint_that_said_it_leaves_stays_out(self):
+        """Guards against an outdated entry that makes it usable again."""
+        self.put_endpoint("a", born=1)
+        before = self.cluster_state.endpoints["a"]
+        self.assertTrue(self.cluster_state.record_leaving(("a", 1)))
+        self.assertFalse(self.cluster_state.record_leaving(("a", 1)))
+        self.assertEqual([], self.list_names())
+        self.assertFalse(self.cluster_state.may_use(before))
+        self.put_endpoint("a", born=1, seq=9)
+        self.assertEqual([], self.list_names())
+        self.put("servers/a", None)
+        self.put_endpoint("a", born=1)
+        self.assertEqual([], self.list_names())
+
+    def test_statement_before_the_entry(self):
+        """Guards against work for an endpoint whose entry arrives later."""
+        self.cluster_state.record_leaving(("a", 1))
+        self.put_endpoint("a", born=1)
+        self.assertEqual([], self.list_names())
+
+    def test_next_start_of_a_leaving_endpoint(self):
+        """Guards against a restarted endpoint that never gets work."""
+        for born in (1, 0):
+            self.put_endpoint("a", born=born)
+            self.cluster_state.record_leaving(("a", born))
+            self.put("servers/a", None)
+            self.put_endpoint("a", born=2 if born else 0)
+            self.assertEqual(["a"], self.list_names())
+            self.put("servers/a", None)
+
     def test_back_from_evacuation_is_cold(self):
         """Endpoints without work during an evacuation count as cold."""
         self.configure(7)
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -292,6 +292,27 @@
         second = self.two.acquire("r2", route)
         self.assertEqual(errors.Code.OVERLOADED, second.code)
 
+    def test_owner_learns_that_an_endpoint_leaves(self):
+        """Guards against grants at an endpoint that has told another one."""
+        endpoint = self.one.room.cluster_state.endpoints["e1"]
+        self.one.room.cluster_state.record_leaving(endpoint.start_id)
+        self.one.room.dispatcher.report_leaving(endpoint)
+        self.settle()
+        self.assertEqual(
+            [], self.owner.room.cluster_state.list_endpoints(samples.ENGINES)
+        )
+
+    def test_grant_at_a_leaving_endpoint_is_returned(self):
+        """Guards against a send by the grant of an owner that knows less."""
+        self.one.room.cluster_state.record_leaving(("e1", 0))
+        found = self.one.acquire("r1")
+        self.assertEqual(errors.Code.NO_ENDPOINT, found.code)
+        self.settle()
+        self.assertEqual(0, self.owner.count())
+        self.assertEqual(
+            [], self.owner.room.cluster_state.list_endpoints(samples.ENGINES)
+        )
+
     def test_owner_that_does_not_know_the_route(self):
         """An owner with an older configuration declines the lease request."""
         self.owner.room.cluster_state.configuration = (
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -428,6 +428,40 @@
             self.ask()
             self.assertEqual(rate, self.room.limits.get_rate("e0"))
 
+    def test_leaving_in_any_answer_is_recorded(self):
+        """Guards against an endpoint that leaves and gets the next request."""
+        for script in (
+            fakes.answer(Server_Leaving="1"),
+            fakes.answer(500, Server_Leaving="1"),
+            fakes.answer(503, X_Not_Executed="1", Server_Leaving="1"),
+        ):
+            leaving = fakes.Endpoint(self, script)
+            self.prepare(
+                leaving,
+                fakes.Endpoint(self, fakes.answer()),
+                repeat=models.RepeatPolicy.NON_IDEMPOTENT,
+            )
+            self.ask()
+            self.assertEqual(200, self.ask())
+            self.assertEqual(1, len(leaving.requests))
+
+    def test_unreadable_leaving_changes_nothing(self):
+        """Guards against an endpoint that is lost by a malformed header."""
+        endpoint = fakes.Endpoint(self, fakes.answer(Server_Leaving="maybe"))
+        self.prepare(endpoint)
+        self.ask()
+        self.assertEqual(200, self.ask())
+
+    def test_leaving_of_another_endpoint_is_not_recorded(self):
+        """Guards against losing an endpoint by what its neighbour states."""
+        endpoint = fakes.Endpoint(
+            self, fakes.answer(421, Server_Leaving="1"), fakes.answer()
+        )
+        self.prepare(endpoint)
+        self.ask()
+        known = self.room.cluster_state.endpoints["e0"]
+        self.assertTrue(self.room.cluster_state.may_use(known))
+
 
 class LastEventTest(testtools.TestCase):
     """Extraction of the id of the last complete event."""
