Keep the pause that an endpoint asks an instance for

Cause: Retry-After in an endpoint's answer 503 was passed on or dropped and read by nobody. An endpoint that turns requests away has few of them and looks idle, so that it is chosen for whatever finds the others full; the share of failures makes it dearer, no more.

Ruled out: requests under way (they came 1 to 3 s later); the owner's grants alone (one instance without leases fails as well).

Change: pauses.py keeps, for this instance and each start of an endpoint, the end of the longest pause asked for, from any answer 503. The instance's own choices leave such endpoints out, also where a request has tried all others; its lease requests name them, repetitions too, so that the owner grants the slots there to others only; a grant that crosses a pause is returned, and the last check before a send looks once more. Where all pauses outlast a request's longest wait, it is refused at once, as another instance may be served. The pause is not announced to others, since the endpoint asked one instance. Gauges of leaving and paused endpoints.

Conclusion: a pause holds whoever chooses the endpoint.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -39,6 +39,7 @@
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
+from citronport.scheduler.direct import pauses
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import retries
@@ -94,6 +95,7 @@
         self.health = health_module.Health()
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
+        self.pauses = pauses.Pauses()
         self.suspects = suspects_module.SuspectRequests()
         self.quotas = quota.Quotas(
             settings.bounds.limit_over,
@@ -126,6 +128,7 @@
             self.health,
             self.cold,
             self.limits,
+            self.pauses,
             ticker,
         )
         self.reports = reports.Reports(
@@ -180,6 +183,7 @@
             self.dispatcher,
             self.loads,
             self.health,
+            self.pauses,
             self.is_ready,
             self.gossip.send_lease_message,
             ticker,
@@ -193,6 +197,7 @@
                 self.loads,
                 self.health,
                 self.limits,
+                self.pauses,
                 self.suspects,
                 ticker,
                 self._log,
@@ -439,6 +444,14 @@
                 for name in self.cluster_state.endpoints
             ),
             limited=self.limits.count_limited(),
+            leaving=sum(
+                e.leaving for e in self.cluster_state.endpoints.values()
+            ),
+            paused=len(
+                self.pauses.list_names(
+                    self.cluster_state.endpoints.values(), now
+                )
+            ),
             leases=len(self.leasing.leases),
             barred=self.suspects.count_barred(),
             lines_dropped=sum(self._log.dropped.values()),
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -18,6 +18,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import pauses as pauses_module
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import roles
 from citronport.scheduler.direct import runs
@@ -73,6 +74,7 @@
         health: health of endpoints.
         cold: endpoints that are cold.
         limits: rate limits announced by endpoints.
+        pauses: pauses that endpoints ask this instance for.
         ticker: the clock.
 
     Attributes:
@@ -89,6 +91,7 @@
         health: health_module.Health,
         cold: cold_starts.ColdStarts,
         limits: endpoint_limits.EndpointLimits,
+        pauses: pauses_module.Pauses,
         ticker: clock.Clock,
     ) -> None:
         self._own = own
@@ -98,6 +101,7 @@
         self._health = health
         self._cold = cold
         self._limits = limits
+        self._pauses = pauses
         self._ticker = ticker
         self._selector = selection.Selector(loads, health, cold, limits)
         self._queues: dict[str, wait_queue.WaitQueue] = {}
@@ -113,6 +117,8 @@
         self, work: models.Work, service: str, tried: frozenset[str]
     ) -> Reservation | errors.Refusal:
         """Return a reservation for a request; wait for one if necessary."""
+        if self._is_paused(work, service):
+            return self._refuse(work, service)
         found = self._acquire_lease(work, service, tried)
         if found is not None:
             return found
@@ -132,6 +138,17 @@
             self.cancel(waiter, service)
         return assignment.value or self._refuse(work, service)
 
+    def _is_paused(self, work: models.Work, service: str) -> bool:
+        """Return whether no endpoint takes the request of this instance.
+
+        If all of them have asked for a pause that outlasts the request's
+        longest wait, it is refused at once, as other instances may be served.
+        """
+        now = self._ticker.now()
+        endpoints = self._cluster_state.list_endpoints(service)
+        wait = self._pauses.compute_wait(endpoints, now)
+        return wait > wait_queue.compute_max_wait(work, now)
+
     def enqueue(self, waiter: wait_queue.Waiter, service: str) -> float | None:
         """Queue a request and match it at once if there is capacity.
 
@@ -271,6 +288,10 @@
             if endpoint is not None and endpoint.leaving:
                 lease_client.report_leaving(endpoint, granted.instance)
             return None
+        if self._pauses.is_paused(endpoint.start_id, now):
+            # The endpoint asked for the pause after the lease request.
+            lease_client.release(name, run)
+            return None
         self._cold.record_send(name, now)
         self._limits.record_send(name)
         self._health.record_send(name)
@@ -334,6 +355,7 @@
         return _ServiceView(
             endpoints=usable,
             listed=frozenset(e.name for e in endpoints),
+            paused=self._pauses.list_names(endpoints, now),
             role=role,
             sample_size=sample_size,
             typical_step_ms=self._selector.find_typical_step_ms(
@@ -384,9 +406,11 @@
         view: "_ServiceView",
         now: float,
     ) -> Reservation | None:
-        candidates = [e for e in view.endpoints if e.name not in waiter.tried]
-        if not candidates and waiter.tried >= view.listed:
-            candidates = view.endpoints
+        paused = waiter.paused if waiter.leased else view.paused
+        usable = [e for e in view.endpoints if e.name not in paused]
+        candidates = [e for e in usable if e.name not in waiter.tried]
+        if not candidates and waiter.tried >= view.listed - paused:
+            candidates = usable
         if self._may_wait_for_fast_engine(waiter, service, now):
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
@@ -445,6 +469,7 @@
         endpoints: endpoints with free capacity; one that fills up is
             removed.
         listed: names of all endpoints of the service, including full ones.
+        paused: names of endpoints that want no request of this instance.
         role: role of this instance, which sets its share of cold and limited
             endpoints.
         sample_size: number of randomly drawn endpoints that one choice
@@ -454,6 +479,7 @@
 
     endpoints: list[models.Endpoint]
     listed: frozenset[str]
+    paused: frozenset[str]
     role: roles.Role
     sample_size: int
     typical_step_ms: float
--- a/citronport/relay/endpoint_headers.py
+++ b/citronport/relay/endpoint_headers.py
@@ -81,9 +81,13 @@
                 reason,
             )
         case result.Ok(seconds):
-            context.log.write(
-                events.EndpointPaused(endpoint=endpoint.name, seconds=seconds)
-            )
+            now = context.ticker.now()
+            if context.pauses.record(endpoint.start_id, seconds, now):
+                context.log.write(
+                    events.EndpointPaused(
+                        endpoint=endpoint.name, seconds=seconds
+                    )
+                )
 
 
 def _log_invalid(
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -13,6 +13,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import pauses as pauses_module
 from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import suspects as suspects_module
 
@@ -55,6 +56,7 @@
         loads: loads and step times of endpoints.
         health: health of endpoints.
         limits: rate limits announced by endpoints.
+        pauses: pauses that endpoints ask this instance for.
         suspects: requests that are suspected of crashing endpoints.
         ticker: the clock.
         log: the event log.
@@ -70,6 +72,7 @@
         loads: load_tracker.LoadTracker,
         health: health_module.Health,
         limits: endpoint_limits.EndpointLimits,
+        pauses: pauses_module.Pauses,
         suspects: suspects_module.SuspectRequests,
         ticker: clock.Clock,
         log: eventlog.Log,
@@ -82,6 +85,7 @@
         self.loads = loads
         self.health = health
         self.limits = limits
+        self.pauses = pauses
         self.suspects = suspects
         self.ticker = ticker
         self.log = log
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -1,5 +1,6 @@
 """Requests leases of endpoint capacity from owners and returns them."""
 
+import collections.abc
 import dataclasses
 import random
 
@@ -53,6 +54,8 @@
         own: name of this instance.
         owners: owners of the endpoints.
         loads: step times of endpoints and leased requests.
+        list_paused: returns the endpoints of a service that want no request
+            of this instance now.
         send: sends a message to the named instance.
         ticker: the clock.
         log: the event log.
@@ -63,6 +66,7 @@
         own: str,
         owners: owners_module.Owners,
         loads: load_tracker.LoadTracker,
+        list_paused: collections.abc.Callable[[str], frozenset[str]],
         send: messages.SendLeaseMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
@@ -70,6 +74,7 @@
         self._own = own
         self._owners = owners
         self._loads = loads
+        self._list_paused = list_paused
         self._send = send
         self._ticker = ticker
         self._log = log
@@ -286,6 +291,7 @@
             elapsed_seconds=now - work.arrived,
             remaining_seconds=work.deadline - now,
             tried=list(tried),
+            paused=list(self._list_paused(service)),
         )
 
     def _make_ended(
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -41,6 +41,12 @@
     ]
     waiter: wait_queue.Waiter | None = None
 
+    def update(self, ask: messages.Ask, now: float) -> None:
+        """Apply a repetition of the lease request."""
+        self.last_asked = now
+        if self.waiter is not None:
+            self.waiter.paused = frozenset(ask.paused)
+
     def set(self, reservation: dispatcher_module.Reservation) -> None:
         """Accept a reservation; called by the queue's matching."""
         self.grant(self, reservation)
@@ -86,7 +92,10 @@
         """Answer a lease request."""
         now = self._ticker.now()
         granted = self._granted.get(ask.request)
-        if granted is not None and granted.endpoint not in ask.tried:
+        if granted is not None and granted.endpoint not in (
+            *ask.tried,
+            *ask.paused,
+        ):
             # The lease is granted already; the message that said so got lost.
             self._send(ask.instance, granted)
             return
@@ -101,7 +110,7 @@
             if retry_seconds is not None:
                 self._reject(ask, retry_seconds)
                 return
-        applicant.last_asked = now
+        applicant.update(ask, now)
         if ask.request in self._applicants:
             queued = messages.Queued(
                 protocol=messages.PROTOCOL, request=ask.request
@@ -160,6 +169,7 @@
             work=work,
             waiting_since=now,
             tried=frozenset(applicant.ask.tried),
+            paused=frozenset(applicant.ask.paused),
             handle=applicant,
             leased=True,
         )
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -16,6 +16,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import load_tracker
+from citronport.scheduler.direct import pauses as pauses_module
 
 
 class Leasing:
@@ -35,6 +36,7 @@
         dispatcher: reserves capacity; leasing is enabled in it.
         loads: loads and step times of endpoints.
         health: health of endpoints.
+        pauses: pauses that endpoints ask this instance for.
         is_ready: returns whether this instance may own endpoints.
         send: sends a message to the named instance.
         ticker: the clock.
@@ -50,6 +52,7 @@
         dispatcher: dispatcher_module.Dispatcher,
         loads: load_tracker.LoadTracker,
         health: health_module.Health,
+        pauses: pauses_module.Pauses,
         is_ready: collections.abc.Callable[[], bool],
         send: messages.SendLeaseMessage,
         ticker: clock.Clock,
@@ -66,7 +69,15 @@
             self._on_owner_change,
         )
         self.lease_client = lease_client_module.LeaseClient(
-            own, self.owners, loads, send, ticker, log
+            own,
+            self.owners,
+            loads,
+            lambda service: pauses.list_names(
+                cluster_state.list_endpoints(service), ticker.now()
+            ),
+            send,
+            ticker,
+            log,
         )
         self.leases = leases_module.Leases(loads)
         self.lease_server = lease_server_module.LeaseServer(
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -186,6 +186,7 @@
         elapsed_seconds: time since the request arrived, seconds.
         remaining_seconds: time until its deadline, seconds.
         tried: endpoints that the request must not be sent to again.
+        paused: endpoints that want no request of the sender now.
     """
 
     protocol: int
@@ -200,6 +201,7 @@
     elapsed_seconds: float
     remaining_seconds: float
     tried: list[str]
+    paused: list[str]
 
 
 class Granted(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -96,6 +96,8 @@
         endpoints: listed endpoints.
         cold: cold endpoints.
         limited: endpoints that name a limit in their answers.
+        leaving: endpoints that are about to stop.
+        paused: endpoints that want no request of this instance now.
         leases: slots granted to other instances now.
         barred: requests that are not sent any more, as they are suspected
             of crashing endpoints.
@@ -123,6 +125,8 @@
     endpoints: int
     cold: int
     limited: int
+    leaving: int
+    paused: int
     leases: int
     barred: int
     lines_dropped: int
@@ -187,6 +191,8 @@
     gauge("endpoints", "Listed endpoints.", state.endpoints)
     gauge("endpoints_cold", "Cold endpoints.", state.cold)
     gauge("endpoints_limited", "Those that name a limit.", state.limited)
+    gauge("endpoints_leaving", "Those about to stop.", state.leaving)
+    gauge("endpoints_paused", "Those that asked for a pause.", state.paused)
     gauge("leases", "Places handed out to others now.", state.leases)
     gauge(
         "requests_barred",
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -128,6 +128,9 @@
                     return self._refuse_overloaded()
             case upstream.Barred():
                 return self._refuse_barred()
+            case upstream.Paused():
+                if self.progress.attempts >= MAX_SENDS:
+                    return self._refuse_overloaded()
             case upstream.Replaced():
                 # After endpoints crashed and restarted, the list may still
                 # name the old ones. An endpoint that is gone looks idle and
@@ -183,6 +186,8 @@
         # this check and the send, so the check is not outdated.
         if not self._context.cluster_state.may_use(endpoint):
             return upstream.Unreachable(reason="no longer in use")
+        if self._context.pauses.is_paused(endpoint.start_id, now):
+            return upstream.Paused()
         if self._is_barred():
             return upstream.Barred()
         if self.progress.attempts == 1:
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -61,7 +61,12 @@
     """The request was barred while its connection was established."""
 
 
-Failure = Unreachable | Broken | NotRun | Replaced | Barred
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Paused:
+    """The endpoint asked for a pause while a connection was established."""
+
+
+Failure = Unreachable | Broken | NotRun | Replaced | Barred | Paused
 Outcome = Answered | Failure
 
 
--- a/citronport/scheduler/direct/wait_queue.py
+++ b/citronport/scheduler/direct/wait_queue.py
@@ -26,6 +26,8 @@
         work: the request.
         waiting_since: clock time at which it started to wait, seconds.
         tried: endpoints to which it must not be sent again.
+        paused: endpoints that want no request of the other instance that it
+            belongs to.
         handle: object with which the runtime wakes it.
         leased: whether it belongs to another instance, which leases its
             slot from this one.
@@ -34,6 +36,7 @@
     work: models.Work
     waiting_since: float
     tried: frozenset[str] = frozenset()
+    paused: frozenset[str] = frozenset()
     handle: Any = None
     leased: bool = False
 
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -12,6 +12,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import pauses
 
 ENGINES = "engines"
 BOOKINGS = "bookings"
@@ -122,6 +123,7 @@
         self.health = health_module.Health()
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
+        self.pauses = pauses.Pauses()
         self.members = membership.Membership(own, "a")
         self.log = make_log(self.ticker)
         self.cluster_state = cluster_state_module.ClusterState(
@@ -141,5 +143,6 @@
             self.health,
             self.cold,
             self.limits,
+            self.pauses,
             self.ticker,
         )
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -45,6 +45,7 @@
             self.room.board,
             self.room.health,
             endpoint_limits.EndpointLimits(),
+            self.room.pauses,
             suspects.SuspectRequests(),
             self.clock,
             self.room.log,
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -121,6 +121,45 @@
         )
         self.assertEqual("e1", found.endpoint.name)
 
+    def test_paused_endpoint_is_not_used_while_others_are_full(self):
+        """Guards against requests to an endpoint that turned one away.
+
+        It has few requests and looks idle, and the others have all they can
+        take. The request has been to both, which allows a second try of
+        any endpoint but this one.
+        """
+        endpoints = [samples.make_endpoint(name) for name in ("e1", "e2")]
+        room = samples.DispatcherFixture(endpoints)
+        room.pauses.record(("e1", 0), 3.0, room.ticker.now())
+        for number in range(3):
+            self.assertEqual(
+                "e2", self.acquire(room, f"t{number}").endpoint.name
+            )
+        route = samples.make_route(objective=0.02)
+        work = samples.make_work("r", route, room.ticker.now())
+        found = room.dispatcher.acquire(
+            work, samples.ENGINES, frozenset({"e1", "e2"})
+        )
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+
+    def test_refused_at_once_if_all_pauses_outlast_its_wait(self):
+        """Guards against a wait for endpoints that take nothing in time."""
+        room = samples.DispatcherFixture([samples.make_endpoint()])
+        room.pauses.record(("e1", 0), 3.0, room.ticker.now())
+        began = room.ticker.now()
+        found = self.acquire(room, "r1")
+        self.assertLess(room.ticker.now() - began, 0.05)
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+        self.assertGreaterEqual(found.retry_after, 0.5)
+
+    def test_waits_for_the_end_of_a_short_pause(self):
+        """Guards against a refusal of what can be served in time."""
+        room = samples.DispatcherFixture([samples.make_endpoint()])
+        match_task = gevent.spawn(room.dispatcher.run_match_loop)
+        self.addCleanup(match_task.kill)
+        room.pauses.record(("e1", 0), 0.1, room.ticker.now())
+        self.assertEqual("e1", self.acquire(room, "r1").endpoint.name)
+
     def test_late_request_with_a_long_prompt_uses_any_engine(self):
         """Guards against a long prompt that waits for a fast engine in vain.
 
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -43,6 +43,7 @@
             room.dispatcher,
             room.board,
             room.health,
+            room.pauses,
             lambda: True,
             self.send,
             room.ticker,
@@ -313,6 +314,36 @@
             [], self.owner.room.cluster_state.list_endpoints(samples.ENGINES)
         )
 
+    def test_owner_grants_nothing_that_the_lessee_may_not_use(self):
+        """Guards against grants at an endpoint in a pause.
+
+        The pause concerns the instance that was turned away. The owner
+        goes on granting slots there to the others.
+        """
+        route = samples.make_route(objective=0.05)
+        self.configure(route)
+        now = self.one.room.ticker.now()
+        self.one.room.pauses.record(("e1", 0), 0.06, now)
+        found = self.one.acquire("r1", route)
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+        self.assertEqual(0, self.owner.count())
+        self.assertEqual("e1", self.two.acquire("r2", route).endpoint.name)
+
+    def test_grant_that_crosses_a_pause_is_returned(self):
+        """Guards against a send by a grant that is older than a pause."""
+        pauses = self.one.room.pauses
+        handle_answer = self.one.leasing.lease_client.handle_answer
+
+        def pause_first(answer):
+            pauses.record(("e1", 0), 3.0, self.one.room.ticker.now())
+            handle_answer(answer)
+
+        self.one.leasing.lease_client.handle_answer = pause_first
+        found = self.one.acquire("r1", samples.make_route(objective=0.05))
+        self.assertEqual(errors.Code.OVERLOADED, found.code)
+        self.settle()
+        self.assertEqual(0, self.owner.count())
+
     def test_owner_that_does_not_know_the_route(self):
         """An owner with an older configuration declines the lease request."""
         self.owner.room.cluster_state.configuration = (
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -52,6 +52,7 @@
             room.board,
             room.health,
             room.limits,
+            room.pauses,
             self.suspects,
             room.ticker,
             room.log,
@@ -445,6 +446,47 @@
             self.assertEqual(200, self.ask())
             self.assertEqual(1, len(leaving.requests))
 
+    def test_pause_in_any_answer_that_turns_away(self):
+        """Guards against a pause that only counts if the request did not run.
+
+        A pause in a success, or one that cannot be read, means nothing.
+        """
+        for status, value, sends in (
+            (503, "3", 1),
+            (503, "Thu, 03 Dec 2026 18:00:00 GMT", 2),
+            (200, "3", 2),
+        ):
+            for extra in ({}, {"X_Not_Executed": "1"}):
+                script = fakes.answer(status, Retry_After=value, **extra)
+                endpoint = fakes.Endpoint(self, script)
+                self.prepare(
+                    endpoint, repeat=models.RepeatPolicy.NON_IDEMPOTENT
+                )
+                self.context.get_retry_budget = lambda service: (
+                    retries.RetryBudget(0.0, 0.0)
+                )
+                self.ask()
+                self.ask()
+                self.assertEqual(
+                    sends, len(endpoint.requests), (status, value)
+                )
+
+    def test_pause_that_begins_while_it_connects(self):
+        """Guards against a send to an endpoint that just asked for a pause."""
+        endpoint = fakes.Endpoint(self, fakes.answer())
+        self.prepare(endpoint)
+        cluster_state = self.room.cluster_state
+        may_use = cluster_state.may_use
+
+        def pause_then_check(endpoint):
+            now = self.room.ticker.now()
+            self.room.pauses.record(endpoint.start_id, 3.0, now)
+            return may_use(endpoint)
+
+        cluster_state.may_use = pause_then_check
+        self.assertEqual(503, self.ask())
+        self.assertEqual(0, len(endpoint.requests))
+
     def test_unreadable_leaving_changes_nothing(self):
         """Guards against an endpoint that is lost by a malformed header."""
         endpoint = fakes.Endpoint(self, fakes.answer(Server_Leaving="maybe"))
