Log when the store was restored and when it refuses a watch

Cause: no line or metric tells that the store came back from an older copy, nor that it refuses a watch (410). In the record of second2 instances that asked in vain 140 times a second looked healthy.

Ruled out: nothing yet; no decision changes.

Change: Store-Era is read from all answers of the store; store_restored when it rises, store_compacted for the first and the tenth refused watch in a row; citronport_store_era and citronport_store_refused_watches_total.

--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -35,6 +35,8 @@
 
     Attributes:
         received: bytes received of the latest response's body.
+        era: how often the store has been restored from a copy, as stated in
+            its latest response; 0 if it does not state it.
     """
 
     def __init__(self, address: str, idle_seconds: float) -> None:
@@ -42,6 +44,7 @@
         self._idle_seconds = idle_seconds
         self._connection: connection.Connection | None = None
         self.received = 0
+        self.era = 0
 
     def read(self, prefix: str, after: str = "") -> ReadResult:
         """Read one page of the items whose keys begin with a prefix.
@@ -115,7 +118,11 @@
             current.send(
                 connection.encode_request(self._address, "GET", target)
             )
-            status = current.read_head().status_code
+            head = current.read_head()
+            status = head.status_code
+            self.era = models.parse_era(head.get(const.HEADER_ERA)).unwrap_or(
+                self.era
+            )
         chunks = []
         # The idle time-out applies to each chunk. A large response takes
         # longer than that over a slow link, and if it were dropped and
--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -14,6 +14,10 @@
 PATH_RANGE: Final = "/citronport/kv-range"
 PATH_WATCH: Final = "/citronport/kv-watch"
 
+# Headers of the store's answers
+
+HEADER_ERA: Final = "store-era"
+
 # Paths of an endpoint
 
 PATH_REPORT: Final = "/citronport/report"
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -165,6 +165,15 @@
     born: int = 0
 
 
+def parse_era(text: str | None) -> result.Result[int, str]:
+    """Decode how often the store has been restored; 0 if it is not stated."""
+    if text is None:
+        return result.Ok(0)
+    if not text.strip().isdecimal():
+        return result.Err("not a whole number")
+    return result.Ok(int(text))
+
+
 def parse_range(body: bytes) -> result.Result[StoreResponse, str]:
     """Decode a page of the store's items."""
     try:
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -432,6 +432,8 @@
             store_revision=self.mirror.revision,
             store_calls=self.follower.calls,
             store_failures=self.follower.failures,
+            store_refused=self.follower.refused,
+            store_era=self.follower.era,
             summaries_made=self.summaries.made,
             summaries_taken=self.summaries.taken,
             news_taken=self.replication.taken,
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -156,6 +156,30 @@
     revision: int
 
 
+class StoreRestored(msgspec.Struct, frozen=True, kw_only=True):
+    """The store came back from an older copy and has lost changes.
+
+    Attributes:
+        era: how often it has been restored, as it states.
+        revision: revision up to which all changes were known before.
+    """
+
+    era: int
+    revision: int
+
+
+class StoreCompacted(msgspec.Struct, frozen=True, kw_only=True):
+    """The store refused a watch, as it lacks the history; it is read again.
+
+    Attributes:
+        revision: revision up to which all changes were known.
+        refused: watches refused since the last one that was answered.
+    """
+
+    revision: int
+    refused: int
+
+
 class PeerChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Another instance came into reach or went out of reach."""
 
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -64,6 +64,10 @@
 """Maximum pause of an instance that is not a reader. It matters only if the
 store recovers for this instance and for none of the readers."""
 
+MANY_REFUSED = 10
+"""Number of watches refused in a row that is logged once more, as full reads
+did not help."""
+
 OUTAGE_SECONDS = 0.7
 """Time without an answer, beyond that of a watch, that counts as an outage."""
 
@@ -119,6 +123,7 @@
             infinity before the first one.
         calls: calls to the store since the start.
         failures: calls without a usable answer.
+        refused: watches that the store refused for lack of history.
     """
 
     def __init__(
@@ -149,6 +154,14 @@
         self.recovered_at = float("-inf")
         self.calls = 0
         self.failures = 0
+        self.refused = 0
+        self._refused_in_a_row = 0
+        self._era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """How often the store was restored from a copy, as it states."""
+        return self._store.era
 
     def follow(self) -> None:
         """Follow the store until the task is killed."""
@@ -191,12 +204,14 @@
         ):
             case result.Ok(answer):
                 self._note_answer()
+                self._refused_in_a_row = 0
                 changes = self._mirror.apply(answer.items, answer.revision)
                 if changes:
                     self._deliver(changes)
                     self._wait_for_batch()
                 return True
             case result.Err(client.Compacted()):
+                self._note_refused()
                 self._needs_full_read = True
                 return True
             case result.Err(reason):
@@ -247,8 +262,29 @@
         self.calls += 1
         return self._ticker.now()
 
+    def _note_refused(self) -> None:
+        self.refused += 1
+        self._refused_in_a_row += 1
+        if self._refused_in_a_row in (1, MANY_REFUSED):
+            self._log.write(
+                events.StoreCompacted(
+                    revision=self._mirror.revision,
+                    refused=self._refused_in_a_row,
+                )
+            )
+
+    def _note_era(self) -> None:
+        if self._era is not None and self._store.era > self._era:
+            self._log.write(
+                events.StoreRestored(
+                    era=self._store.era, revision=self._mirror.revision
+                )
+            )
+        self._era = self._store.era
+
     def _note_answer(self) -> None:
         now = self._ticker.now()
+        self._note_era()
         self._retry_seconds = RETRY_SECONDS
         if self._failing_since is not None:
             away = now - self.answered_at
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -86,6 +86,8 @@
         store_revision: store revision up to which all changes are known.
         store_calls: calls to the store since the start.
         store_failures: calls to the store without a usable answer.
+        store_refused: watches that it refused for lack of history.
+        store_era: how often it was restored from a copy, as it states.
         summaries_made: summaries made of this data centre.
         summaries_taken: summaries of other data centres that were applied;
             duplicates are not counted.
@@ -116,6 +118,8 @@
     store_revision: int
     store_calls: int
     store_failures: int
+    store_refused: int
+    store_era: int
     summaries_made: int
     summaries_taken: int
     news_taken: int
@@ -182,6 +186,7 @@
         "Age of the store's newest answer.",
         round(state.store_seconds, 3),
     )
+    gauge("store_era", "Times it was restored.", state.store_era)
     gauge("store_revision", "Known up to here.", state.store_revision)
     gauge(
         "news_behind_seconds",
@@ -253,6 +258,11 @@
         "Calls to the platform's store without a usable answer.",
         [({}, state.store_failures)],
     )
+    counter(
+        "store_refused_watches_total",
+        "Watches that the platform's store refused for lack of history.",
+        [({}, state.store_refused)],
+    )
     counter(
         "summaries_total",
         "Summaries of data centres, by what was done with them.",
