--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -74,10 +74,12 @@
     Attributes:
         mode: "well", "silent", "stalled" (in the middle of a response),
             "busy", "garbage" or "compacted" (for one call).
+        era: how often it was restored from a copy.
     """
 
     def __init__(self, test):
         self.revision = 1
+        self.era = 0
         self.items = {}
         self.events = []
         self.mode = "well"
@@ -109,6 +111,16 @@
             {"key": key, "revision": self.revision, "deleted": True}
         )
 
+    def copy(self):
+        """Return a copy of its content, see ``restore``."""
+        return self.revision, dict(self.items), list(self.events)
+
+    def restore(self, copied):
+        """Come back from a copy; what was written since then is lost."""
+        self.revision, items, events = copied
+        self.items, self.events = dict(items), list(events)
+        self.era += 1
+
     def _serve_calls(self, sock, file):
         while (request := read_request(file)) is not None:
             _, target, _, _ = request
@@ -122,16 +134,21 @@
                     sock.sendall(render(200, b"{}" * 50)[:-20])
                     gevent.sleep(60)
                 case "busy":
-                    sock.sendall(render(503))
+                    sock.sendall(self._render(503))
                 case "garbage":
-                    sock.sendall(render(200, b"{"))
+                    sock.sendall(self._render(200, b"{"))
                 case _ if path == STORE_RANGE:
-                    sock.sendall(render(200, self._range(fields)))
+                    sock.sendall(self._render(200, self._range(fields)))
                 case "compacted":
                     self.mode = "well"
-                    sock.sendall(render(410))
+                    sock.sendall(self._render(410))
+                case _ if int(fields["after"]) > self.revision:
+                    sock.sendall(self._render(410))
                 case _:
-                    sock.sendall(render(200, self._watch(fields)))
+                    sock.sendall(self._render(200, self._watch(fields)))
+
+    def _render(self, status, body=b""):
+        return render(status, body, Store_Era=self.era)
 
     def _range(self, fields):
         after = fields.get("after", "").replace("%2F", "/")
@@ -147,8 +164,12 @@
 
     def _watch(self, fields):
         after = int(fields["after"])
+        era = self.era
         remaining = int(fields["waitMs"]) / 1000
         while remaining > 0 and self.revision <= after:
+            if self.era != era:
+                # The store was restored meanwhile; it cuts its watches.
+                raise ConnectionResetError
             gevent.sleep(0.01)
             remaining -= 0.01
         events = [e for e in self.events if e["revision"] > after]
