Follow a store that comes back from an older copy

Cause: an instance took the store's revisions for a count that only grows. The restored store gives them out again, so that each full read looked like one that began earlier and was ignored, and each watch was refused (410): 140 calls a second from each instance, all in vain, until the count had passed what was known; changes below that were never known. Instances compare revisions with each other as well, so that no peer could help.

Ruled out: a slow store (calls took milliseconds); going back from a newer version (none was ever in force).

Change: the era that the store states (Store-Era) is the high part of each revision inside, made at the border (platform/models.py), so that what is read after a restoration is later than all before: for the copy, for reports, for fetches between instances, with no change to their messages. An answer to a watch that is of another era than its revision leads to a full read, also if the revision exists in both. Pages of two eras are not mixed. A full read that does not help is followed by a pause. What the copy contradicts may be older than what is known, and is marked: an earlier start of an endpoint is ignored, one that was gone waits for 5 s, a missing one is used for 1.5 s more (as around an outage; both now wait by one mechanism), a missing evacuation stays in force for 10 s. Versions of the configuration and leaving endpoints do not go back anyway. In the log, endpoint_gone now tells when an endpoint is dropped, and change_deferred that a change waits (it was a field of endpoint_gone).

Conclusion: the order of changes no longer rests on a number that may repeat.

--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -19,7 +19,10 @@
 
 
 class Compacted:
-    """The store no longer has the history since the requested revision."""
+    """The store does not have the history since the requested revision.
+
+    It has discarded it, or was restored from a copy that lacks it.
+    """
 
 
 ReadResult = result.Result[models.StoreResponse, str | Compacted]
@@ -35,8 +38,6 @@
 
     Attributes:
         received: bytes received of the latest response's body.
-        era: how often the store has been restored from a copy, as stated in
-            its latest response; 0 if it does not state it.
     """
 
     def __init__(self, address: str, idle_seconds: float) -> None:
@@ -44,7 +45,6 @@
         self._idle_seconds = idle_seconds
         self._connection: connection.Connection | None = None
         self.received = 0
-        self.era = 0
 
     def read(self, prefix: str, after: str = "") -> ReadResult:
         """Read one page of the items whose keys begin with a prefix.
@@ -66,14 +66,23 @@
             revision: the latest revision that is known.
             wait: seconds for which the store may hold the request.
         """
+        era, number = models.split_revision(revision)
         query = {
             "prefix": prefix,
-            "after": str(revision),
+            "after": str(number),
             "waitMs": str(int(wait * 1000)),
         }
-        return self._request(
+        found = self._request(
             const.PATH_WATCH, query, wait, models.parse_events
         )
+        match found:
+            case result.Ok(answer):
+                if models.split_revision(answer.revision)[0] != era:
+                    # The revision exists in both eras. Changes that the
+                    # store gave lower revisions since its restoration are
+                    # missing from the answer.
+                    return result.Err(Compacted())
+        return found
 
     def close(self) -> None:
         """Close the connection; the next request opens a new one."""
@@ -87,14 +96,14 @@
         query: dict[str, str],
         wait: float,
         parse: collections.abc.Callable[
-            [bytes], result.Result[models.StoreResponse, str]
+            [bytes, int], result.Result[models.StoreResponse, str]
         ],
     ) -> ReadResult:
         self.received = 0
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
             with gevent.Timeout(wait + RESPONSE_TIMEOUT_SECONDS, TimeoutError):
-                status, body = self._exchange(target, wait)
+                head, body = self._exchange(target, wait)
         except TimeoutError:
             # The connection may be broken without a sign of it. A lost
             # response never arrives on it, while a new connection works.
@@ -103,13 +112,17 @@
         except (OSError, http_response.HTTPParseError) as error:
             self.close()
             return result.Err(type(error).__name__)
-        if status == _STATUS_COMPACTED:
+        if head.status_code == _STATUS_COMPACTED:
             return result.Err(Compacted())
-        if status != 200:
-            return result.Err(f"status {status}")
-        return parse(body)
+        if head.status_code != 200:
+            return result.Err(f"status {head.status_code}")
+        return models.parse_era(head.get(const.HEADER_ERA)).and_then(
+            lambda era: parse(body, era)
+        )
 
-    def _exchange(self, target: str, wait: float) -> tuple[int, bytes]:
+    def _exchange(
+        self, target: str, wait: float
+    ) -> tuple[connection.Answer, bytes]:
         with gevent.Timeout(wait + self._idle_seconds, TimeoutError):
             if self._connection is None or not self._connection.is_idle():
                 self.close()
@@ -119,10 +132,6 @@
                 connection.encode_request(self._address, "GET", target)
             )
             head = current.read_head()
-            status = head.status_code
-            self.era = models.parse_era(head.get(const.HEADER_ERA)).unwrap_or(
-                self.era
-            )
         chunks = []
         # The idle time-out applies to each chunk. A large response takes
         # longer than that over a slow link, and if it were dropped and
@@ -132,7 +141,7 @@
             self.received += len(data)
         if not current.is_reusable():
             self.close()
-        return status, b"".join(chunks)
+        return head, b"".join(chunks)
 
     def _read_chunk(self, current: connection.Connection) -> bytes:
         with gevent.Timeout(self._idle_seconds, TimeoutError):
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -22,6 +22,29 @@
 }
 
 
+REVISIONS_PER_ERA = 10**12
+"""More revisions than a store gives out between two restorations."""
+
+
+def make_revision(era: int, number: int) -> int:
+    """Return a revision that is later than all of earlier eras.
+
+    A store that is restored from an older copy gives revisions out again. If
+    these were compared as they are, an instance would ignore all changes
+    until the store has caught up with what was lost.
+
+    Args:
+        era: how often the store has been restored.
+        number: revision as the store states it.
+    """
+    return era * REVISIONS_PER_ERA + number
+
+
+def split_revision(revision: int) -> tuple[int, int]:
+    """Return era and number, see ``make_revision``."""
+    return divmod(revision, REVISIONS_PER_ERA)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Item:
     """One item of the store.
@@ -29,12 +52,16 @@
     Attributes:
         key: key of the item.
         value: content of the item; None if it was deleted.
-        revision: revision of the store at the item's last change.
+        revision: revision of the store at the item's last change, see
+            ``make_revision``.
+        is_restored: whether it contradicts what was known before the store
+            was restored from a copy, and may be older than that.
     """
 
     key: str
     value: bytes | None
     revision: int
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,7 +70,8 @@
 
     Attributes:
         items: items or changes, in the order of the response.
-        revision: revision of the store at the time of the response.
+        revision: revision of the store at the time of the response, see
+            ``make_revision``.
         more: whether another page follows.
     """
 
@@ -170,18 +198,20 @@
     if text is None:
         return result.Ok(0)
     if not text.strip().isdecimal():
-        return result.Err("not a whole number")
+        return result.Err("era is not a whole number")
     return result.Ok(int(text))
 
 
-def parse_range(body: bytes) -> result.Result[StoreResponse, str]:
+def parse_range(
+    body: bytes, era: int = 0
+) -> result.Result[StoreResponse, str]:
     """Decode a page of the store's items."""
     try:
         page = _decode(body, _RangePage)
         return result.Ok(
             StoreResponse(
-                items=tuple(_make_item(item) for item in page.items),
-                revision=page.revision,
+                items=tuple(_make_item(item, era) for item in page.items),
+                revision=make_revision(era, page.revision),
                 more=page.more,
             )
         )
@@ -189,14 +219,16 @@
         return result.Err(_describe(error))
 
 
-def parse_events(body: bytes) -> result.Result[StoreResponse, str]:
+def parse_events(
+    body: bytes, era: int = 0
+) -> result.Result[StoreResponse, str]:
     """Decode the changes in the response to a watch."""
     try:
         page = _decode(body, _EventsPage)
         return result.Ok(
             StoreResponse(
-                items=tuple(_make_item(item) for item in page.events),
-                revision=page.revision,
+                items=tuple(_make_item(item, era) for item in page.events),
+                revision=make_revision(era, page.revision),
             )
         )
     except (msgspec.MsgspecError, ValueError) as error:
@@ -247,11 +279,15 @@
     return msgspec.json.decode(data.decode(), type=kind)
 
 
-def _make_item(item: _Item) -> Item:
+def _make_item(item: _Item, era: int) -> Item:
     value = None
     if not item.deleted:
         value = base64.b64decode(item.value, validate=True)
-    return Item(key=item.key, value=value, revision=item.revision)
+    return Item(
+        key=item.key,
+        value=value,
+        revision=make_revision(era, item.revision),
+    )
 
 
 def _make_configuration(wire: _Configuration) -> models.Configuration:
--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -24,6 +24,14 @@
 again within two seconds of its end. Without the grace period, no endpoint
 would be listed for that time, and every caller would be refused."""
 
+RESTORED_ENDPOINT_SECONDS = 5.0
+"""How long an endpoint that was gone is not used if a restored store lists it.
+The entry of one that no longer runs expires there after three heartbeats."""
+
+RESTORED_EVACUATION_SECONDS = 10.0
+"""How long an evacuation that a restored store lacks stays in force. Operators
+write again what the store has lost."""
+
 OUTAGE_RECOVERY_SECONDS = 3.0
 """Time after an outage during which a vanished entry counts as lapsed."""
 
@@ -63,6 +71,19 @@
         self._starts.pop(start_id, None)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DeferredChange:
+    """A change that takes effect unless its key changes before.
+
+    Attributes:
+        item: the changed item.
+        due: clock time, seconds.
+    """
+
+    item: wire.Item
+    due: float
+
+
 class ClusterState:
     """Typed view of the store's items.
 
@@ -93,7 +114,7 @@
         self._forget = forget
         self._log = log
         self._by_service: dict[str, list[models.Endpoint]] = {}
-        self._lapsing: dict[str, float] = {}
+        self._deferred: dict[str, _DeferredChange] = {}
         self._removed: dict[str, float] = {}
         self._starts = _RecentStarts()
         self._leaving_starts = _RecentStarts()
@@ -115,21 +136,22 @@
         """
         lapsing = now - recovered_at < OUTAGE_RECOVERY_SECONDS
         for item in changes:
-            if item.key == const.KEY_CONFIGURATION:
-                self._apply_configuration(item)
-            elif item.key.startswith(const.PREFIX_EVACUATED):
-                self._apply_evacuation(item, now)
-            elif item.key.startswith(const.PREFIX_ENDPOINTS):
-                self._apply_endpoint(item, now, lapsing)
+            self._deferred.pop(item.key, None)
+            delay = self._compute_delay(item, lapsing)
+            if delay:
+                self._defer(item, now + delay)
+            else:
+                self._apply_item(item, now)
         self._is_loaded = True
         self._index()
 
     def sweep(self, now: float) -> None:
-        """Remove endpoints whose lapsed entries did not return in time."""
-        expired = [n for n, until in self._lapsing.items() if now >= until]
-        for name in expired:
-            self._drop(name, now)
-        if expired:
+        """Apply the deferred changes that are due."""
+        due = [d.item for d in self._deferred.values() if now >= d.due]
+        for item in due:
+            del self._deferred[item.key]
+            self._apply_item(item, now)
+        if due:
             self._index()
         self._forget_removed(now)
 
@@ -167,6 +189,49 @@
         self._log.write(events.EndpointLeaving(endpoint=name, started=started))
         return True
 
+    def _compute_delay(self, item: wire.Item, lapsing: bool) -> float:
+        """Return how long a change may be due to what the store has lost.
+
+        Returns:
+            Seconds after which it takes effect; 0 for at once.
+        """
+        if item.key.startswith(const.PREFIX_ENDPOINTS):
+            return self._compute_endpoint_delay(item, lapsing)
+        if not item.key.startswith(const.PREFIX_EVACUATED):
+            return 0.0
+        if item.is_restored and item.value is None:
+            return RESTORED_EVACUATION_SECONDS
+        return 0.0
+
+    def _compute_endpoint_delay(self, item: wire.Item, lapsing: bool) -> float:
+        name = item.key.removeprefix(const.PREFIX_ENDPOINTS)
+        is_listed = name in self.endpoints
+        if item.value is None:
+            may_return = is_listed and (lapsing or item.is_restored)
+            return LAPSE_GRACE_SECONDS if may_return else 0.0
+        if item.is_restored and not is_listed:
+            return RESTORED_ENDPOINT_SECONDS
+        return 0.0
+
+    def _defer(self, item: wire.Item, due: float) -> None:
+        self._deferred[item.key] = _DeferredChange(item, due)
+        self._log.write(
+            events.ChangeDeferred(
+                key=item.key,
+                deleted=item.value is None,
+                restored=item.is_restored,
+                revision=item.revision,
+            )
+        )
+
+    def _apply_item(self, item: wire.Item, now: float) -> None:
+        if item.key == const.KEY_CONFIGURATION:
+            self._apply_configuration(item)
+        elif item.key.startswith(const.PREFIX_EVACUATED):
+            self._apply_evacuation(item, now)
+        elif item.key.startswith(const.PREFIX_ENDPOINTS):
+            self._apply_endpoint(item, now)
+
     def _apply_configuration(self, item: wire.Item) -> None:
         if item.value is None:
             # Operators replace the configuration and never delete it.
@@ -226,19 +291,12 @@
             )
         )
 
-    def _apply_endpoint(
-        self, item: wire.Item, now: float, lapsing: bool
-    ) -> None:
+    def _apply_endpoint(self, item: wire.Item, now: float) -> None:
         name = item.key.removeprefix(const.PREFIX_ENDPOINTS)
         if item.value is None:
-            if lapsing and name in self.endpoints:
-                self._lapsing[name] = now + LAPSE_GRACE_SECONDS
-            else:
-                self._drop(name, now)
+            self._drop(name, now)
             self._log.write(
-                events.EndpointGone(
-                    endpoint=name, revision=item.revision, lapsed=lapsing
-                )
+                events.EndpointGone(endpoint=name, revision=item.revision)
             )
             return
         match wire.parse_endpoint(item.key, item.value):
@@ -254,15 +312,22 @@
                     )
                 )
             case result.Ok(endpoint):
+                if item.is_restored and self._has_later_start(endpoint):
+                    # The store has lost that the endpoint was restarted,
+                    # which it registers again.
+                    return
                 self._set_endpoint(endpoint, item.revision, now)
 
+    def _has_later_start(self, endpoint: models.Endpoint) -> bool:
+        known = self.endpoints.get(endpoint.name)
+        return known is not None and known.started > endpoint.started
+
     def _set_endpoint(
         self, endpoint: models.Endpoint, revision: int, now: float
     ) -> None:
         known = self.endpoints.get(endpoint.name)
         if known is not None and known.start_id != endpoint.start_id:
             self._drop(endpoint.name, now)
-        self._lapsing.pop(endpoint.name, None)
         if endpoint.leaving:
             self._leaving_starts.add(endpoint.start_id)
         elif endpoint.start_id in self._leaving_starts:
@@ -294,7 +359,6 @@
             self._cold.set_cold(endpoint.name, now + service.cold_seconds)
 
     def _drop(self, name: str, now: float) -> None:
-        self._lapsing.pop(name, None)
         endpoint = self.endpoints.pop(name, None)
         if endpoint is None:
             return
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -418,6 +418,9 @@
         now = self._ticker.now()
         configuration = self.cluster_state.configuration
         fresh = self.members.list_fresh(now)
+        store_era, store_revision = wire_models.split_revision(
+            self.mirror.revision
+        )
         return metrics.State(
             up_seconds=now - self._started,
             ready=self.is_ready(),
@@ -429,11 +432,11 @@
                 configuration.version if configuration else 0
             ),
             store_seconds=now - self.follower.answered_at,
-            store_revision=self.mirror.revision,
+            store_revision=store_revision,
             store_calls=self.follower.calls,
             store_failures=self.follower.failures,
             store_refused=self.follower.refused,
-            store_era=self.follower.era,
+            store_era=store_era,
             summaries_made=self.summaries.made,
             summaries_taken=self.summaries.taken,
             news_taken=self.replication.taken,
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -119,13 +119,29 @@
     Attributes:
         endpoint: name of the endpoint.
         revision: store revision of the removal.
-        lapsed: whether it was removed around an outage of the store, so
-            that the endpoint may still be running.
     """
 
     endpoint: str
     revision: int
-    lapsed: bool
+
+
+class ChangeDeferred(msgspec.Struct, frozen=True, kw_only=True):
+    """A change may be due to what the store has lost, and waits.
+
+    It takes effect unless its key changes before.
+
+    Attributes:
+        key: key in the store.
+        deleted: whether the key was removed.
+        restored: whether the store was restored from a copy before; otherwise
+            entries may have expired in an outage.
+        revision: store revision of the change.
+    """
+
+    key: str
+    deleted: bool
+    restored: bool
+    revision: int
 
 
 class StoreLost(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -156,12 +156,6 @@
         self.failures = 0
         self.refused = 0
         self._refused_in_a_row = 0
-        self._era: int | None = None
-
-    @property
-    def era(self) -> int:
-        """How often the store was restored from a copy, as it states."""
-        return self._store.era
 
     def follow(self) -> None:
         """Follow the store until the task is killed."""
@@ -213,7 +207,9 @@
             case result.Err(client.Compacted()):
                 self._note_refused()
                 self._needs_full_read = True
-                return True
+                # A full read that did not help is not repeated at once. A
+                # hundred instances would use up the store's rate limit.
+                return self._refused_in_a_row == 1
             case result.Err(reason):
                 self._note_failure(str(reason), started_at)
                 return False
@@ -226,8 +222,11 @@
             started_at = self._start_call()
             match self._store.read(const.PREFIX_ALL, after):
                 case result.Ok(page):
-                    items += page.items
                     revision = revision or page.revision
+                    if _get_era(page.revision) != _get_era(revision):
+                        # The store was restored between two pages.
+                        return True
+                    items += page.items
                 case result.Err(reason):
                     self._note_failure(str(reason), started_at)
                     return False
@@ -236,6 +235,7 @@
             after = page.items[-1].key
         self._note_answer()
         self._needs_full_read = False
+        self._check_restored(revision)
         changes = self._mirror.replace(items, revision)
         if changes:
             self._deliver(changes)
@@ -273,18 +273,18 @@
                 )
             )
 
-    def _note_era(self) -> None:
-        if self._era is not None and self._store.era > self._era:
-            self._log.write(
-                events.StoreRestored(
-                    era=self._store.era, revision=self._mirror.revision
-                )
-            )
-        self._era = self._store.era
+    def _check_restored(self, revision: int) -> None:
+        known = self._mirror.revision
+        if not known or _get_era(revision) <= _get_era(known):
+            return
+        # Leases of endpoints may have expired in the copy.
+        self.recovered_at = self._ticker.now()
+        self._log.write(
+            events.StoreRestored(era=_get_era(revision), revision=known)
+        )
 
     def _note_answer(self) -> None:
         now = self._ticker.now()
-        self._note_era()
         self._retry_seconds = RETRY_SECONDS
         if self._failing_since is not None:
             away = now - self.answered_at
@@ -313,3 +313,8 @@
             self._log.write(
                 events.StoreLost(reason=reason, revision=self._mirror.revision)
             )
+
+
+def _get_era(revision: int) -> int:
+    """Return how often the store had been restored at a revision."""
+    return models.split_revision(revision)[0]
--- a/citronport/relay/mirror.py
+++ b/citronport/relay/mirror.py
@@ -1,6 +1,7 @@
 """Local copy of the items in the platform's store."""
 
 import collections.abc
+import dataclasses
 
 from citronport.platform import models
 
@@ -30,7 +31,11 @@
             items: changes later than the known revision, in any order.
             revision: revision up to which all changes are known now.
         """
-        changed = [item for item in items if self._apply_item(item)]
+        changed = []
+        for item in items:
+            change = self._apply_item(item)
+            if change is not None:
+                changed.append(change)
         self.revision = max(self.revision, revision)
         return changed
 
@@ -89,17 +94,30 @@
         known = revision if complete else self.revision
         return self.apply((*missing, *items), known)
 
-    def _apply_item(self, item: models.Item) -> bool:
+    def _apply_item(self, item: models.Item) -> models.Item | None:
+        """Apply an item; return the change, if it is one."""
         known = self._items.get(item.key)
         newest = known.revision if known else self._deleted.get(item.key, 0)
         if item.revision <= newest:
-            return False
+            return None
         if item.value is None:
             self._items.pop(item.key, None)
             self._deleted[item.key] = item.revision
             if len(self._deleted) > MAX_TOMBSTONES:
                 del self._deleted[next(iter(self._deleted))]
-            return known is not None
-        self._deleted.pop(item.key, None)
-        self._items[item.key] = item
-        return True
+        else:
+            self._deleted.pop(item.key, None)
+            self._items[item.key] = item
+        is_restored = _is_of_later_era(item.revision, newest)
+        if known is None and item.value is None:
+            return None
+        if is_restored and known is not None and known.value == item.value:
+            return None
+        return dataclasses.replace(item, is_restored=is_restored)
+
+
+def _is_of_later_era(revision: int, known: int) -> bool:
+    """Return whether the store was restored after a known revision."""
+    era, _ = models.split_revision(revision)
+    known_era, _ = models.split_revision(known)
+    return known > 0 and era > known_era
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -49,6 +49,24 @@
         failure = self.client.watch("", 1, 0.1).unwrap_err()
         self.assertIsInstance(failure, client.Compacted)
 
+    def test_watch_across_a_restoration(self):
+        """Guards against changes missed by a watch from a reused revision."""
+        known = self.client.read("").unwrap().revision
+        self.store.era += 1
+        self.store.put("servers/d", {})
+        failure = self.client.watch("", known, 0.1).unwrap_err()
+        self.assertIsInstance(failure, client.Compacted)
+        later = self.client.read("").unwrap()
+        self.assertGreater(later.revision, known)
+        self.store.put("servers/e", {})
+        answer = self.client.watch("", later.revision, 0.1).unwrap()
+        self.assertEqual(["servers/e"], [i.key for i in answer.items])
+
+    def test_era_that_is_no_number(self):
+        """Guards against an invalid era that is taken for the first one."""
+        self.store.era = "late"
+        self.assertTrue(self.client.read("").is_err())
+
     def test_connection_without_response(self):
         """After a time-out the next request uses a new connection.
 
--- a/tests/relay/test_cluster_state.py
+++ b/tests/relay/test_cluster_state.py
@@ -157,6 +157,84 @@
         self.put("servers/a", None, now=10.0)
         self.assertEqual([], self.list_names())
 
+    def restore(self, key, value, now=10.0):
+        """Apply an item in which a restored store contradicts the state."""
+        data = None if value is None else json.dumps(value).encode()
+        item = wire.Item(
+            key=key, value=data, revision=10**12, is_restored=True
+        )
+        self.cluster_state.apply([item], now, NEVER)
+
+    def test_endpoint_that_a_restored_store_lacks(self):
+        """Guards against a short list of endpoints that still run.
+
+        They have registered since the copy was made and do so again. One
+        that does not is gone.
+        """
+        for name in ("a", "b"):
+            self.put_endpoint(name)
+            self.restore(f"servers/{name}", None)
+        self.assertEqual(["a", "b"], self.list_names())
+        self.put_endpoint("a", now=11.0)
+        self.cluster_state.sweep(11.6)
+        self.assertEqual(["a"], self.list_names())
+
+    def test_gone_endpoint_that_a_restored_store_lists(self):
+        """Guards against work for an endpoint that was known to be gone.
+
+        It is used if it is still listed when its lease would have expired,
+        or if it registers again.
+        """
+        for name in ("a", "b", "c"):
+            self.put_endpoint(name)
+            self.put(f"servers/{name}", None)
+            self.restore(f"servers/{name}", wire_samples.ENTRY)
+        self.assertEqual([], self.list_names())
+        self.put_endpoint("b", now=11.0)
+        self.put("servers/c", None, now=11.0)
+        self.assertEqual(["b"], self.list_names())
+        self.cluster_state.sweep(15.1)
+        self.assertEqual(["a", "b"], self.list_names())
+
+    def test_evacuation_that_a_restored_store_lacks(self):
+        """Guards against work for a data centre that operators took out.
+
+        Operators write the evacuation again. If they took the data centre
+        back instead, it is used a little later.
+        """
+        self.put_endpoint("a")
+        self.put("op/evacuate/a", {})
+        self.restore("op/evacuate/a", None)
+        self.cluster_state.sweep(19.9)
+        self.assertEqual([], self.list_names())
+        self.put("op/evacuate/a", {}, now=19.9)
+        self.cluster_state.sweep(20.1)
+        self.assertEqual([], self.list_names())
+        self.restore("op/evacuate/a", None, now=30.0)
+        self.cluster_state.sweep(40.1)
+        self.assertEqual(["a"], self.list_names())
+
+    def test_evacuation_that_a_restored_store_still_has(self):
+        """Guards against ignoring an evacuation that may be a new one."""
+        self.put_endpoint("a")
+        self.restore("op/evacuate/a", {})
+        self.assertEqual([], self.list_names())
+
+    def test_leaving_endpoint_that_a_restored_store_lists_as_ready(self):
+        """Guards against work for an endpoint whose leaving was lost."""
+        self.put_endpoint("a", born=1, state="draining")
+        self.restore("servers/a", {**wire_samples.ENTRY, "born": 1})
+        self.assertEqual([], self.list_names())
+
+    def test_earlier_start_that_a_restored_store_lists(self):
+        """Guards against losing the cold start of a restarted endpoint."""
+        self.configure(7)
+        self.put_endpoint("a", born=1)
+        self.put_endpoint("a", now=9.0, born=2)
+        self.restore("servers/a", {**wire_samples.ENTRY, "born": 1})
+        self.assertEqual(2, self.cluster_state.endpoints["a"].started)
+        self.assertTrue(self.cold.is_cold("a", 11.9))
+
     def test_removed_endpoint_is_forgotten_again(self):
         """Guards against reports about an endpoint that is gone for long.
 
--- a/tests/relay/test_mirror.py
+++ b/tests/relay/test_mirror.py
@@ -50,6 +50,55 @@
         )
         self.assertEqual([], mirror.merge_peer_items([], set(), 3))
 
+    def test_read_of_a_restored_store(self):
+        """Guards against a restored store that is taken for an older one.
+
+        Its revisions begin anew below those that were known. What it
+        contradicts is marked, as it may be older than what it has lost.
+        """
+        mirror = mirror_module.Mirror()
+        items = [make_item(k, n) for n, k in enumerate("abcd", 1)]
+        mirror.apply([*items, make_item("d", 9, None)], 9)
+        later = models.make_revision(1, 4)
+        changes = mirror.replace(
+            [
+                make_item("a", models.make_revision(1, 1)),
+                make_item("b", models.make_revision(1, 4), b"w"),
+                make_item("d", models.make_revision(1, 3)),
+            ],
+            later,
+        )
+        self.assertEqual(
+            {"b": b"w", "c": None, "d": b"v"},
+            {i.key: i.value for i in changes},
+        )
+        self.assertTrue(all(i.is_restored for i in changes))
+        self.assertEqual(later, mirror.revision)
+        self.assertEqual([], mirror.apply([make_item("a", 10, b"x")], 10))
+        again = make_item("c", models.make_revision(1, 5))
+        self.assertFalse(mirror.apply([again], later + 1)[0].is_restored)
+
+    def test_restored_store_from_a_peer(self):
+        """Guards against a peer whose lower revisions are taken for older."""
+        mirror = mirror_module.Mirror()
+        mirror.apply([make_item("a", 1), make_item("b", 9)], 9)
+        later = models.make_revision(1, 4)
+        changes = mirror.merge_peer_items(
+            [make_item("c", later)], {"c"}, later
+        )
+        self.assertEqual(
+            {"a": None, "b": None, "c": b"v"},
+            {i.key: i.value for i in changes},
+        )
+        self.assertEqual([], mirror.merge_peer_items([], set(), 10))
+
+    def test_first_read_is_not_restored(self):
+        """Guards against waits at the first read of a store in a later era."""
+        mirror = mirror_module.Mirror()
+        later = models.make_revision(3, 4)
+        changes = mirror.replace([make_item("a", later)], later)
+        self.assertEqual([False], [i.is_restored for i in changes])
+
     @PROFILE
     @hypothesis.given(
         strategies.lists(
--- a/tests/relay/test_outage.py
+++ b/tests/relay/test_outage.py
@@ -29,11 +29,8 @@
 
     Attributes:
         received: size of the latest response, bytes.
-        era: how often it was restored from a copy.
     """
 
-    era = 0
-
     def __init__(self, ticker, outage_start, outage_end):
         self._ticker = ticker
         self._outage = (outage_start, outage_end)
--- a/tests/relay/test_store_restored.py
+++ b/tests/relay/test_store_restored.py
@@ -50,6 +50,17 @@
         self.store.restore(copied)
         self.changes.clear()
 
+    def test_store_that_always_refuses_is_asked_with_pauses(self):
+        """Guards against calls without a pause to a store that refuses."""
+        self.poll()
+        began = self.ticker.now()
+        for _ in range(POLLS):
+            self.store.mode = "compacted"
+            if not self.follower.poll():
+                self.follower.back_off()
+            self.assertTrue(self.follower.poll())
+        self.assertGreater(self.ticker.now() - began, 0.1 * (POLLS - 1))
+
     def poll(self):
         """Let the follower call the store several times."""
         # A watch of a store without changes would be held.
@@ -129,6 +140,19 @@
             self.wait_for("the start", lambda host=host: self.is_ready(host))
         self.check_changes(cut_off)
 
+    def test_leaving_that_the_store_has_lost(self):
+        """Guards against work for an endpoint whose leaving was lost."""
+        leaving = {"state": "draining", "born": 1}
+        self.put_endpoint("i-2", address=self.other.address, **leaving)
+        host = self.start(1)
+        self.wait_for("the start", lambda: self.is_ready(host))
+        self.restore()
+        end = time.monotonic() + APPLY_SECONDS
+        while time.monotonic() < end:
+            self.assertEqual(200, self.ask(host)[0])
+            gevent.sleep(0.05)
+        self.assertEqual(0, len(self.other.requests))
+
     def test_configuration_does_not_go_back(self):
         """Guards against a route that is refused again by the older copy."""
         self.put_configuration(20, {"ratePerS": 0}, prefix="/added/")
