Move what a send says about its endpoint out of the request's sender

Change: the second job is relay/outcomes.py; the sender passes it the reservation that it holds. No behaviour changes.

Conclusion: what endpoints say is read in one place each.

--- /dev/null
+++ b/citronport/relay/outcomes.py
@@ -0,0 +1,147 @@
+"""Records what the sends of a request say about endpoints."""
+
+from citronport.platform import requests
+from citronport.relay import dispatcher
+from citronport.relay import endpoint_headers
+from citronport.relay import events
+from citronport.relay import jobs
+from citronport.relay import progress as progress_module
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import runs
+
+MIN_SILENCE_SECONDS = 1.0
+"""Time without a first event after which a caller's disconnect counts as a
+failure of the endpoint. An earlier disconnect says nothing about it."""
+
+
+class Outcomes:
+    """Records the outcomes of one request's sends.
+
+    Args:
+        context: components shared by all requests.
+        job: the request.
+        progress: state of the request, for log lines.
+    """
+
+    def __init__(
+        self,
+        context: jobs.RelayContext,
+        job: jobs.Job,
+        progress: progress_module.Progress,
+    ) -> None:
+        self._context = context
+        self._job = job
+        self._progress = progress
+
+    def record_headers(
+        self,
+        reservation: dispatcher.Reservation,
+        answer: requests.EndpointAnswer,
+    ) -> None:
+        """Record what the endpoint states in the headers of an answer."""
+        endpoint_headers.record_headers(
+            self._context, reservation.endpoint, answer
+        )
+
+    def record_health(
+        self, reservation: dispatcher.Reservation, good: bool
+    ) -> None:
+        """Record whether an answer is a good one."""
+        now = self._context.ticker.now()
+        self._context.health.record_answer(
+            reservation.endpoint.name, good, now
+        )
+        reservation.run.verdict = (
+            runs.Verdict.GOOD if good else runs.Verdict.FAILED
+        )
+
+    def record_unreachable(
+        self, reservation: dispatcher.Reservation, reason: str
+    ) -> None:
+        """Record that nothing was sent, as the endpoint is out of reach."""
+        name = reservation.endpoint.name
+        self._context.health.record_unreachable(
+            name, self._context.ticker.now()
+        )
+        reservation.run.verdict = runs.Verdict.UNREACHABLE
+        self._log_failure(name, reason, "no")
+
+    def record_failure(
+        self,
+        reservation: dispatcher.Reservation,
+        reason: str,
+        ran: str,
+        *,
+        cut: bool = False,
+    ) -> None:
+        """Record a send that failed.
+
+        Args:
+            reservation: the endpoint's reservation.
+            reason: what happened.
+            ran: whether the request ran: "yes", "no" or "maybe".
+            cut: whether the connection broke while the request was running.
+        """
+        self.record_health(reservation, False)
+        self._log_failure(reservation.endpoint.name, reason, ran, cut=cut)
+        if cut:
+            self._record_crash(reservation.endpoint)
+
+    def record_completion(self) -> None:
+        """Record that the request ran to a good end."""
+        self._context.suspects.record_completion(
+            self._job.fingerprint, self._context.ticker.now()
+        )
+
+    def record_silence(
+        self, reservation: dispatcher.Reservation, *, past_deadline: bool
+    ) -> None:
+        """Record that a request ended before the endpoint's first event.
+
+        An endpoint that accepts requests and never answers looks idle and
+        healthy, and attracts more. Callers that disconnect are the only sign
+        of its failure.
+
+        Args:
+            reservation: the endpoint's reservation.
+            past_deadline: whether the deadline passed; otherwise the caller
+                disconnected.
+        """
+        if reservation.run.first_event_at is not None:
+            return
+        silence = self._context.ticker.now() - reservation.run.sent_at
+        if past_deadline or silence >= MIN_SILENCE_SECONDS:
+            # An endpoint that is no longer listed may have crashed, and its
+            # connection reset may have been lost.
+            is_unlisted = (
+                reservation.endpoint.name
+                not in self._context.cluster_state.endpoints
+            )
+            self.record_failure(
+                reservation, "silence", "maybe", cut=is_unlisted
+            )
+
+    def _record_crash(self, endpoint: models.Endpoint) -> None:
+        now = self._context.ticker.now()
+        fingerprint = self._job.fingerprint
+        if self._context.suspects.record_crash(fingerprint, endpoint, now):
+            self._context.log.write(
+                events.RequestBarred(
+                    request=self._job.work.request_id,
+                    endpoint=endpoint.name,
+                    fingerprint=fingerprint,
+                )
+            )
+
+    def _log_failure(
+        self, endpoint: str, what: str, ran: str, *, cut: bool = False
+    ) -> None:
+        progress_module.record_failed(
+            self._context,
+            self._job,
+            self._progress,
+            endpoint,
+            what,
+            ran,
+            cut=cut,
+        )
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -10,14 +10,12 @@
 from citronport.callers import replies
 from citronport.platform import requests
 from citronport.relay import dispatcher as dispatcher_module
-from citronport.relay import endpoint_headers
-from citronport.relay import events as log_events
 from citronport.relay import jobs
+from citronport.relay import outcomes
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
 from citronport.scheduler.direct import models
-from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import suspects
 
 MAX_SENDS = 4
@@ -30,10 +28,6 @@
 
 EVENT_END = b"\n\n"
 
-MIN_SILENCE_SECONDS = 1.0
-"""Time without a first event after which a caller's disconnect counts as a
-failure of the endpoint. An earlier disconnect says nothing about it."""
-
 
 class Sender:
     """Forwards one request.
@@ -53,6 +47,7 @@
         self._is_started = False
         self._last_event_id: str | None = None
         self.progress = progress_module.Progress()
+        self._outcomes = outcomes.Outcomes(context, job, self.progress)
 
     def answer(
         self, start_response: replies.StartResponse
@@ -70,10 +65,16 @@
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
-            self._record_silence(past_deadline=True)
+            if self._reservation is not None:
+                self._outcomes.record_silence(
+                    self._reservation, past_deadline=True
+                )
             yield from self._fail(start_response, self._refuse_past_deadline())
         except disconnects.CallerDisconnected:
-            self._record_silence(past_deadline=False)
+            if self._reservation is not None:
+                self._outcomes.record_silence(
+                    self._reservation, past_deadline=False
+                )
             raise
         finally:
             self._release()
@@ -90,7 +91,12 @@
             try:
                 yield from self._forward(start_response, found)
             except (OSError, http_response.HTTPParseError) as error:
-                self._record_failure(type(error).__name__, "maybe", cut=True)
+                self._outcomes.record_failure(
+                    self._get_reservation(),
+                    type(error).__name__,
+                    "maybe",
+                    cut=True,
+                )
                 if self._may_run_again():
                     continue
                 refusal = errors.Refusal(code=errors.Code.ENDPOINT_LOST)
@@ -106,7 +112,9 @@
                 return refusal
             match self._send():
                 case upstream.Answered(answer=answer):
-                    self._record_headers(answer)
+                    self._outcomes.record_headers(
+                        self._get_reservation(), answer
+                    )
                     if self._should_try_another(answer):
                         continue
                     if self._is_started and not answer.is_success:
@@ -123,7 +131,9 @@
         """Return None if another endpoint may be tried, else a refusal."""
         match outcome:
             case upstream.Unreachable(reason=reason):
-                self._record_unreachable(reason)
+                self._outcomes.record_unreachable(
+                    self._get_reservation(), reason
+                )
                 if self.progress.attempts >= MAX_SENDS:
                     return self._refuse_overloaded()
             case upstream.Barred():
@@ -136,17 +146,23 @@
                 # name the old ones. An endpoint that is gone looks idle and
                 # would be chosen for each request that finds the others
                 # full, so it counts as unreachable at once.
-                self._record_unreachable("another endpoint answers there")
+                self._outcomes.record_unreachable(
+                    self._get_reservation(), "another endpoint answers there"
+                )
                 if not self._may_send_again():
                     return self._refuse_overloaded()
             case upstream.NotRun(answer=answer):
-                self._record_headers(answer)
-                self._record_failure(f"status {answer.status}", "no")
+                self._outcomes.record_headers(self._get_reservation(), answer)
+                self._outcomes.record_failure(
+                    self._get_reservation(), f"status {answer.status}", "no"
+                )
                 if not self._may_send_again():
                     return self._refuse_overloaded()
             case upstream.Broken(reason=reason, cut=cut):
                 self.progress.possible_runs += 1
-                self._record_failure(reason, "maybe", cut=cut)
+                self._outcomes.record_failure(
+                    self._get_reservation(), reason, "maybe", cut=cut
+                )
                 if not self._may_run_again():
                     return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
         return None
@@ -235,7 +251,7 @@
             size += len(data)
         now = self._context.ticker.now()
         good = answer.status < 500
-        self._record_health(good, now)
+        self._outcomes.record_health(self._reservation, good)
         self._context.loads.record_answer(
             self._reservation.endpoint.name, self._reservation.run, now
         )
@@ -249,7 +265,7 @@
             data = self._exchange.read()
         self.progress.outcome = "answered"
         if answer.is_success:
-            self._record_completion()
+            self._outcomes.record_completion()
 
     def _forward_stream(
         self,
@@ -273,16 +289,16 @@
             self._start(start_response, answer.status, answer.headers)
         if rest:
             yield rest
-        self._record_health(True, self._context.ticker.now())
+        self._outcomes.record_health(self._reservation, True)
         self.progress.outcome = "answered"
-        self._record_completion()
+        self._outcomes.record_completion()
 
     def _record_events(self, events: bytes) -> None:
         reservation = self._reservation
         assert reservation is not None
         now = self._context.ticker.now()
         if reservation.run.first_event_at is None:
-            self._record_health(True, now)
+            self._outcomes.record_health(reservation, True)
             self._context.dispatcher.record_first_event(reservation)
         configuration = self._context.cluster_state.configuration
         service = configuration and configuration.services.get(
@@ -333,8 +349,10 @@
     ) -> errors.Refusal:
         # The caller has a success status and part of a stream. The body of
         # an error response after it would look like its regular end.
-        self._record_failure(
-            f"status {answer.status} to a resumed stream", "yes"
+        self._outcomes.record_failure(
+            self._get_reservation(),
+            f"status {answer.status} to a resumed stream",
+            "yes",
         )
         return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
 
@@ -346,7 +364,9 @@
         self.progress.possible_runs += 1
         if answer.status < 500 or not self._may_run_again():
             return False
-        self._record_failure(f"status {answer.status}", "yes")
+        self._outcomes.record_failure(
+            self._get_reservation(), f"status {answer.status}", "yes"
+        )
         return True
 
     def _may_run_again(self) -> bool:
@@ -403,6 +423,10 @@
             code = errors.Code.DEADLINE_PASSED_WAITING
         return errors.Refusal(code=code)
 
+    def _get_reservation(self) -> dispatcher_module.Reservation:
+        assert self._reservation is not None
+        return self._reservation
+
     def _release(self) -> None:
         if self._exchange is not None:
             self._exchange.close()
@@ -416,90 +440,3 @@
             self._context.dispatcher.release(
                 reservation, self._work.request_id
             )
-
-    def _record_health(self, good: bool, now: float) -> None:
-        assert self._reservation is not None
-        name = self._reservation.endpoint.name
-        self._context.health.record_answer(name, good, now)
-        self._reservation.run.verdict = (
-            runs.Verdict.GOOD if good else runs.Verdict.FAILED
-        )
-
-    def _record_unreachable(self, reason: str) -> None:
-        assert self._reservation is not None
-        name = self._reservation.endpoint.name
-        self._context.health.record_unreachable(
-            name, self._context.ticker.now()
-        )
-        self._reservation.run.verdict = runs.Verdict.UNREACHABLE
-        self._log_failure(name, reason, "no")
-
-    def _record_failure(
-        self, reason: str, ran: str, *, cut: bool = False
-    ) -> None:
-        if self._reservation is None:
-            return
-        name = self._reservation.endpoint.name
-        self._context.health.record_answer(
-            name, False, self._context.ticker.now()
-        )
-        self._reservation.run.verdict = runs.Verdict.FAILED
-        self._log_failure(name, reason, ran, cut=cut)
-        if cut:
-            self._record_crash(self._reservation.endpoint)
-
-    def _record_crash(self, endpoint: models.Endpoint) -> None:
-        now = self._context.ticker.now()
-        fingerprint = self._job.fingerprint
-        if self._context.suspects.record_crash(fingerprint, endpoint, now):
-            self._context.log.write(
-                log_events.RequestBarred(
-                    request=self._work.request_id,
-                    endpoint=endpoint.name,
-                    fingerprint=fingerprint,
-                )
-            )
-
-    def _record_headers(self, answer: requests.EndpointAnswer) -> None:
-        assert self._reservation is not None
-        endpoint_headers.record_headers(
-            self._context, self._reservation.endpoint, answer
-        )
-
-    def _record_completion(self) -> None:
-        self._context.suspects.record_completion(
-            self._job.fingerprint, self._context.ticker.now()
-        )
-
-    def _record_silence(self, *, past_deadline: bool) -> None:
-        # An endpoint that accepts requests and never answers looks idle and
-        # healthy, and attracts more. Callers that disconnect are the only
-        # sign of its failure.
-        reservation = self._reservation
-        if reservation is None or reservation.run.first_event_at is not None:
-            return
-        now = self._context.ticker.now()
-        if (
-            past_deadline
-            or now - reservation.run.sent_at >= MIN_SILENCE_SECONDS
-        ):
-            # An endpoint that is no longer listed may have crashed, and its
-            # connection reset may have been lost.
-            is_unlisted = (
-                reservation.endpoint.name
-                not in self._context.cluster_state.endpoints
-            )
-            self._record_failure("silence", "maybe", cut=is_unlisted)
-
-    def _log_failure(
-        self, endpoint: str, what: str, ran: str, *, cut: bool = False
-    ) -> None:
-        progress_module.record_failed(
-            self._context,
-            self._job,
-            self.progress,
-            endpoint,
-            what,
-            ran,
-            cut=cut,
-        )
