--- a/tests/relay/instances.py
+++ b/tests/relay/instances.py
@@ -99,6 +99,16 @@
         processes.wait_for_port(host, METRICS)
         return host
 
+    def start_all(self, number):
+        """Start instances that know each other."""
+        hosts = [self.start(n + 1) for n in range(number)]
+        for host in hosts:
+            self.wait_for(
+                "peer discovery",
+                lambda host=host: len(self.lookup(host)) == number,
+            )
+        return hosts
+
     def fetch(self, host, port, target, **headers):
         """Return status, headers and body of a GET or POST."""
         request = urllib.request.Request(
--- a/tests/relay/test_crashing_request.py
+++ b/tests/relay/test_crashing_request.py
@@ -63,11 +63,7 @@
         super().setUp()
         self.store.delete("servers/i-1")
         self.endpoints = [CrashingEndpoint(self, n) for n in range(4)]
-        self.hosts = [self.start(1), self.start(2)]
-        for host in self.hosts:
-            self.wait_for(
-                "peer discovery", lambda host=host: len(self.lookup(host)) == 2
-            )
+        self.hosts = self.start_all(2)
         self.asked = 0
 
     def count_crashes(self):
--- a/tests/relay/test_endpoint_headers.py
+++ b/tests/relay/test_endpoint_headers.py
@@ -97,16 +97,6 @@
         self.number = 0
         self.statuses = []
 
-    def start_all(self, number):
-        """Start instances that know each other."""
-        hosts = [self.start(n + 1) for n in range(number)]
-        for host in hosts:
-            self.wait_for(
-                "peer discovery",
-                lambda host=host: len(self.lookup(host)) == number,
-            )
-        return hosts
-
     def apply_load(self, hosts, seconds):
         """Send requests to all instances in turn for some seconds."""
         end = time.monotonic() + seconds
--- a/tests/relay/test_endpoint_limit.py
+++ b/tests/relay/test_endpoint_limit.py
@@ -68,16 +68,6 @@
         self.numbers = itertools.count()
         self.statuses = []
 
-    def start_all(self, number):
-        """Start instances that know each other."""
-        hosts = [self.start(n + 1) for n in range(number)]
-        for host in hosts:
-            self.wait_for(
-                "peer discovery",
-                lambda host=host: len(self.lookup(host)) == number,
-            )
-        return hosts
-
     def apply_load(self, hosts, seconds):
         """Send requests to all instances in turn for some seconds."""
         end = time.monotonic() + seconds
