--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -363,7 +363,7 @@
         if endpoint is None:
             return
         if not endpoint.started:
-            # Its next start under this name could not be told from this one.
+            # Its next start under this name could not be distinguished.
             self._leaving_starts.discard(endpoint.start_id)
         self._removed[name] = now
         self._forget(name)
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -283,7 +283,7 @@
         endpoint = self._cluster_state.endpoints.get(name)
         if endpoint is None or not self._cluster_state.may_use(endpoint):
             # The owner's copy of the store is newer or older than the one
-            # here, or the endpoint has told this instance that it leaves.
+            # here, or the endpoint stated in an answer that it is leaving.
             lease_client.release(name, run)
             if endpoint is not None and endpoint.leaving:
                 lease_client.report_leaving(endpoint, granted.instance)
--- /dev/null
+++ b/tests/relay/senders.py
@@ -0,0 +1,92 @@
+"""Single requests over real sockets, for tests."""
+
+import testtools
+
+from citronport.relay import jobs
+from citronport.relay import metrics
+from citronport.relay import sender
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import suspects
+from tests.relay import samples
+from tests.scheduler.direct import test_quota
+
+PLAIN = "plain"
+
+
+class SenderCase(testtools.TestCase):
+    """Test case with a route to some endpoints and a sender."""
+
+    def prepare(self, *endpoints, **route):
+        """Create the context for a route to some endpoints."""
+        fields = {
+            "repeat": models.RepeatPolicy.IDEMPOTENT,
+            "shares": (models.Share(service=PLAIN, weight=1.0),),
+            "timeout": 2.0,
+            "max_endpoints": 2,
+            "objective": 0.5,
+            **route,
+        }
+        self.route = samples.make_route(**fields)
+        service = samples.make_service(PLAIN, engine=None, cold_rate=0.0)
+        self.room = samples.DispatcherFixture(
+            [
+                samples.make_endpoint(f"e{n}", PLAIN, address=e.address)
+                for n, e in enumerate(endpoints)
+            ],
+            configuration=samples.make_configuration(
+                (self.route,), (service,)
+            ),
+        )
+        budget = retries.RetryBudget(1.0, 100.0)
+        self.suspects = suspects.SuspectRequests()
+        room = self.room
+        self.context = jobs.RelayContext(
+            room.cluster_state,
+            room.dispatcher,
+            room.board,
+            room.health,
+            room.limits,
+            room.pauses,
+            self.suspects,
+            room.ticker,
+            room.log,
+            metrics.Counts(),
+            lambda service: budget,
+            lambda: 1,
+        )
+
+    def ask(self, fingerprint="f1", **fields):
+        """Send one request; return the status."""
+        self.started = []
+        job = jobs.Job(
+            work=samples.make_work("id-1", self.route, self.room.ticker.now()),
+            service=PLAIN,
+            method="POST",
+            target="/review/1?a=b",
+            headers={
+                "host": "review.example",
+                "x-attempt-id": "id-1",
+                "x-api-key": "secret",
+                "x-hold": "forged",
+                "x-tenant": "forged",
+                "connection": "x-private",
+                "x-private": "1",
+                "x-other": "kept",
+                **fields,
+            },
+            body=b"body",
+            fingerprint=fingerprint,
+            workspace=test_quota.make_workspace(),
+            units=1.0,
+            version=1,
+        )
+        self.sender = sender.Sender(self.context, job)
+        self.body = b""
+        for piece in self.sender.answer(self.start):
+            self.body += piece
+        return self.started[-1][0]
+
+    def start(self, status, headers):
+        """Record the status and headers of the response."""
+        self.started.append((int(status.split()[0]), dict(headers)))
