Mark as restored only what the first read of a restored store returns

What callers would see: an endpoint that restarts under the name of one that was gone before a restoration gets no request for 5 s, though it registered after the store had come back.

Cause: whether an item may be older than what is known was decided by the era in which its own key was last known, so that a key deleted in an earlier era counted as restored whenever it came back, also by a later watch.

Change: the era of the copy decides, as it stands before the changes are applied. The era of a revision is models.get_era in place of three copies.

Ruled out: dropping the marks of deleted keys at a restoration, since a copy that lists a gone endpoint again must still be held back.

--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -77,7 +77,7 @@
         )
         match found:
             case result.Ok(answer):
-                if models.split_revision(answer.revision)[0] != era:
+                if models.get_era(answer.revision) != era:
                     # The revision exists in both eras. Changes that the
                     # store gave lower revisions since its restoration are
                     # missing from the answer.
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -45,6 +45,11 @@
     return divmod(revision, REVISIONS_PER_ERA)
 
 
+def get_era(revision: int) -> int:
+    """Return how often the store had been restored at a revision."""
+    return split_revision(revision)[0]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Item:
     """One item of the store.
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -223,7 +223,9 @@
             match self._store.read(const.PREFIX_ALL, after):
                 case result.Ok(page):
                     revision = revision or page.revision
-                    if _get_era(page.revision) != _get_era(revision):
+                    if models.get_era(page.revision) != models.get_era(
+                        revision
+                    ):
                         # The store was restored between two pages.
                         return True
                     items += page.items
@@ -275,12 +277,12 @@
 
     def _check_restored(self, revision: int) -> None:
         known = self._mirror.revision
-        if not known or _get_era(revision) <= _get_era(known):
+        if not known or models.get_era(revision) <= models.get_era(known):
             return
         # Leases of endpoints may have expired in the copy.
         self.recovered_at = self._ticker.now()
         self._log.write(
-            events.StoreRestored(era=_get_era(revision), revision=known)
+            events.StoreRestored(era=models.get_era(revision), revision=known)
         )
 
     def _note_answer(self) -> None:
@@ -313,8 +315,3 @@
             self._log.write(
                 events.StoreLost(reason=reason, revision=self._mirror.revision)
             )
-
-
-def _get_era(revision: int) -> int:
-    """Return how often the store had been restored at a revision."""
-    return models.split_revision(revision)[0]
--- a/citronport/relay/mirror.py
+++ b/citronport/relay/mirror.py
@@ -108,16 +108,13 @@
         else:
             self._deleted.pop(item.key, None)
             self._items[item.key] = item
-        is_restored = _is_of_later_era(item.revision, newest)
+        # Only what the first read of a restored store returns may be older
+        # than what is known. Later changes are made after the restoration.
+        is_restored = newest > 0 and models.get_era(
+            item.revision
+        ) > models.get_era(self.revision)
         if known is None and item.value is None:
             return None
         if is_restored and known is not None and known.value == item.value:
             return None
         return dataclasses.replace(item, is_restored=is_restored)
-
-
-def _is_of_later_era(revision: int, known: int) -> bool:
-    """Return whether the store was restored after a known revision."""
-    era, _ = models.split_revision(revision)
-    known_era, _ = models.split_revision(known)
-    return known > 0 and era > known_era
--- a/tests/relay/test_mirror.py
+++ b/tests/relay/test_mirror.py
@@ -78,6 +78,19 @@
         again = make_item("c", models.make_revision(1, 5))
         self.assertFalse(mirror.apply([again], later + 1)[0].is_restored)
 
+    def test_return_long_after_a_restoration_is_new(self):
+        """Guards against a restarted endpoint that waits for its first use.
+
+        Its key was deleted before the restoration, and it registers again
+        after the restored store has been read.
+        """
+        mirror = mirror_module.Mirror()
+        mirror.apply([make_item("a", 1), make_item("a", 2, None)], 2)
+        mirror.replace([], models.make_revision(1, 1))
+        later = models.make_revision(1, 2)
+        changes = mirror.apply([make_item("a", later)], later)
+        self.assertEqual([False], [i.is_restored for i in changes])
+
     def test_restored_store_from_a_peer(self):
         """Guards against a peer whose lower revisions are taken for older."""
         mirror = mirror_module.Mirror()
