Read endpoints' statements, exclusions and reservations in one way each

Ruled out: one record of an endpoint's statements for limits, leaving and pauses: they differ in who is concerned and for how long. An emptiness check before listing paused endpoints: a few microseconds of a request, not run.

Change: _get_valid logs an invalid value for all three headers; candidates are filtered once by what is tried or paused, and again only if none is left; a grant that may not be used is returned in one place; _get_reservation and _record_silence serve all of the sender. No behaviour changes.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -281,17 +281,18 @@
         now = self._ticker.now()
         run = self._loads.record_leased_send(name, work, now)
         endpoint = self._cluster_state.endpoints.get(name)
-        if endpoint is None or not self._cluster_state.may_use(endpoint):
+        if (
+            endpoint is None
+            or not self._cluster_state.may_use(endpoint)
+            or self._pauses.is_paused(endpoint.start_id, now)
+        ):
             # The owner's copy of the store is newer or older than the one
-            # here, or the endpoint stated in an answer that it is leaving.
+            # here, or the endpoint stated after the lease request that it is
+            # leaving or wants a pause.
             lease_client.release(name, run)
             if endpoint is not None and endpoint.leaving:
                 lease_client.report_leaving(endpoint, granted.instance)
             return None
-        if self._pauses.is_paused(endpoint.start_id, now):
-            # The endpoint asked for the pause after the lease request.
-            lease_client.release(name, run)
-            return None
         self._cold.record_send(name, now)
         self._limits.record_send(name)
         self._health.record_send(name)
@@ -407,10 +408,10 @@
         now: float,
     ) -> Reservation | None:
         paused = waiter.paused if waiter.leased else view.paused
-        usable = [e for e in view.endpoints if e.name not in paused]
-        candidates = [e for e in usable if e.name not in waiter.tried]
-        if not candidates and waiter.tried >= view.listed - paused:
-            candidates = usable
+        excluded = waiter.tried | paused
+        candidates = [e for e in view.endpoints if e.name not in excluded]
+        if not candidates and excluded >= view.listed:
+            candidates = [e for e in view.endpoints if e.name not in paused]
         if self._may_wait_for_fast_engine(waiter, service, now):
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
--- a/citronport/relay/endpoint_headers.py
+++ b/citronport/relay/endpoint_headers.py
@@ -1,5 +1,7 @@
 """Records what endpoints state about themselves in response headers."""
 
+from typing import TypeVar
+
 import result
 
 from citronport import errors
@@ -9,6 +11,8 @@
 from citronport.relay import jobs
 from citronport.scheduler.direct import models
 
+_Value = TypeVar("_Value")
+
 
 def record_headers(
     context: jobs.RelayContext,
@@ -34,17 +38,14 @@
 ) -> None:
     rate = None
     if text is not None:
-        match requests.parse_limit(text):
-            case result.Err(reason):
-                _log_invalid(
-                    context,
-                    errors.InputFault.BAD_LIMIT,
-                    f"{const.HEADER_ENDPOINT_LIMIT} of {endpoint}",
-                    reason,
-                )
-                return
-            case result.Ok(rate):
-                pass
+        rate = _get_valid(
+            context,
+            requests.parse_limit(text),
+            errors.InputFault.BAD_LIMIT,
+            f"{const.HEADER_ENDPOINT_LIMIT} of {endpoint}",
+        )
+        if rate is None:
+            return
     if context.limits.record_limit(endpoint, rate, context.ticker.now()):
         context.log.write(
             events.EndpointLimited(
@@ -56,48 +57,48 @@
 def _record_leaving(
     context: jobs.RelayContext, endpoint: models.Endpoint, text: str
 ) -> None:
-    match requests.parse_leaving(text):
-        case result.Err(reason):
-            _log_invalid(
-                context,
-                errors.InputFault.BAD_LEAVING,
-                f"{const.HEADER_LEAVING} of {endpoint.name}",
-                reason,
-            )
-        case result.Ok(True):
-            if context.cluster_state.record_leaving(endpoint.start_id):
-                context.dispatcher.report_leaving(endpoint)
+    leaving = _get_valid(
+        context,
+        requests.parse_leaving(text),
+        errors.InputFault.BAD_LEAVING,
+        f"{const.HEADER_LEAVING} of {endpoint.name}",
+    )
+    if leaving and context.cluster_state.record_leaving(endpoint.start_id):
+        context.dispatcher.report_leaving(endpoint)
 
 
 def _record_pause(
     context: jobs.RelayContext, endpoint: models.Endpoint, text: str
 ) -> None:
-    match requests.parse_pause(text):
-        case result.Err(reason):
-            _log_invalid(
-                context,
-                errors.InputFault.BAD_PAUSE,
-                f"{const.HEADER_RETRY_AFTER} of {endpoint.name}",
-                reason,
-            )
-        case result.Ok(seconds):
-            now = context.ticker.now()
-            if context.pauses.record(endpoint.start_id, seconds, now):
-                context.log.write(
-                    events.EndpointPaused(
-                        endpoint=endpoint.name, seconds=seconds
-                    )
-                )
+    seconds = _get_valid(
+        context,
+        requests.parse_pause(text),
+        errors.InputFault.BAD_PAUSE,
+        f"{const.HEADER_RETRY_AFTER} of {endpoint.name}",
+    )
+    if seconds is None:
+        return
+    now = context.ticker.now()
+    if context.pauses.record(endpoint.start_id, seconds, now):
+        context.log.write(
+            events.EndpointPaused(endpoint=endpoint.name, seconds=seconds)
+        )
 
 
-def _log_invalid(
+def _get_valid(
     context: jobs.RelayContext,
+    parsed: result.Result[_Value, str],
     fault: errors.InputFault,
     key: str,
-    reason: str,
-) -> None:
-    context.log.write(
-        events.InputRejected(
-            code=int(fault), key=key, revision=0, reason=reason
-        )
-    )
+) -> _Value | None:
+    """Return a decoded value; log the fault and return None without one."""
+    match parsed:
+        case result.Ok(value):
+            return value
+        case result.Err(reason):
+            context.log.write(
+                events.InputRejected(
+                    code=int(fault), key=key, revision=0, reason=reason
+                )
+            )
+    return None
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -65,16 +65,10 @@
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
-            if self._reservation is not None:
-                self._outcomes.record_silence(
-                    self._reservation, past_deadline=True
-                )
+            self._record_silence(past_deadline=True)
             yield from self._fail(start_response, self._refuse_past_deadline())
         except disconnects.CallerDisconnected:
-            if self._reservation is not None:
-                self._outcomes.record_silence(
-                    self._reservation, past_deadline=False
-                )
+            self._record_silence(past_deadline=False)
             raise
         finally:
             self._release()
@@ -186,8 +180,7 @@
         return None
 
     def _send(self) -> upstream.Outcome:
-        reservation = self._reservation
-        assert reservation is not None
+        reservation = self._get_reservation()
         endpoint = reservation.endpoint
         self.progress.attempts += 1
         self.progress.endpoint = endpoint.name
@@ -243,17 +236,17 @@
         answer: requests.EndpointAnswer,
     ) -> collections.abc.Iterator[bytes]:
         assert self._exchange is not None
-        assert self._reservation is not None
+        reservation = self._get_reservation()
         parts = []
         size = 0
         while (data := self._exchange.read()) and size <= BUFFERED_BYTES:
             parts.append(data)
             size += len(data)
-        now = self._context.ticker.now()
-        good = answer.status < 500
-        self._outcomes.record_health(self._reservation, good)
+        self._outcomes.record_health(reservation, answer.status < 500)
         self._context.loads.record_answer(
-            self._reservation.endpoint.name, self._reservation.run, now
+            reservation.endpoint.name,
+            reservation.run,
+            self._context.ticker.now(),
         )
         headers = list(answer.headers)
         if not data:
@@ -289,13 +282,12 @@
             self._start(start_response, answer.status, answer.headers)
         if rest:
             yield rest
-        self._outcomes.record_health(self._reservation, True)
+        self._outcomes.record_health(self._get_reservation(), True)
         self.progress.outcome = "answered"
         self._outcomes.record_completion()
 
     def _record_events(self, events: bytes) -> None:
-        reservation = self._reservation
-        assert reservation is not None
+        reservation = self._get_reservation()
         now = self._context.ticker.now()
         if reservation.run.first_event_at is None:
             self._outcomes.record_health(reservation, True)
@@ -423,6 +415,12 @@
             code = errors.Code.DEADLINE_PASSED_WAITING
         return errors.Refusal(code=code)
 
+    def _record_silence(self, *, past_deadline: bool) -> None:
+        if self._reservation is not None:
+            self._outcomes.record_silence(
+                self._reservation, past_deadline=past_deadline
+            )
+
     def _get_reservation(self) -> dispatcher_module.Reservation:
         assert self._reservation is not None
         return self._reservation
