Add failing tests of an instance that starts while the store lacks changes

What callers see: after the store has come back from an older copy, an instance that starts answers 404 for a route that all others serve, and sends requests to endpoints that leave and to an evacuated data centre, until operators and endpoints have written again what the store has lost.

Cause (suspected): what contradicts the restored store is kept by each instance that knew it, in its memory only. Peers hand on what the store holds now, so that one that starts after the restoration cannot learn it.

Ruled out: that the starting instance is still discovering its peers.

--- a/tests/relay/test_store_restored.py
+++ b/tests/relay/test_store_restored.py
@@ -163,3 +163,43 @@
         while time.monotonic() < end:
             self.assertEqual(200, self.ask(host, path="/added/x")[0])
             gevent.sleep(0.1)
+
+    def start_after_the_restoration(self):
+        """Restore the store, start an instance, wait until it may be late."""
+        host = self.start(1)
+        self.wait_for("the start", lambda: self.is_ready(host))
+        self.restore()
+        started = self.start(2)
+        self.wait_for("the start", lambda: self.is_ready(started))
+        gevent.sleep(APPLY_SECONDS)
+        return started
+
+    def test_configuration_of_an_instance_that_starts(self):
+        """Guards against a start with a configuration older than the peers'.
+
+        The store lacks a version that was in force, and operators have not
+        written it again.
+        """
+        self.put_configuration(20, {"ratePerS": 0}, prefix="/added/")
+        host = self.start_after_the_restoration()
+        self.assertEqual(200, self.ask(host, path="/added/x")[0])
+
+    def test_leaving_that_an_instance_that_starts_has_missed(self):
+        """Guards against a start that uses endpoints that are leaving."""
+        leaving = {"state": "draining", "coldLeftMs": 0}
+        self.put_endpoint("i-1", **leaving)
+        self.put_endpoint("i-2", address=self.other.address, born=1, **leaving)
+        self.check_nothing_is_sent(self.start_after_the_restoration())
+
+    def test_evacuation_that_an_instance_that_starts_has_missed(self):
+        """Guards against a start that uses an evacuated data centre."""
+        self.store.put("op/evacuate/a", {})
+        self.check_nothing_is_sent(self.start_after_the_restoration())
+
+    def check_nothing_is_sent(self, host):
+        """Check that an instance sends nothing to any endpoint."""
+        known = len(self.endpoint.requests) + len(self.other.requests)
+        for number in range(5):
+            self.assertEqual(503, self.ask(host, f"id-{number}")[0])
+        sent = len(self.endpoint.requests) + len(self.other.requests)
+        self.assertEqual(known, sent)
