Hand on what a restored store has lost to instances that start

What callers see: after the store has come back from an older copy, an instance that starts answers 404 for a route that all others serve, and sends requests to endpoints that leave and to an evacuated data centre.

Cause: what contradicts the copy was kept in the memory of each instance that had known it, and peers hand on what the store holds now.

Ruled out: that it was still discovering its peers (the tests wait 2 s after it is ready). Weighed: to send only the newest configuration (endpoints and evacuations stay wrong), to ask a peer at each start (a fetch a start, and the peer may have started, too), counts of lost items in reports (they differ for a moment at each change, so that all fetch).

Change: the copy remembers items that the store has lost until they are written again. Reports and summaries say whether an instance has any; one of the same era that has not seen the restoration fetches them, once, and applies each, followed by what the store has in its place, so that the copy is judged as by the others. Waits count from the restoration. It is not ready before, within the 0.6 s of peer discovery. news_from_peer has a field more (lost).

If all instances start after the restoration, nobody knows what was lost.

--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -61,12 +61,15 @@
             ``make_revision``.
         is_restored: whether it contradicts what was known before the store
             was restored from a copy, and may be older than that.
+        is_lost: whether the store has lost it by that, so that it is known
+            from another instance only.
     """
 
     key: str
     value: bytes | None
     revision: int
     is_restored: bool = False
+    is_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from absl import logging
 import result
@@ -138,8 +139,12 @@
         for item in changes:
             self._deferred.pop(item.key, None)
             delay = self._compute_delay(item, lapsing)
-            if delay:
-                self._defer(item, now + delay)
+            # The restoration may be a while ago for an instance that learns
+            # of it from another one.
+            is_late = item.is_restored and math.isfinite(recovered_at)
+            due = (recovered_at if is_late else now) + delay
+            if due > now:
+                self._defer(item, due)
             else:
                 self._apply_item(item, now)
         self._is_loaded = True
@@ -195,6 +200,8 @@
         Returns:
             Seconds after which it takes effect; 0 for at once.
         """
+        if item.is_lost:
+            return 0.0
         if item.key.startswith(const.PREFIX_ENDPOINTS):
             return self._compute_endpoint_delay(item, lapsing)
         if not item.key.startswith(const.PREFIX_EVACUATED):
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -321,7 +321,10 @@
         now = self._ticker.now()
         if now - self._started >= PEER_DISCOVERY_SECONDS:
             return False
-        return self.members.is_growing(now)
+        return (
+            self.members.is_growing(now)
+            or self.replication.misses_lost_items()
+        )
 
     def _make_servers(self) -> list[caller_server.Server]:
         return [
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -212,6 +212,7 @@
         revision: store revision up to which the other instance knows all
             changes.
         items: number of changes that were not known yet.
+        lost: number of items that the store has lost by being restored.
         seconds: duration of the fetch.
         received: bytes received.
     """
@@ -219,6 +220,7 @@
     peer: str
     revision: int
     items: int
+    lost: int
     seconds: float
     received: int
 
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -38,6 +38,8 @@
         revision: store revision up to which it knows all changes.
         store_seconds: age of the store's latest answer to the sender; -1 if
             the sender is on standby.
+        knows_lost: whether it knows items that the store has lost by being
+            restored from a copy.
         admitted_units: units admitted since its start, by workspace.
         loads: for each endpoint with requests or a known pace: its name,
             number of the sender's requests there, prompt tokens not read
@@ -63,6 +65,7 @@
     leaving: bool
     revision: int
     store_seconds: float
+    knows_lost: bool
     admitted_units: dict[str, float]
     loads: list[tuple[str, int, int, int]]
     profiles: list[tuple[str, float, float, float]]
@@ -85,7 +88,9 @@
     data_centre: str
 
 
-Row = tuple[str, str, int, float, float, str, str, bool, bool, int, float]
+Row = tuple[
+    str, str, int, float, float, str, str, bool, bool, int, float, bool
+]
 """State of one instance in a summary; see ``Summary.rows``."""
 
 
@@ -103,8 +108,8 @@
         rows: for each instance in reach: its name, incarnation, number of
             its latest report, age of that report in seconds, and these
             fields of it: ``capacity``, ``caller_address``,
-            ``peer_address``, ``ready``, ``leaving``, ``revision`` and
-            ``store_seconds``.
+            ``peer_address``, ``ready``, ``leaving``, ``revision``,
+            ``store_seconds`` and ``knows_lost``.
         admitted_units: units that all instances of the data centre have
             admitted since the sender's start, by workspace.
         profiles: as in a report.
@@ -135,11 +140,13 @@
         protocol: version of the protocol.
         revision: revision up to which the sender knows all changes.
         include_large: whether to include large values.
+        include_lost: whether to include what the store has lost.
     """
 
     protocol: int
     revision: int
     include_large: bool
+    include_lost: bool
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
@@ -152,6 +159,8 @@
         keys: keys of all items.
         items: key, value and revision of the requested items.
         is_complete: whether no item was left out because of its size.
+        lost: key, value and revision of items that the store has lost by
+            being restored from a copy; no value if the item was deleted.
     """
 
     revision: int
@@ -159,6 +168,7 @@
     keys: list[str]
     items: list[tuple[str, bytes, int]]
     is_complete: bool
+    lost: list[tuple[str, bytes | None, int]]
 
 
 class Packed(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/mirror.py
+++ b/citronport/relay/mirror.py
@@ -9,18 +9,25 @@
 """Number of deleted keys whose revision is remembered, so that an outdated
 item from another instance does not bring a deleted one back."""
 
+MAX_LOST_ITEMS = 1000
+"""Number of items that are remembered after the store has lost them."""
+
 
 class Mirror:
     """Items of the store, each at its latest known revision.
 
     Attributes:
         revision: all changes of the store up to this revision are known.
+        lost_era: the latest era at whose beginning the store is known to
+            have lost items.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.lost_era = 0
         self._items: dict[str, models.Item] = {}
         self._deleted: dict[str, int] = {}
+        self._lost: dict[str, models.Item] = {}
 
     def apply(
         self, items: collections.abc.Iterable[models.Item], revision: int
@@ -67,6 +74,34 @@
         """Return the keys of all items."""
         return list(self._items)
 
+    def list_lost(self) -> list[models.Item]:
+        """Return what the store has lost and nobody has written again."""
+        return list(self._lost.values())
+
+    def merge_lost(
+        self, items: collections.abc.Iterable[models.Item]
+    ) -> list[models.Item]:
+        """Merge what another instance knows the store to have lost.
+
+        Returns:
+            The changes that were not seen: each lost item, followed by what
+            the restored store has in its place.
+        """
+        changes = []
+        for item in items:
+            if item.key in self._lost:
+                continue
+            self._remember_lost(item)
+            restored = self._items.get(item.key) or models.Item(
+                key=item.key, value=None, revision=self.revision
+            )
+            changes += [
+                dataclasses.replace(item, is_lost=True),
+                dataclasses.replace(restored, is_restored=True),
+            ]
+        self.lost_era = models.get_era(self.revision)
+        return changes
+
     def merge_peer_items(
         self,
         items: collections.abc.Iterable[models.Item],
@@ -108,13 +143,25 @@
         else:
             self._deleted.pop(item.key, None)
             self._items[item.key] = item
-        # Only what the first read of a restored store returns may be older
-        # than what is known. Later changes are made after the restoration.
-        is_restored = newest > 0 and models.get_era(
-            item.revision
-        ) > models.get_era(self.revision)
         if known is None and item.value is None:
             return None
-        if is_restored and known is not None and known.value == item.value:
+        # Only what the first read of a restored store returns may be older
+        # than what is known. Later changes are made after the restoration.
+        era = models.get_era(item.revision)
+        is_restored = newest > 0 and era > models.get_era(self.revision)
+        if not is_restored:
+            self._lost.pop(item.key, None)
+        elif known is not None and known.value == item.value:
             return None
+        else:
+            self._remember_lost(
+                known or models.Item(key=item.key, value=None, revision=newest)
+            )
+            self.lost_era = era
         return dataclasses.replace(item, is_restored=is_restored)
+
+    def _remember_lost(self, item: models.Item) -> None:
+        # What an earlier restoration has lost is later than its copy.
+        self._lost.setdefault(item.key, item)
+        if len(self._lost) > MAX_LOST_ITEMS:
+            del self._lost[next(iter(self._lost))]
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -95,6 +95,7 @@
         self._behind_since: float | None = None
         self._fetched_revision = 0
         self._full_fetch: gevent.Greenlet | None = None
+        self._lost_fetch: gevent.Greenlet | None = None
         self.taken = 0
         self.failed = 0
         self.received = 0
@@ -123,6 +124,7 @@
         while True:
             self._ticker.sleep(POLL_SECONDS)
             self.fetch_if_behind()
+            self.fetch_lost_items()
 
     def fetch_if_behind(self) -> None:
         """Fetch changes if another instance has been ahead for too long.
@@ -132,9 +134,7 @@
         requests to endpoints that have left, for as long as that lasts.
         """
         now = self._ticker.now()
-        is_full_fetch_running = (
-            self._full_fetch is not None and not self._full_fetch.dead
-        )
+        is_full_fetch_running = _is_running(self._full_fetch)
         known = (
             self._fetched_revision
             if is_full_fetch_running
@@ -172,22 +172,64 @@
                 self._fetch, source, include_large=True
             )
 
+    def fetch_lost_items(self) -> None:
+        """Fetch what the store has lost, if only other instances know it.
+
+        An instance that starts after the store was restored from a copy finds
+        the older content only. It would refuse routes that all others serve,
+        and use endpoints that are leaving, until all is written again.
+        """
+        sources = self._list_sources_of_lost()
+        if sources and not _is_running(self._lost_fetch):
+            self._lost_fetch = gevent.spawn(
+                self._fetch,
+                self._choose_local(sources),
+                include_large=True,
+                include_lost=True,
+            )
+
+    def misses_lost_items(self) -> bool:
+        """Return whether only other instances know what the store has lost."""
+        return bool(self._list_sources_of_lost())
+
+    def _list_sources_of_lost(self) -> list[messages.Report]:
+        era = models.get_era(self._mirror.revision)
+        if self._mirror.lost_era == era:
+            return []
+        return [
+            r
+            for r in self._members.list_fresh(self._ticker.now())
+            if r.knows_lost and models.get_era(r.revision) == era
+        ]
+
     def _choose_source(self, ahead: list[messages.Report]) -> messages.Report:
         """Return the instance to fetch from, a local one if possible."""
         revision = max(r.revision for r in ahead)
-        newest = [r for r in ahead if r.revision == revision]
+        return self._choose_local([r for r in ahead if r.revision == revision])
+
+    def _choose_local(self, sources: list[messages.Report]) -> messages.Report:
         local = [
-            r for r in newest if r.data_centre == self._settings.data_centre
+            r for r in sources if r.data_centre == self._settings.data_centre
         ]
-        return random.choice(local or newest)
+        return random.choice(local or sources)
 
     def _fetch(
-        self, source: messages.Report, *, include_large: bool
+        self,
+        source: messages.Report,
+        *,
+        include_large: bool,
+        include_lost: bool = False,
     ) -> messages.Held | None:
         started_at = self._ticker.now()
         reader = _MessageReader()
+        want = messages.Want(
+            protocol=messages.PROTOCOL,
+            revision=self._mirror.revision,
+            include_large=include_large,
+            include_lost=include_lost,
+        )
         try:
-            held = self._request(source.peer_address, include_large, reader)
+            held = self._request(source.peer_address, want, reader)
         except (OSError, ValueError, msgpack.UnpackException) as error:
             self.failed += 1
             self._log.write(
@@ -211,6 +253,11 @@
             held.revision,
             complete=held.is_complete,
         )
+        if include_lost:
+            changes += self._mirror.merge_lost(
+                models.Item(key=key, value=value, revision=revision)
+                for key, value, revision in held.lost
+            )
         now = self._ticker.now()
         self.taken += 1
         self._log.write(
@@ -218,6 +265,7 @@
                 peer=source.instance,
                 revision=held.revision,
                 items=len(changes),
+                lost=len(held.lost),
                 seconds=now - started_at,
                 received=reader.received,
             )
@@ -227,13 +275,8 @@
         return held
 
     def _request(
-        self, address: str, include_large: bool, reader: "_MessageReader"
+        self, address: str, want: messages.Want, reader: "_MessageReader"
     ) -> messages.Held:
-        want = messages.Want(
-            protocol=messages.PROTOCOL,
-            revision=self._mirror.revision,
-            include_large=include_large,
-        )
         host, _, port = address.rpartition(":")
         with (
             gevent.Timeout(FETCH_TIMEOUT_SECONDS, TimeoutError),
@@ -279,6 +322,11 @@
                 (item.key, item.value or b"", item.revision) for item in items
             ],
             is_complete=len(items) == len(changed),
+            lost=[
+                (item.key, item.value, item.revision)
+                for item in self._mirror.list_lost()
+                if want.include_lost
+            ],
         )
 
 
@@ -310,6 +358,10 @@
         )
 
 
+def _is_running(greenlet: gevent.Greenlet | None) -> bool:
+    return greenlet is not None and not greenlet.dead
+
+
 def _send_in_pieces(sock: socket.socket, data: bytes) -> None:
     for start in range(0, len(data), SEND_BYTES):
         sock.sendall(data[start : start + SEND_BYTES])
--- a/citronport/relay/reports.py
+++ b/citronport/relay/reports.py
@@ -99,6 +99,7 @@
                 if self._follower.on_standby
                 else now - self._follower.answered_at
             ),
+            knows_lost=bool(self._mirror.list_lost()),
             admitted_units=self._quotas.get_totals(),
             loads=self._board.make_report_rows(idle_rows),
             profiles=self._board.profiles.make_report_rows(),
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -132,6 +132,7 @@
         report.leaving,
         report.revision,
         round(report.store_seconds, 3),
+        report.knows_lost,
     )
 
 
@@ -151,6 +152,7 @@
         leaving,
         revision,
         store_seconds,
+        knows_lost,
     ) = row
     report = messages.Report(
         protocol=messages.PROTOCOL,
@@ -165,6 +167,7 @@
         leaving=leaving,
         revision=revision,
         store_seconds=store_seconds,
+        knows_lost=knows_lost,
         admitted_units={},
         loads=[],
         profiles=[],
--- a/tests/relay/nodes.py
+++ b/tests/relay/nodes.py
@@ -96,4 +96,5 @@
             number=self.mirror.revision + 2,
             peer_address=self.address,
             revision=self.mirror.revision,
+            knows_lost=bool(self.mirror.list_lost()),
         )
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -21,6 +21,7 @@
         "leaving": False,
         "revision": 5,
         "store_seconds": 0.1,
+        "knows_lost": False,
         "admitted_units": {},
         "loads": [],
         "profiles": [],
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -12,6 +12,7 @@
     keys=["a"],
     items=[("a", b"v" * 100_000, 9)],
     is_complete=True,
+    lost=[],
 )
 
 
--- a/tests/relay/test_mirror.py
+++ b/tests/relay/test_mirror.py
@@ -112,6 +112,70 @@
         changes = mirror.replace([make_item("a", later)], later)
         self.assertEqual([False], [i.is_restored for i in changes])
 
+    def test_lost_items_for_an_instance_that_starts(self):
+        """Guards against changes that only instances of before know.
+
+        One that starts after the restoration gets each lost item, followed
+        by what the restored store has in its place.
+        """
+        known = mirror_module.Mirror()
+        items = [make_item(k, n) for n, k in enumerate("abcd", 1)]
+        known.apply([*items, make_item("d", 9, None)], 9)
+        restored = [
+            make_item("a", models.make_revision(1, 1)),
+            make_item("b", models.make_revision(1, 2), b"w"),
+            make_item("d", models.make_revision(1, 3)),
+        ]
+        known.replace(restored, models.make_revision(1, 4))
+        started = mirror_module.Mirror()
+        started.replace(restored, models.make_revision(1, 4))
+        changes = started.merge_lost(known.list_lost())
+        self.assertEqual(
+            {
+                "b": [(b"v", True, False), (b"w", False, True)],
+                "c": [(b"v", True, False), (None, False, True)],
+                "d": [(None, True, False), (b"v", False, True)],
+            },
+            {
+                key: [
+                    (i.value, i.is_lost, i.is_restored)
+                    for i in changes
+                    if i.key == key
+                ]
+                for key in ("b", "c", "d")
+            },
+        )
+        self.assertEqual(6, len(changes))
+        self.assertEqual([], started.merge_lost(known.list_lost()))
+        self.assertEqual(1, started.lost_era)
+
+    def test_item_that_is_written_again_is_not_lost(self):
+        """Guards against lost items that outlive what replaced them."""
+        mirror = mirror_module.Mirror()
+        mirror.apply([make_item("a", 2, b"lost")], 2)
+        mirror.replace([], models.make_revision(1, 1))
+        self.assertEqual(["a"], [i.key for i in mirror.list_lost()])
+        revision = models.make_revision(1, 2)
+        mirror.apply([make_item("a", revision)], revision)
+        self.assertEqual([], mirror.list_lost())
+
+    def test_second_restoration_keeps_what_the_first_has_lost(self):
+        """Guards against an older copy in place of the latest lost item."""
+        mirror = mirror_module.Mirror()
+        mirror.apply([make_item("a", 2, b"lost")], 2)
+        for era, value in ((1, b"older"), (2, b"oldest")):
+            revision = models.make_revision(era, 1)
+            mirror.replace([make_item("a", revision, value)], revision)
+        self.assertEqual([b"lost"], [i.value for i in mirror.list_lost()])
+
+    def test_number_of_lost_items_is_bounded(self):
+        """Guards against a copy that grows with each restoration."""
+        self.patch(mirror_module, "MAX_LOST_ITEMS", 2)
+        mirror = mirror_module.Mirror()
+        mirror.apply([make_item(k, n) for n, k in enumerate("abc", 1)], 3)
+        mirror.replace([], models.make_revision(1, 1))
+        self.assertEqual(["b", "c"], [i.key for i in mirror.list_lost()])
+
     @PROFILE
     @hypothesis.given(
         strategies.lists(
--- a/tests/relay/test_replication.py
+++ b/tests/relay/test_replication.py
@@ -71,6 +71,23 @@
         self.assertEqual([], ahead)
         self.assertIsInstance(self.standby.make_report(), messages.Report)
 
+    def test_lost_items_are_fetched_once(self):
+        """Guards against a start that knows the restored store only."""
+        item = models.Item(key="servers/a", value=b"{}", revision=9)
+        self.reader.mirror.apply([item], 9)
+        restored_at = models.make_revision(1, 1)
+        for node in (self.reader, self.standby):
+            node.mirror.replace([], restored_at)
+        now = clock.RuntimeClock().now()
+        self.standby.members.apply_report(self.reader.make_report(), now)
+        self.assertTrue(self.standby.replication.misses_lost_items())
+        for _ in range(3):
+            self.standby.replication.fetch_lost_items()
+            gevent.sleep(0.05)
+        self.assertEqual(["servers/a"] * 2, self.standby.changed_keys)
+        self.assertFalse(self.standby.replication.misses_lost_items())
+        self.assertEqual(1, self.standby.replication.taken)
+
     def test_failed_fetch_is_recorded(self):
         """Another instance is ahead and can't be reached.
 
