--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -34,6 +34,7 @@
 from citronport.relay import replication as replication_module
 from citronport.relay import reports
 from citronport.relay import settings as settings_module
+from citronport.relay import state
 from citronport.relay import summaries
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
@@ -84,11 +85,11 @@
         self._settings = settings
         self._ticker = ticker
         self._incarnation = secrets.token_hex(4)
-        self._log = eventlog.Log(settings.instance, ticker)
+        self.log = eventlog.Log(settings.instance, ticker)
         self._leaving = False
         self._closing = False
         self._ready = False
-        self._started = ticker.now()
+        self.started_at = ticker.now()
         self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
         self.loads = load_tracker.LoadTracker()
@@ -107,7 +108,7 @@
         )
         self.mirror = mirror_module.Mirror()
         self.cluster_state = cluster_state_module.ClusterState(
-            self.cold, self._forget_endpoint, self._log
+            self.cold, self._forget_endpoint, self.log
         )
         self.follower = follower_module.Follower(
             store_client.Client(
@@ -116,7 +117,7 @@
             self.mirror,
             ticker,
             self._handle_store_changes,
-            self._log,
+            self.log,
             self._compute_standby_age,
             self._is_reader,
         )
@@ -164,7 +165,7 @@
             self._handle_report,
             self._handle_lease_message,
             self.summaries,
-            self._log,
+            self.log,
         )
         self.replication = replication_module.Replication(
             settings,
@@ -173,7 +174,7 @@
             ticker,
             self._apply_changes,
             self.follower,
-            self._log,
+            self.log,
         )
         self.leasing = leasing_module.Leasing(
             settings.instance,
@@ -187,7 +188,7 @@
             self.is_ready,
             self.gossip.send_lease_message,
             ticker,
-            self._log,
+            self.log,
         )
         self._budgets: dict[str, retries.RetryBudget] = {}
         self.application = application.Application(
@@ -200,7 +201,7 @@
                 self.pauses,
                 self.suspects,
                 ticker,
-                self._log,
+                self.log,
                 self.counts,
                 self._get_budget,
                 lambda: len(self.members.list_known(ticker.now())),
@@ -227,7 +228,7 @@
         gevent.signal_handler(signal.SIGTERM, self.stop)
         gevent.signal_handler(signal.SIGHUP, self.reload)
         self._tasks.report_unhandled()
-        self._log.write(
+        self.log.write(
             events.Started(
                 incarnation=self._incarnation, version=const.VERSION
             )
@@ -240,14 +241,14 @@
         self._start_tasks()
         self._stopped.wait()
         self._drain()
-        self._log.write(events.Stopped(requests=self.application.running))
+        self.log.write(events.Stopped(requests=self.application.running))
 
     def stop(self) -> None:
         """Start a graceful shutdown; further calls have no effect."""
         if self._leaving:
             return
         self._leaving = True
-        self._log.write(events.Leaving(requests=self.application.running))
+        self.log.write(events.Leaving(requests=self.application.running))
         self.gossip.send_report(self.reports.make())
         self._stopped.set()
 
@@ -256,7 +257,7 @@
         match settings_module.read_settings(self._path):
             case result.Err(reason):
                 fault = int(errors.InputFault.BAD_SETTINGS)
-                self._log.write(
+                self.log.write(
                     events.SettingsReloaded(
                         accepted=False, detail=f"{fault}: {reason}"
                     )
@@ -266,7 +267,7 @@
                 self.gossip.update_settings(settings)
                 self.reports.update_settings(settings)
                 self._budgets.clear()
-                self._log.write(
+                self.log.write(
                     events.SettingsReloaded(accepted=True, detail="")
                 )
 
@@ -279,7 +280,7 @@
         )
         if ready != self._ready:
             self._ready = ready
-            self._log.write(events.Ready(ready=ready))
+            self.log.write(events.Ready(ready=ready))
         return ready
 
     def list_addresses(self, caller: str) -> tuple[str, ...]:
@@ -319,7 +320,7 @@
         endpoints reject requests that could have waited for a moment.
         """
         now = self._ticker.now()
-        if now - self._started >= PEER_DISCOVERY_SECONDS:
+        if now - self.started_at >= PEER_DISCOVERY_SECONDS:
             return False
         return (
             self.members.is_growing(now)
@@ -333,7 +334,10 @@
                 self._settings,
                 application.Lookups(self.list_addresses),
                 application.Readiness(self.is_ready),
-                application.Metrics(self._read_state, self.counts),
+                application.Metrics(
+                    lambda: state.read_state(self, self._ticker.now()),
+                    self.counts,
+                ),
             ),
         ]
 
@@ -417,55 +421,6 @@
         self.is_ready()
         self.dispatcher.schedule_match()
 
-    def _read_state(self) -> metrics.State:
-        now = self._ticker.now()
-        configuration = self.cluster_state.configuration
-        fresh = self.members.list_fresh(now)
-        store_era, store_revision = wire_models.split_revision(
-            self.mirror.revision
-        )
-        return metrics.State(
-            up_seconds=now - self._started,
-            ready=self.is_ready(),
-            running=self.application.running,
-            waiting=self.dispatcher.count_waiting(),
-            peers_in_reach=len(fresh),
-            known_instances=len(self.members.list_known(now)),
-            configuration_version=(
-                configuration.version if configuration else 0
-            ),
-            store_seconds=now - self.follower.answered_at,
-            store_revision=store_revision,
-            store_calls=self.follower.calls,
-            store_failures=self.follower.failures,
-            store_refused=self.follower.refused,
-            store_era=store_era,
-            summaries_made=self.summaries.made,
-            summaries_taken=self.summaries.taken,
-            news_taken=self.replication.taken,
-            news_failed=self.replication.failed,
-            news_received=self.replication.received,
-            news_behind_seconds=self.replication.get_behind_seconds(),
-            endpoints=len(self.cluster_state.endpoints),
-            cold=sum(
-                self.cold.is_cold(name, now)
-                for name in self.cluster_state.endpoints
-            ),
-            limited=self.limits.count_limited(),
-            leaving=sum(
-                e.leaving for e in self.cluster_state.endpoints.values()
-            ),
-            paused=len(
-                self.pauses.list_names(
-                    self.cluster_state.endpoints.values(), now
-                )
-            ),
-            leases=len(self.leasing.leases),
-            barred=self.suspects.count_barred(),
-            lines_dropped=sum(self._log.dropped.values()),
-            oldest_report_seconds=self.members.get_oldest_age(now),
-        )
-
     def _forget_endpoint(self, name: str) -> None:
         self.loads.forget(name)
         self.health.forget(name)
