Show how many items a restored store has lost and lacks still

Cause: nothing told operators for how long instances rest on what the store has lost; store_restored tells only that it has lost something.

The test of an instance that starts after a restoration checks it.

Conclusion: 0 once operators and endpoints have written all again.

--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -88,6 +88,8 @@
         store_failures: calls to the store without a usable answer.
         store_refused: watches that it refused for lack of history.
         store_era: how often it was restored from a copy, as it states.
+        store_lost: items that it has lost by that and that nobody has written
+            again.
         summaries_made: summaries made of this data centre.
         summaries_taken: summaries of other data centres that were applied;
             duplicates are not counted.
@@ -120,6 +122,7 @@
     store_failures: int
     store_refused: int
     store_era: int
+    store_lost: int
     summaries_made: int
     summaries_taken: int
     news_taken: int
@@ -187,6 +190,11 @@
         round(state.store_seconds, 3),
     )
     gauge("store_era", "Times it was restored.", state.store_era)
+    gauge(
+        "store_lost_items",
+        "Items that it has lost by that and that nobody has written again.",
+        state.store_lost,
+    )
     gauge("store_revision", "Known up to here.", state.store_revision)
     gauge(
         "news_behind_seconds",
--- a/citronport/relay/state.py
+++ b/citronport/relay/state.py
@@ -35,6 +35,7 @@
         store_failures=instance.follower.failures,
         store_refused=instance.follower.refused,
         store_era=store_era,
+        store_lost=len(instance.mirror.list_lost()),
         summaries_made=instance.summaries.made,
         summaries_taken=instance.summaries.taken,
         news_taken=instance.replication.taken,
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -25,6 +25,7 @@
     store_calls=30,
     store_refused=0,
     store_era=0,
+    store_lost=0,
     store_failures=1,
     summaries_made=3,
     summaries_taken=9,
--- a/tests/relay/test_store_restored.py
+++ b/tests/relay/test_store_restored.py
@@ -183,6 +183,8 @@
         self.put_configuration(20, {"ratePerS": 0}, prefix="/added/")
         host = self.start_after_the_restoration()
         self.assertEqual(200, self.ask(host, path="/added/x")[0])
+        _, _, page = self.fetch(host, instances.METRICS, "/metrics")
+        self.assertIn(b"citronport_store_lost_items 1", page)
 
     def test_leaving_that_an_instance_that_starts_has_missed(self):
         """Guards against a start that uses endpoints that are leaving."""
