Fetch what a restored store has lost also after a freeze

What callers see: the same as after a start, at an instance that was frozen or cut off shortly before the store was restored.

Cause: an instance that had noticed any loss counted as knowing all of them. One that was behind knows some and not the latest, for example an endpoint's entry but not the last version of the configuration.

Ruled out: to compare numbers of lost items (they differ for a moment at each change, so that all would fetch again and again).

Change: each instance fetches once an era, if others know of losses. A lost item whose key was written again since is not taken. The answer leaves the list of keys out if the receiver is not behind, so that it is small.

--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -156,7 +156,7 @@
         revision: revision up to which the sender knows all changes.
         recovered_seconds: time since the sender saw the latest outage of
             the store end; infinite before the first one.
-        keys: keys of all items.
+        keys: keys of all items; none if the receiver knows all changes.
         items: key, value and revision of the requested items.
         is_complete: whether no item was left out because of its size.
         lost: key, value and revision of items that the store has lost by
--- a/citronport/relay/mirror.py
+++ b/citronport/relay/mirror.py
@@ -18,8 +18,8 @@
 
     Attributes:
         revision: all changes of the store up to this revision are known.
-        lost_era: the latest era at whose beginning the store is known to
-            have lost items.
+        lost_era: the latest era for which another instance has said what the
+            store has lost at its beginning.
     """
 
     def __init__(self) -> None:
@@ -28,6 +28,8 @@
         self._items: dict[str, models.Item] = {}
         self._deleted: dict[str, int] = {}
         self._lost: dict[str, models.Item] = {}
+        # Revision at which the current era became known.
+        self._era_revision = 0
 
     def apply(
         self, items: collections.abc.Iterable[models.Item], revision: int
@@ -43,6 +45,8 @@
             change = self._apply_item(item)
             if change is not None:
                 changed.append(change)
+        if models.get_era(revision) > models.get_era(self.revision):
+            self._era_revision = revision
         self.revision = max(self.revision, revision)
         return changed
 
@@ -89,10 +93,13 @@
         """
         changes = []
         for item in items:
-            if item.key in self._lost:
+            known = self._items.get(item.key)
+            revision = known.revision if known else self._deleted.get(item.key)
+            is_written_again = (revision or 0) > self._era_revision
+            if item.key in self._lost or is_written_again:
                 continue
             self._remember_lost(item)
-            restored = self._items.get(item.key) or models.Item(
+            restored = known or models.Item(
                 key=item.key, value=None, revision=self.revision
             )
             changes += [
@@ -157,7 +164,6 @@
             self._remember_lost(
                 known or models.Item(key=item.key, value=None, revision=newest)
             )
-            self.lost_era = era
         return dataclasses.replace(item, is_restored=is_restored)
 
     def _remember_lost(self, item: models.Item) -> None:
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -173,11 +173,11 @@
             )
 
     def fetch_lost_items(self) -> None:
-        """Fetch what the store has lost, if only other instances know it.
+        """Fetch once what other instances know a restored store to have lost.
 
-        An instance that starts after the store was restored from a copy finds
-        the older content only. It would refuse routes that all others serve,
-        and use endpoints that are leaving, until all is written again.
+        An instance that starts after the restoration, or was frozen before it,
+        finds the older content only. It would refuse routes that all others
+        serve, and use endpoints that are leaving, until all is written again.
         """
         sources = self._list_sources_of_lost()
         if sources and not _is_running(self._lost_fetch):
@@ -189,7 +189,7 @@
             )
 
     def misses_lost_items(self) -> bool:
-        """Return whether only other instances know what the store has lost."""
+        """Return whether others know lost items that were not fetched yet."""
         return bool(self._list_sources_of_lost())
 
     def _list_sources_of_lost(self) -> list[messages.Report]:
@@ -317,7 +317,11 @@
         return messages.Held(
             revision=self._mirror.revision,
             recovered_seconds=self._ticker.now() - self._follower.recovered_at,
-            keys=self._mirror.list_keys(),
+            keys=(
+                self._mirror.list_keys()
+                if want.revision < self._mirror.revision
+                else []
+            ),
             items=[
                 (item.key, item.value or b"", item.revision) for item in items
             ],
--- a/tests/relay/test_mirror.py
+++ b/tests/relay/test_mirror.py
@@ -149,6 +149,20 @@
         self.assertEqual([], started.merge_lost(known.list_lost()))
         self.assertEqual(1, started.lost_era)
 
+    def test_lost_item_that_was_written_again_is_not_taken(self):
+        """Guards against a lost item in place of what replaced it.
+
+        The other instance does not know the change yet.
+        """
+        mirror = mirror_module.Mirror()
+        mirror.replace([make_item("a", 1)], models.make_revision(1, 1))
+        for key, value in (("a", b"later"), ("b", b"v"), ("b", None)):
+            revision = mirror.revision + 1
+            mirror.apply([make_item(key, revision, value)], revision)
+        lost = [make_item(key, 9, b"lost") for key in "ab"]
+        self.assertEqual([], mirror.merge_lost(lost))
+        self.assertEqual([], mirror.list_lost())
+
     def test_item_that_is_written_again_is_not_lost(self):
         """Guards against lost items that outlive what replaced them."""
         mirror = mirror_module.Mirror()
--- a/tests/relay/test_replication.py
+++ b/tests/relay/test_replication.py
@@ -88,6 +88,25 @@
         self.assertFalse(self.standby.replication.misses_lost_items())
         self.assertEqual(1, self.standby.replication.taken)
 
+    def test_lost_items_that_an_instance_has_missed(self):
+        """Guards against an instance that was frozen before the restoration.
+
+        It knows some of what the store has lost, and not the latest.
+        """
+        items = [
+            models.Item(key=f"servers/{n}", value=b"{}", revision=n)
+            for n in (8, 9)
+        ]
+        self.reader.mirror.apply(items, 9)
+        self.standby.mirror.apply(items[:1], 8)
+        for node in (self.reader, self.standby):
+            node.mirror.replace([], models.make_revision(1, 1))
+        now = clock.RuntimeClock().now()
+        self.standby.members.apply_report(self.reader.make_report(), now)
+        self.standby.replication.fetch_lost_items()
+        gevent.sleep(0.05)
+        self.assertEqual(["servers/9"] * 2, self.standby.changed_keys)
+
     def test_failed_fetch_is_recorded(self):
         """Another instance is ahead and can't be reached.
 
