Show in a scenario's trace what late callers wait for

The trace names only outcomes that are not complete, and the logs are gone, so that a slow lookup, a late send and a late answer look the same.

Ruled out, by reading: repeats (the step has none), a link that holds a caller's connection (callers have no fault there), a forwarded request without a deadline (two timers end it), a running one (the scheduler refuses it at its deadline).

Change: the trace names lookups of over a second, answers after their deadline with their duration, and at a wait that fails what each caller does since when. No check changes.

Before -> after: script/scenario not_run_partition passes; with a deadline of 15 s instead of 5 its failed wait names 15 callers, the instance and the time of the send.

Conclusion: not traced; the next such failure tells which of the three it was.

--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -241,6 +241,10 @@
                 self.add_problem(
                     f"not within {wait.seconds:g} s: {_describe_model(wait)}"
                 )
+                if wait.outcomes:
+                    self.write_trace(
+                        self.callers.describe_pending(wait.outcomes)
+                    )
                 return
             gevent.sleep(POLL_SECONDS)
 
--- a/standins/scenario_callers.py
+++ b/standins/scenario_callers.py
@@ -18,7 +18,11 @@
 LOOKUP_TIMEOUT_SECONDS = 20.0
 """How long a caller retries its lookup if no instance answers."""
 
+SLOW_LOOKUP_SECONDS = 1.0
+"""Time from which on a lookup is written to the trace."""
+
 PROBE_SECONDS = 0.1
+DONE = "done"
 CODE_ACCEPTED = 0
 CODE_UNKNOWN_KEY = 1002
 
@@ -49,6 +53,7 @@
         send: the step that the request belongs to.
         expected: text of the complete answer.
         attempts: in order of sending.
+        doing: what its caller does now, for the trace.
     """
 
     by: str
@@ -57,6 +62,7 @@
     send: models.Send
     expected: str
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    doing: str = "nothing yet"
 
     @property
     def last(self) -> caller.Outcome:
@@ -79,7 +85,7 @@
     Args:
         fleet: the fleet to send to.
         write_trace: called with a line for each outcome other than a
-            complete answer.
+            complete answer in time, and for each slow lookup.
     """
 
     def __init__(
@@ -120,6 +126,14 @@
         gevent.joinall(tasks, timeout=seconds)
         return all(task.ready() for task in tasks)
 
+    def describe_pending(self, by: str) -> str:
+        """Return what the callers of a group do that are not done yet."""
+        return "; ".join(
+            f"{record.tag.lstrip('.')}: {record.doing}"
+            for record in self.records
+            if record.by == by and record.doing != DONE
+        )
+
     def get_records(self, by: str) -> list[Record]:
         """Return the requests of a group with at least one outcome."""
         return [r for r in self.records if r.by == by and r.attempts]
@@ -182,15 +196,22 @@
 
     def _run(self, record: Record, key: str, number: int) -> None:
         send = record.send
+        began = time.time()
+        record.doing = f"looking up since {began:.3f}"
         addresses, ticket = self._find_entries(send, key)
+        if time.time() - began > SLOW_LOOKUP_SECONDS:
+            self._write_trace(
+                f"lookup of {record.tag.lstrip('.')} began at {began:.3f}"
+            )
         headers = _make_headers(record, ticket)
         first = 0 if send.at else number
         for attempt in range(send.repeats + 1):
             address = addresses[(first + attempt) % len(addresses)]
             outcome = self._send_once(record, key, address, headers)
             if not _should_repeat(send, outcome):
-                return
+                break
             gevent.sleep(outcome.retry_after or 0.1)
+        record.doing = DONE
 
     def _send_once(
         self, record: Record, key: str, address: str, headers: dict[str, str]
@@ -202,6 +223,7 @@
             path = f"/services/{send.to}/call"
             body = {"tag": record.tag}
         began = time.time()
+        record.doing = f"sent to {address} at {began:.3f}"
         outcome = caller.send(
             address,
             key,
@@ -214,12 +236,13 @@
         record.attempts.append(
             Attempt(began=began, ended=time.time(), outcome=outcome)
         )
-        if not outcome.whole:
+        if not outcome.whole or outcome.seconds > send.deadline:
             self._write_trace(
                 f"outcome {record.tag.lstrip('.')} at {address}: "
                 f"status {outcome.status} code {outcome.code} "
                 f"{outcome.ran or 'no refusal'}, "
-                f"{len(outcome.text)} of {len(record.expected)} characters"
+                f"{len(outcome.text)} of {len(record.expected)} characters, "
+                f"{outcome.seconds:.3f} s"
             )
         return outcome
 
