Reword doc comments and the help of a gauge in plain terms

Change: texts only; the gauge's help text changes, its name does not.

Ruled out: nothing to rule out.

--- a/citronport/callers/const.py
+++ b/citronport/callers/const.py
@@ -97,7 +97,7 @@
 """Maximum number of header lines; the openai client sends about 20."""
 
 HEAD_TIMEOUT_SECONDS: Final = 10.0
-"""Time limit from the first to the last byte of a head; most heads fit into
+"""Longest time from the first to the last byte of a head; most heads fit into
 one packet."""
 
 IDLE_TIMEOUT_SECONDS: Final = 60.0
@@ -117,7 +117,7 @@
 """
 
 BODY_TIMEOUT_SECONDS: Final = 60.0
-"""Time limit for a body: 400 KB from a phone at 10 KB/s take 40 s."""
+"""Longest time to read a body: 400 KB from a phone at 10 KB/s take 40 s."""
 
 MAX_FRAMING_READS: Final = 65_536
 """Maximum number of single-byte reads for the framing of a chunked body.
--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -286,7 +286,7 @@
 
 
 def cancel(address: str, request_id: str) -> None:
-    """Ask an endpoint to stop a request and wait for its confirmation."""
+    """Ask an endpoint to stop a request and wait until it has answered."""
     path = f"{const.PATH_CANCEL}?id={request_id}"
     try:
         opened = endpoint_connection.connect(address)
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -88,8 +88,8 @@
         store_failures: calls to the store without a usable answer.
         store_refused: watches that it refused for lack of history.
         store_era: how often it was restored from a copy, as it states.
-        store_lost: items that it has lost by that and that nobody has written
-            again.
+        store_lost: items that it has lost by that and that have not been
+            written again.
         summaries_made: summaries made of this data centre.
         summaries_taken: summaries of other data centres that were applied;
             duplicates are not counted.
@@ -192,7 +192,7 @@
     gauge("store_era", "Times it was restored.", state.store_era)
     gauge(
         "store_lost_items",
-        "Items that it has lost by that and that nobody has written again.",
+        "Items that it has lost by that, until they are written again.",
         state.store_lost,
     )
     gauge("store_revision", "Known up to here.", state.store_revision)
--- a/citronport/relay/mirror.py
+++ b/citronport/relay/mirror.py
@@ -79,7 +79,7 @@
         return list(self._items)
 
     def list_lost(self) -> list[models.Item]:
-        """Return what the store has lost and nobody has written again."""
+        """Return what the store has lost and has not been written again."""
         return list(self._lost.values())
 
     def merge_lost(
