Do not take a caller's deadline for a restarted engine

What callers see: in citronport serve, after a stream has reached its deadline, its engine is used as a cold one, so that others wait although it has room.

Cause: the deadline's timer raises TimeoutError in the reader of the answer. For an answer that can be resumed that counted as a broken connection: the scheduler was notified of a restart (AnswerCut) and the rest was requested, without a timer, until the scheduler's own check of the deadline ended the task up to 50 ms later.

Ruled out: that the caller waits longer by it: the scheduler refuses a running request at its deadline.

Change: a connection that fails at the deadline or later is neither reported as interrupted nor resumed; the engine is still asked to cancel.

--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -173,7 +173,9 @@
         reader.read_head(opened)
         reader.read_body(opened)
     except _CONNECTION_ERRORS:
-        if not reader.resumable:
+        # At the deadline the endpoint has not failed, and no timer is left
+        # for a request for the rest.
+        if not reader.resumable or time.monotonic() >= end:
             raise
         opened.close()
         deliver(messages.Interrupted())
--- a/tests/endpoints/test_client.py
+++ b/tests/endpoints/test_client.py
@@ -139,6 +139,33 @@
         self.assertEqual(caller.make_expected(body), text)
         self.assertEqual(1, self.journal.kinds.count("received"))
 
+    def test_stream_is_not_resumed_at_its_deadline(self):
+        """Guards against a deadline that counts as a restarted endpoint.
+
+        The endpoint would be used as a cold one, and the request for the rest
+        would be waited for without a timeout.
+        """
+        requests = []
+
+        def handle(sock, _):
+            requests.append(sock.recv(65536))
+            headers = b"X-Resumable: true\r\n"
+            sock.sendall(CHUNKED.replace(HEAD, HEAD + headers))
+            sock.sendall(b"6\r\ndata: \r\n")
+            sock.recv(1)
+
+        address = self.serve(handle)
+        with gevent.Timeout(5.0, AssertionError("no end at the deadline")):
+            answer = self.call(address, timeout=0.3)
+        late = client.Failure(
+            sent=True, code=errors.Code.DEADLINE_PASSED_RUNNING
+        )
+        self.assertEqual(result.Err(late), answer)
+        self.assertNotIn(messages.Interrupted(), self.pieces)
+        gevent.sleep(0.1)
+        later = [request.split()[1] for request in requests[1:]]
+        self.assertEqual([b"/cancel?id=request-1"], later)
+
     def test_resume_with_other_request_is_refused(self):
         """The resumed stream belongs to another request.
 
