--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -31,6 +31,7 @@
 from citronport.relay import messages
 from citronport.relay import metrics
 from citronport.relay import mirror as mirror_module
+from citronport.relay import paths
 from citronport.relay import replication as replication_module
 from citronport.relay import reports
 from citronport.relay import settings as settings_module
@@ -97,6 +98,7 @@
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
         self.pauses = pauses.Pauses()
+        self.paths = paths.Paths(ticker, self.log)
         self.suspects = suspects_module.SuspectRequests()
         self.quotas = quota.Quotas(
             settings.bounds.limit_over,
@@ -199,6 +201,7 @@
                 self.health,
                 self.limits,
                 self.pauses,
+                self.paths,
                 self.suspects,
                 ticker,
                 self.log,
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -113,6 +113,32 @@
     seconds: float
 
 
+class EndpointUnreachable(msgspec.Struct, frozen=True, kw_only=True):
+    """An instance that holds a lease reported its endpoint out of reach.
+
+    Attributes:
+        endpoint: name of the endpoint.
+        reporter: name of that instance, which may be this one.
+    """
+
+    endpoint: str
+    reporter: str
+
+
+class PathLost(msgspec.Struct, frozen=True, kw_only=True):
+    """This instance reaches no endpoint any more.
+
+    Attributes:
+        endpoints: endpoints that failed since one was last reached.
+    """
+
+    endpoints: int
+
+
+class PathRegained(msgspec.Struct, frozen=True, kw_only=True):
+    """This instance reaches an endpoint again."""
+
+
 class EndpointGone(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint's entry was removed.
 
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -9,6 +9,7 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
 from citronport.relay import metrics
+from citronport.relay import paths as paths_module
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
@@ -57,6 +58,7 @@
         health: health of endpoints.
         limits: rate limits announced by endpoints.
         pauses: pauses that endpoints ask this instance for.
+        paths: whether this instance has a path to the endpoints.
         suspects: requests that are suspected of crashing endpoints.
         ticker: the clock.
         log: the event log.
@@ -73,6 +75,7 @@
         health: health_module.Health,
         limits: endpoint_limits.EndpointLimits,
         pauses: pauses_module.Pauses,
+        paths: paths_module.Paths,
         suspects: suspects_module.SuspectRequests,
         ticker: clock.Clock,
         log: eventlog.Log,
@@ -86,6 +89,7 @@
         self.health = health
         self.limits = limits
         self.pauses = pauses
+        self.paths = paths
         self.suspects = suspects
         self.ticker = ticker
         self.log = log
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -8,6 +8,8 @@
 from citronport import clock
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import eventlog
+from citronport.relay import events
 from citronport.relay import messages
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
@@ -64,6 +66,7 @@
         health: health of endpoints.
         send: sends a message to the named instance.
         ticker: the clock.
+        log: the event log.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         health: health_module.Health,
         send: messages.SendLeaseMessage,
         ticker: clock.Clock,
+        log: eventlog.Log,
     ) -> None:
         self._own = own
         self._dispatcher = dispatcher
@@ -85,6 +89,7 @@
         self._health = health
         self._send = send
         self._ticker = ticker
+        self._log = log
         self._applicants: dict[str, _Applicant] = {}
         self._granted: dict[str, messages.Granted] = {}
 
@@ -233,6 +238,11 @@
                 self._health.record_answer(name, False, now)
             case runs.Verdict.UNREACHABLE:
                 self._health.record_unreachable(name, now)
+                self._log.write(
+                    events.EndpointUnreachable(
+                        endpoint=name, reporter=ended.instance
+                    )
+                )
             case _:
                 self._health.record_no_result(name)
 
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -89,6 +89,7 @@
             health,
             send,
             ticker,
+            log,
         )
         dispatcher.owners = self.owners
         dispatcher.lease_client = self.lease_client
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -102,6 +102,7 @@
         limited: endpoints that name a limit in their answers.
         leaving: endpoints that are about to stop.
         paused: endpoints that want no request of this instance now.
+        path_lost: whether this instance reaches no endpoint now.
         leases: slots granted to other instances now.
         barred: requests that are not sent any more, as they are suspected
             of crashing endpoints.
@@ -134,6 +135,7 @@
     limited: int
     leaving: int
     paused: int
+    path_lost: bool
     leases: int
     barred: int
     lines_dropped: int
@@ -206,6 +208,7 @@
     gauge("endpoints_limited", "Those that name a limit.", state.limited)
     gauge("endpoints_leaving", "Those about to stop.", state.leaving)
     gauge("endpoints_paused", "Those that asked for a pause.", state.paused)
+    gauge("path_lost", "1 while no endpoint is reached.", int(state.path_lost))
     gauge("leases", "Places handed out to others now.", state.leases)
     gauge(
         "requests_barred",
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -188,7 +188,9 @@
         self._exchange = exchange
         unreachable = exchange.open()
         if unreachable is not None:
+            self._context.paths.record_failed(endpoint.name)
             return unreachable
+        self._context.paths.record_reached()
         now = self._context.ticker.now()
         # The endpoint may have started to leave while the connection was
         # established or the process was suspended. There is no wait between
--- a/citronport/relay/state.py
+++ b/citronport/relay/state.py
@@ -56,6 +56,7 @@
                 instance.cluster_state.endpoints.values(), now
             )
         ),
+        path_lost=instance.paths.is_lost,
         leases=len(instance.leasing.leases),
         barred=instance.suspects.count_barred(),
         lines_dropped=sum(instance.log.dropped.values()),
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -7,6 +7,7 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
 from citronport.relay import membership
+from citronport.relay import paths
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
@@ -126,6 +127,7 @@
         self.pauses = pauses.Pauses()
         self.members = membership.Membership(own, "a")
         self.log = make_log(self.ticker)
+        self.paths = paths.Paths(self.ticker, self.log)
         self.cluster_state = cluster_state_module.ClusterState(
             self.cold, self.board.forget, self.log
         )
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -48,6 +48,7 @@
             room.health,
             room.limits,
             room.pauses,
+            room.paths,
             self.suspects,
             room.ticker,
             room.log,
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -46,6 +46,7 @@
             self.room.health,
             endpoint_limits.EndpointLimits(),
             self.room.pauses,
+            self.room.paths,
             suspects.SuspectRequests(),
             self.clock,
             self.room.log,
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -38,6 +38,7 @@
     limited=0,
     leaving=0,
     paused=0,
+    path_lost=False,
     leases=1,
     barred=0,
     lines_dropped=0,
