--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -111,6 +111,25 @@
             {"key": key, "revision": self.revision, "deleted": True}
         )
 
+    def copy_items(self, other, replacements):
+        """Take over the content of another store.
+
+        Args:
+            other: the other store.
+            replacements: texts in its values to replace.
+        """
+        self.revision = other.revision
+        for key, item in other.items.items():
+            value = base64.b64decode(item["value"]).decode()
+            for old, new in replacements.items():
+                value = value.replace(f'"{old}"', f'"{new}"')
+            copied = {
+                **item,
+                "value": base64.b64encode(value.encode()).decode(),
+            }
+            self.items[key] = copied
+            self.events.append(copied)
+
     def copy(self):
         """Return a copy of its content, see ``restore``."""
         return self.revision, dict(self.items), list(self.events)
