--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -98,7 +98,6 @@
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
         self.pauses = pauses.Pauses()
-        self.paths = paths.Paths(ticker, self.log)
         self.suspects = suspects_module.SuspectRequests()
         self.quotas = quota.Quotas(
             settings.bounds.limit_over,
@@ -112,6 +111,13 @@
         self.cluster_state = cluster_state_module.ClusterState(
             self.cold, self._forget_endpoint, self.log
         )
+        self.paths = paths.Paths(
+            self.cluster_state,
+            lambda: bool(self.members.list_usable(ticker.now())),
+            self.health.clear_pauses,
+            ticker,
+            self.log,
+        )
         self.follower = follower_module.Follower(
             store_client.Client(
                 str(settings.store), follower_module.ANSWER_TIMEOUT_SECONDS
@@ -353,6 +359,7 @@
         start_task("catch-up", self.replication.catch_up)
         start_task("dispatcher", self.dispatcher.run_match_loop)
         start_task("renewer", self.leasing.run_renewal_loop)
+        start_task("paths", self.paths.probe_forever)
         start_task("sweeper", self._run_sweeper)
         start_task("settings", self._watch_settings)
 
--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -66,6 +66,24 @@
         reservation.run.verdict = runs.Verdict.UNREACHABLE
         self._log_failure(name, reason, "no")
 
+    def record_no_connection(
+        self,
+        reservation: dispatcher.Reservation,
+        reason: str,
+        since: float,
+    ) -> None:
+        """Record that no connection to the endpoint was established.
+
+        Args:
+            reservation: the endpoint's reservation.
+            reason: what happened instead.
+            since: clock time at which the attempt began, seconds.
+        """
+        if self._context.paths.may_blame_endpoint(since):
+            self.record_unreachable(reservation, reason)
+        else:
+            self._log_failure(reservation.endpoint.name, reason, "no")
+
     def record_failure(
         self,
         reservation: dispatcher.Reservation,
@@ -82,8 +100,11 @@
             ran: whether the request ran: "yes", "no" or "maybe".
             cut: whether the connection broke while the request was running.
         """
-        self.record_health(reservation, False)
         self._log_failure(reservation.endpoint.name, reason, ran, cut=cut)
+        now = self._context.ticker.now()
+        if cut and not self._context.paths.may_blame_endpoint(now):
+            return
+        self.record_health(reservation, False)
         if cut:
             self._record_crash(reservation.endpoint)
 
@@ -109,6 +130,9 @@
         """
         if reservation.run.first_event_at is not None:
             return
+        if self._context.paths.was_lost_since(reservation.run.sent_at):
+            self._log_failure(reservation.endpoint.name, "silence", "maybe")
+            return
         silence = self._context.ticker.now() - reservation.run.sent_at
         if past_deadline or silence >= MIN_SILENCE_SECONDS:
             # An endpoint that is no longer listed may have crashed, and its
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -45,6 +45,7 @@
         self._reservation: dispatcher_module.Reservation | None = None
         self._exchange: upstream.Exchange | None = None
         self._is_started = False
+        self._connecting_since = 0.0
         self._last_event_id: str | None = None
         self.progress = progress_module.Progress()
         self._outcomes = outcomes.Outcomes(context, job, self.progress)
@@ -125,8 +126,8 @@
         """Return None if another endpoint may be tried, else a refusal."""
         match outcome:
             case upstream.Unreachable(reason=reason):
-                self._outcomes.record_unreachable(
-                    self._get_reservation(), reason
+                self._outcomes.record_no_connection(
+                    self._get_reservation(), reason, self._connecting_since
                 )
                 if self.progress.attempts >= MAX_SENDS:
                     return self._refuse_overloaded()
@@ -186,6 +187,7 @@
         self.progress.endpoint = endpoint.name
         exchange = upstream.Exchange(endpoint.address, self._work.request_id)
         self._exchange = exchange
+        self._connecting_since = self._context.ticker.now()
         unreachable = exchange.open()
         if unreachable is not None:
             self._context.paths.record_failed(endpoint.name)
--- a/citronport/scheduler/direct/health.py
+++ b/citronport/scheduler/direct/health.py
@@ -91,6 +91,13 @@
         self._decay(record, now)
         return record.failure_share
 
+    def clear_pauses(self) -> None:
+        """End all pauses, of which none may be the fault of an endpoint."""
+        for record in self._records.values():
+            record.pause = 0.0
+            record.paused_until = 0.0
+            record.probing = False
+
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that is gone."""
         self._records.pop(endpoint, None)
--- a/citronport/scheduler/direct/reachability.py
+++ b/citronport/scheduler/direct/reachability.py
@@ -49,6 +49,10 @@
         self._lost_at = now
         return True
 
+    def has_failed(self, endpoint: str) -> bool:
+        """Return whether an endpoint failed since one was last reached."""
+        return endpoint in self._failed
+
     def has_reached_since(self, at: float) -> bool:
         """Return whether an endpoint was reached at or after a time."""
         return self._reached_at >= at
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -127,10 +127,16 @@
         self.pauses = pauses.Pauses()
         self.members = membership.Membership(own, "a")
         self.log = make_log(self.ticker)
-        self.paths = paths.Paths(self.ticker, self.log)
         self.cluster_state = cluster_state_module.ClusterState(
             self.cold, self.board.forget, self.log
         )
+        self.paths = paths.Paths(
+            self.cluster_state,
+            lambda: bool(self.members.list_usable(self.ticker.now())),
+            self.health.clear_pauses,
+            self.ticker,
+            self.log,
+        )
         self.cluster_state.configuration = (
             configuration or make_configuration()
         )
