--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -59,6 +59,7 @@
     BAD_LIMIT = 4004
     BAD_LEAVING = 4005
     BAD_PAUSE = 4006
+    BAD_FORWARD = 4007
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -110,11 +110,12 @@
             case result.Err(refusal):
                 return self._refuse(environ, start_response, refusal)
             case result.Ok(job):
-                return self._serve(job, start_response)
+                return self.serve(job, start_response)
 
-    def _serve(
+    def serve(
         self, job: jobs.Job, start_response: replies.StartResponse
     ) -> collections.abc.Iterator[bytes]:
+        """Send a validated request and yield the response."""
         self.running += 1
         request_sender = sender.Sender(self._context, job)
         try:
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -23,6 +23,8 @@
 from citronport.relay import eventlog
 from citronport.relay import events
 from citronport.relay import follower as follower_module
+from citronport.relay import forward_server
+from citronport.relay import forwarding
 from citronport.relay import gossip as gossip_module
 from citronport.relay import jobs
 from citronport.relay import leasing as leasing_module
@@ -111,9 +113,16 @@
         self.cluster_state = cluster_state_module.ClusterState(
             self.cold, self._forget_endpoint, self.log
         )
+        self.forwarder = forwarding.Forwarder(
+            settings.instance,
+            settings.data_centre,
+            settings.reports,
+            self.members,
+            ticker,
+        )
         self.paths = paths.Paths(
             self.cluster_state,
-            lambda: bool(self.members.list_usable(ticker.now())),
+            self.forwarder.has_peers,
             self.health.clear_pauses,
             ticker,
             self.log,
@@ -150,6 +159,7 @@
             self.limits,
             self.mirror,
             self.follower,
+            self.paths,
             self.is_ready,
             lambda: self._leaving,
             ticker,
@@ -199,22 +209,24 @@
             self.log,
         )
         self._budgets: dict[str, retries.RetryBudget] = {}
+        context = jobs.RelayContext(
+            self.cluster_state,
+            self.dispatcher,
+            self.loads,
+            self.health,
+            self.limits,
+            self.pauses,
+            self.paths,
+            self.suspects,
+            self.forwarder,
+            ticker,
+            self.log,
+            self.counts,
+            self._get_budget,
+            lambda: len(self.members.list_known(ticker.now())),
+        )
         self.application = application.Application(
-            jobs.RelayContext(
-                self.cluster_state,
-                self.dispatcher,
-                self.loads,
-                self.health,
-                self.limits,
-                self.pauses,
-                self.paths,
-                self.suspects,
-                ticker,
-                self.log,
-                self.counts,
-                self._get_budget,
-                lambda: len(self.members.list_known(ticker.now())),
-            ),
+            context,
             self.quotas,
             lambda: self.members.compute_reach(ticker.now()),
             lambda: max(
@@ -230,6 +242,12 @@
         self._callers = listeners.make_caller_server(
             settings, self.application
         )
+        self._forwards = listeners.make_forward_server(
+            settings,
+            forward_server.ForwardServer(
+                self.application, context, lambda: self._closing, ticker
+            ),
+        )
         self._tasks = tasks.Supervisor(ticker, self._log_task_death)
 
     def serve(self) -> None:
@@ -339,6 +357,7 @@
     def _make_servers(self) -> list[caller_server.Server]:
         return [
             self._callers,
+            self._forwards,
             *listeners.make_other_servers(
                 self._settings,
                 application.Lookups(self.list_addresses),
@@ -369,6 +388,7 @@
         self._ticker.sleep(min(DRAIN_ACCEPT_SECONDS, max_seconds))
         self._closing = True
         self._callers.close()
+        self._forwards.close()
         while self._ticker.now() - started < max_seconds:
             if not self.application.running and self._callers.is_idle():
                 break
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -13,6 +13,7 @@
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
 from citronport.relay import owners as owners_module
+from citronport.relay import service_view
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
@@ -114,18 +115,34 @@
         self.lease_client: lease_client_module.LeaseClient | None = None
 
     def acquire(
-        self, work: models.Work, service: str, tried: frozenset[str]
+        self,
+        work: models.Work,
+        service: str,
+        tried: frozenset[str],
+        paused: frozenset[str] = frozenset(),
     ) -> Reservation | errors.Refusal:
-        """Return a reservation for a request; wait for one if necessary."""
+        """Return a reservation for a request; wait for one if necessary.
+
+        Args:
+            work: the request.
+            service: service that it is sent to.
+            tried: names of endpoints that are chosen only if all others
+                have been tried too.
+            paused: names of further endpoints that are not chosen.
+        """
         if self._is_paused(work, service):
             return self._refuse(work, service)
-        found = self._acquire_lease(work, service, tried)
+        found = self._acquire_lease(work, service, tried, paused)
         if found is not None:
             return found
         now = self._ticker.now()
         assignment: gevent_event.AsyncResult = gevent_event.AsyncResult()
         waiter = wait_queue.Waiter(
-            work=work, waiting_since=now, tried=tried, handle=assignment
+            work=work,
+            waiting_since=now,
+            tried=tried,
+            paused=paused,
+            handle=assignment,
         )
         retry_seconds = self.enqueue(waiter, service)
         if retry_seconds is not None:
@@ -149,6 +166,12 @@
         wait = self._pauses.compute_wait(endpoints, now)
         return wait > wait_queue.compute_max_wait(work, now)
 
+    def list_paused(self, service: str) -> frozenset[str]:
+        """Return the endpoints that want no request of this instance."""
+        return self._pauses.list_names(
+            self._cluster_state.list_endpoints(service), self._ticker.now()
+        )
+
     def enqueue(self, waiter: wait_queue.Waiter, service: str) -> float | None:
         """Queue a request and match it at once if there is capacity.
 
@@ -252,13 +275,19 @@
         )
 
     def _acquire_lease(
-        self, work: models.Work, service: str, tried: frozenset[str]
+        self,
+        work: models.Work,
+        service: str,
+        tried: frozenset[str],
+        paused: frozenset[str],
     ) -> Reservation | errors.Refusal | None:
         if self.lease_client is None:
             return None
         unusable: frozenset[str] = frozenset()
         while True:
-            match self.lease_client.acquire(work, service, tried | unusable):
+            match self.lease_client.acquire(
+                work, service, tried | unusable, paused
+            ):
                 case messages.Granted() as granted:
                     found = self._accept_lease(
                         granted, work, self.lease_client
@@ -326,7 +355,7 @@
 
     def _make_view(
         self, service: models.Service, now: float
-    ) -> "_ServiceView":
+    ) -> service_view.ServiceView:
         """Return the endpoints that waiting requests may use now."""
         endpoints = self._cluster_state.list_endpoints(service.name)
         sample_size = selection.compute_sample_size(
@@ -353,7 +382,7 @@
             for e in endpoints
             if self._selector.has_capacity(e, service, role, now)
         ]
-        return _ServiceView(
+        return service_view.ServiceView(
             endpoints=usable,
             listed=frozenset(e.name for e in endpoints),
             paused=self._pauses.list_names(endpoints, now),
@@ -404,10 +433,12 @@
         self,
         waiter: wait_queue.Waiter,
         service: models.Service,
-        view: "_ServiceView",
+        view: service_view.ServiceView,
         now: float,
     ) -> Reservation | None:
-        paused = waiter.paused if waiter.leased else view.paused
+        paused = waiter.paused
+        if not waiter.leased:
+            paused |= view.paused
         excluded = waiter.tried | paused
         candidates = [e for e in view.endpoints if e.name not in excluded]
         if not candidates and excluded >= view.listed:
@@ -460,27 +491,3 @@
                 min(2 * retry_seconds, max_retry_seconds),
             ),
         )
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _ServiceView:
-    """Endpoints that the requests of a service may use at one moment.
-
-    Attributes:
-        endpoints: endpoints with free capacity; one that fills up is
-            removed.
-        listed: names of all endpoints of the service, including full ones.
-        paused: names of endpoints that want no request of this instance.
-        role: role of this instance, which sets its share of cold and limited
-            endpoints.
-        sample_size: number of randomly drawn endpoints that one choice
-            compares.
-        typical_step_ms: median step time of the endpoints in reach.
-    """
-
-    endpoints: list[models.Endpoint]
-    listed: frozenset[str]
-    paused: frozenset[str]
-    role: roles.Role
-    sample_size: int
-    typical_step_ms: float
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -342,6 +342,36 @@
     fingerprint: str
 
 
+class RequestForwarded(msgspec.Struct, frozen=True, kw_only=True):
+    """A request is sent by way of another instance, as the path is lost.
+
+    Attributes:
+        request: id of the request.
+        peer: name of the other instance, whose log tells how it goes on.
+        attempt: number of the send, from 1.
+    """
+
+    request: str
+    peer: str
+    attempt: int
+
+
+class ForwardFailed(msgspec.Struct, frozen=True, kw_only=True):
+    """Another instance did not answer a forwarded request.
+
+    Attributes:
+        request: id of the request.
+        peer: name of the other instance.
+        what: description of the failure.
+        ran: whether the request ran: "no" or "maybe".
+    """
+
+    request: str
+    peer: str
+    what: str
+    ran: str
+
+
 class SendFailed(msgspec.Struct, frozen=True, kw_only=True):
     """A send got no answer, or the answer that the request did not run.
 
--- a/citronport/relay/explanation.py
+++ b/citronport/relay/explanation.py
@@ -22,6 +22,8 @@
     for kind in (
         events.RequestRefused,
         events.RequestSent,
+        events.RequestForwarded,
+        events.ForwardFailed,
         events.SendFailed,
         events.RequestBarred,
         events.RequestEnded,
--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -222,7 +222,12 @@
                 self._answer_meet(message)
             case messages.Summary():
                 self._handle_summary(message)
-            case messages.Want() | messages.Held() | messages.Packed():
+            case (
+                messages.Want()
+                | messages.Held()
+                | messages.Packed()
+                | messages.Forward()
+            ):
                 # These messages are only valid on streams.
                 logging.warning(
                     "%s dropped a datagram of kind %s, which is sent on "
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from citronport import clock
 from citronport.platform import requests
@@ -18,6 +19,29 @@
 from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import suspects as suspects_module
 
+if typing.TYPE_CHECKING:
+    from citronport.relay import forwarding
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Origin:
+    """The instance that forwarded a request, and what it did before.
+
+    Attributes:
+        instance: its name.
+        tried: names of the endpoints that it tried.
+        paused: names of the endpoints that want no request of it.
+        possible_runs: endpoints that have run the request or may have.
+        last_event_id: id of the last event that the caller has received;
+            None if it has received none.
+    """
+
+    instance: str
+    tried: frozenset[str]
+    paused: frozenset[str]
+    possible_runs: int
+    last_event_id: str | None
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
@@ -34,6 +58,7 @@
         workspace: workspace of the caller; None if no API keys are in use.
         units: units charged to the workspace's limit.
         version: version of the configuration used for validation.
+        origin: the instance that forwarded it; None for a caller's request.
     """
 
     work: models.Work
@@ -46,6 +71,7 @@
     workspace: models.Workspace | None
     units: float
     version: int
+    origin: Origin | None = None
 
 
 class RelayContext:
@@ -60,6 +86,7 @@
         pauses: pauses that endpoints ask this instance for.
         paths: whether this instance has a path to the endpoints.
         suspects: requests that are suspected of crashing endpoints.
+        forwarder: sends requests by way of other instances.
         ticker: the clock.
         log: the event log.
         counts: counters for the metrics.
@@ -77,6 +104,7 @@
         pauses: pauses_module.Pauses,
         paths: paths_module.Paths,
         suspects: suspects_module.SuspectRequests,
+        forwarder: "forwarding.Forwarder",
         ticker: clock.Clock,
         log: eventlog.Log,
         counts: metrics.Counts,
@@ -91,6 +119,7 @@
         self.pauses = pauses
         self.paths = paths
         self.suspects = suspects
+        self.forwarder = forwarder
         self.ticker = ticker
         self.log = log
         self.counts = counts
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -87,10 +87,21 @@
         return len(self._pending)
 
     def acquire(
-        self, work: models.Work, service: str, tried: frozenset[str]
+        self,
+        work: models.Work,
+        service: str,
+        tried: frozenset[str],
+        paused: frozenset[str] = frozenset(),
     ) -> Answer | None:
         """Return a lease for a request; wait for one if necessary.
 
+        Args:
+            work: the request.
+            service: service that it is sent to.
+            tried: names of endpoints to avoid if there are others.
+            paused: names of endpoints that must not be chosen, besides
+                those that want no request of this instance.
+
         Returns:
             None if this instance has to choose an endpoint by itself: it
             owns the endpoints, nobody does, or the owner does not answer or
@@ -103,7 +114,9 @@
         self._pending[work.request_id] = answers
         found: Answer | None = None
         try:
-            found = self._await_grant(work, service, tried, owner, answers)
+            found = self._await_grant(
+                work, service, tried, paused, owner, answers
+            )
         finally:
             del self._pending[work.request_id]
             if isinstance(found, messages.Granted):
@@ -216,6 +229,7 @@
         work: models.Work,
         service: str,
         tried: frozenset[str],
+        paused: frozenset[str],
         owner: str,
         answers: gevent_queue.SimpleQueue,
     ) -> Answer | None:
@@ -223,7 +237,9 @@
         end = now + wait_queue.compute_max_wait(work, now)
         unanswered = 0
         while (now := self._ticker.now()) < end:
-            self._send(owner, self._make_ask(work, service, tried, now))
+            self._send(
+                owner, self._make_ask(work, service, tried, paused, now)
+            )
             try:
                 answer = answers.get(
                     timeout=min(ANSWER_TIMEOUT_SECONDS, end - now)
@@ -276,6 +292,7 @@
         work: models.Work,
         service: str,
         tried: frozenset[str],
+        paused: frozenset[str],
         now: float,
     ) -> messages.Ask:
         return messages.Ask(
@@ -291,7 +308,7 @@
             elapsed_seconds=now - work.arrived,
             remaining_seconds=work.deadline - now,
             tried=list(tried),
-            paused=list(self._list_paused(service)),
+            paused=list(paused | self._list_paused(service)),
         )
 
     def _make_ended(
--- a/citronport/relay/listeners.py
+++ b/citronport/relay/listeners.py
@@ -4,12 +4,18 @@
 from citronport.callers import server as caller_server
 from citronport.platform import const as wire
 from citronport.relay import application as application_module
+from citronport.relay import forward_server
+from citronport.relay import messages
 from citronport.relay import settings as settings_module
 from citronport.scheduler.direct import models
 
 BODY_MEMORY_SHARE = 0.2
 """Share of the memory that all request bodies together may take."""
 
+FORWARD_DESCRIPTORS_SHARE = 8
+"""The part of the file descriptors, as divisor, that connections of other
+instances may take: callers and endpoints need most of them."""
+
 RESERVED_DESCRIPTORS = 200
 """Number of file descriptors that are reserved for files, as the platform
 requires."""
@@ -26,6 +32,22 @@
     return server
 
 
+def make_forward_server(
+    settings: settings_module.Settings,
+    application: forward_server.ForwardServer,
+) -> caller_server.Server:
+    """Return the server for requests that other instances forward."""
+    address = settings_module.Listener(
+        address=settings.peers.address, port=settings.reports
+    )
+    limits = connections.Limits(
+        connections=max(1, settings.files // FORWARD_DESCRIPTORS_SHARE),
+        body_bytes=messages.MAX_MESSAGE_BYTES,
+        total_body_bytes=int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE),
+    )
+    return _make_server(address, application, limits)
+
+
 def make_limits(
     settings: settings_module.Settings,
     configuration: models.Configuration | None,
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -13,7 +13,7 @@
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
 
-PROTOCOL = 8
+PROTOCOL = 9
 """Version of this protocol; messages of other versions are dropped."""
 
 MAX_MESSAGE_BYTES = 8_000_000
@@ -40,6 +40,7 @@
             the sender is on standby.
         knows_lost: whether it knows items that the store has lost by being
             restored from a copy.
+        path_lost: whether it reaches no endpoint.
         admitted_units: units admitted since its start, by workspace.
         loads: for each endpoint with requests or a known pace: its name,
             number of the sender's requests there, prompt tokens not read
@@ -66,6 +67,7 @@
     revision: int
     store_seconds: float
     knows_lost: bool
+    path_lost: bool
     admitted_units: dict[str, float]
     loads: list[tuple[str, int, int, int]]
     profiles: list[tuple[str, float, float, float]]
@@ -89,7 +91,7 @@
 
 
 Row = tuple[
-    str, str, int, float, float, str, str, bool, bool, int, float, bool
+    str, str, int, float, float, str, str, bool, bool, int, float, bool, bool
 ]
 """State of one instance in a summary; see ``Summary.rows``."""
 
@@ -109,7 +111,7 @@
             its latest report, age of that report in seconds, and these
             fields of it: ``capacity``, ``caller_address``,
             ``peer_address``, ``ready``, ``leaving``, ``revision``,
-            ``store_seconds`` and ``knows_lost``.
+            ``store_seconds``, ``knows_lost`` and ``path_lost``.
         admitted_units: units that all instances of the data centre have
             admitted since the sender's start, by workspace.
         profiles: as in a report.
@@ -133,6 +135,49 @@
     limits: list[endpoint_limits.Row]
 
 
+class Forward(msgspec.Struct, frozen=True, kw_only=True):
+    """A request of a caller that the receiver sends to an endpoint.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: name of the sender, which has lost its path to endpoints.
+        route: name of the request's route.
+        service: service that the request goes to.
+        version: version of the configuration that it was validated by.
+        method: HTTP method.
+        target: path and query.
+        headers: headers by lower-case name.
+        body: the complete body.
+        fingerprint: identical for requests with identical content.
+        workspace: workspace that was charged; None if no keys are in use.
+        elapsed_seconds: time since the request arrived at the sender.
+        remaining_seconds: time left for the complete answer.
+        tried: names of the endpoints that the sender tried.
+        paused: names of the endpoints that want no request of the sender.
+        possible_runs: endpoints that have run the request or may have.
+        last_event_id: id of the last event that the caller has received;
+            None if it has received none.
+    """
+
+    protocol: int
+    instance: str
+    route: str
+    service: str
+    version: int
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    fingerprint: str
+    workspace: str | None
+    elapsed_seconds: float
+    remaining_seconds: float
+    tried: list[str]
+    paused: list[str]
+    possible_runs: int
+    last_event_id: str | None
+
+
 class Want(msgspec.Struct, frozen=True, kw_only=True):
     """Requests the items of the store changed after a revision.
 
@@ -342,7 +387,9 @@
 SendLeaseMessage = collections.abc.Callable[[str, LeaseMessage], None]
 """Sends a message on leases to the instance with the given name."""
 
-Message = Report | Meet | Summary | Want | Held | Packed | LeaseMessage
+Message = (
+    Report | Meet | Summary | Want | Held | Packed | Forward | LeaseMessage
+)
 
 CODEC: codec.Codec[Message] = codec.Codec(
     (
@@ -361,6 +408,7 @@
         Summary,
         Meet,
         EndpointLeaving,
+        Forward,
     ),
     MAX_MESSAGE_BYTES,
 )
--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -71,18 +71,22 @@
         reservation: dispatcher.Reservation,
         reason: str,
         since: float,
-    ) -> None:
+    ) -> bool:
         """Record that no connection to the endpoint was established.
 
         Args:
             reservation: the endpoint's reservation.
             reason: what happened instead.
             since: clock time at which the attempt began, seconds.
+
+        Returns:
+            Whether this is a fault of the endpoint and not of the path.
         """
         if self._context.paths.may_blame_endpoint(since):
             self.record_unreachable(reservation, reason)
-        else:
-            self._log_failure(reservation.endpoint.name, reason, "no")
+            return True
+        self._log_failure(reservation.endpoint.name, reason, "no")
+        return False
 
     def record_failure(
         self,
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -17,6 +17,7 @@
         possible_runs: endpoints that have run the request or may have.
         waited: time in the queue, seconds.
         endpoint: name of the endpoint chosen last.
+        peer: name of the instance that it was forwarded to last.
         first: time to the first byte of the response, seconds; -1 before.
         longest: longest pause of the stream, seconds.
         status: HTTP status sent to the caller; 0 before.
@@ -29,6 +30,7 @@
     possible_runs: int = 0
     waited: float = 0.0
     endpoint: str = ""
+    peer: str = ""
     first: float = -1.0
     longest: float = 0.0
     status: int = 0
@@ -71,6 +73,39 @@
     )
 
 
+def record_forwarded(
+    context: jobs.RelayContext, job: jobs.Job, progress: Progress, peer: str
+) -> None:
+    """Log and count a request that another instance is asked to send."""
+    progress.peer = peer
+    context.counts.sends["forwarded"] += 1
+    context.log.write(
+        events.RequestForwarded(
+            request=job.work.request_id, peer=peer, attempt=progress.attempts
+        )
+    )
+
+
+def record_forward_failed(
+    context: jobs.RelayContext, job: jobs.Job, peer: str, what: str, ran: str
+) -> None:
+    """Log and count a forwarded request without an answer.
+
+    Args:
+        context: components shared by all requests.
+        job: the request.
+        peer: name of the other instance.
+        what: what happened.
+        ran: whether the request ran: "no" or "maybe".
+    """
+    context.counts.sends[f"not forwarded, ran: {ran}"] += 1
+    context.log.write(
+        events.ForwardFailed(
+            request=job.work.request_id, peer=peer, what=what, ran=ran
+        )
+    )
+
+
 def record_failed(
     context: jobs.RelayContext,
     job: jobs.Job,
--- a/citronport/relay/reports.py
+++ b/citronport/relay/reports.py
@@ -7,6 +7,7 @@
 from citronport.relay import membership
 from citronport.relay import messages
 from citronport.relay import mirror as mirror_module
+from citronport.relay import paths as paths_module
 from citronport.relay import settings as settings_module
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import load_tracker
@@ -28,6 +29,7 @@
         limits: request rates that endpoints named as their limits.
         mirror: the local copy of the store.
         follower: reads the store.
+        paths: whether this instance has a path to the endpoints.
         is_ready: returns whether callers should use this instance.
         is_leaving: returns whether this instance is shutting down.
         ticker: the clock.
@@ -44,6 +46,7 @@
         limits: endpoint_limits.EndpointLimits,
         mirror: mirror_module.Mirror,
         follower: follower_module.Follower,
+        paths: paths_module.Paths,
         is_ready: collections.abc.Callable[[], bool],
         is_leaving: collections.abc.Callable[[], bool],
         ticker: clock.Clock,
@@ -57,6 +60,7 @@
         self._limits = limits
         self._mirror = mirror
         self._follower = follower
+        self._paths = paths
         self._is_ready = is_ready
         self._is_leaving = is_leaving
         self._ticker = ticker
@@ -100,6 +104,7 @@
                 else now - self._follower.answered_at
             ),
             knows_lost=bool(self._mirror.list_lost()),
+            path_lost=self._paths.is_lost,
             admitted_units=self._quotas.get_totals(),
             loads=self._board.make_report_rows(idle_rows),
             profiles=self._board.profiles.make_report_rows(),
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -12,6 +12,7 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import jobs
 from citronport.relay import outcomes
+from citronport.relay import peer_send
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
 from citronport.relay import upstream
@@ -41,14 +42,20 @@
         self._context = context
         self._job = job
         self._work = job.work
-        self._tried: frozenset[str] = frozenset()
+        origin = job.origin
+        self._tried = origin.tried if origin else frozenset()
+        self._paused = origin.paused if origin else frozenset()
         self._reservation: dispatcher_module.Reservation | None = None
         self._exchange: upstream.Exchange | None = None
         self._is_started = False
         self._connecting_since = 0.0
-        self._last_event_id: str | None = None
-        self.progress = progress_module.Progress()
+        self._doubts_path = False
+        self._last_event_id = origin.last_event_id if origin else None
+        self.progress = progress_module.Progress(
+            possible_runs=origin.possible_runs if origin else 0
+        )
         self._outcomes = outcomes.Outcomes(context, job, self.progress)
+        self._peer_send = peer_send.PeerSend(context, job, self.progress)
 
     def answer(
         self, start_response: replies.StartResponse
@@ -86,8 +93,12 @@
             try:
                 yield from self._forward(start_response, found)
             except (OSError, http_response.HTTPParseError) as error:
+                if self._reservation is None:
+                    refusal = self._peer_send.handle_loss(type(error).__name__)
+                    yield from self._fail(start_response, refusal)
+                    return
                 self._outcomes.record_failure(
-                    self._get_reservation(),
+                    self._reservation,
                     type(error).__name__,
                     "maybe",
                     cut=True,
@@ -102,6 +113,10 @@
         """Send until an endpoint answers or no further send is allowed."""
         while True:
             self._release()
+            if self._should_forward():
+                found = self._send_by_peer()
+                if found is not None:
+                    return found
             refusal = self._reserve()
             if refusal is not None:
                 return refusal
@@ -126,7 +141,7 @@
         """Return None if another endpoint may be tried, else a refusal."""
         match outcome:
             case upstream.Unreachable(reason=reason):
-                self._outcomes.record_no_connection(
+                self._doubts_path = not self._outcomes.record_no_connection(
                     self._get_reservation(), reason, self._connecting_since
                 )
                 if self.progress.attempts >= MAX_SENDS:
@@ -162,12 +177,38 @@
                     return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
         return None
 
+    def _should_forward(self) -> bool:
+        """Return whether another instance is asked to send the request.
+
+        A forwarded request is not forwarded again: it could go round between
+        instances without a path until its deadline.
+        """
+        if self._job.origin is not None:
+            return False
+        return self._doubts_path or self._context.paths.is_lost
+
+    def _send_by_peer(self) -> requests.EndpointAnswer | errors.Refusal | None:
+        """Send the request by way of another instance that has a path.
+
+        Returns:
+            Its answer or refusal; None if no instance takes the request.
+        """
+        if self._is_barred():
+            return self._refuse_barred()
+        found = self._peer_send.send(self._tried, self._last_event_id)
+        self._exchange = self._peer_send.exchange
+        if isinstance(found, errors.Refusal) or found is None:
+            return found
+        if self._is_started and not found.is_success:
+            return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
+        return found
+
     def _reserve(self) -> errors.Refusal | None:
         if self._is_barred():
             return self._refuse_barred()
         began = self._context.ticker.now()
         found = self._context.dispatcher.acquire(
-            self._work, self._job.service, self._tried
+            self._work, self._job.service, self._tried, self._paused
         )
         self.progress.waited += self._context.ticker.now() - began
         if isinstance(found, errors.Refusal):
@@ -203,7 +244,7 @@
             return upstream.Paused()
         if self._is_barred():
             return upstream.Barred()
-        if self.progress.attempts == 1:
+        if self.progress.attempts == 1 and not self.progress.possible_runs:
             self._context.get_retry_budget(self._job.service).record_first(now)
         progress_module.record_sent(
             self._context, self._job, self.progress, reservation
@@ -240,18 +281,12 @@
         answer: requests.EndpointAnswer,
     ) -> collections.abc.Iterator[bytes]:
         assert self._exchange is not None
-        reservation = self._get_reservation()
         parts = []
         size = 0
         while (data := self._exchange.read()) and size <= BUFFERED_BYTES:
             parts.append(data)
             size += len(data)
-        self._outcomes.record_health(reservation, answer.status < 500)
-        self._context.loads.record_answer(
-            reservation.endpoint.name,
-            reservation.run,
-            self._context.ticker.now(),
-        )
+        self._record_plain_answer(answer)
         headers = list(answer.headers)
         if not data:
             headers.append(("Content-Length", str(size)))
@@ -264,6 +299,18 @@
         if answer.is_success:
             self._outcomes.record_completion()
 
+    def _record_plain_answer(self, answer: requests.EndpointAnswer) -> None:
+        reservation = self._reservation
+        if reservation is None:
+            # The instance that sent the request on records it.
+            return
+        self._outcomes.record_health(reservation, answer.status < 500)
+        self._context.loads.record_answer(
+            reservation.endpoint.name,
+            reservation.run,
+            self._context.ticker.now(),
+        )
+
     def _forward_stream(
         self,
         start_response: replies.StartResponse,
@@ -286,12 +333,18 @@
             self._start(start_response, answer.status, answer.headers)
         if rest:
             yield rest
-        self._outcomes.record_health(self._get_reservation(), True)
+        if self._reservation is not None:
+            self._outcomes.record_health(self._reservation, True)
         self.progress.outcome = "answered"
         self._outcomes.record_completion()
 
     def _record_events(self, events: bytes) -> None:
-        reservation = self._get_reservation()
+        last = replies.find_last_event_id(events)
+        if last is not None:
+            self._last_event_id = last
+        reservation = self._reservation
+        if reservation is None:
+            return
         now = self._context.ticker.now()
         if reservation.run.first_event_at is None:
             self._outcomes.record_health(reservation, True)
@@ -308,9 +361,6 @@
             engine.event_tokens if engine else 1,
             now,
         )
-        last = replies.find_last_event_id(events)
-        if last is not None:
-            self._last_event_id = last
 
     def _start(
         self,
@@ -430,6 +480,7 @@
         return self._reservation
 
     def _release(self) -> None:
+        self._peer_send.close()
         if self._exchange is not None:
             self._exchange.close()
             self._exchange = None
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -133,6 +133,7 @@
         report.revision,
         round(report.store_seconds, 3),
         report.knows_lost,
+        report.path_lost,
     )
 
 
@@ -153,6 +154,7 @@
         revision,
         store_seconds,
         knows_lost,
+        path_lost,
     ) = row
     report = messages.Report(
         protocol=messages.PROTOCOL,
@@ -168,6 +170,7 @@
         revision=revision,
         store_seconds=store_seconds,
         knows_lost=knows_lost,
+        path_lost=path_lost,
         admitted_units={},
         loads=[],
         profiles=[],
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -6,6 +6,7 @@
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
+from citronport.relay import forwarding
 from citronport.relay import membership
 from citronport.relay import paths
 from citronport.scheduler.direct import cold_starts
@@ -130,9 +131,12 @@
         self.cluster_state = cluster_state_module.ClusterState(
             self.cold, self.board.forget, self.log
         )
+        self.forwarder = forwarding.Forwarder(
+            own, "a", 7600, self.members, self.ticker
+        )
         self.paths = paths.Paths(
             self.cluster_state,
-            lambda: bool(self.members.list_usable(self.ticker.now())),
+            self.forwarder.has_peers,
             self.health.clear_pauses,
             self.ticker,
             self.log,
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -50,6 +50,7 @@
             room.pauses,
             room.paths,
             self.suspects,
+            room.forwarder,
             room.ticker,
             room.log,
             metrics.Counts(),
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -48,6 +48,7 @@
             self.room.pauses,
             self.room.paths,
             suspects.SuspectRequests(),
+            self.room.forwarder,
             self.clock,
             self.room.log,
             metrics.Counts(),
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -22,6 +22,7 @@
         "revision": 5,
         "store_seconds": 0.1,
         "knows_lost": False,
+        "path_lost": False,
         "admitted_units": {},
         "loads": [],
         "profiles": [],
--- a/tests/relay/test_path_lost.py
+++ b/tests/relay/test_path_lost.py
@@ -4,6 +4,7 @@
 import signal
 
 import gevent
+from gevent import event as gevent_event
 from gevent import pool as gevent_pool
 
 from tests.relay import fakes
@@ -62,11 +63,14 @@
             statuses[number][status] += 1
 
         askers = gevent_pool.Pool(ASKED_AT_ONCE * len(numbers))
-        for _ in range(requests):
-            for number in numbers:
-                self.asked += 1
-                askers.spawn(ask, number, f"id-{self.asked}")
-        askers.join()
+        try:
+            for _ in range(requests):
+                for number in numbers:
+                    self.asked += 1
+                    askers.spawn(ask, number, f"id-{self.asked}")
+            askers.join()
+        finally:
+            askers.kill()
         return statuses
 
     def ask_until(self, end, *numbers):
@@ -121,6 +125,91 @@
         self.ask_until(DETECTION_SECONDS, *self.hosts)
         self.check_all_served(15, *self.hosts)
 
+    def forward_one(self, script, kind):
+        """Let instance 3 forward one request; return the task that asks.
+
+        Args:
+            script: what the endpoints do with it.
+            kind: kind of the route.
+        """
+        self.serve_route(kind)
+        self.start_fleet(3)
+        self.links.cut(links.Cut.SILENT)
+        self.ask_until(DETECTION_SECONDS, 3)
+        for endpoint in self.endpoints.values():
+            endpoint.scripts = [script]
+            endpoint.requests.clear()
+        return gevent.spawn(self.ask, self.hosts[3], "id-once")
+
+    def list_received(self):
+        """Return the requests that the endpoints have received."""
+        return [r for e in self.endpoints.values() for r in e.requests]
+
+    def list_peers(self):
+        """Return the numbers of the instances that the request went by."""
+        return [
+            int(line["peer"].rpartition("-")[2])
+            for line in self.read_log(3)
+            if line["event"] == "request_forwarded"
+            and line["request"] == "id-once"
+        ]
+
+    def test_forwarding_instance_is_killed(self):
+        """Guards against a request that runs twice or is called not run."""
+        asked = self.forward_one(fakes.never_answer, "non_idempotent")
+        self.wait_for("the send", self.list_received)
+        self.wait_for("the log line", self.list_peers)
+        self.running.signal(f"entry-{self.list_peers()[0]}", signal.SIGKILL)
+        status, headers, _ = asked.get(timeout=instances.SECONDS)
+        self.assertEqual(502, status)
+        self.assertEqual("outcome unknown", headers["X-Citronport-Ran"])
+        self.assertEqual(1, len(self.list_received()))
+
+    def test_caller_of_a_forwarded_request_leaves(self):
+        """Guards against work that goes on at an endpoint for nobody."""
+        ended = gevent_event.Event()
+
+        def wait_for_close(sock, headers):
+            del headers
+            sock.recv(1)
+            ended.set()
+
+        asked = self.forward_one(wait_for_close, "idempotent")
+        self.wait_for("the send", self.list_received)
+        asked.kill()
+        self.assertTrue(ended.wait(timeout=1.0))
+        self.assertEqual(1, len(self.list_received()))
+
+    def test_stream_of_a_forwarded_request(self):
+        """Guards against a stream that is joined or cut by a second hop."""
+        events = [fakes.make_event(n) for n in range(3)]
+        asked = self.forward_one(fakes.stream(*events, pause=0.1), "streaming")
+        status, headers, body = asked.get(timeout=instances.SECONDS)
+        self.assertEqual(
+            (200, "seal", b"".join(events)),
+            (status, headers["X-Response-Seal"], body),
+        )
+        (_, _, received, _) = self.list_received()[0]
+        self.assertEqual("shop", received["x-tenant"])
+        self.assertNotIn("x-api-key", received)
+
+    def test_pause_that_an_endpoint_asked_the_origin_for(self):
+        """Guards against a pause that is evaded by another instance."""
+        self.start_fleet(3)
+        rest = fakes.answer(
+            503, signed=False, X_Not_Executed=1, Retry_After=30
+        )
+        paused = self.endpoints["i-2"]
+        paused.scripts = [rest]
+        self.ask_many(24, 3)
+        self.assertNotEqual([], paused.requests)
+        paused.scripts = [fakes.answer()]
+        self.links.cut(links.Cut.SILENT)
+        self.ask_until(DETECTION_SECONDS, 3)
+        paused.requests.clear()
+        self.check_all_served(15, 3)
+        self.assertEqual([], paused.requests)
+
     def test_endpoints_are_not_blamed(self):
         """Guards against idle endpoints that one lost path keeps unused."""
         self.start_fleet(1, 2)
