--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -60,6 +60,7 @@
     BAD_LEAVING = 4005
     BAD_PAUSE = 4006
     BAD_FORWARD = 4007
+    BAD_BRITTLE = 4008
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -51,6 +51,7 @@
 HEADER_RETRY_AFTER: Final = "retry-after"
 HEADER_ENDPOINT_LIMIT: Final = "server-limit"
 HEADER_LEAVING: Final = "server-leaving"
+HEADER_BRITTLE: Final = "server-brittle"
 
 RESERVED_HEADERS: Final = frozenset(
     (
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -61,6 +61,9 @@
             instances together, undecoded; None if it states no limit.
         leaving: whether the endpoint is about to stop, undecoded; None if
             it does not say.
+        brittle: requests that the endpoint stands to turn away in a second,
+            undecoded; None if it does not say that it is brittle.
+        turned_away: whether the endpoint had no room for the request.
         pause: seconds for which the endpoint, which turned the request
             away, wants no further request of this instance, undecoded; None
             if it states no time.
@@ -74,6 +77,8 @@
     misdirected: bool
     limit: str | None
     leaving: str | None
+    brittle: str | None
+    turned_away: bool
     pause: str | None
     headers: tuple[tuple[str, str], ...]
 
@@ -179,6 +184,8 @@
         misdirected=status == const.STATUS_MISDIRECTED,
         limit=answer.get(const.HEADER_ENDPOINT_LIMIT),
         leaving=answer.get(const.HEADER_LEAVING),
+        brittle=answer.get(const.HEADER_BRITTLE),
+        turned_away=turned_away and not_run,
         pause=answer.get(const.HEADER_RETRY_AFTER) if turned_away else None,
         headers=headers,
     )
@@ -200,6 +207,11 @@
             return result.Err("neither 0 nor 1")
 
 
+def parse_brittle(text: str) -> result.Result[float, str]:
+    """Decode how many rejections in a second an endpoint stands."""
+    return _parse_non_negative(text)
+
+
 def parse_pause(text: str) -> result.Result[float, str]:
     """Decode how long an endpoint wants no request, in seconds."""
     return _parse_non_negative(text)
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -202,6 +202,7 @@
             self.dispatcher,
             self.loads,
             self.health,
+            self.limits,
             self.pauses,
             self.is_ready,
             self.gossip.send_lease_message,
--- a/citronport/relay/endpoint_headers.py
+++ b/citronport/relay/endpoint_headers.py
@@ -27,6 +27,7 @@
         answer: its response, to any request.
     """
     _record_limit(context, endpoint.name, answer.limit)
+    _record_brittle(context, endpoint.name, answer)
     if answer.leaving is not None:
         _record_leaving(context, endpoint, answer.leaving)
     if answer.pause is not None:
@@ -54,6 +55,32 @@
         )
 
 
+def _record_brittle(
+    context: jobs.RelayContext, endpoint: str, answer: requests.EndpointAnswer
+) -> None:
+    now = context.ticker.now()
+    brittle = context.limits.brittle
+    tolerated = None
+    if answer.brittle is not None:
+        tolerated = _get_valid(
+            context,
+            requests.parse_brittle(answer.brittle),
+            errors.InputFault.BAD_BRITTLE,
+            f"{const.HEADER_BRITTLE} of {endpoint}",
+        )
+        if tolerated is None:
+            return
+    if brittle.record_statement(endpoint, tolerated, now):
+        context.log.write(
+            events.EndpointBrittle(
+                endpoint=endpoint,
+                rejections=-1.0 if tolerated is None else tolerated,
+            )
+        )
+    if answer.turned_away:
+        brittle.record_rejection(endpoint, now)
+
+
 def _record_leaving(
     context: jobs.RelayContext, endpoint: models.Endpoint, text: str
 ) -> None:
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -89,6 +89,19 @@
     rate: float
 
 
+class EndpointBrittle(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint stated that it is brittle, or that it no longer is.
+
+    Attributes:
+        endpoint: name of the endpoint.
+        rejections: requests that it stands to turn away in a second; -1 if
+            it is no longer brittle.
+    """
+
+    endpoint: str
+    rejections: float
+
+
 class EndpointLeaving(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint stated in an answer that it is leaving.
 
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from gevent import queue as gevent_queue
@@ -11,6 +12,7 @@
 from citronport.relay import events
 from citronport.relay import messages
 from citronport.relay import owners as owners_module
+from citronport.scheduler.direct import brittleness
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import ownership
@@ -54,6 +56,7 @@
         own: name of this instance.
         owners: owners of the endpoints.
         loads: step times of endpoints and leased requests.
+        brittle: endpoints that must not have to turn requests away.
         list_paused: returns the endpoints of a service that want no request
             of this instance now.
         send: sends a message to the named instance.
@@ -66,6 +69,7 @@
         own: str,
         owners: owners_module.Owners,
         loads: load_tracker.LoadTracker,
+        brittle: brittleness.BrittleEndpoints,
         list_paused: collections.abc.Callable[[str], frozenset[str]],
         send: messages.SendLeaseMessage,
         ticker: clock.Clock,
@@ -74,6 +78,7 @@
         self._own = own
         self._owners = owners
         self._loads = loads
+        self._brittle = brittle
         self._list_paused = list_paused
         self._send = send
         self._ticker = ticker
@@ -318,6 +323,8 @@
         run: runs.Run | None = None,
     ) -> messages.Ended:
         step_ms = self._loads.get_own_step_ms(endpoint) or 0.0
+        tolerated, stated_at = self._brittle.get_statement(endpoint)
+        age = self._ticker.now() - stated_at
         return messages.Ended(
             protocol=messages.PROTOCOL,
             instance=self._own,
@@ -328,4 +335,6 @@
             if run and run.first_event_at is not None
             else 0,
             seconds=run.answer_seconds if run else 0.0,
+            brittle=-1.0 if tolerated is None else tolerated,
+            brittle_age=age if math.isfinite(age) else -1.0,
         )
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -11,6 +11,7 @@
 from citronport.relay import eventlog
 from citronport.relay import events
 from citronport.relay import messages
+from citronport.scheduler.direct import brittleness
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import load_tracker
@@ -64,6 +65,7 @@
         cluster_state: current configuration and endpoints.
         loads: step times of endpoints.
         health: health of endpoints.
+        brittle: endpoints that must not have to turn requests away.
         send: sends a message to the named instance.
         ticker: the clock.
         log: the event log.
@@ -77,6 +79,7 @@
         cluster_state: cluster_state_module.ClusterState,
         loads: load_tracker.LoadTracker,
         health: health_module.Health,
+        brittle: brittleness.BrittleEndpoints,
         send: messages.SendLeaseMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
@@ -87,6 +90,7 @@
         self._cluster_state = cluster_state
         self._loads = loads
         self._health = health
+        self._brittle = brittle
         self._send = send
         self._ticker = ticker
         self._log = log
@@ -227,6 +231,12 @@
         name = ended.endpoint
         if name not in self._cluster_state.endpoints:
             return
+        if ended.brittle_age >= 0:
+            self._brittle.record_statement(
+                name,
+                None if ended.brittle < 0 else ended.brittle,
+                now - ended.brittle_age,
+            )
         if ended.pace:
             self._loads.apply_step_ms(ended.instance, name, ended.pace / 1e6)
         if ended.seconds:
@@ -236,6 +246,9 @@
                 self._health.record_answer(name, True, now)
             case runs.Verdict.FAILED:
                 self._health.record_answer(name, False, now)
+            case runs.Verdict.REJECTED:
+                self._health.record_answer(name, False, now)
+                self._brittle.record_rejection(name, now)
             case runs.Verdict.UNREACHABLE:
                 self._health.record_unreachable(name, now)
                 self._log.write(
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -13,6 +13,7 @@
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
 from citronport.relay import owners as owners_module
+from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import load_tracker
@@ -36,6 +37,7 @@
         dispatcher: reserves capacity; leasing is enabled in it.
         loads: loads and step times of endpoints.
         health: health of endpoints.
+        limits: limits announced by endpoints.
         pauses: pauses that endpoints ask this instance for.
         is_ready: returns whether this instance may own endpoints.
         send: sends a message to the named instance.
@@ -52,6 +54,7 @@
         dispatcher: dispatcher_module.Dispatcher,
         loads: load_tracker.LoadTracker,
         health: health_module.Health,
+        limits: endpoint_limits.EndpointLimits,
         pauses: pauses_module.Pauses,
         is_ready: collections.abc.Callable[[], bool],
         send: messages.SendLeaseMessage,
@@ -72,6 +75,7 @@
             own,
             self.owners,
             loads,
+            limits.brittle,
             lambda service: pauses.list_names(
                 cluster_state.list_endpoints(service), ticker.now()
             ),
@@ -87,6 +91,7 @@
             cluster_state,
             loads,
             health,
+            limits.brittle,
             send,
             ticker,
             log,
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -328,6 +328,9 @@
         verdict: a ``runs.Verdict`` on the endpoint.
         pace: measured pace, nanoseconds a step; 0 if not measured.
         seconds: duration of an answer that was not streamed; 0 without one.
+        brittle: rejections in a second that the endpoint stands, as it last
+            said to the sender; -1 if it did not say that it is brittle.
+        brittle_age: age of the answer that said so, seconds; -1 without one.
     """
 
     protocol: int
@@ -337,6 +340,8 @@
     verdict: int
     pace: int
     seconds: float
+    brittle: float
+    brittle_age: float
 
 
 class EndpointLeaving(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -100,6 +100,7 @@
         endpoints: listed endpoints.
         cold: cold endpoints.
         limited: endpoints that name a limit in their answers.
+        brittle: endpoints that must not have to turn requests away.
         leaving: endpoints that are about to stop.
         paused: endpoints that want no request of this instance now.
         path_lost: whether this instance reaches no endpoint now.
@@ -133,6 +134,7 @@
     endpoints: int
     cold: int
     limited: int
+    brittle: int
     leaving: int
     paused: int
     path_lost: bool
@@ -206,6 +208,7 @@
     gauge("endpoints", "Listed endpoints.", state.endpoints)
     gauge("endpoints_cold", "Cold endpoints.", state.cold)
     gauge("endpoints_limited", "Those that name a limit.", state.limited)
+    gauge("endpoints_brittle", "Those that are brittle.", state.brittle)
     gauge("endpoints_leaving", "Those about to stop.", state.leaving)
     gauge("endpoints_paused", "Those that asked for a pause.", state.paused)
     gauge("path_lost", "1 while no endpoint is reached.", int(state.path_lost))
--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -55,6 +55,16 @@
             runs.Verdict.GOOD if good else runs.Verdict.FAILED
         )
 
+    def record_not_run(
+        self,
+        reservation: dispatcher.Reservation,
+        answer: requests.EndpointAnswer,
+    ) -> None:
+        """Record that the endpoint stated that it did not run the request."""
+        self.record_failure(reservation, f"status {answer.status}", "no")
+        if answer.turned_away:
+            reservation.run.verdict = runs.Verdict.REJECTED
+
     def record_unreachable(
         self, reservation: dispatcher.Reservation, reason: str
     ) -> None:
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -163,9 +163,7 @@
                     return self._refuse_overloaded()
             case upstream.NotRun(answer=answer):
                 self._outcomes.record_headers(self._get_reservation(), answer)
-                self._outcomes.record_failure(
-                    self._get_reservation(), f"status {answer.status}", "no"
-                )
+                self._outcomes.record_not_run(self._get_reservation(), answer)
                 if not self._may_send_again():
                     return self._refuse_overloaded()
             case upstream.Broken(reason=reason, cut=cut):
--- a/citronport/relay/state.py
+++ b/citronport/relay/state.py
@@ -48,6 +48,7 @@
             for name in instance.cluster_state.endpoints
         ),
         limited=instance.limits.count_limited(),
+        brittle=instance.limits.brittle.count(),
         leaving=sum(
             e.leaving for e in instance.cluster_state.endpoints.values()
         ),
--- a/citronport/scheduler/direct/endpoint_limits.py
+++ b/citronport/scheduler/direct/endpoint_limits.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from citronport.scheduler.direct import announcements
+from citronport.scheduler.direct import brittleness
 from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import roles
 
@@ -49,9 +50,13 @@
     it accepts from all instances together. The owner of the endpoint sends
     no more than that. Instances that find no owner have a fixed share each;
     otherwise each of them would use the full limit.
+
+    Attributes:
+        brittle: endpoints that must not have to turn requests away.
     """
 
     def __init__(self) -> None:
+        self.brittle = brittleness.BrittleEndpoints()
         self._limits: dict[str, _Limit] = {}
         self._limited: dict[str, None] = {}
         self._announcements = announcements.Announcements()
@@ -145,6 +150,7 @@
 
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that is gone."""
+        self.brittle.forget(endpoint)
         self._limits.pop(endpoint, None)
         self._limited.pop(endpoint, None)
         self._announcements.drop(endpoint)
--- a/citronport/scheduler/direct/runs.py
+++ b/citronport/scheduler/direct/runs.py
@@ -24,6 +24,7 @@
     GOOD = 1
     FAILED = 2
     UNREACHABLE = 3
+    REJECTED = 4
 
 
 @dataclasses.dataclass(slots=True)
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -188,6 +188,15 @@
             or not self._needs_spare(endpoint, service, role)
         ):
             return False
+        if not self._limits.brittle.may_send(
+            name,
+            endpoint.slots,
+            requests,
+            self._loads.count_own_requests(name),
+            role,
+            now,
+        ):
+            return False
         if not self._health.may_use(name, now):
             return False
         if not self._cold.may_send(name, role, service.cold_rate, now):
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -43,6 +43,7 @@
             room.dispatcher,
             room.board,
             room.health,
+            room.limits,
             room.pauses,
             lambda: True,
             self.send,
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -35,6 +35,7 @@
     news_behind_seconds=0.0,
     endpoints=13,
     cold=1,
+    brittle=0,
     limited=0,
     leaving=0,
     paused=0,
