--- a/citronport/scheduler/direct/health.py
+++ b/citronport/scheduler/direct/health.py
@@ -35,8 +35,6 @@
     def record_unreachable(self, endpoint: str, now: float) -> None:
         """Record that a connection failed, or broke before an answer."""
         record = self._records.setdefault(endpoint, _Record())
-        self._decay(record, now)
-        record.failure_share += FAILURE_WEIGHT * (1 - record.failure_share)
         record.probing = False
         if now < record.paused_until:
             # Concurrent requests fail together, which counts as one failure
--- a/tests/relay/links.py
+++ b/tests/relay/links.py
@@ -49,9 +49,10 @@
             text[address] = f"127.0.0.1:{at[1]}"
         self.store.copy_items(store, text)
 
-    def cut(self, how):
-        """Cut the links to all endpoints."""
-        for name, address in self._addresses.items():
+    def cut(self, how, *names):
+        """Cut the links to the named endpoints, by default to all."""
+        for name in names or self._addresses:
+            address = self._addresses[name]
             self._proxy.stop_listening(name)
             match how:
                 case Cut.SILENT:
--- a/tests/relay/test_path_lost.py
+++ b/tests/relay/test_path_lost.py
@@ -2,6 +2,7 @@
 
 import collections
 import signal
+import time
 
 import gevent
 from gevent import event as gevent_event
@@ -16,6 +17,28 @@
 DETECTION_SECONDS = 3.0
 """Time after the begin of a cut from which callers are served."""
 
+REGAIN_SECONDS = 1.0
+"""Time after the end of a cut from which callers are served."""
+
+SHUT_OUT_SECONDS = 1.0
+"""Time after a short silence by which an endpoint gets requests again."""
+
+RUN_SECONDS = 0.2
+"""Time that a request runs where several endpoints are to be used."""
+
+SILENCE_SECONDS = 1.2
+"""How long an endpoint that nothing is wrong with may be silent."""
+
+
+def answer_after(seconds):
+    """Return a script that answers after some time."""
+
+    def script(sock, headers):
+        gevent.sleep(seconds)
+        fakes.answer()(sock, headers)
+
+    return script
+
 
 class PathLostTest(instances.InstanceCase):
     """Three instances, some of which lose their path to four endpoints."""
@@ -114,6 +137,41 @@
         """Guards against a lost owner of the endpoints, whoever it is."""
         self.check_cut(links.Cut.SILENT, 2, 3)
 
+    def test_all_instances_cut_off(self):
+        """Guards against endpoints that stay unused after a cut of all."""
+        self.start_fleet(1, 2, 3)
+        self.links.cut(links.Cut.SILENT)
+        self.ask_until(DETECTION_SECONDS, *self.hosts)
+        self.links.heal()
+        gevent.sleep(REGAIN_SECONDS)
+        self.check_all_served(15, *self.hosts)
+
+    def test_sound_endpoint_that_is_silent_for_a_second(self):
+        """Guards against an endpoint that is given up for a short silence."""
+        for endpoint in self.endpoints.values():
+            endpoint.scripts = [answer_after(RUN_SECONDS)]
+        self.start_fleet(1, 2, 3)
+        asked = gevent.spawn(self.ask_until, 10.0, *self.hosts)
+        gevent.sleep(0.5)
+        self.links.cut(links.Cut.SILENT, "i-2")
+        gevent.sleep(SILENCE_SECONDS)
+        self.links.heal()
+        silent = self.endpoints["i-2"]
+        silent.requests.clear()
+        healed_at = time.monotonic()
+        self.wait_for("the next request there", lambda: silent.requests)
+        self.assertLess(time.monotonic() - healed_at, SHUT_OUT_SECONDS)
+        asked.kill()
+        lines = [x for n in self.hosts for x in self.read_log(n)]
+        kinds = {line["event"] for line in lines}
+        self.assertNotIn("path_lost", kinds)
+        outcomes = {
+            (x["outcome"], x["status"])
+            for x in lines
+            if x["event"] == "request_ended"
+        }
+        self.assertLessEqual(outcomes, {("answered", 200), ("left", 0)})
+
     def test_restart_within_a_cut(self):
         """Guards against an instance that starts without a path."""
         self.start_fleet(3)
