--- a/citronport/relay/forwarding.py
+++ b/citronport/relay/forwarding.py
@@ -18,7 +18,7 @@
 STATUS_DECLINED = 421
 """Status of an instance that did not and will not send a request on."""
 
-MAX_PEERS = 3
+MAX_PEERS = 2
 """Instances that are asked for one request; none of them may have a path."""
 
 
--- a/tests/relay/networks.py
+++ b/tests/relay/networks.py
@@ -29,6 +29,7 @@
         self.data_centre = data_centre
         host = f"127.{number // 250}.{number % 250}.1"
         self.address = f"{host}:8229"
+        self.path_lost = False
         self.start(seeds)
 
     def start(self, seeds):
@@ -86,6 +87,7 @@
             number=self.number,
             data_centre=self.data_centre,
             peer_address=self.address,
+            path_lost=self.path_lost,
             admitted_units=self.quotas.get_totals(),
             members=self.members.list_members(
                 self.network.ticker.now(), data_centre
