--- a/citronport/relay/forward_server.py
+++ b/citronport/relay/forward_server.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 
-from absl import logging
 import msgspec
 import result
 
@@ -12,13 +11,12 @@
 from citronport.callers import replies
 from citronport.platform import requests
 from citronport.relay import application as application_module
+from citronport.relay import events
 from citronport.relay import forwarding
 from citronport.relay import jobs
 from citronport.relay import messages
 from citronport.relay import refusals
 
-LOG = "forward:"
-
 
 class ForwardServer:
     """The WSGI application for requests that other instances forward.
@@ -73,11 +71,13 @@
         try:
             forward = _decode(body)
         except ValueError as error:
-            logging.warning(
-                "%s code %d: declined an invalid message: %s.",
-                LOG,
-                errors.InputFault.BAD_FORWARD,
-                error,
+            self._context.log.write(
+                events.InputRejected(
+                    code=int(errors.InputFault.BAD_FORWARD),
+                    key=forwarding.PATH,
+                    revision=0,
+                    reason=str(error),
+                )
             )
             return None
         configuration = self._context.cluster_state.configuration
--- a/tests/endpoints/test_client.py
+++ b/tests/endpoints/test_client.py
@@ -1,6 +1,7 @@
 """Tests of the endpoint client: single sends, streams, resume, cancel."""
 
 import json
+import socket
 
 import gevent
 from gevent import event
@@ -23,6 +24,29 @@
 END = b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"
 
 
+class ConnectionTest(testtools.TestCase):
+    """Connections to endpoints."""
+
+    def test_silence_ends_no_connection(self):
+        """Guards against answers lost at a sound endpoint that is silent.
+
+        A user timeout of a library would also decide when keep-alive probes
+        give up.
+        """
+        listening = server.StreamServer((ADDRESS, 0), lambda *_: None)
+        listening.start()
+        self.addCleanup(listening.stop, 1)
+        opened = connection.connect(f"{ADDRESS}:{listening.server_port}")
+        self.addCleanup(opened.close)
+        options = [
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+        ]
+        for level, name in options:
+            self.assertEqual(0, opened._sock.getsockopt(level, name))
+        self.assertIsNone(opened._sock.gettimeout())
+
+
 class MemoryJournal:
     """An in-memory journal for the stand-in engine."""
 
