--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -23,6 +23,10 @@
 """Time to wait for an answer. It covers two links of a millisecond each and an
 owner that is busy parsing a configuration of a thousand routes."""
 
+MIN_ASK_SECONDS = 0.05
+"""Time for the answer to a request that may not wait. Shorter than
+``ANSWER_TIMEOUT_SECONDS``, so that it says nothing of the owner."""
+
 QUEUED_ASK_INTERVAL_SECONDS = 0.4
 """Interval at which the lease request of a queued request is repeated. A
 request waits for at most twice its route's objective, which is 0.3 to 0.8 s.
@@ -239,7 +243,11 @@
         answers: gevent_queue.SimpleQueue,
     ) -> Answer | None:
         now = self._ticker.now()
-        end = now + wait_queue.compute_max_wait(work, now)
+        # A request may have used up its wait on a connection that failed. An
+        # endpoint with a free slot still serves it; it only may not queue.
+        end = now + max(
+            MIN_ASK_SECONDS, wait_queue.compute_max_wait(work, now)
+        )
         unanswered = 0
         while (now := self._ticker.now()) < end:
             self._send(
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -244,6 +244,21 @@
         self.one.acquire("r1", route)
         self.assertEqual(self.owner.name, self.find_owner(self.one))
 
+    def test_request_that_may_not_wait_gets_a_free_slot(self):
+        """Guards against a refusal while there are free slots.
+
+        A connection that failed has taken longer than the request may wait.
+        """
+        route = samples.make_route(objective=0.1)
+        self.configure(route)
+        now = self.one.room.ticker.now()
+        work = samples.make_work("r1", route, now, arrived=now - 0.3)
+        found = self.one.room.dispatcher.acquire(
+            work, samples.ENGINES, frozenset()
+        )
+        self.assertIsInstance(found, dispatcher_module.Reservation)
+        self.assertTrue(found.leased)
+
     def test_lost_grant_is_sent_again(self):
         """Guards against a lease that is granted twice.
 
