--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -203,7 +203,6 @@
             self.loads,
             self.health,
             self.limits,
-            self.pauses,
             self.is_ready,
             self.gossip.send_lease_message,
             ticker,
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -35,6 +35,9 @@
 intervals of 0.1 s or more, and choosing an endpoint takes less time than
 building the list of ninety instances."""
 
+MAX_UNREACHABLE_NAMED = 64
+"""Endpoints out of reach that a lease request names, for its size."""
+
 MAX_RETRY_SHARE = 0.3
 """Longest retry time, as a share of the caller's remaining time. Callers wait
 for at most a third of that time before a retry."""
@@ -172,6 +175,22 @@
             self._cluster_state.list_endpoints(service), self._ticker.now()
         )
 
+    def list_unusable(self, service: str) -> frozenset[str]:
+        """Return the endpoints that an owner should not grant this instance.
+
+        The owner may reach an endpoint to which the path of this instance is
+        lost, and would grant it again after each failed connection.
+        """
+        now = self._ticker.now()
+        unreachable = [
+            e.name
+            for e in self._cluster_state.list_endpoints(service)
+            if not self._health.may_use(e.name, now)
+        ]
+        return self.list_paused(service).union(
+            unreachable[:MAX_UNREACHABLE_NAMED]
+        )
+
     def enqueue(self, waiter: wait_queue.Waiter, service: str) -> float | None:
         """Queue a request and match it at once if there is capacity.
 
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -61,7 +61,7 @@
         owners: owners of the endpoints.
         loads: step times of endpoints and leased requests.
         brittle: endpoints that must not have to turn requests away.
-        list_paused: returns the endpoints of a service that want no request
+        list_unusable: returns the endpoints of a service that want no request
             of this instance now.
         send: sends a message to the named instance.
         ticker: the clock.
@@ -74,7 +74,7 @@
         owners: owners_module.Owners,
         loads: load_tracker.LoadTracker,
         brittle: brittleness.BrittleEndpoints,
-        list_paused: collections.abc.Callable[[str], frozenset[str]],
+        list_unusable: collections.abc.Callable[[str], frozenset[str]],
         send: messages.SendLeaseMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
@@ -83,7 +83,7 @@
         self._owners = owners
         self._loads = loads
         self._brittle = brittle
-        self._list_paused = list_paused
+        self._list_unusable = list_unusable
         self._send = send
         self._ticker = ticker
         self._log = log
@@ -321,7 +321,7 @@
             elapsed_seconds=now - work.arrived,
             remaining_seconds=work.deadline - now,
             tried=list(tried),
-            paused=list(paused | self._list_paused(service)),
+            paused=list(paused | self._list_unusable(service)),
         )
 
     def _make_ended(
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -17,7 +17,6 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import load_tracker
-from citronport.scheduler.direct import pauses as pauses_module
 
 
 class Leasing:
@@ -38,7 +37,6 @@
         loads: loads and step times of endpoints.
         health: health of endpoints.
         limits: limits announced by endpoints.
-        pauses: pauses that endpoints ask this instance for.
         is_ready: returns whether this instance may own endpoints.
         send: sends a message to the named instance.
         ticker: the clock.
@@ -55,7 +53,6 @@
         loads: load_tracker.LoadTracker,
         health: health_module.Health,
         limits: endpoint_limits.EndpointLimits,
-        pauses: pauses_module.Pauses,
         is_ready: collections.abc.Callable[[], bool],
         send: messages.SendLeaseMessage,
         ticker: clock.Clock,
@@ -76,9 +73,7 @@
             self.owners,
             loads,
             limits.brittle,
-            lambda service: pauses.list_names(
-                cluster_state.list_endpoints(service), ticker.now()
-            ),
+            dispatcher.list_unusable,
             send,
             ticker,
             log,
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -44,7 +44,6 @@
             room.board,
             room.health,
             room.limits,
-            room.pauses,
             lambda: True,
             self.send,
             room.ticker,
@@ -259,6 +258,22 @@
         self.assertIsInstance(found, dispatcher_module.Reservation)
         self.assertTrue(found.leased)
 
+    def test_path_of_one_instance_to_an_endpoint(self):
+        """Guards against an endpoint granted again to who can't reach it."""
+        for node in self.net.values():
+            second = samples.make_endpoint("e2")
+            node.room.cluster_state.endpoints["e2"] = second
+            node.room.cluster_state._index()
+        now = self.one.room.ticker.now()
+        self.one.room.health.record_unreachable("e1", now)
+        for number in range(2):
+            found = self.one.acquire(f"r{number}")
+            self.assertEqual("e2", found.endpoint.name)
+        names = {
+            self.two.acquire(f"s{number}").endpoint.name for number in range(2)
+        }
+        self.assertIn("e1", names)
+
     def test_lost_grant_is_sent_again(self):
         """Guards against a lease that is granted twice.
 
