--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -128,6 +128,7 @@
 
     def handle_begun(self, begun: messages.Begun) -> None:
         """Record the first event of a leased request."""
+        self._health.record_reached(begun.endpoint, self._ticker.now())
         self._leases.record_first_event(
             begun.request, begun.endpoint, self._ticker.now()
         )
@@ -250,12 +251,13 @@
                 self._health.record_answer(name, False, now)
                 self._brittle.record_rejection(name, now)
             case runs.Verdict.UNREACHABLE:
-                self._health.record_unreachable(name, now)
-                self._log.write(
-                    events.EndpointUnreachable(
-                        endpoint=name, reporter=ended.instance
+                since = self._leases.get_granted_at(ended.request, name)
+                if self._health.record_unreachable(name, now, since):
+                    self._log.write(
+                        events.EndpointUnreachable(
+                            endpoint=name, reporter=ended.instance
+                        )
                     )
-                )
             case _:
                 self._health.record_no_result(name)
 
--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -66,15 +66,28 @@
             reservation.run.verdict = runs.Verdict.REJECTED
 
     def record_unreachable(
-        self, reservation: dispatcher.Reservation, reason: str
-    ) -> None:
-        """Record that nothing was sent, as the endpoint is out of reach."""
+        self,
+        reservation: dispatcher.Reservation,
+        reason: str,
+        since: float | None = None,
+    ) -> bool:
+        """Record that nothing was sent, as the endpoint is out of reach.
+
+        Args:
+            reservation: the endpoint's reservation.
+            reason: what happened instead.
+            since: clock time at which the attempt began, seconds; None if
+                it does not matter.
+
+        Returns:
+            Whether this is a fault of the endpoint and not of the path.
+        """
         name = reservation.endpoint.name
-        self._context.health.record_unreachable(
-            name, self._context.ticker.now()
-        )
         reservation.run.verdict = runs.Verdict.UNREACHABLE
         self._log_failure(name, reason, "no")
+        return self._context.health.record_unreachable(
+            name, self._context.ticker.now(), since
+        )
 
     def record_no_connection(
         self,
@@ -93,8 +106,7 @@
             Whether this is a fault of the endpoint and not of the path.
         """
         if self._context.paths.may_blame_endpoint(since):
-            self.record_unreachable(reservation, reason)
-            return True
+            return self.record_unreachable(reservation, reason, since)
         self._log_failure(reservation.endpoint.name, reason, "no")
         return False
 
--- a/citronport/scheduler/direct/health.py
+++ b/citronport/scheduler/direct/health.py
@@ -24,6 +24,7 @@
     pause: float = 0.0
     paused_until: float = 0.0
     probing: bool = False
+    reached_at: float = float("-inf")
 
 
 class Health:
@@ -32,17 +33,41 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
-    def record_unreachable(self, endpoint: str, now: float) -> None:
-        """Record that a connection failed, or broke before an answer."""
+    def record_unreachable(
+        self, endpoint: str, now: float, since: float | None = None
+    ) -> bool:
+        """Record that a connection failed, or broke before an answer.
+
+        Args:
+            endpoint: name of the endpoint.
+            now: clock time, seconds.
+            since: clock time at which the attempt began at the earliest;
+                None if not known.
+
+        Returns:
+            False if the endpoint has answered another request meanwhile, so
+            that the path of the one that failed is at fault.
+        """
         record = self._records.setdefault(endpoint, _Record())
         record.probing = False
+        if since is not None and record.reached_at > since:
+            return False
         if now < record.paused_until:
             # Concurrent requests fail together, which counts as one failure
             # and does not double the pause several times.
-            return
+            return True
         pause = 2 * record.pause or FIRST_PAUSE_SECONDS
         record.pause = min(pause, MAX_PAUSE_SECONDS)
         record.paused_until = now + record.pause
+        return True
+
+    def record_reached(self, endpoint: str, now: float) -> None:
+        """Record that an endpoint has begun to answer, which ends a pause."""
+        record = self._records.setdefault(endpoint, _Record())
+        record.reached_at = now
+        record.pause = 0.0
+        record.paused_until = 0.0
+        record.probing = False
 
     def record_answer(self, endpoint: str, success: bool, now: float) -> bool:
         """Record an answer; return whether an outage has ended with it."""
@@ -53,6 +78,8 @@
             target - record.failure_share
         )
         recovered = record.pause > 0
+        if success:
+            record.reached_at = now
         record.pause = 0.0
         record.paused_until = 0.0
         record.probing = False
--- a/citronport/scheduler/direct/leases.py
+++ b/citronport/scheduler/direct/leases.py
@@ -64,6 +64,11 @@
         """Return whether a lease exists."""
         return (request_id, endpoint) in self._leases
 
+    def get_granted_at(self, request_id: str, endpoint: str) -> float | None:
+        """Return the clock time at which a lease was granted."""
+        lease = self._leases.get((request_id, endpoint))
+        return lease.granted_at if lease else None
+
     def grant(
         self, request_id: str, endpoint: str, holder: str, now: float
     ) -> None:
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -324,6 +324,22 @@
         second = self.two.acquire("r2", route)
         self.assertEqual(errors.Code.OVERLOADED, second.code)
 
+    def test_path_of_others_to_an_endpoint(self):
+        """Guards against an endpoint paused for all by one lost path.
+
+        While one instance can't connect, the endpoint begins to answer
+        another one, so that nothing is wrong with it.
+        """
+        found = self.one.acquire("r1")
+        other = self.two.acquire("r2")
+        self.two.room.dispatcher.record_first_event(other)
+        self.settle()
+        found.run.verdict = runs.Verdict.UNREACHABLE
+        self.one.room.dispatcher.release(found, "r1")
+        self.settle()
+        third = self.two.acquire("r3")
+        self.assertEqual("e1", third.endpoint.name)
+
     def test_owner_learns_that_an_endpoint_leaves(self):
         """Guards against grants at an endpoint that has told another one."""
         endpoint = self.one.room.cluster_state.endpoints["e1"]
