--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -9,6 +9,7 @@
 from citronport import clock
 from citronport import errors
 from citronport.relay import cluster_state as cluster_state_module
+from citronport.relay import exclusions
 from citronport.relay import lease_client as lease_client_module
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
@@ -35,9 +36,6 @@
 intervals of 0.1 s or more, and choosing an endpoint takes less time than
 building the list of ninety instances."""
 
-MAX_UNREACHABLE_NAMED = 64
-"""Endpoints out of reach that a lease request names, for its size."""
-
 MAX_RETRY_SHARE = 0.3
 """Longest retry time, as a share of the caller's remaining time. Callers wait
 for at most a third of that time before a retry."""
@@ -82,6 +80,7 @@
         ticker: the clock.
 
     Attributes:
+        exclusions: endpoints that are not chosen for this instance.
         owners: owners of the endpoints; None without leasing.
         lease_client: requests leases from the owners; None without leasing.
     """
@@ -106,6 +105,9 @@
         self._cold = cold
         self._limits = limits
         self._pauses = pauses
+        self.exclusions = exclusions.Exclusions(
+            cluster_state, health, pauses, ticker
+        )
         self._ticker = ticker
         self._selector = selection.Selector(loads, health, cold, limits)
         self._queues: dict[str, wait_queue.WaitQueue] = {}
@@ -133,7 +135,7 @@
                 have been tried too.
             paused: names of further endpoints that are not chosen.
         """
-        if self._is_paused(work, service):
+        if self.exclusions.are_all_paused(work, service):
             return self._refuse(work, service)
         found = self._acquire_lease(work, service, tried, paused)
         if found is not None:
@@ -158,39 +160,6 @@
             self.cancel(waiter, service)
         return assignment.value or self._refuse(work, service)
 
-    def _is_paused(self, work: models.Work, service: str) -> bool:
-        """Return whether no endpoint takes the request of this instance.
-
-        If all of them have asked for a pause that outlasts the request's
-        longest wait, it is refused at once, as other instances may be served.
-        """
-        now = self._ticker.now()
-        endpoints = self._cluster_state.list_endpoints(service)
-        wait = self._pauses.compute_wait(endpoints, now)
-        return wait > wait_queue.compute_max_wait(work, now)
-
-    def list_paused(self, service: str) -> frozenset[str]:
-        """Return the endpoints that want no request of this instance."""
-        return self._pauses.list_names(
-            self._cluster_state.list_endpoints(service), self._ticker.now()
-        )
-
-    def list_unusable(self, service: str) -> frozenset[str]:
-        """Return the endpoints that an owner should not grant this instance.
-
-        The owner may reach an endpoint to which the path of this instance is
-        lost, and would grant it again after each failed connection.
-        """
-        now = self._ticker.now()
-        unreachable = [
-            e.name
-            for e in self._cluster_state.list_endpoints(service)
-            if not self._health.may_use(e.name, now)
-        ]
-        return self.list_paused(service).union(
-            unreachable[:MAX_UNREACHABLE_NAMED]
-        )
-
     def enqueue(self, waiter: wait_queue.Waiter, service: str) -> float | None:
         """Queue a request and match it at once if there is capacity.
 
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -61,8 +61,8 @@
         owners: owners of the endpoints.
         loads: step times of endpoints and leased requests.
         brittle: endpoints that must not have to turn requests away.
-        list_unusable: returns the endpoints of a service that want no request
-            of this instance now.
+        list_unusable: returns the endpoints of a service that the owner
+            should not grant this instance.
         send: sends a message to the named instance.
         ticker: the clock.
         log: the event log.
@@ -108,8 +108,7 @@
             work: the request.
             service: service that it is sent to.
             tried: names of endpoints to avoid if there are others.
-            paused: names of endpoints that must not be chosen, besides
-                those that want no request of this instance.
+            paused: names of further endpoints that must not be granted.
 
         Returns:
             None if this instance has to choose an endpoint by itself: it
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -73,7 +73,7 @@
             self.owners,
             loads,
             limits.brittle,
-            dispatcher.list_unusable,
+            dispatcher.exclusions.list_unusable,
             send,
             ticker,
             log,
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -241,7 +241,8 @@
         elapsed_seconds: time since the request arrived, seconds.
         remaining_seconds: time until its deadline, seconds.
         tried: endpoints that the request must not be sent to again.
-        paused: endpoints that want no request of the sender now.
+        paused: endpoints that want no request of the sender now, or that it
+            does not reach.
     """
 
     protocol: int
--- a/citronport/relay/peer_send.py
+++ b/citronport/relay/peer_send.py
@@ -111,7 +111,7 @@
         return self._context.forwarder.encode(
             self._job,
             tried,
-            self._context.dispatcher.list_paused(self._job.service),
+            self._context.dispatcher.exclusions.list_paused(self._job.service),
             self._progress.possible_runs,
             last_event_id,
         )
