--- a/citronport/relay/forward_server.py
+++ b/citronport/relay/forward_server.py
@@ -120,6 +120,7 @@
                 tried=frozenset(forward.tried),
                 paused=frozenset(forward.paused),
                 possible_runs=forward.possible_runs,
+                is_counted=forward.is_counted,
                 last_event_id=forward.last_event_id,
             ),
         )
--- a/citronport/relay/forwarding.py
+++ b/citronport/relay/forwarding.py
@@ -72,6 +72,7 @@
         tried: collections.abc.Iterable[str],
         paused: collections.abc.Iterable[str],
         possible_runs: int,
+        is_counted: bool,
         last_event_id: str | None,
     ) -> bytes:
         """Return the encoded request to another instance.
@@ -82,6 +83,7 @@
             paused: names of the endpoints that want no request of this
                 instance, by whatever way.
             possible_runs: endpoints that have run it or may have.
+            is_counted: whether it was sent to an endpoint before.
             last_event_id: id of the last event that the caller has
                 received; None if there is none.
         """
@@ -104,6 +106,7 @@
             tried=list(tried),
             paused=list(paused),
             possible_runs=possible_runs,
+            is_counted=is_counted,
             last_event_id=last_event_id,
         )
         data = messages.CODEC.encode(forward)
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -32,6 +32,8 @@
         tried: names of the endpoints that it tried.
         paused: names of the endpoints that want no request of it.
         possible_runs: endpoints that have run the request or may have.
+        is_counted: whether it has counted the request for the budget of
+            repeats, so that a further send is a repeat.
         last_event_id: id of the last event that the caller has received;
             None if it has received none.
     """
@@ -40,6 +42,7 @@
     tried: frozenset[str]
     paused: frozenset[str]
     possible_runs: int
+    is_counted: bool
     last_event_id: str | None
 
 
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -155,6 +155,8 @@
         tried: names of the endpoints that the sender tried.
         paused: names of the endpoints that want no request of the sender.
         possible_runs: endpoints that have run the request or may have.
+        is_counted: whether the sender has sent it to an endpoint, so that a
+            further send is a repeat.
         last_event_id: id of the last event that the caller has received;
             None if it has received none.
     """
@@ -175,6 +177,7 @@
     tried: list[str]
     paused: list[str]
     possible_runs: int
+    is_counted: bool
     last_event_id: str | None
 
 
--- a/citronport/relay/peer_send.py
+++ b/citronport/relay/peer_send.py
@@ -47,12 +47,14 @@
     def send(
         self,
         tried: collections.abc.Iterable[str],
+        is_counted: bool,
         last_event_id: str | None,
     ) -> requests.EndpointAnswer | errors.Refusal | None:
         """Ask instances until one takes the request.
 
         Args:
             tried: names of the endpoints that were tried here.
+            is_counted: whether the request was sent to an endpoint here.
             last_event_id: id of the last event that the caller has
                 received; None if it has received none.
 
@@ -72,7 +74,9 @@
             progress_module.record_forwarded(
                 self._context, self._job, self._progress, peer.instance
             )
-            match exchange.send(self._encode(tried, last_event_id)):
+            match exchange.send(
+                self._encode(tried, is_counted, last_event_id)
+            ):
                 case upstream.Answered(answer=answer):
                     refusal = forwarding.parse_refusal(answer)
                     if refusal is None:
@@ -106,6 +110,7 @@
     def _encode(
         self,
         tried: collections.abc.Iterable[str],
+        is_counted: bool,
         last_event_id: str | None,
     ) -> bytes:
         return self._context.forwarder.encode(
@@ -113,6 +118,7 @@
             tried,
             self._context.dispatcher.exclusions.list_paused(self._job.service),
             self._progress.possible_runs,
+            is_counted,
             last_event_id,
         )
 
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -48,6 +48,7 @@
         self._reservation: dispatcher_module.Reservation | None = None
         self._exchange: upstream.Exchange | None = None
         self._is_started = False
+        self._is_counted = origin is not None and origin.is_counted
         self._connecting_since = 0.0
         self._doubts_path = False
         self._last_event_id = origin.last_event_id if origin else None
@@ -193,7 +194,9 @@
         """
         if self._is_barred():
             return self._refuse_barred()
-        found = self._peer_send.send(self._tried, self._last_event_id)
+        found = self._peer_send.send(
+            self._tried, self._is_counted, self._last_event_id
+        )
         self._exchange = self._peer_send.exchange
         if isinstance(found, errors.Refusal) or found is None:
             return found
@@ -232,6 +235,7 @@
             self._context.paths.record_failed(endpoint.name)
             return unreachable
         self._context.paths.record_reached()
+        self._doubts_path = False
         now = self._context.ticker.now()
         # The endpoint may have started to leave while the connection was
         # established or the process was suspended. There is no wait between
@@ -242,7 +246,8 @@
             return upstream.Paused()
         if self._is_barred():
             return upstream.Barred()
-        if self.progress.attempts == 1 and not self.progress.possible_runs:
+        if not self._is_counted:
+            self._is_counted = True
             self._context.get_retry_budget(self._job.service).record_first(now)
         progress_module.record_sent(
             self._context, self._job, self.progress, reservation
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -14,6 +14,23 @@
 PLAIN = "plain"
 
 
+class CountingBudget(retries.RetryBudget):
+    """A budget that counts the first sends of requests.
+
+    Attributes:
+        first_sends: number of first sends.
+    """
+
+    def __init__(self):
+        super().__init__(1.0, 100.0)
+        self.first_sends = 0
+
+    def record_first(self, now):
+        """Count a first send."""
+        self.first_sends += 1
+        super().record_first(now)
+
+
 class SenderCase(testtools.TestCase):
     """Test case with a route to some endpoints and a sender."""
 
@@ -38,7 +55,7 @@
                 (self.route,), (service,)
             ),
         )
-        budget = retries.RetryBudget(1.0, 100.0)
+        self.budget = budget = CountingBudget()
         self.suspects = suspects.SuspectRequests()
         room = self.room
         self.context = jobs.RelayContext(
@@ -58,8 +75,14 @@
             lambda: 1,
         )
 
-    def ask(self, fingerprint="f1", **fields):
-        """Send one request; return the status."""
+    def ask(self, fingerprint="f1", origin=None, **fields):
+        """Send one request; return the status.
+
+        Args:
+            fingerprint: its fingerprint.
+            origin: the instance that forwarded it; None for a caller.
+            fields: further headers.
+        """
         self.started = []
         job = jobs.Job(
             work=samples.make_work("id-1", self.route, self.room.ticker.now()),
@@ -82,6 +105,7 @@
             workspace=test_quota.make_workspace(),
             units=1.0,
             version=1,
+            origin=origin,
         )
         self.sender = sender.Sender(self.context, job)
         self.body = b""
--- a/tests/relay/test_path_lost.py
+++ b/tests/relay/test_path_lost.py
@@ -23,6 +23,9 @@
 SHUT_OUT_SECONDS = 1.0
 """Time after a short silence by which an endpoint gets requests again."""
 
+LOG_SECONDS = 1.2
+"""Time after which no line is dropped any more because of those before."""
+
 RUN_SECONDS = 0.2
 """Time that a request runs where several endpoints are to be used."""
 
@@ -194,6 +197,7 @@
         self.start_fleet(3)
         self.links.cut(links.Cut.SILENT)
         self.ask_until(DETECTION_SECONDS, 3)
+        gevent.sleep(LOG_SECONDS)
         for endpoint in self.endpoints.values():
             endpoint.scripts = [script]
             endpoint.requests.clear()
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -1,11 +1,14 @@
 """Responses to callers when endpoints fail."""
 
+import dataclasses
+
 import gevent
 from gevent import event as gevent_event
 import testtools
 
 from citronport import errors
 from citronport.callers import replies
+from citronport.relay import jobs
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import suspects
 from tests.relay import fakes
@@ -40,6 +43,41 @@
         self.assertEqual(200, self.ask())
         self.assertEqual(1, len(bad.requests) + len(good.requests) - 1)
 
+    def test_first_send_is_counted_once(self):
+        """Guards against repeats that count as further first sends."""
+        self.prepare(
+            fakes.Endpoint(self, fakes.answer(500)),
+            fakes.Endpoint(self, fakes.answer()),
+        )
+        self.assertEqual(200, self.ask())
+        self.assertEqual(1, self.budget.first_sends)
+
+    def test_first_send_after_a_failed_connection_is_counted(self):
+        """Guards against requests that the budget of repeats misses."""
+        self.prepare(fakes.Endpoint(self, fakes.answer()))
+        listed = self.room.cluster_state.endpoints
+        listed["e0"] = dataclasses.replace(listed["e0"], slots=1)
+        listed["gone"] = samples.make_endpoint("gone", senders.PLAIN)
+        self.room.cluster_state._index()
+        statuses = {self.ask() for _ in range(4)}
+        self.assertEqual({200}, statuses)
+        self.assertEqual(4, self.budget.first_sends)
+
+    def test_forwarded_request_that_was_sent_before(self):
+        """Guards against a first send that two instances count."""
+        self.prepare(fakes.Endpoint(self, fakes.answer()))
+        for is_counted in (True, False):
+            origin = jobs.Origin(
+                instance="other",
+                tried=frozenset(),
+                paused=frozenset(),
+                possible_runs=0,
+                is_counted=is_counted,
+                last_event_id=None,
+            )
+            self.assertEqual(200, self.ask(origin=origin))
+        self.assertEqual(1, self.budget.first_sends)
+
     def test_both_fail_and_the_caller_gets_the_endpoints_answer(self):
         """The signed failure is forwarded; no third endpoint may run it."""
         bad = fakes.Endpoint(self, fakes.answer(500, b"broken"))
