--- a/standins/scenario_callers.py
+++ b/standins/scenario_callers.py
@@ -208,8 +208,9 @@
         for attempt in range(send.repeats + 1):
             address = addresses[(first + attempt) % len(addresses)]
             outcome = self._send_once(record, key, address, headers)
-            if not _should_repeat(send, outcome):
+            if attempt == send.repeats or not _should_repeat(send, outcome):
                 break
+            record.doing = f"waiting to repeat after {outcome.code}"
             gevent.sleep(outcome.retry_after or 0.1)
         record.doing = DONE
 
