--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -360,7 +360,7 @@
 
     Attributes:
         request: id of the request.
-        peer: name of the other instance, whose log tells how it goes on.
+        peer: name of the other instance; its log has the further lines.
         attempt: number of the send, from 1.
     """
 
--- a/tests/relay/instances.py
+++ b/tests/relay/instances.py
@@ -1,5 +1,6 @@
 """Instances as processes with a fake store, for tests."""
 
+import itertools
 import json
 import pathlib
 import tempfile
@@ -36,6 +37,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
+        self.numbers = itertools.count()
         self.running = processes.Processes(self.folder)
         self.running.__enter__()
         self.addCleanup(self.running.__exit__)
@@ -137,6 +139,30 @@
             },
         )
 
+    def apply_load(self, hosts, seconds, rate):
+        """Send requests to some instances in turn; return their statuses.
+
+        Args:
+            hosts: the instances.
+            seconds: how long to send requests.
+            rate: requests per second.
+        """
+        end = time.monotonic() + seconds
+        asks = []
+        for host in itertools.cycle(hosts):
+            if time.monotonic() >= end:
+                break
+            asks.append(gevent.spawn(self.ask_once, host))
+            gevent.sleep(1 / rate)
+        gevent.joinall(asks)
+        return [task.value for task in asks]
+
+    def ask_once(self, host):
+        """Send a request that was not sent before; return the status."""
+        number = next(self.numbers)
+        path = f"/review/{number}"
+        return self.ask(host, f"id-{number}", path=path)[0]
+
     def lookup(self, host):
         """Return the addresses in the answer to a lookup."""
         target = "/citronport/resolve?name=shop.example&region=r&zone=a"
--- a/tests/relay/test_brittle_endpoint.py
+++ b/tests/relay/test_brittle_endpoint.py
@@ -1,6 +1,5 @@
 """Endpoints that fall over if they turn too many requests away."""
 
-import itertools
 import time
 
 import gevent
@@ -71,43 +70,23 @@
             self.put_endpoint(
                 f"b-{number}", address=endpoint.address, slots=SLOTS
             )
-        self.numbers = itertools.count()
-        self.statuses = []
-
-    def apply_load(self, hosts, seconds):
-        """Send requests to all instances in turn for some seconds."""
-        end = time.monotonic() + seconds
-        asks = []
-        for host in itertools.cycle(hosts):
-            if time.monotonic() >= end:
-                break
-            asks.append(gevent.spawn(self.ask_once, host))
-            gevent.sleep(1 / LOAD)
-        gevent.joinall(asks)
-
-    def ask_once(self, host):
-        """Send a request that was not sent before."""
-        number = next(self.numbers)
-        path = f"/review/{number}"
-        self.statuses.append(self.ask(host, f"id-{number}", path=path)[0])
 
     def check_load(self, instances_number):
         """Check that endpoints under load turn few requests away."""
         hosts = self.start_all(instances_number)
-        self.apply_load(hosts, 1.0)
+        self.apply_load(hosts, 1.0, LOAD)
         for endpoint in self.endpoints:
             endpoint.is_brittle = True
         stated_at = time.monotonic()
-        self.apply_load(hosts, STABLE_SECONDS)
-        self.statuses.clear()
-        self.apply_load(hosts, 4.0)
+        self.apply_load(hosts, STABLE_SECONDS, LOAD)
+        statuses = self.apply_load(hosts, 4.0, LOAD)
         worst = [
             e.count_worst_second(stated_at + STABLE_SECONDS)
             for e in self.endpoints
         ]
         self.assertLessEqual(max(worst), TOLERATED, worst)
         capacity = len(self.endpoints) * SLOTS / RUN_SECONDS * 4.0
-        self.assertGreater(self.statuses.count(200), 0.4 * capacity)
+        self.assertGreater(statuses.count(200), 0.4 * capacity)
 
     def test_one_instance(self):
         """Guards against an instance that overfills a brittle endpoint."""
--- a/tests/relay/test_endpoint_limit.py
+++ b/tests/relay/test_endpoint_limit.py
@@ -1,10 +1,7 @@
 """Endpoints that announce a rate limit for all instances together."""
 
-import itertools
 import time
 
-import gevent
-
 from tests.relay import fakes
 from tests.relay import instances
 
@@ -65,41 +62,24 @@
         self.other = LimitingEndpoint(self)
         self.put_endpoint("needy", address=self.limiting.address)
         self.put_endpoint("other", address=self.other.address)
-        self.numbers = itertools.count()
-        self.statuses = []
-
-    def apply_load(self, hosts, seconds):
-        """Send requests to all instances in turn for some seconds."""
-        end = time.monotonic() + seconds
-        asks = []
-        for host in itertools.cycle(hosts):
-            if time.monotonic() >= end:
-                break
-            asks.append(gevent.spawn(self.ask_once, host))
-            gevent.sleep(1 / LOAD)
-        gevent.joinall(asks)
-
-    def ask_once(self, host):
-        """Send a request that was not sent before."""
-        number = next(self.numbers)
-        path = f"/review/{number}"
-        self.statuses.append(self.ask(host, f"id-{number}", path=path)[0])
 
     def check_limit(self, instances_number):
         """Check that a limit is kept while it is announced and then lifted."""
         hosts = self.start_all(instances_number)
-        self.apply_load(hosts, 1.0)
+        statuses = self.apply_load(hosts, 1.0, LOAD)
         self.limiting.rate = RATE
         announced_at = time.monotonic()
-        self.apply_load(hosts, STABLE_SECONDS + 1.5 * WINDOW_SECONDS)
+        statuses += self.apply_load(
+            hosts, STABLE_SECONDS + 1.5 * WINDOW_SECONDS, LOAD
+        )
         busiest = self.limiting.count_busiest(announced_at + STABLE_SECONDS)
         allowed = OVER * RATE * WINDOW_SECONDS + EXTRA
         self.assertLessEqual(busiest, allowed)
         self.assertGreaterEqual(busiest, RATE * WINDOW_SECONDS / 3)
-        self.assertEqual({200}, set(self.statuses))
+        self.assertEqual({200}, set(statuses))
         self.limiting.rate = None
         lifted_at = time.monotonic()
-        self.apply_load(hosts, 3.0)
+        self.apply_load(hosts, 3.0, LOAD)
         taken = [at for at in self.limiting.arrivals if at > lifted_at + 1.0]
         self.assertGreater(len(taken), 2 * RATE * 2.0)
 
