--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -75,7 +75,8 @@
         readiness: address for the platform's readiness checks.
         lookups: address at which callers look up which instances to use.
         peers: address at which other instances fetch changes of the store.
-        reports: UDP port for reports, the same on all instances.
+        reports: UDP port for reports and TCP port for forwarded requests,
+            the same on all instances.
         metrics: port of the metrics.
         store: address of the platform's store.
         seeds: ``peers`` of some instances, which may be outdated or down.
