--- a/citronport/scheduler/direct/health.py
+++ b/citronport/scheduler/direct/health.py
@@ -26,6 +26,12 @@
     probing: bool = False
     reached_at: float = float("-inf")
 
+    def end_pause(self) -> None:
+        """Let the endpoint be used again."""
+        self.pause = 0.0
+        self.paused_until = 0.0
+        self.probing = False
+
 
 class Health:
     """Tracks the health of endpoints as this instance sees it."""
@@ -65,9 +71,7 @@
         """Record that an endpoint has begun to answer, which ends a pause."""
         record = self._records.setdefault(endpoint, _Record())
         record.reached_at = now
-        record.pause = 0.0
-        record.paused_until = 0.0
-        record.probing = False
+        record.end_pause()
 
     def record_answer(self, endpoint: str, success: bool, now: float) -> bool:
         """Record an answer; return whether an outage has ended with it."""
@@ -80,9 +84,7 @@
         recovered = record.pause > 0
         if success:
             record.reached_at = now
-        record.pause = 0.0
-        record.paused_until = 0.0
-        record.probing = False
+        record.end_pause()
         return recovered
 
     def may_use(self, endpoint: str, now: float) -> bool:
@@ -119,9 +121,7 @@
     def clear_pauses(self) -> None:
         """End all pauses, of which none may be the fault of an endpoint."""
         for record in self._records.values():
-            record.pause = 0.0
-            record.paused_until = 0.0
-            record.probing = False
+            record.end_pause()
 
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that is gone."""
