Log what proved the end of an endpoint's answer

Change: request_ended has end (framed, closed) and rest, a counter citronport_body_ends_total. No decision changes.

--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connection to an endpoint with incremental reads."""
 
+import enum
 import select
 import time
 
@@ -16,6 +17,15 @@
 _make_poll = monkey.get_original("select", "poll")
 
 
+class BodyEnd(enum.StrEnum):
+    """What proves that a response body is complete."""
+
+    FRAMED = "framed"
+    """Its length, its last chunk, or a head that allows no body."""
+    CLOSED = "closed"
+    """Only the end of the connection, as it has no length and no chunks."""
+
+
 class _UnsolicitedAnswerError(Exception):
     """A further response begins after a complete one."""
 
@@ -79,6 +89,7 @@
     def __init__(self, sock: socket.socket, start: int) -> None:
         self._sock = sock
         self._answer = Answer()
+        self._was_closed_in_body = False
         self.start = start
         self.idle_since = time.monotonic()
 
@@ -179,6 +190,12 @@
         """Return whether the body has been received completely."""
         return self._answer.message_complete
 
+    def get_end(self) -> BodyEnd:
+        """Return what proved the end of the body, once it was read."""
+        if self._was_closed_in_body:
+            return BodyEnd.CLOSED
+        return BodyEnd.FRAMED
+
     def is_reusable(self) -> bool:
         """Return whether another request may be sent over it."""
         answer = self._answer
@@ -190,6 +207,7 @@
 
     def _receive(self) -> bool:
         data = self._sock.recv(const.READ_BYTES)
+        self._was_closed_in_body = not data
         self._answer.feed(data)
         return bool(data)
 
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -442,6 +442,10 @@
         longest: longest pause between two events of a stream, seconds.
         seconds: seconds from the head of the request to the end.
         version: version of the configuration used.
+        end: "framed" if a length or chunks proved the end of the answer,
+            "closed" if only the end of its connection did; empty if it was
+            not read to its end.
+        rest: bytes after the last complete event of a stream.
     """
 
     request: str
@@ -460,6 +464,8 @@
     longest: float
     seconds: float
     version: int
+    end: str
+    rest: int
 
 
 class LinesDropped(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -48,6 +48,7 @@
         leased_sends: sends to an endpoint that its owner chose.
         repeats: sends of a request beyond the first one.
         cut_sends: sends during which the endpoint's connection broke.
+        body_ends: answers by what proved their end.
         first_byte_seconds: time to the first byte of an answer, by kind of
             route.
         longest_pauses: longest pause of each stream.
@@ -63,6 +64,7 @@
         self.leased_sends = 0
         self.repeats = 0
         self.cut_sends = 0
+        self.body_ends: collections.Counter[str] = collections.Counter()
         self.first_byte_seconds: dict[str, Durations] = (
             collections.defaultdict(Durations)
         )
@@ -262,6 +264,11 @@
         "Sends under which the endpoint's connection broke.",
         [({}, counts.cut_sends)],
     )
+    counter(
+        "body_ends_total",
+        "Answers of endpoints, by what proved their end.",
+        [({"end": end}, n) for end, n in counts.body_ends.items()],
+    )
     counter(
         "store_calls_total",
         "Calls to the platform's store.",
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -24,6 +24,9 @@
         code: result code of the refusal; 0 for an endpoint's response.
         outcome: "answered", "refused" or "cut"; until then "left", which
             stays if the caller disconnects.
+        end: what proved the end of the endpoint's answer, see
+            ``connection.BodyEnd``; empty before.
+        rest: bytes of a stream after its last complete event.
     """
 
     attempts: int = 0
@@ -36,6 +39,8 @@
     status: int = 0
     code: int = 0
     outcome: str = "left"
+    end: str = ""
+    rest: int = 0
 
     @property
     def is_known_not_run(self) -> bool:
@@ -166,6 +171,8 @@
             longest=progress.longest,
             seconds=context.ticker.now() - work.arrived,
             version=job.version,
+            end=progress.end,
+            rest=progress.rest,
         )
     )
 
@@ -183,5 +190,7 @@
         counts.first_byte_seconds[kind].observe(progress.first)
     if progress.longest > 0:
         counts.longest_pauses.observe(progress.longest)
+    if progress.outcome == "answered":
+        counts.body_ends[progress.end] += 1
     if progress.outcome == "refused":
         counts.refusals[errors.Code(progress.code).name.lower()] += 1
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -298,6 +298,7 @@
         while data:
             yield data
             data = self._exchange.read()
+        self.progress.end = self._exchange.get_end()
         self.progress.outcome = "answered"
         if answer.is_success:
             self._outcomes.record_completion()
@@ -332,6 +333,8 @@
             if not self._is_started:
                 self._start(start_response, answer.status, answer.headers)
             yield events
+        self.progress.end = self._exchange.get_end()
+        self.progress.rest = len(rest)
         if not self._is_started:
             self._start(start_response, answer.status, answer.headers)
         if rest:
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -123,6 +123,11 @@
         assert self._connection is not None
         return self._connection.read()
 
+    def get_end(self) -> connection.BodyEnd:
+        """Return what proved the end of the body, once it was read."""
+        assert self._connection is not None
+        return self._connection.get_end()
+
     def close(self) -> None:
         """Close the connection; the endpoint aborts the request."""
         if self._connection is not None:
