--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+import socket
+import struct
 
 import gevent
 from gevent import server as gevent_server
@@ -255,6 +257,39 @@
     return script
 
 
+def unframed(*pieces, reset=False, pause=0.0, kind="text/event-stream"):
+    """Return a script whose answer has no length and no chunks.
+
+    Args:
+        pieces: parts of the body.
+        reset: whether the connection is reset at the end, not closed.
+        pause: seconds after each part.
+        kind: content type of the body.
+    """
+
+    def script(sock, headers):
+        sock.sendall(
+            (
+                f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\n"
+                f"X-Attempt-Id: {headers['x-attempt-id']}\r\n"
+                "X-Response-Seal: seal\r\n\r\n"
+            ).encode()
+        )
+        for piece in pieces:
+            sock.sendall(piece)
+            gevent.sleep(pause)
+        if reset:
+            reset_at_close(sock)
+
+    return script
+
+
+def reset_at_close(sock):
+    """Let a socket reset its connection when it is closed."""
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def close_unanswered(sock, headers):
     """Close the connection without an answer."""
     del headers
--- a/tests/relay/test_path_lost.py
+++ b/tests/relay/test_path_lost.py
@@ -1,6 +1,7 @@
 """Instances that have lost their path to the endpoints."""
 
 import collections
+import http.client
 import signal
 import time
 
@@ -255,6 +256,24 @@
         self.assertEqual("shop", received["x-tenant"])
         self.assertNotIn("x-api-key", received)
 
+    def test_broken_stream_of_a_forwarded_request(self):
+        """Guards against a second hop that completes a broken stream."""
+        one = fakes.make_event(1)
+        asked = self.forward_one(
+            fakes.unframed(one, b"id: 2\nda", pause=0.1), "streaming"
+        )
+        error = self.assertRaises(
+            http.client.IncompleteRead, asked.get, timeout=instances.SECONDS
+        )
+        self.assertEqual(one, error.partial)
+
+    def test_stream_of_a_forwarded_request_breaks_at_once(self):
+        """Guards against a success status for a stream without events."""
+        asked = self.forward_one(fakes.unframed(b"id: 1\nda"), "streaming")
+        status, headers, _ = asked.get(timeout=instances.SECONDS)
+        self.assertEqual(502, status)
+        self.assertEqual("outcome unknown", headers["X-Citronport-Ran"])
+
     def test_pause_that_an_endpoint_asked_the_origin_for(self):
         """Guards against a pause that is evaded by another instance."""
         self.start_fleet(3)
