Do not run a plain answer again after a part of it was sent

A caller of an idempotent route got 200 and, in one properly ended body, a part of one run's answer followed by the whole of another's: an answer past the buffer (64 KiB) that broke off was run at another endpoint, whose answer was appended.

Cause: whether a request may run again was asked without regard to whether the caller already has a part of the answer; only streams can go on from there.

Change: after the first byte only a stream may be resumed; a plain answer is cut.

Tests: test_large_one_that_is_reset and test_large_one_shorter_than_its_length, red before ("returned 200", 2 passed 2 failed), green now; small ones, and whole ones past the buffer, as before. script/test test_broken_answers test_sender: all passed.

--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -421,7 +421,12 @@
         route = self._work.route
         if route.repeat == models.RepeatPolicy.NON_IDEMPOTENT:
             return False
-        if route.repeat == models.RepeatPolicy.STREAM and not route.resumable:
+        is_stream = route.repeat == models.RepeatPolicy.STREAM
+        if is_stream and not route.resumable:
+            return False
+        # Only a stream can be continued; another run of a plain answer would
+        # be appended to the part that the caller has received.
+        if self._is_started and not is_stream:
             return False
         if (
             self.progress.possible_runs >= route.max_endpoints
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -228,6 +228,37 @@
         )
         self.assertEqual(502, self.ask())
 
+    def check_cut_past_the_buffer(self, script):
+        """Check that a large answer is cut and not run again."""
+        first = fakes.Endpoint(self, script)
+        second = fakes.Endpoint(self, fakes.unframed(LARGE))
+        self.prepare(first, second)
+        self.room.health.record_answer("e1", False, self.room.ticker.now())
+        self.assertRaises(replies.StreamCutError, self.ask)
+        self.assertEqual(1, len(self.started))
+        self.assertTrue(LARGE.startswith(self.body))
+        self.assertEqual([], second.requests)
+
+    def test_large_one_that_is_reset(self):
+        """Guards against a second answer after a part of the first."""
+        self.check_cut_past_the_buffer(
+            fakes.unframed(LARGE, reset=True, pause=0.2)
+        )
+
+    def test_large_one_shorter_than_its_length(self):
+        """Guards against a second answer after a part of the first."""
+
+        def script(sock, headers):
+            whole = fakes.render(
+                200,
+                LARGE + LARGE,
+                X_Attempt_Id=headers["x-attempt-id"],
+                X_Response_Seal="seal",
+            )
+            sock.sendall(whole[: -len(LARGE)])
+
+        self.check_cut_past_the_buffer(script)
+
 
 class WireTest(instances.InstanceCase):
     """What callers get on their connections to an instance."""
