Do not resume a stream whose position is unknown

A caller on a resumable route got the events of a stream twice: the first endpoint's events had no ids, it broke off, and the second run began at the start, since there was no id to go on from.

Cause: whether a stream may go on was asked of its route alone.

Change: a stream that the caller has a part of is resumed only if the last event's id is known, else cut. Before the first event nothing changes.

--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -424,9 +424,7 @@
         is_stream = route.repeat == models.RepeatPolicy.STREAM
         if is_stream and not route.resumable:
             return False
-        # Only a stream can be continued; another run of a plain answer would
-        # be appended to the part that the caller has received.
-        if self._is_started and not is_stream:
+        if self._is_started and not self._can_resume(is_stream):
             return False
         if (
             self.progress.possible_runs >= route.max_endpoints
@@ -435,6 +433,14 @@
             return False
         return self._may_send_again()
 
+    def _can_resume(self, is_stream: bool) -> bool:
+        """Return whether another run can go on where the answer broke off.
+
+        Its answer would otherwise be appended to the part that the caller
+        has received.
+        """
+        return is_stream and self._last_event_id is not None
+
     def _may_send_again(self) -> bool:
         if self.progress.attempts >= MAX_SENDS:
             return False
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -182,6 +182,18 @@
             self.assertEqual(one + two if rest else one, self.body)
             self.assertEqual(1, len(second.requests))
 
+    def test_stream_without_ids_is_not_resumed(self):
+        """Guards against events that come twice."""
+        event = b"data: x\n\n"
+        _, second = self.serve(
+            fakes.unframed(event, b"da", pause=PAUSE_SECONDS),
+            fakes.unframed(event, event),
+            resumable=True,
+        )
+        self.assertRaises(replies.StreamCutError, self.ask)
+        self.assertEqual(event, self.body)
+        self.assertEqual([], second.requests)
+
     def test_broken_stream_counts_as_a_crash(self):
         """Guards against a crash that is recorded as a good answer."""
         for rest in (b"id", fakes.make_event(1) + b"id"):
