Fetch the rest of a kept stream also after a closed connection

A stream without a frame that its engine closed early was told as broken, since a stream needs its final event there; but only a reset connection led to a request for the rest, so that callers of engines that keep broken streams got a cut answer. And "data: [DONE]" counted as the final event wherever it stood: before its blank line, or within a generated text that was cut right after these words, so that a part could pass for a whole.

Change: an unframed stream that is closed must end with its whole final event; otherwise it is interrupted like one that was reset. Framed ones as before.

--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -19,6 +19,12 @@
 
 _OUTPUT_TOKENS = re.compile(rb'"completion_tokens": ?(\d+)')
 _CACHED_TOKENS = re.compile(rb'"cached_tokens": ?(\d+)')
+_CLOSED_END = re.compile(
+    rb"(?:^|[\r\n])%b(?:\n\n|\r\n\r\n|\r\r)[\r\n]*$"
+    % re.escape(const.STREAM_END)
+)
+"""End of a stream whose connection was closed after its final event."""
+
 _CONNECTION_ERRORS = (OSError, http_response.HTTPParseError)
 
 
@@ -214,7 +220,12 @@
         )
 
     def read_body(self, opened: endpoint_connection.Connection) -> None:
-        """Read and deliver the body up to its end."""
+        """Read and deliver the body up to its end.
+
+        Raises:
+            OSError: the connection broke before the end of the body.
+            HTTPParseError: the data is not valid HTTP.
+        """
         pause = 0.0
         while data := opened.read():
             self._deliver(messages.Chunk(offset=self.size, data=data))
@@ -231,6 +242,21 @@
                 pause + const.COALESCE_STEP_SECONDS, const.MAX_COALESCE_SECONDS
             )
             gevent.sleep(pause)
+        if self._is_stream() and not self._is_closed_at_end(opened):
+            raise ConnectionResetError("stream closed before its end")
+
+    def _is_stream(self) -> bool:
+        return self.call.stream and self._status == 200
+
+    def _is_closed_at_end(
+        self, opened: endpoint_connection.Connection
+    ) -> bool:
+        # The kernel closes the connections of a crashed engine as if it had
+        # ended its answers, so an unframed stream needs its whole final
+        # event. The engine may have kept the rest of a broken one.
+        if opened.get_end() == endpoint_connection.BodyEnd.FRAMED:
+            return True
+        return _CLOSED_END.search(self._tail) is not None
 
     def check_complete(self) -> AnswerSummary:
         """Check that the response is complete and return its summary.
@@ -241,7 +267,7 @@
         # A broken connection can look like a regular end of the body: a
         # stream is complete only if it ends with the final event.
         ended = self._tail.rstrip().endswith(const.STREAM_END)
-        if self.call.stream and self._status == 200 and not ended:
+        if self._is_stream() and not ended:
             raise ConnectionResetError("stream ended without its final event")
         return AnswerSummary(
             size=self.size,
--- a/tests/endpoints/test_client.py
+++ b/tests/endpoints/test_client.py
@@ -17,6 +17,7 @@
 from citronport.endpoints import pool
 from standins import caller
 from standins import engine
+from tests.relay import fakes
 
 ADDRESS = "127.72.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -211,6 +212,90 @@
         self.assertEqual(result.Err(lost), answer)
         self.assertEqual(b"data: ", self.join_answer())
 
+    def serve_broken(self, body, rest=None, reset=False):
+        """Serve an unframed stream that ends early; return the address.
+
+        Args:
+            body: its bytes before its connection ends.
+            rest: what a request for the rest gets; None if the engine keeps
+                no streams.
+            reset: whether the connection is reset, not closed.
+        """
+        resumable = b"" if rest is None else b"X-Resumable: true\r\n"
+
+        def handle(sock, _):
+            if sock.recv(65536).startswith(b"POST"):
+                sock.sendall(HEAD + resumable + b"\r\n" + body)
+                gevent.sleep(0.02)
+            else:
+                headers = f"X-Request-Id: request-1\r\nX-Offset: {len(body)}"
+                head = HEAD + headers.encode() + b"\r\n\r\n"
+                sock.sendall(head + rest)
+            if reset:
+                fakes.reset_at_close(sock)
+
+        return self.serve(handle)
+
+    def test_unframed_stream_that_breaks_off(self):
+        """Guards against a broken stream that counts as a whole one."""
+        event = b'data: {"text": "x"}\n\n'
+        for body in (
+            b"",
+            b"data: {",
+            event,
+            event + b"data: {",
+            event + b"data: [DONE]",
+            event + b"data: [DONE]\n",
+            (event + b"data: [DONE]\n").replace(b"\n", b"\r\n"),
+            event + b'data: {"text": "data: [DONE]',
+            event + b'data: {"text": "\\ndata: [DONE]',
+        ):
+            for reset in (False, True):
+                self.pieces = []
+                answer = self.call(self.serve_broken(body, reset=reset))
+                lost = client.Failure(
+                    sent=True, code=errors.Code.ENDPOINT_LOST
+                )
+                self.assertEqual((body, result.Err(lost)), (body, answer))
+
+    def test_unframed_stream_that_is_whole(self):
+        """Guards against a whole stream that counts as a broken one."""
+        event = b'data: {"text": "x"}\n\n'
+        for body in (
+            event + b"data: [DONE]\n\n",
+            event + b"data: [DONE]\n\n\n",
+            (event + b"data: [DONE]\n\n").replace(b"\n", b"\r\n"),
+        ):
+            self.pieces = []
+            self.assertTrue(self.call(self.serve_broken(body)).is_ok())
+            self.assertEqual(body, self.join_answer())
+
+    def test_unframed_stream_that_closes_early_is_resumed(self):
+        """Guards against a kept stream whose rest is not fetched."""
+        whole = b'data: {"text": "x"}\n\ndata: [DONE]\n\n'
+        for size in (0, 5, 21, len(whole) - 1):
+            self.pieces = []
+            address = self.serve_broken(whole[:size], whole[size:])
+            self.assertTrue(self.call(address).is_ok())
+            self.assertEqual(whole, self.join_answer())
+
+    def test_resumed_stream_that_closes_early(self):
+        """Guards against a resumed stream that counts as a whole one."""
+        address = self.serve_broken(b"data: {", b"}\n\ndata: [DO")
+        lost = client.Failure(sent=True, code=errors.Code.ENDPOINT_LOST)
+        self.assertEqual(result.Err(lost), self.call(address))
+        self.assertEqual(b"data: {}\n\ndata: [DO", self.join_answer())
+
+    def test_plain_answer_without_a_frame(self):
+        """Guards against a plain answer that is reset and counts as whole."""
+        for size in (2, 200_000):
+            body = b"x" * size
+            address = self.serve_broken(body)
+            self.assertTrue(self.call(address, stream=False).is_ok())
+            broken = self.serve_broken(body, reset=True)
+            answer = self.call(broken, stream=False)
+            self.assertTrue(answer.is_err())
+
     def test_call_is_never_sent_again(self):
         """A reused connection closes as soon as the second call is sent.
 
