Count and find events whose lines end with CR LF or CR

Cause: the end of an event was known in two places, one of which knew LF only.

Change: one list of event ends in replies; events are counted and their ids found by it.

--- a/citronport/callers/replies.py
+++ b/citronport/callers/replies.py
@@ -3,12 +3,16 @@
 import collections.abc
 import json
 import math
+import re
 from typing import Any
 
 from citronport import const as common
 from citronport import errors
 
-_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+"""The blank line after an event, if lines end with LF, CR LF or CR."""
+
+_EVENT_ID = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 StartResponse = collections.abc.Callable[..., Any]
 Header = tuple[str, str]
@@ -109,6 +113,11 @@
     return data[:end], data[end:]
 
 
+def count_events(events: bytes) -> int:
+    """Return the number of events in a series of complete events."""
+    return sum(events.count(mark) for mark in _EVENT_ENDS)
+
+
 def begins_event(rest: bytes) -> bool:
     """Return whether the data after a complete event begins another one."""
     return bool(rest.strip(b"\r\n"))
@@ -116,14 +125,8 @@
 
 def find_last_event_id(events: bytes) -> str | None:
     """Return the last event id in a series of complete events, if any."""
-    at = events.rfind(b"\nid:")
-    if at >= 0:
-        start = at + len(b"\nid:")
-    elif events.startswith(b"id:"):
-        start = len(b"id:")
-    else:
-        return None
-    return events[start : events.find(b"\n", start)].strip().decode("latin-1")
+    ids = _EVENT_ID.findall(events)
+    return ids[-1].strip().decode("latin-1") if ids else None
 
 
 def _make_headers(data: bytes) -> list[Header]:
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -28,8 +28,6 @@
 caller gets a byte, so that a response that breaks off can still be replaced
 by a retry or an error."""
 
-EVENT_END = b"\n\n"
-
 
 class Sender:
     """Forwards one request.
@@ -358,7 +356,7 @@
         self._context.loads.record_events(
             reservation.endpoint.name,
             reservation.run,
-            events.count(EVENT_END),
+            replies.count_events(events),
             engine.event_tokens if engine else 1,
             now,
         )
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+from unittest import mock
 
 import gevent
 from gevent import event as gevent_event
@@ -140,6 +141,17 @@
         """Return whether the caller has not received an event."""
         return event not in getattr(self, "body", b"")
 
+    def test_events_with_cr_lf_are_counted(self):
+        """Guards against an engine whose speed is never learned."""
+        for make in (fakes.make_event, make_crlf_event):
+            events = [make(n) for n in range(5)]
+            self.serve(fakes.unframed(*events, pause=PAUSE_SECONDS))
+            record = mock.Mock()
+            self.room.board.record_events = record
+            self.assertEqual(200, self.ask())
+            counts = [call.args[2] for call in record.call_args_list]
+            self.assertEqual(5, sum(counts))
+
     def test_resumed_after_a_close_inside_an_event(self):
         """Guards against a crash whose remaining events are not fetched."""
         one, two, three = (fakes.make_event(n) for n in (1, 2, 3))
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -373,6 +373,35 @@
         self.assertTrue(self.is_barred())
 
 
+class EventsTest(testtools.TestCase):
+    """Events whose lines end with LF, CR LF or CR."""
+
+    def list_streams(self):
+        """Return two events and a part of a third for each line end."""
+        whole = fakes.make_event(7) + fakes.make_event(8)
+        return [
+            (whole.replace(b"\n", end), b"id: 9" + end)
+            for end in (b"\n", b"\r\n", b"\r")
+        ]
+
+    def test_split(self):
+        """Guards against events that wait for the end of their stream."""
+        for events, rest in self.list_streams():
+            self.assertEqual(
+                (events, rest), replies.split_events(events + rest)
+            )
+
+    def test_count(self):
+        """Guards against a speed that is never learned from events."""
+        for events, _ in self.list_streams():
+            self.assertEqual(2, replies.count_events(events))
+
+    def test_last_id(self):
+        """Guards against a stream that is resumed at a wrong event."""
+        for events, _ in self.list_streams():
+            self.assertEqual("8", replies.find_last_event_id(events))
+
+
 class LastEventTest(testtools.TestCase):
     """Extraction of the id of the last complete event."""
 
