Call an event stream broken that its frame ends inside an event

Change: a body of type text/event-stream is whole only if it ends after an event, whatever its frame. Framed bodies of another type, or of none, that hold no events pass as before, and so does a framed stream without events.

Tests: test_ended_inside_an_event and test_ended_inside_the_first_event, red before (1 passed, 2 failed), green now. script/test tests.relay tests.platform: 277 passed, 0 failed.

--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -46,6 +46,7 @@
 
 # Headers of an endpoint's response
 
+HEADER_CONTENT_TYPE: Final = "content-type"
 HEADER_SIGNATURE: Final = "x-response-seal"
 HEADER_NOT_RUN: Final = "x-not-executed"
 HEADER_RETRY_AFTER: Final = "retry-after"
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -68,6 +68,8 @@
             away, wants no further request of this instance, undecoded; None
             if it states no time.
         headers: headers to pass to the caller, with unchanged names.
+        content_type: type of the body without parameters, in lower case;
+            empty if not given.
     """
 
     status: int
@@ -81,6 +83,7 @@
     turned_away: bool
     pause: str | None
     headers: tuple[tuple[str, str], ...]
+    content_type: str = ""
 
     @property
     def is_success(self) -> bool:
@@ -188,6 +191,7 @@
         turned_away=turned_away and not_run,
         pause=answer.get(const.HEADER_RETRY_AFTER) if turned_away else None,
         headers=headers,
+        content_type=_parse_content_type(answer),
     )
 
 
@@ -224,6 +228,11 @@
     return [(HEADER_RETRY_AFTER, f"{refusal.retry_after:.3f}")]
 
 
+def _parse_content_type(answer: connection.Answer) -> str:
+    text = str(answer.get(const.HEADER_CONTENT_TYPE, ""))
+    return text.partition(";")[0].strip().lower()
+
+
 def _parse_non_negative(text: str) -> result.Result[float, str]:
     try:
         number = float(text)
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -320,7 +320,7 @@
         answer: requests.EndpointAnswer,
     ) -> collections.abc.Iterator[bytes]:
         assert self._exchange is not None
-        reader = streams.EventReader(self._exchange)
+        reader = streams.EventReader(self._exchange, answer.content_type)
         while events := reader.read():
             self._record_events(events)
             if not self._is_started:
--- a/citronport/relay/streams.py
+++ b/citronport/relay/streams.py
@@ -5,6 +5,9 @@
 from citronport.relay import upstream
 
 
+EVENT_STREAM = "text/event-stream"
+
+
 class BrokenStreamError(OSError):
     """A stream ended with its connection, and not after an event."""
 
@@ -14,13 +17,15 @@
 
     Args:
         exchange: the exchange with the endpoint, after the head.
+        content_type: type of the body; empty if the endpoint gave none.
 
     Attributes:
         rest: bytes received after the last complete event.
     """
 
-    def __init__(self, exchange: upstream.Exchange) -> None:
+    def __init__(self, exchange: upstream.Exchange, content_type: str) -> None:
         self._exchange = exchange
+        self._content_type = content_type
         self._has_events = False
         self.rest = b""
 
@@ -44,8 +49,10 @@
         return b""
 
     def _is_complete(self) -> bool:
-        if self._exchange.get_end() == connection.BodyEnd.FRAMED:
-            return True
+        is_framed = self._exchange.get_end() == connection.BodyEnd.FRAMED
+        if replies.begins_event(self.rest):
+            # A body of another type has no events that it could end in.
+            return is_framed and self._content_type != EVENT_STREAM
         # The kernel closes the connections of a crashed process as if it
         # had ended its answers, so the close proves nothing by itself.
-        return self._has_events and not replies.begins_event(self.rest)
+        return is_framed or self._has_events
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -232,6 +232,36 @@
         self.assertEqual(0, self.context.counts.cut_sends)
 
 
+class FramedStreamTest(senders.SenderCase):
+    """Streams whose length or last chunk says that they are complete."""
+
+    def prepare_one(self, script):
+        """Prepare one endpoint before a route of streams."""
+        self.prepare(
+            fakes.Endpoint(self, script), repeat=models.RepeatPolicy.STREAM
+        )
+
+    def test_ended_inside_an_event(self):
+        """Guards against a crash behind a proxy that ends the chunks."""
+        one = fakes.make_event(1)
+        for rest in list_beginnings(fakes.make_event(2)):
+            self.prepare_one(fakes.stream(one, rest, pause=PAUSE_SECONDS))
+            self.assertRaises(replies.StreamCutError, self.ask)
+            self.assertEqual(one, self.body)
+
+    def test_ended_inside_the_first_event(self):
+        """Guards against a success status for a stream without events."""
+        for rest in list_beginnings(fakes.make_event(1)):
+            self.prepare_one(fakes.stream(rest))
+            self.assertEqual(502, self.ask())
+
+    def test_without_events(self):
+        """Guards against a whole stream that is called broken."""
+        self.prepare_one(fakes.stream())
+        self.assertEqual(200, self.ask())
+        self.assertEqual(b"", self.body)
+
+
 class PlainAnswerTest(senders.SenderCase):
     """Answers that are no streams, small ones and larger than the buffer."""
 
