Treat a body of another type on a stream's route as a plain one

Change: events are looked for in bodies of type text/event-stream and of no stated type; others are plain answers. BrokenStreamError says what it stands for.

--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -105,6 +105,8 @@
 )
 """Headers that may occur once in a request; a duplicate is ambiguous."""
 
+TYPE_EVENT_STREAM: Final = "text/event-stream"
+
 STATUS_UNAVAILABLE: Final = 503
 """Status of an endpoint that turns requests away."""
 
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -90,6 +90,16 @@
         """Whether the endpoint answered with a success status."""
         return 200 <= self.status < 300
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the endpoint says that the body is an event stream."""
+        return self.content_type == const.TYPE_EVENT_STREAM
+
+    @property
+    def may_hold_events(self) -> bool:
+        """Whether the body is an event stream or of no stated type."""
+        return self.is_event_stream or not self.content_type
+
 
 def parse_request(
     fields: Headers,
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -272,7 +272,7 @@
         answer: requests.EndpointAnswer,
     ) -> collections.abc.Iterator[bytes]:
         is_stream = self._work.route.repeat == models.RepeatPolicy.STREAM
-        if is_stream and answer.is_success:
+        if is_stream and answer.is_success and answer.may_hold_events:
             yield from self._forward_stream(start_response, answer)
             return
         yield from self._forward_plain(start_response, answer)
@@ -320,7 +320,9 @@
         answer: requests.EndpointAnswer,
     ) -> collections.abc.Iterator[bytes]:
         assert self._exchange is not None
-        reader = streams.EventReader(self._exchange, answer.content_type)
+        reader = streams.EventReader(
+            self._exchange, is_event_stream=answer.is_event_stream
+        )
         while events := reader.read():
             self._record_events(events)
             if not self._is_started:
--- a/citronport/relay/streams.py
+++ b/citronport/relay/streams.py
@@ -5,11 +5,8 @@
 from citronport.relay import upstream
 
 
-EVENT_STREAM = "text/event-stream"
-
-
 class BrokenStreamError(OSError):
-    """A stream ended with its connection, and not after an event."""
+    """A stream ended inside an event, or unproved without any event."""
 
 
 class EventReader:
@@ -17,15 +14,18 @@
 
     Args:
         exchange: the exchange with the endpoint, after the head.
-        content_type: type of the body; empty if the endpoint gave none.
+        is_event_stream: whether the endpoint says that the body is one; if
+            not, it may hold something else.
 
     Attributes:
         rest: bytes received after the last complete event.
     """
 
-    def __init__(self, exchange: upstream.Exchange, content_type: str) -> None:
+    def __init__(
+        self, exchange: upstream.Exchange, *, is_event_stream: bool
+    ) -> None:
         self._exchange = exchange
-        self._content_type = content_type
+        self._is_event_stream = is_event_stream
         self._has_events = False
         self.rest = b""
 
@@ -51,8 +51,7 @@
     def _is_complete(self) -> bool:
         is_framed = self._exchange.get_end() == connection.BodyEnd.FRAMED
         if replies.begins_event(self.rest):
-            # A body of another type has no events that it could end in.
-            return is_framed and self._content_type != EVENT_STREAM
+            return is_framed and not self._is_event_stream
         # The kernel closes the connections of a crashed process as if it
         # had ended its answers, so the close proves nothing by itself.
         return is_framed or self._has_events
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -111,6 +111,14 @@
             self.assertEqual(b"".join(events), self.body)
             self.assertEqual("answered", self.sender.progress.outcome)
 
+    def test_whole_body_that_is_no_stream(self):
+        """Guards against a whole answer without events called broken."""
+        body = b'{"done": true}'
+        script = fakes.unframed(body, kind="Application/JSON; charset=utf-8")
+        self.serve(script)
+        self.assertEqual(200, self.ask())
+        self.assertEqual(body, self.body)
+
     def test_blank_lines_after_the_last_event(self):
         """Guards against a whole stream that is called broken."""
         body = fakes.make_event(1) + b"\n"
