--- /dev/null
+++ b/citronport/relay/repeats.py
@@ -0,0 +1,69 @@
+"""Decides whether a request may be sent once more."""
+
+from citronport.relay import jobs
+from citronport.relay import progress as progress_module
+from citronport.scheduler.direct import models
+
+MAX_SENDS = 4
+"""Highest number of sends of one request, including failed connects."""
+
+
+class Repeats:
+    """Decides on further sends of one request.
+
+    Args:
+        context: components shared by all requests.
+        job: the request.
+        progress: state of the request.
+    """
+
+    def __init__(
+        self,
+        context: jobs.RelayContext,
+        job: jobs.Job,
+        progress: progress_module.Progress,
+    ) -> None:
+        self._context = context
+        self._job = job
+        self._progress = progress
+
+    def may_run_again(
+        self, *, is_started: bool, last_event_id: str | None
+    ) -> bool:
+        """Return whether a request that may have run may be retried.
+
+        Args:
+            is_started: whether the caller has a part of the answer. Only a
+                stream goes on from there; another run would be appended.
+            last_event_id: id of the last event that the caller has; None if
+                it is unknown.
+        """
+        route = self._job.work.route
+        match route.repeat:
+            case models.RepeatPolicy.NON_IDEMPOTENT:
+                return False
+            case models.RepeatPolicy.STREAM:
+                is_lost = is_started and last_event_id is None
+                if is_lost or not route.resumable:
+                    return False
+            case models.RepeatPolicy.IDEMPOTENT if is_started:
+                return False
+        if self._progress.possible_runs >= route.max_endpoints:
+            return False
+        return not self.is_barred() and self.may_send_again()
+
+    def may_send_again(self) -> bool:
+        """Return whether a request that did not run may be sent again."""
+        if self._progress.attempts >= MAX_SENDS:
+            return False
+        now = self._context.ticker.now()
+        if now >= self._job.work.deadline:
+            return False
+        budget = self._context.get_retry_budget(self._job.service)
+        return budget.take(self._context.count_instances(), now)
+
+    def is_barred(self) -> bool:
+        """Return whether the request is suspected of crashing endpoints."""
+        return self._context.suspects.is_barred(
+            self._job.fingerprint, self._context.ticker.now()
+        )
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -15,14 +15,12 @@
 from citronport.relay import peer_send
 from citronport.relay import progress as progress_module
 from citronport.relay import refusals
+from citronport.relay import repeats
 from citronport.relay import streams
 from citronport.relay import upstream
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import suspects
 
-MAX_SENDS = 4
-"""Highest number of sends of one request, including failed connects."""
-
 BUFFERED_BYTES = 65536
 """Responses of plain services up to this size are read in full before the
 caller gets a byte, so that a response that breaks off can still be replaced
@@ -55,6 +53,7 @@
             possible_runs=origin.possible_runs if origin else 0
         )
         self._outcomes = outcomes.Outcomes(context, job, self.progress)
+        self._repeats = repeats.Repeats(context, job, self.progress)
         self._peer_send = peer_send.PeerSend(context, job, self.progress)
 
     def answer(
@@ -144,12 +143,12 @@
                 self._doubts_path = not self._outcomes.record_no_connection(
                     self._get_reservation(), reason, self._connecting_since
                 )
-                if self.progress.attempts >= MAX_SENDS:
+                if self.progress.attempts >= repeats.MAX_SENDS:
                     return self._refuse_overloaded()
             case upstream.Barred():
                 return self._refuse_barred()
             case upstream.Paused():
-                if self.progress.attempts >= MAX_SENDS:
+                if self.progress.attempts >= repeats.MAX_SENDS:
                     return self._refuse_overloaded()
             case upstream.Replaced():
                 # After endpoints crashed and restarted, the list may still
@@ -159,12 +158,12 @@
                 self._outcomes.record_unreachable(
                     self._get_reservation(), "another endpoint answers there"
                 )
-                if not self._may_send_again():
+                if not self._repeats.may_send_again():
                     return self._refuse_overloaded()
             case upstream.NotRun(answer=answer):
                 self._outcomes.record_headers(self._get_reservation(), answer)
                 self._outcomes.record_not_run(self._get_reservation(), answer)
-                if not self._may_send_again():
+                if not self._repeats.may_send_again():
                     return self._refuse_overloaded()
             case upstream.Broken(reason=reason, cut=cut):
                 self.progress.possible_runs += 1
@@ -191,7 +190,7 @@
         Returns:
             Its answer or refusal; None if no instance takes the request.
         """
-        if self._is_barred():
+        if self._repeats.is_barred():
             return self._refuse_barred()
         found = self._peer_send.send(
             self._tried, self._is_counted, self._last_event_id
@@ -204,7 +203,7 @@
         return found
 
     def _reserve(self) -> errors.Refusal | None:
-        if self._is_barred():
+        if self._repeats.is_barred():
             return self._refuse_barred()
         began = self._context.ticker.now()
         found = self._context.dispatcher.acquire(
@@ -243,7 +242,7 @@
             return upstream.Unreachable(reason="no longer in use")
         if self._context.pauses.is_paused(endpoint.start_id, now):
             return upstream.Paused()
-        if self._is_barred():
+        if self._repeats.is_barred():
             return upstream.Barred()
         if not self._is_counted:
             self._is_counted = True
@@ -417,38 +416,9 @@
         return True
 
     def _may_run_again(self) -> bool:
-        """Return whether a request that may have run may be retried."""
-        route = self._work.route
-        if route.repeat == models.RepeatPolicy.NON_IDEMPOTENT:
-            return False
-        is_stream = route.repeat == models.RepeatPolicy.STREAM
-        if is_stream and not route.resumable:
-            return False
-        if self._is_started and not self._can_resume(is_stream):
-            return False
-        if (
-            self.progress.possible_runs >= route.max_endpoints
-            or self._is_barred()
-        ):
-            return False
-        return self._may_send_again()
-
-    def _can_resume(self, is_stream: bool) -> bool:
-        """Return whether another run can go on where the answer broke off.
-
-        Its answer would otherwise be appended to the part that the caller
-        has received.
-        """
-        return is_stream and self._last_event_id is not None
-
-    def _may_send_again(self) -> bool:
-        if self.progress.attempts >= MAX_SENDS:
-            return False
-        now = self._context.ticker.now()
-        if now >= self._work.deadline:
-            return False
-        budget = self._context.get_retry_budget(self._job.service)
-        return budget.take(self._context.count_instances(), now)
+        return self._repeats.may_run_again(
+            is_started=self._is_started, last_event_id=self._last_event_id
+        )
 
     def _refuse_overloaded(self) -> errors.Refusal:
         if self.progress.possible_runs:
@@ -462,11 +432,6 @@
             ),
         )
 
-    def _is_barred(self) -> bool:
-        return self._context.suspects.is_barred(
-            self._job.fingerprint, self._context.ticker.now()
-        )
-
     def _refuse_barred(self) -> errors.Refusal:
         if self.progress.possible_runs:
             return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
