Leave the end of a body to the parser alone

What ends a body stood twice: in the parser, which ends an unframed one at a close and rejects a close within any other, and in a check of headers behind it, which could only be reached, wrongly, by encodings such as "chunked, gzip".

--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -156,14 +156,12 @@
         """
         answer = self._answer
         while not (data := answer.take_body()) and not answer.message_complete:
-            if not self._receive():
-                # Only a body without a length may end with the connection;
-                # any other one is truncated.
-                if "content-length" in answer or _is_chunked(answer):
-                    raise ConnectionResetError(
-                        "connection closed within the response body"
-                    )
-                return b""
+            # The parser takes a close for the end of an unframed body and
+            # rejects it within any other one.
+            if not self._receive() and not answer.message_complete:
+                raise ConnectionResetError(
+                    "connection closed within the response body"
+                )
         return data
 
     def wait_until_closed(self, seconds: float) -> bool:
@@ -242,10 +240,6 @@
     return bool(poll.poll(0))
 
 
-def _is_chunked(answer: Answer) -> bool:
-    return "chunked" in str(answer.get("transfer-encoding", "")).lower()
-
-
 def encode_request(
     address: str,
     method: str,
