Check in a scenario how long each send took to its outcome

The scenario not_run_partition fails if a group has an outcome missing 8 s after its step.

The wait stays. Next time a late answer is named with its duration, and a failed wait without such a line was no late answer.

--- a/standins/scenario_expect.py
+++ b/standins/scenario_expect.py
@@ -73,6 +73,7 @@
     if expect.whole_at_least is not None and whole < expect.whole_at_least:
         runner.add_problem(f"{expect.of}: {whole} complete answers, too few")
     _check_codes(runner, expect)
+    _check_durations(runner, expect)
 
 
 def _check_codes(runner: "scenario.Runner", expect: models.Expect) -> None:
@@ -90,6 +91,19 @@
         )
 
 
+def _check_durations(runner: "scenario.Runner", expect: models.Expect) -> None:
+    if expect.answered_within is None:
+        return
+    for record in runner.callers.get_records(expect.of):
+        for attempt in record.attempts:
+            seconds = attempt.ended - attempt.began
+            if seconds > expect.answered_within:
+                runner.add_problem(
+                    f"{record.tag.lstrip('.')} had its outcome after "
+                    f"{seconds:.3f} s, not within {expect.answered_within:g}"
+                )
+
+
 def _check_received(runner: "scenario.Runner", expect: models.Expect) -> None:
     tags = {r.tag for r in runner.callers.records if r.by == expect.of}
     count = sum(arrival.tag in tags for arrival in runner.read_arrivals())
--- a/standins/scenario_models.py
+++ b/standins/scenario_models.py
@@ -164,6 +164,8 @@
             ``not_run``.
         cut: number of answers that began but are incomplete.
         codes: the only codes that refusals and stream errors may have.
+        answered_within: maximum number of seconds from each send to its
+            outcome.
         received: number of requests that endpoints received.
         received_at_most: maximum number that endpoints received.
         last_new_work: endpoint, or data centre whose endpoints are meant,
@@ -184,6 +186,7 @@
     unknown: int | None = None
     cut: int | None = None
     codes: tuple[int, ...] | None = None
+    answered_within: float | None = None
     received: int | None = None
     received_at_most: int | None = None
     last_new_work: str | None = None
--- a/tests/test_scenario_callers.py
+++ b/tests/test_scenario_callers.py
@@ -7,6 +7,7 @@
 
 from standins import caller
 from standins import scenario_callers
+from standins import scenario_expect
 from standins import scenario_models as models
 
 RETRY_SECONDS = 30.0
@@ -55,3 +56,34 @@
         self.assertFalse(self.callers.wait("x", 0.3))
         (record,) = self.callers.get_records("x")
         self.assertEqual(1, len(record.attempts))
+
+
+class DurationTest(testtools.TestCase):
+    """The time from a send to its outcome."""
+
+    def list_problems(self, seconds):
+        """Return the problems of a request that took some time."""
+        attempt = scenario_callers.Attempt(
+            began=100.0,
+            ended=100.0 + seconds,
+            outcome=caller.Outcome(status=200),
+        )
+        record = types.SimpleNamespace(tag="..x-1", by="x", attempts=[attempt])
+        record.last = attempt.outcome
+        problems = []
+        runner = types.SimpleNamespace(
+            callers=types.SimpleNamespace(
+                records=[record], get_records=lambda by: [record]
+            ),
+            write_trace=lambda line: None,
+            add_problem=problems.append,
+        )
+        expect = models.Expect(of="x", answered_within=8.0)
+        scenario_expect.check(runner, expect)
+        return problems
+
+    def test_late_outcome(self):
+        """Guards against a late answer that passes for a late send."""
+        self.assertEqual([], self.list_problems(7.9))
+        (problem,) = self.list_problems(8.1)
+        self.assertIn("x-1 had its outcome after 8.100 s", problem)
