--- a/citronport/callers/replies.py
+++ b/citronport/callers/replies.py
@@ -3,7 +3,6 @@
 import collections.abc
 import json
 import math
-import re
 from typing import Any
 
 from citronport import const as common
@@ -12,7 +11,7 @@
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 """The blank line after an event, if lines end with LF, CR LF or CR."""
 
-_EVENT_ID = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
+_ID_FIELD = b"id:"
 
 StartResponse = collections.abc.Callable[..., Any]
 Header = tuple[str, str]
@@ -125,8 +124,12 @@
 
 def find_last_event_id(events: bytes) -> str | None:
     """Return the last event id in a series of complete events, if any."""
-    ids = _EVENT_ID.findall(events)
-    return ids[-1].strip().decode("latin-1") if ids else None
+    at = len(events)
+    while (at := events.rfind(_ID_FIELD, 0, at)) >= 0:
+        if at == 0 or events[at - 1] in b"\r\n":
+            line = events[at:].splitlines()[0]
+            return line.removeprefix(_ID_FIELD).strip().decode("latin-1")
+    return None
 
 
 def _make_headers(data: bytes) -> list[Header]:
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -400,6 +400,8 @@
         """Guards against a stream that is resumed at a wrong event."""
         for events, _ in self.list_streams():
             self.assertEqual("8", replies.find_last_event_id(events))
+        inner = fakes.make_event(7, "id: 9") + b"data: id:10\n\n"
+        self.assertEqual("7", replies.find_last_event_id(inner))
 
 
 class LastEventTest(testtools.TestCase):
