Add a scenario of unframed streams that close in the middle

citronport serve as processes: the stand-in engine can send streams without chunks (shape unframed), the proxy closes them in the middle, and the engine is killed.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -43,6 +43,7 @@
     report_lag: float = 0.5
     cache_gap_every: int = 50
     keep_seconds: float = 4.0
+    unframed: bool = False
 
 
 class Engine:
@@ -343,4 +344,4 @@
     engine = Engine(
         Shape(**shape), journal.Journal(record_file, shape["name"])
     )
-    listener.serve(address, port, engine)
+    listener.serve(address, port, engine, unframed=engine.shape.unframed)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -27,6 +27,7 @@
     "cold_late_waker",
     "cold_restarted",
     "whole_cut_short",
+    "whole_unframed",
     "once_owner_killed",
     "catalogue_in_force",
     "not_run_partition",
