--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -252,7 +252,7 @@
         self, opened: endpoint_connection.Connection
     ) -> bool:
         # The kernel closes the connections of a crashed engine as if it had
-        # ended its answers, so an unframed stream needs its whole final
+        # ended its answers, so a stream without chunks needs its whole final
         # event. The engine may have kept the rest of a broken one.
         if opened.get_end() == endpoint_connection.BodyEnd.FRAMED:
             return True
--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -156,8 +156,8 @@
         """
         answer = self._answer
         while not (data := answer.take_body()) and not answer.message_complete:
-            # The parser takes a close for the end of an unframed body and
-            # rejects it within any other one.
+            # The parser takes a close for the end of a body that has neither
+            # a length nor chunks, and rejects it within any other one.
             if not self._receive() and not answer.message_complete:
                 raise ConnectionResetError(
                     "connection closed within the response body"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -43,7 +43,7 @@
     report_lag: float = 0.5
     cache_gap_every: int = 50
     keep_seconds: float = 4.0
-    unframed: bool = False
+    close_delimited: bool = False
 
 
 class Engine:
@@ -344,4 +344,6 @@
     engine = Engine(
         Shape(**shape), journal.Journal(record_file, shape["name"])
     )
-    listener.serve(address, port, engine, unframed=engine.shape.unframed)
+    listener.serve(
+        address, port, engine, close_delimited=engine.shape.close_delimited
+    )
--- a/standins/listener.py
+++ b/standins/listener.py
@@ -6,7 +6,7 @@
 from gevent import socket
 
 
-class UnframedHandler(pywsgi.WSGIHandler):
+class CloseDelimitedHandler(pywsgi.WSGIHandler):
     """Ends responses of unknown length with their connection."""
 
     def finalize_headers(self) -> None:
@@ -19,7 +19,7 @@
 
 
 def serve(
-    address: str, port: int, application: Any, *, unframed: bool = False
+    address: str, port: int, application: Any, *, close_delimited: bool = False
 ) -> None:
     """Serve until killed; small writes are sent at once (TCP_NODELAY).
 
@@ -27,13 +27,13 @@
         address: IP address.
         port: TCP port.
         application: the WSGI application.
-        unframed: whether responses of unknown length have no chunks.
+        close_delimited: whether responses of unknown length have no chunks.
     """
     server = pywsgi.WSGIServer(
         (address, port), application, log=None, error_log=None
     )
-    if unframed:
-        server.handler_class = UnframedHandler
+    if close_delimited:
+        server.handler_class = CloseDelimitedHandler
     server.init_socket()
     server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     server.serve_forever()
--- a/tests/endpoints/test_client.py
+++ b/tests/endpoints/test_client.py
@@ -213,7 +213,7 @@
         self.assertEqual(b"data: ", self.join_answer())
 
     def serve_broken(self, body, rest=None, reset=False):
-        """Serve an unframed stream that ends early; return the address.
+        """Serve a close-delimited stream that ends early; return the address.
 
         Args:
             body: its bytes before its connection ends.
@@ -236,7 +236,7 @@
 
         return self.serve(handle)
 
-    def test_unframed_stream_that_breaks_off(self):
+    def test_close_delimited_stream_that_breaks_off(self):
         """Guards against a broken stream that counts as a whole one."""
         event = b'data: {"text": "x"}\n\n'
         for body in (
@@ -258,7 +258,7 @@
                 )
                 self.assertEqual((body, result.Err(lost)), (body, answer))
 
-    def test_unframed_stream_that_is_whole(self):
+    def test_close_delimited_stream_that_is_whole(self):
         """Guards against a whole stream that counts as a broken one."""
         event = b'data: {"text": "x"}\n\n'
         for body in (
@@ -270,7 +270,7 @@
             self.assertTrue(self.call(self.serve_broken(body)).is_ok())
             self.assertEqual(body, self.join_answer())
 
-    def test_unframed_stream_that_closes_early_is_resumed(self):
+    def test_close_delimited_stream_that_closes_early_is_resumed(self):
         """Guards against a kept stream whose rest is not fetched."""
         whole = b'data: {"text": "x"}\n\ndata: [DONE]\n\n'
         for size in (0, 5, 21, len(whole) - 1):
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -257,7 +257,7 @@
     return script
 
 
-def unframed(*pieces, reset=False, pause=0.0, kind="text/event-stream"):
+def close_delimited(*pieces, reset=False, pause=0.0, kind="text/event-stream"):
     """Return a script whose answer has no length and no chunks.
 
     Args:
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -37,7 +37,7 @@
     ]
 
 
-class UnframedStreamTest(senders.SenderCase):
+class CloseDelimitedStreamTest(senders.SenderCase):
     """Streams without length and chunks, which end with their connection."""
 
     def serve(self, *scripts, **route):
@@ -66,25 +66,31 @@
         """Guards against a crash that looks like the end of the stream."""
         one = fakes.make_event(1)
         for rest in list_beginnings(fakes.make_event(2)):
-            self.check_cut(fakes.unframed(one, rest, pause=PAUSE_SECONDS), one)
+            self.check_cut(
+                fakes.close_delimited(one, rest, pause=PAUSE_SECONDS), one
+            )
 
     def test_closed_inside_a_later_event_with_cr_lf(self):
         """Guards against half a blank line that counts as a whole one."""
         one = make_crlf_event(1)
         for rest in list_beginnings(make_crlf_event(2)):
-            self.check_cut(fakes.unframed(one, rest, pause=PAUSE_SECONDS), one)
+            self.check_cut(
+                fakes.close_delimited(one, rest, pause=PAUSE_SECONDS), one
+            )
 
     def test_closed_inside_an_event_that_came_with_the_first(self):
         """Guards against a cut that depends on how the bytes arrive."""
         one = fakes.make_event(1)
         for rest in list_beginnings(fakes.make_event(2)):
-            self.check_cut(fakes.unframed(one + rest), one)
+            self.check_cut(fakes.close_delimited(one + rest), one)
 
     def test_reset(self):
         """Guards against a reset that looks like the end of the stream."""
         one, two = (fakes.make_event(n) for n in (1, 2))
         for rest in (two, two[:5]):
-            script = fakes.unframed(one, rest, reset=True, pause=PAUSE_SECONDS)
+            script = fakes.close_delimited(
+                one, rest, reset=True, pause=PAUSE_SECONDS
+            )
             received = one + two if rest == two else one
             self.check_cut(script, received)
 
@@ -92,21 +98,21 @@
         """Guards against a success status for a stream without events."""
         for event in (fakes.make_event(1), make_crlf_event(1)):
             for rest in list_beginnings(event):
-                self.serve(fakes.unframed(rest))
+                self.serve(fakes.close_delimited(rest))
                 self.assertEqual(502, self.ask())
                 self.assertEqual(1, len(self.started))
                 self.assertEqual("refused", self.sender.progress.outcome)
 
     def test_closed_before_the_first_event(self):
         """Guards against a crash that looks like an empty stream."""
-        self.serve(fakes.unframed())
+        self.serve(fakes.close_delimited())
         self.assertEqual(502, self.ask())
 
     def test_closed_between_events(self):
         """Guards against a whole stream that is called broken."""
         for make in (fakes.make_event, make_crlf_event):
             events = [make(n) for n in (1, 2)]
-            self.serve(fakes.unframed(*events))
+            self.serve(fakes.close_delimited(*events))
             self.assertEqual(200, self.ask())
             self.assertEqual(b"".join(events), self.body)
             self.assertEqual("answered", self.sender.progress.outcome)
@@ -114,7 +120,9 @@
     def test_whole_body_that_is_no_stream(self):
         """Guards against a whole answer without events called broken."""
         body = b'{"done": true}'
-        script = fakes.unframed(body, kind="Application/JSON; charset=utf-8")
+        script = fakes.close_delimited(
+            body, kind="Application/JSON; charset=utf-8"
+        )
         self.serve(script)
         self.assertEqual(200, self.ask())
         self.assertEqual(body, self.body)
@@ -122,7 +130,7 @@
     def test_blank_lines_after_the_last_event(self):
         """Guards against a whole stream that is called broken."""
         body = fakes.make_event(1) + b"\n"
-        self.serve(fakes.unframed(body))
+        self.serve(fakes.close_delimited(body))
         self.assertEqual(200, self.ask())
         self.assertEqual(body, self.body)
 
@@ -132,7 +140,7 @@
         one, two = (fakes.make_event(n) for n in (1, 2))
 
         def script(sock, headers):
-            fakes.unframed(one)(sock, headers)
+            fakes.close_delimited(one)(sock, headers)
             came.wait(1.0)
             sock.sendall(two)
 
@@ -153,7 +161,7 @@
         """Guards against an engine whose speed is never learned."""
         for make in (fakes.make_event, make_crlf_event):
             events = [make(n) for n in range(5)]
-            self.serve(fakes.unframed(*events, pause=PAUSE_SECONDS))
+            self.serve(fakes.close_delimited(*events, pause=PAUSE_SECONDS))
             record = mock.Mock()
             self.room.board.record_events = record
             self.assertEqual(200, self.ask())
@@ -165,8 +173,8 @@
         one, two, three = (fakes.make_event(n) for n in (1, 2, 3))
         for rest in list_beginnings(two):
             first, second = self.serve(
-                fakes.unframed(one, rest, pause=PAUSE_SECONDS),
-                fakes.unframed(two, three),
+                fakes.close_delimited(one, rest, pause=PAUSE_SECONDS),
+                fakes.close_delimited(two, three),
                 resumable=True,
             )
             self.assertEqual(200, self.ask())
@@ -179,8 +187,8 @@
         one, two = (fakes.make_event(n) for n in (1, 2))
         for rest in (b"", *list_beginnings(one)):
             _, second = self.serve(
-                fakes.unframed(rest),
-                fakes.unframed(one, two),
+                fakes.close_delimited(rest),
+                fakes.close_delimited(one, two),
                 resumable=True,
             )
             self.assertEqual(200, self.ask())
@@ -192,10 +200,10 @@
         one, two, three = (fakes.make_event(n) for n in (1, 2, 3))
         for rest in (b"", *list_beginnings(three)):
             _, second = self.serve(
-                fakes.unframed(one, two[:4], pause=PAUSE_SECONDS),
-                fakes.unframed(two, rest, pause=PAUSE_SECONDS)
+                fakes.close_delimited(one, two[:4], pause=PAUSE_SECONDS),
+                fakes.close_delimited(two, rest, pause=PAUSE_SECONDS)
                 if rest
-                else fakes.unframed(),
+                else fakes.close_delimited(),
                 resumable=True,
             )
             self.assertRaises(replies.StreamCutError, self.ask)
@@ -206,8 +214,8 @@
         """Guards against events that come twice."""
         event = b"data: x\n\n"
         _, second = self.serve(
-            fakes.unframed(event, b"da", pause=PAUSE_SECONDS),
-            fakes.unframed(event, event),
+            fakes.close_delimited(event, b"da", pause=PAUSE_SECONDS),
+            fakes.close_delimited(event, event),
             resumable=True,
         )
         self.assertRaises(replies.StreamCutError, self.ask)
@@ -217,7 +225,7 @@
     def test_broken_stream_counts_as_a_crash(self):
         """Guards against a crash that is recorded as a good answer."""
         for rest in (b"id", fakes.make_event(1) + b"id"):
-            self.serve(fakes.unframed(rest))
+            self.serve(fakes.close_delimited(rest))
             for number in range(suspects.BAR_THRESHOLD - 1):
                 self.suspects.record_crash(
                     "f1",
@@ -234,7 +242,7 @@
 
     def test_whole_stream_is_recorded_as_one(self):
         """Guards against a whole answer that counts as a crash."""
-        self.serve(fakes.unframed(fakes.make_event(1)))
+        self.serve(fakes.close_delimited(fakes.make_event(1)))
         self.assertEqual(200, self.ask())
         self.assertEqual({"closed": 1}, dict(self.context.counts.body_ends))
         self.assertEqual(0, self.context.counts.cut_sends)
@@ -276,14 +284,14 @@
     def test_whole_without_a_frame(self):
         """Guards against a whole answer that is called broken."""
         for body in (b"", b"done", LARGE):
-            self.prepare(fakes.Endpoint(self, fakes.unframed(body)))
+            self.prepare(fakes.Endpoint(self, fakes.close_delimited(body)))
             self.assertEqual(200, self.ask())
             self.assertEqual(body, self.body)
             self.assertEqual("answered", self.sender.progress.outcome)
 
     def test_small_one_that_is_reset(self):
         """Guards against a part of an answer that gets a length."""
-        broken = fakes.unframed(b"do", reset=True, pause=PAUSE_SECONDS)
+        broken = fakes.close_delimited(b"do", reset=True, pause=PAUSE_SECONDS)
         self.prepare(
             fakes.Endpoint(self, broken),
             repeat=models.RepeatPolicy.NON_IDEMPOTENT,
@@ -293,7 +301,7 @@
     def check_cut_past_the_buffer(self, script):
         """Check that a large answer is cut and not run again."""
         first = fakes.Endpoint(self, script)
-        second = fakes.Endpoint(self, fakes.unframed(LARGE))
+        second = fakes.Endpoint(self, fakes.close_delimited(LARGE))
         self.prepare(first, second)
         self.room.health.record_answer("e1", False, self.room.ticker.now())
         self.assertRaises(replies.StreamCutError, self.ask)
@@ -304,7 +312,7 @@
     def test_large_one_that_is_reset(self):
         """Guards against a second answer after a part of the first."""
         self.check_cut_past_the_buffer(
-            fakes.unframed(LARGE, reset=True, pause=0.2)
+            fakes.close_delimited(LARGE, reset=True, pause=0.2)
         )
 
     def test_large_one_shorter_than_its_length(self):
@@ -362,7 +370,7 @@
         """Guards against a broken stream with the end of a whole one."""
         one = fakes.make_event(1)
         self.prepare(
-            fakes.unframed(one, b"id: 2\nda", pause=PAUSE_SECONDS),
+            fakes.close_delimited(one, b"id: 2\nda", pause=PAUSE_SECONDS),
             kind="streaming",
         )
         self.send(1)
@@ -373,7 +381,7 @@
     def test_whole_stream(self):
         """Guards against a connection that ends with a whole stream."""
         one = fakes.make_event(1)
-        self.prepare(fakes.unframed(one), kind="streaming")
+        self.prepare(fakes.close_delimited(one), kind="streaming")
         for number in (1, 2):
             self.send(number)
             received = self.receive(LAST_CHUNK)
@@ -382,7 +390,7 @@
 
     def test_whole_plain_answer(self):
         """Guards against a connection that ends with a whole answer."""
-        self.prepare(fakes.unframed(b"done"), kind="idempotent")
+        self.prepare(fakes.close_delimited(b"done"), kind="idempotent")
         for number in (1, 2):
             self.send(number)
             received = self.receive(b"\r\n\r\ndone")
--- a/tests/relay/test_path_lost.py
+++ b/tests/relay/test_path_lost.py
@@ -261,7 +261,7 @@
         """Guards against a second hop that completes a broken stream."""
         one = fakes.make_event(1)
         asked = self.forward_one(
-            fakes.unframed(one, b"id: 2\nda", pause=0.1),
+            fakes.close_delimited(one, b"id: 2\nda", pause=0.1),
             "streaming",
             resumable=False,
         )
@@ -273,7 +273,7 @@
     def test_stream_of_a_forwarded_request_breaks_at_once(self):
         """Guards against a success status for a stream without events."""
         asked = self.forward_one(
-            fakes.unframed(b"id: 1\nda"), "streaming", resumable=False
+            fakes.close_delimited(b"id: 1\nda"), "streaming", resumable=False
         )
         status, headers, _ = asked.get(timeout=instances.SECONDS)
         self.assertEqual(502, status)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -27,7 +27,7 @@
     "cold_late_waker",
     "cold_restarted",
     "whole_cut_short",
-    "whole_unframed",
+    "whole_close_delimited",
     "once_owner_killed",
     "catalogue_in_force",
     "not_run_partition",
