Give the reader time before a test's endpoint resets

A reset discards what was not read. One of the pauses was 20 ms, which a busy machine may take longer than; the result would then depend on it. No check changes.

script/test test_broken: 30 passed, 0 failed.

--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -16,6 +16,9 @@
 from tests.relay import senders
 
 PAUSE_SECONDS = 0.02
+RESET_PAUSE_SECONDS = 0.2
+"""Time for the data to be read before a reset, which discards the rest."""
+
 LAST_CHUNK = b"0\r\n\r\n"
 LARGE = b"x" * (2 * sender.BUFFERED_BYTES)
 
@@ -89,7 +92,7 @@
         one, two = (fakes.make_event(n) for n in (1, 2))
         for rest in (two, two[:5]):
             script = fakes.close_delimited(
-                one, rest, reset=True, pause=PAUSE_SECONDS
+                one, rest, reset=True, pause=RESET_PAUSE_SECONDS
             )
             received = one + two if rest == two else one
             self.check_cut(script, received)
@@ -312,7 +315,7 @@
     def test_large_one_that_is_reset(self):
         """Guards against a second answer after a part of the first."""
         self.check_cut_past_the_buffer(
-            fakes.close_delimited(LARGE, reset=True, pause=0.2)
+            fakes.close_delimited(LARGE, reset=True, pause=RESET_PAUSE_SECONDS)
         )
 
     def test_large_one_shorter_than_its_length(self):
