Log the parts of a prompt and the events before a broken connection

Cause: not known yet; the lines could not tell apart requests that share one part of their prompts from endpoints that end for another reason. Ruled out: nothing so far. Change: request_sent has the first eight parts of the prompt, send_failed the number of events received from that endpoint. No decision changes. Conclusion: with both, a part that no answer has got past is visible as such.

--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -339,6 +339,7 @@
         pace: known pace of the endpoint, milliseconds a step.
         leased: whether the owner of the endpoint chose it.
         fingerprint: identical for requests with identical content.
+        parts: ids of the first parts of its prompt, in order.
     """
 
     request: str
@@ -353,6 +354,7 @@
     pace: float
     leased: bool
     fingerprint: str
+    parts: list[str]
 
 
 class RequestForwarded(msgspec.Struct, frozen=True, kw_only=True):
@@ -395,6 +397,7 @@
         what: description of the failure.
         ran: whether the request ran: "yes", "no" or "maybe".
         cut: whether the endpoint's connection broke during the send.
+        events: events of a stream received until then.
         fingerprint: identical for requests with identical content.
     """
 
@@ -404,6 +407,7 @@
     what: str
     ran: str
     cut: bool
+    events: int
     fingerprint: str
 
 
--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -84,7 +84,7 @@
         """
         name = reservation.endpoint.name
         reservation.run.verdict = runs.Verdict.UNREACHABLE
-        self._log_failure(name, reason, "no")
+        self._log_failure(reservation, reason, "no")
         return self._context.health.record_unreachable(
             name, self._context.ticker.now(), since
         )
@@ -107,7 +107,7 @@
         """
         if self._context.paths.may_blame_endpoint(since):
             return self.record_unreachable(reservation, reason, since)
-        self._log_failure(reservation.endpoint.name, reason, "no")
+        self._log_failure(reservation, reason, "no")
         return False
 
     def record_failure(
@@ -126,7 +126,7 @@
             ran: whether the request ran: "yes", "no" or "maybe".
             cut: whether the connection broke while the request was running.
         """
-        self._log_failure(reservation.endpoint.name, reason, ran, cut=cut)
+        self._log_failure(reservation, reason, ran, cut=cut)
         now = self._context.ticker.now()
         if cut and not self._context.paths.may_blame_endpoint(now):
             return
@@ -157,7 +157,7 @@
         if reservation.run.first_event_at is not None:
             return
         if self._context.paths.was_lost_since(reservation.run.sent_at):
-            self._log_failure(reservation.endpoint.name, "silence", "maybe")
+            self._log_failure(reservation, "silence", "maybe")
             return
         silence = self._context.ticker.now() - reservation.run.sent_at
         if past_deadline or silence >= MIN_SILENCE_SECONDS:
@@ -184,13 +184,18 @@
             )
 
     def _log_failure(
-        self, endpoint: str, what: str, ran: str, *, cut: bool = False
+        self,
+        reservation: dispatcher.Reservation,
+        what: str,
+        ran: str,
+        *,
+        cut: bool = False,
     ) -> None:
         progress_module.record_failed(
             self._context,
             self._job,
             self._progress,
-            endpoint,
+            reservation,
             what,
             ran,
             cut=cut,
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -7,6 +7,9 @@
 from citronport.relay import events
 from citronport.relay import jobs
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt in one log line. A head has room for a thousand."""
+
 
 @dataclasses.dataclass(slots=True)
 class Progress:
@@ -74,6 +77,7 @@
             pace=reservation.step_ms,
             leased=reservation.leased,
             fingerprint=job.fingerprint,
+            parts=list(job.work.parts[:MAX_LOGGED_PARTS]),
         )
     )
 
@@ -115,7 +119,7 @@
     context: jobs.RelayContext,
     job: jobs.Job,
     progress: Progress,
-    endpoint: str,
+    reservation: dispatcher_module.Reservation,
     what: str,
     ran: str,
     *,
@@ -127,7 +131,7 @@
         context: components shared by all requests.
         job: the request.
         progress: state of the request.
-        endpoint: name of the endpoint that it was sent to.
+        reservation: the reservation of the endpoint that it was sent to.
         what: what happened.
         ran: whether the request ran: "yes", "no" or "maybe".
         cut: whether the connection broke while the request was running.
@@ -137,11 +141,12 @@
     context.log.write(
         events.SendFailed(
             request=job.work.request_id,
-            endpoint=endpoint,
+            endpoint=reservation.endpoint.name,
             attempt=progress.attempts,
             what=what,
             ran=ran,
             cut=cut,
+            events=reservation.run.received_events,
             fingerprint=job.fingerprint,
         )
     )
--- a/citronport/scheduler/direct/runs.py
+++ b/citronport/scheduler/direct/runs.py
@@ -66,6 +66,11 @@
     service: str = ""
     prefill_backlog: int = 0
 
+    @property
+    def received_events(self) -> int:
+        """Number of events received."""
+        return 0 if self.first_event_at is None else self.events + 1
+
     def record_first_event(self, events: int, now: float) -> None:
         """Record the first events of a stream."""
         self.first_event_at = self.span_started_at = self.last_event_at = now
