Bar the parts of prompts that crash endpoints

Cause: a bound kept for each request (its fingerprint) where the harm adds up over unlike ones. Requests that share one part of their prompts and nothing else were each new, and each might end three endpoints. A workspace's crashes bar its own requests; those of two bar all. Checked where a barred request was: before a reservation, between connecting and sending, before a repeat, before another instance is asked and by that instance. Protocol 10, as rows changed. Existing tests: same assertions, a value object in place of a string.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -159,10 +159,11 @@
         work = make_work(head, route, workspace, arrived)
         method = environ["REQUEST_METHOD"]
         target = environ[caller_const.ENVIRON_TARGET]
+        service = routing.choose_service(route, random.random())
         return result.Ok(
             jobs.Job(
                 work=work,
-                service=routing.choose_service(route, random.random()),
+                service=service,
                 method=method,
                 target=target,
                 headers=fields,
@@ -177,6 +178,7 @@
                 workspace=workspace,
                 units=units,
                 version=configuration.version,
+                parts=make_parts(work, configuration.services.get(service)),
             )
         )
 
@@ -357,6 +359,15 @@
     )
 
 
+def make_parts(
+    work: models.Work, service: models.Service | None
+) -> tuple[str, ...]:
+    """Return the fingerprints of the parts that may crash an endpoint."""
+    if service is None or service.engine is None:
+        return ()
+    return fingerprints.make_part_fingerprints(work.parts)
+
+
 def count_units(
     workspace: models.Workspace, head: requests.CallerRequest
 ) -> float:
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -100,7 +100,7 @@
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
         self.pauses = pauses.Pauses()
-        self.suspects = suspects_module.SuspectRequests()
+        self.suspects = suspects_module.Suspects()
         self.quotas = quota.Quotas(
             settings.bounds.limit_over,
             settings.bounds.limit_slack,
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -412,17 +412,22 @@
 
 
 class RequestBarred(msgspec.Struct, frozen=True, kw_only=True):
-    """A request is barred, as too many endpoints crashed while it ran.
+    """Content of a request is barred, as it made too many endpoints crash.
 
     Attributes:
         request: id of this attempt; its caller repeats it with other ids.
         endpoint: name of the endpoint that crashed last.
         fingerprint: identical for requests with identical content.
+        whole: whether only requests with that fingerprint are barred.
+        parts: ids of the parts of its prompt with which, taken together,
+            requests are barred.
     """
 
     request: str
     endpoint: str
     fingerprint: str
+    whole: bool
+    parts: list[str]
 
 
 class RequestEnded(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/forward_server.py
+++ b/citronport/relay/forward_server.py
@@ -115,6 +115,9 @@
             workspace=workspace,
             units=0.0,
             version=forward.version,
+            parts=application_module.make_parts(
+                work, configuration.services.get(forward.service)
+            ),
             origin=jobs.Origin(
                 instance=forward.instance,
                 tried=frozenset(forward.tried),
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -58,6 +58,8 @@
         headers: headers by lower-case name.
         body: the complete body.
         fingerprint: hash that is equal for requests with equal content.
+        parts: fingerprints of the parts of its prompt that others may share;
+            empty for a plain service, which no part crashes.
         workspace: workspace of the caller; None if no API keys are in use.
         units: units charged to the workspace's limit.
         version: version of the configuration used for validation.
@@ -74,8 +76,18 @@
     workspace: models.Workspace | None
     units: float
     version: int
+    parts: tuple[str, ...] = ()
     origin: Origin | None = None
 
+    @property
+    def content(self) -> suspects_module.Content:
+        """What the request holds that may crash endpoints."""
+        return suspects_module.Content(
+            fingerprint=self.fingerprint,
+            parts=self.parts,
+            workspace=self.workspace.name if self.workspace else "",
+        )
+
 
 class RelayContext:
     """Components shared by all requests of an instance.
@@ -88,7 +100,7 @@
         limits: rate limits announced by endpoints.
         pauses: pauses that endpoints ask this instance for.
         paths: whether this instance has a path to the endpoints.
-        suspects: requests that are suspected of crashing endpoints.
+        suspects: contents that are suspected of crashing endpoints.
         forwarder: sends requests by way of other instances.
         ticker: the clock.
         log: the event log.
@@ -106,7 +118,7 @@
         limits: endpoint_limits.EndpointLimits,
         pauses: pauses_module.Pauses,
         paths: paths_module.Paths,
-        suspects: suspects_module.SuspectRequests,
+        suspects: suspects_module.Suspects,
         forwarder: "forwarding.Forwarder",
         ticker: clock.Clock,
         log: eventlog.Log,
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -13,7 +13,7 @@
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
 
-PROTOCOL = 9
+PROTOCOL = 10
 """Version of this protocol; messages of other versions are dropped."""
 
 MAX_MESSAGE_BYTES = 8_000_000
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -109,6 +109,8 @@
         leases: slots granted to other instances now.
         barred: requests that are not sent any more, as they are suspected
             of crashing endpoints.
+        barred_parts: parts of prompts, or sets of them, with which no request
+            is sent any more for the same reason.
         lines_dropped: log lines dropped since they were last logged.
         oldest_report_seconds: age of the oldest report in use.
     """
@@ -142,6 +144,7 @@
     path_lost: bool
     leases: int
     barred: int
+    barred_parts: int
     lines_dropped: int
     oldest_report_seconds: float
 
@@ -220,6 +223,11 @@
         "Requests not sent, as endpoints ended under them.",
         state.barred,
     )
+    gauge(
+        "parts_barred",
+        "Parts of prompts not sent, as endpoints ended under them.",
+        state.barred_parts,
+    )
     gauge(
         "report_age_seconds",
         "Age of the oldest report in use.",
--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -6,8 +6,10 @@
 from citronport.relay import events
 from citronport.relay import jobs
 from citronport.relay import progress as progress_module
+from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import runs
+from citronport.scheduler.direct import suspects
 
 MIN_SILENCE_SECONDS = 1.0
 """Time without a first event after which a caller's disconnect counts as a
@@ -32,6 +34,7 @@
         self._context = context
         self._job = job
         self._progress = progress
+        self._has_begun = False
 
     def record_headers(
         self,
@@ -134,10 +137,26 @@
         if cut:
             self._record_crash(reservation.endpoint)
 
-    def record_completion(self) -> None:
-        """Record that the request ran to a good end."""
+    def record_events(self, reservation: dispatcher.Reservation) -> None:
+        """Record that events of an answer arrived."""
+        events_needed = suspects.BEGUN_EVENTS
+        if self._has_begun or reservation.run.received_events < events_needed:
+            return
+        self._has_begun = True
+        self._context.suspects.record_begun(
+            self._job.content, self._context.ticker.now()
+        )
+
+    def record_completion(self, *, is_proved: bool) -> None:
+        """Record that the request ran to a good end.
+
+        Args:
+            is_proved: whether the endpoint itself marked the end.
+        """
         self._context.suspects.record_completion(
-            self._job.fingerprint, self._context.ticker.now()
+            self._job.content,
+            self._context.ticker.now(),
+            clears_parts=is_proved,
         )
 
     def record_silence(
@@ -172,16 +191,27 @@
             )
 
     def _record_crash(self, endpoint: models.Endpoint) -> None:
-        now = self._context.ticker.now()
-        fingerprint = self._job.fingerprint
-        if self._context.suspects.record_crash(fingerprint, endpoint, now):
-            self._context.log.write(
-                events.RequestBarred(
-                    request=self._job.work.request_id,
-                    endpoint=endpoint.name,
-                    fingerprint=fingerprint,
-                )
+        cause = self._context.suspects.record_crash(
+            self._job.content,
+            endpoint,
+            self._context.ticker.now(),
+            has_begun=self._has_begun,
+        )
+        if cause is None:
+            return
+        self._context.log.write(
+            events.RequestBarred(
+                request=self._job.work.request_id,
+                endpoint=endpoint.name,
+                fingerprint=self._job.fingerprint,
+                whole=self._job.fingerprint in cause,
+                parts=[
+                    name
+                    for name in self._job.work.parts
+                    if fingerprints.make_part_fingerprint(name) in cause
+                ],
             )
+        )
 
     def _log_failure(
         self,
--- a/citronport/relay/repeats.py
+++ b/citronport/relay/repeats.py
@@ -65,5 +65,5 @@
     def is_barred(self) -> bool:
         """Return whether the request is suspected of crashing endpoints."""
         return self._context.suspects.is_barred(
-            self._job.fingerprint, self._context.ticker.now()
+            self._job.content, self._context.ticker.now()
         )
--- a/citronport/relay/reports.py
+++ b/citronport/relay/reports.py
@@ -42,7 +42,7 @@
         members: membership.Membership,
         board: load_tracker.LoadTracker,
         quotas: quota.Quotas,
-        suspects: suspects_module.SuspectRequests,
+        suspects: suspects_module.Suspects,
         limits: endpoint_limits.EndpointLimits,
         mirror: mirror_module.Mirror,
         follower: follower_module.Follower,
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -8,6 +8,7 @@
 from citronport import errors
 from citronport.callers import disconnects
 from citronport.callers import replies
+from citronport.endpoints import connection
 from citronport.platform import requests
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import jobs
@@ -299,7 +300,7 @@
         self.progress.end = self._exchange.get_end()
         self.progress.outcome = "answered"
         if answer.is_success:
-            self._outcomes.record_completion()
+            self._record_completion()
 
     def _record_plain_answer(self, answer: requests.EndpointAnswer) -> None:
         reservation = self._reservation
@@ -336,7 +337,14 @@
         if self._reservation is not None:
             self._outcomes.record_health(self._reservation, True)
         self.progress.outcome = "answered"
-        self._outcomes.record_completion()
+        self._record_completion()
+
+    def _record_completion(self) -> None:
+        # Another instance frames an answer anew, whatever its endpoint did.
+        is_framed = self.progress.end == connection.BodyEnd.FRAMED
+        self._outcomes.record_completion(
+            is_proved=is_framed and self._reservation is not None
+        )
 
     def _record_events(self, events: bytes) -> None:
         last = replies.find_last_event_id(events)
@@ -361,6 +369,7 @@
             engine.event_tokens if engine else 1,
             now,
         )
+        self._outcomes.record_events(reservation)
 
     def _start(
         self,
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -38,7 +38,7 @@
         members: membership_module.Membership,
         quotas: quota.Quotas,
         profiles: profiles_module.Profiles,
-        suspects: suspects_module.SuspectRequests,
+        suspects: suspects_module.Suspects,
         limits: endpoint_limits.EndpointLimits,
         make_report: messages.MakeReport,
     ) -> None:
--- a/citronport/scheduler/direct/suspects.py
+++ b/citronport/scheduler/direct/suspects.py
@@ -1,116 +1,200 @@
-"""Bars requests that crash the endpoints on which they run."""
+"""Bars requests whose content crashes the endpoints on which they run."""
 
 import collections.abc
 import dataclasses
 import zlib
 
 from citronport.scheduler.direct import announcements
+from citronport.scheduler.direct import causes
+from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import models
 
-BAR_THRESHOLD = 3
-"""Number of endpoint crashes after which a request is barred. A crash counts
-for all requests on the endpoint, so that a harmless request may well be
-involved in one or two."""
-
 KEEP_SECONDS = announcements.KEEP_SECONDS
-"""How long a request is remembered if it is not repeated."""
+"""How long a content is remembered if it does not recur. A part counts as
+the cause for as long after its latest crash, even if it recurs: endpoints may
+have been mended since, which only another request with it can show."""
+
+CLEARED_SECONDS = 60.0
+"""How long no crash counts for a part after an answer to a request with it has
+begun. Many endpoints may crash between two such answers."""
+
+BEGUN_EVENTS = 8
+"""Events after which an answer has begun. An endpoint that crashes at the
+beginning of an answer may still send a few."""
 
 MAX_SUSPECTS = 2048
-"""Most requests remembered at once."""
+"""Most contents remembered at once."""
+
+MAX_CLEARED = 4096
+"""Most cleared parts remembered at once, in half a megabyte."""
+
+MAX_CRASHES = 16
+"""Most crashes remembered for one content, which keeps updates small."""
+
+MIN_WORKSPACES = 2
+"""Workspaces whose requests must have crashed endpoints before a part is
+barred for all others as well."""
 
 NEVER = float("-inf")
 
-Row = tuple[str, int, int, list[tuple[int, int]]]
-"""Update on one request that instances send each other: its fingerprint; the
-ages of its last occurrence and of its last complete answer (-1: never); and
-the endpoint starts that crashed under it since, each with the age of the
-crash. Ages are in milliseconds."""
+Row = tuple[str, int, int, list[tuple[int, int]], list[int]]
+"""Update on one content that instances send each other: its key; the ages of
+its last occurrence and of its last good answer (-1: never); the endpoint
+starts that crashed under it since, each with the age of the crash; and the
+hashes of the workspaces whose requests these were. Ages are in
+milliseconds."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Content:
+    """What a request holds that may crash endpoints.
+
+    Attributes:
+        fingerprint: hash that is equal for requests with equal content.
+        parts: hashes of the parts of its prompt that others may share.
+        workspace: name of its workspace; empty where no keys are used.
+    """
+
+    fingerprint: str
+    parts: tuple[str, ...] = ()
+    workspace: str = ""
 
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    """State of one request; clock times in seconds.
+    """State of one content; clock times in seconds.
 
     Attributes:
         crashes: time of the crash of each endpoint start.
-        completed_at: time of its last complete answer.
+        cleared_at: time of its last good answer.
+        workspaces: hashes of workspaces whose requests crashed endpoints.
     """
 
     crashes: dict[int, float] = dataclasses.field(default_factory=dict)
-    completed_at: float = NEVER
-
-    @property
-    def is_barred(self) -> bool:
-        return len(self.crashes) >= BAR_THRESHOLD
+    cleared_at: float = NEVER
+    workspaces: set[int] = dataclasses.field(default_factory=set)
 
     def add_crash(self, start: int, at: float) -> bool:
         """Add a crash; return whether it is new and counts."""
-        if self.is_barred or at <= self.completed_at or start in self.crashes:
+        if at <= self.cleared_at or start in self.crashes:
+            return False
+        if len(self.crashes) >= MAX_CRASHES:
             return False
         self.crashes[start] = at
         return True
 
-    def clear_crashes(self, at: float) -> bool:
-        """Drop crashes up to a complete answer; return whether any were."""
-        crashes = {
-            start: crashed_at
-            for start, crashed_at in self.crashes.items()
-            if crashed_at > at
-        }
-        self.completed_at = max(self.completed_at, at)
-        changed = len(crashes) < len(self.crashes)
-        self.crashes = crashes
-        return changed
+    def add_workspaces(self, hashes: collections.abc.Iterable[int]) -> bool:
+        """Add workspaces; return whether one of them is new and counts."""
+        if not self.crashes:
+            return False
+        new = set(hashes) - self.workspaces
+        new = set(sorted(new)[: MIN_WORKSPACES - len(self.workspaces)])
+        self.workspaces |= new
+        return bool(new)
+
+    def drop_crashes(self, until: float) -> bool:
+        """Drop crashes up to a clock time; return whether any were."""
+        count = len(self.crashes)
+        self.crashes = {s: at for s, at in self.crashes.items() if at > until}
+        if not self.crashes:
+            self.workspaces.clear()
+        return len(self.crashes) < count
 
 
-class SuspectRequests:
-    """Tracks requests that are suspected of crashing endpoints.
+class Suspects:
+    """Tracks contents of requests that are suspected of crashing endpoints.
 
     If a caller repeats such a request at any instance, it takes down all
     endpoints of its service again and again, with all requests that run
-    there. Instances therefore exchange which requests were running when
-    endpoints crashed. After the third crash without a complete answer, no
-    instance sends the request any more.
+    there; so do requests that have nothing in common but one part of their
+    prompts. Instances therefore exchange which contents endpoints had when
+    they crashed, and bar requests with the cause.
+
+    A part is suspected only if its request waited for its answer to begin
+    when the endpoint crashed, and cleared by any answer that has begun.
     """
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
+        self._cleared: dict[str, float] = {}
+        self._causes: list[causes.Keys] = []
         self._barred: dict[str, None] = {}
+        self._is_outdated = False
         self._announcements = announcements.Announcements()
 
     def record_crash(
-        self, fingerprint: str, endpoint: models.Endpoint, now: float
-    ) -> bool:
-        """Record that an endpoint crashed while it was running a request.
+        self,
+        content: Content,
+        endpoint: models.Endpoint,
+        now: float,
+        *,
+        has_begun: bool = False,
+    ) -> causes.Keys | None:
+        """Record that an endpoint crashed while it had a request.
+
+        Args:
+            content: content of the request.
+            endpoint: the endpoint.
+            now: clock time, seconds.
+            has_begun: whether the answer to the request had begun.
 
         Returns:
-            Whether the request has become barred by that.
+            The cause by which the request has become barred, if it has.
         """
-        suspect = self._find(fingerprint)
-        was_barred = suspect.is_barred
-        self._announcements.record_observation(fingerprint, now)
-        if suspect.add_crash(_compute_start_hash(endpoint), now):
-            self._record_change(fingerprint, suspect, now)
+        was_barred = self._find_cause(content) is not None
+        start = _compute_start_hash(endpoint)
+        keys = [content.fingerprint]
+        if not has_begun:
+            keys += [k for k in content.parts if not self._is_cleared(k, now)]
+        for key in keys:
+            suspect = self._get_suspect(key)
+            self._announcements.record_observation(key, now)
+            self._drop_expired_crashes(key, suspect, now)
+            changed = suspect.add_crash(start, now)
+            changed |= suspect.add_workspaces(
+                [_compute_hash(content.workspace)]
+            )
+            if changed:
+                self._record_change(key, now)
         self._trim()
-        return suspect.is_barred and not was_barred
-
-    def record_completion(self, fingerprint: str, now: float) -> None:
-        """Record a complete answer, which clears the request of suspicion."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None and suspect.clear_crashes(now):
-            self._record_change(fingerprint, suspect, now)
-
-    def is_barred(self, fingerprint: str, now: float) -> bool:
-        """Return whether an incoming request must not be sent."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.is_barred:
+        return None if was_barred else self._find_cause(content)
+
+    def record_begun(self, content: Content, now: float) -> None:
+        """Record that an answer has begun, which clears the parts."""
+        for key in content.parts:
+            self._clear(key, now, now)
+
+    def record_completion(
+        self, content: Content, now: float, *, clears_parts: bool
+    ) -> None:
+        """Record a complete answer, which clears the request of suspicion.
+
+        Args:
+            content: content of the request.
+            now: clock time, seconds.
+            clears_parts: whether the end of the answer is proved. A crash
+                may look like the end of an answer without a length.
+        """
+        self._clear(content.fingerprint, now, now)
+        if clears_parts:
+            self.record_begun(content, now)
+
+    def is_barred(self, content: Content, now: float) -> bool:
+        """Return whether a request must not be sent."""
+        cause = self._find_cause(content)
+        if cause is None:
             return False
-        self._announcements.record_observation(fingerprint, now)
+        for key in cause:
+            self._announcements.record_observation(key, now)
         return True
 
     def count_barred(self) -> int:
-        """Return the number of barred requests."""
-        return len(self._barred)
+        """Return the number of requests that are barred as a whole."""
+        return len(self._get_causes()) - self.count_barred_parts()
+
+    def count_barred_parts(self) -> int:
+        """Return the number of parts, or sets of them, that are barred."""
+        return sum(map(_has_parts_only, self._get_causes()))
 
     def list_updates(
         self, now: float, max_changes: int = announcements.MAX_CHANGES
@@ -122,61 +206,143 @@
             max_changes: most changes to return.
         """
         self.remove_expired(now)
+        self._get_causes()
         selected = self._announcements.select(self._barred, now, max_changes)
-        return [self._make_row(f, now) for f in selected]
+        return [self._make_row(key, now) for key in selected]
 
     def apply_updates(
         self, rows: collections.abc.Iterable[Row], now: float
     ) -> None:
         """Apply updates of another instance."""
-        for fingerprint, seen_age, completed_age, crashes in rows:
+        for key, seen_age, cleared_age, crashes, workspaces in rows:
             last_seen = now - seen_age / 1000
             if announcements.is_expired(last_seen, now):
                 continue
-            self._announcements.record_repeat(fingerprint, last_seen)
-            suspect = self._find(fingerprint)
-            changed = completed_age >= 0 and suspect.clear_crashes(
-                now - completed_age / 1000
-            )
-            for start, age in crashes:
-                changed |= suspect.add_crash(start, now - age / 1000)
-            if changed:
-                self._record_change(fingerprint, suspect, now)
+            self._announcements.record_repeat(key, last_seen)
+            suspect = self._get_suspect(key)
+            if cleared_age >= 0:
+                self._clear(key, now - cleared_age / 1000, now)
+            times = {start: now - age / 1000 for start, age in crashes}
+            self._apply_crashes(key, suspect, times, workspaces, now)
         self._trim()
 
     def remove_expired(self, now: float) -> None:
-        """Forget requests that have not occurred for a while."""
-        for fingerprint in self._announcements.list_expired(now):
-            self._forget(fingerprint)
+        """Forget contents that have not occurred for a while."""
+        for key in self._announcements.list_expired(now):
+            self._forget(key)
+        for key in list(self._barred):
+            self._drop_expired_crashes(key, self._suspects[key], now)
+
+    def _apply_crashes(
+        self,
+        key: str,
+        suspect: _Suspect,
+        crashes: causes.Crashes,
+        workspaces: list[int],
+        now: float,
+    ) -> None:
+        changed = False
+        for start, at in crashes.items():
+            if self._is_cleared(key, at):
+                # The other instance has not seen the answer.
+                self._announcements.record_change(key, now)
+                suspect.cleared_at = max(
+                    suspect.cleared_at, self._cleared[key]
+                )
+            elif not self._has_expired(key, at, now):
+                changed |= suspect.add_crash(start, at)
+        changed |= suspect.add_workspaces(workspaces)
+        if changed:
+            self._record_change(key, now)
+
+    def _clear(self, key: str, at: float, now: float) -> None:
+        """Drop the crashes for which a good answer at a clock time stands."""
+        if fingerprints.is_part(key):
+            at = max(at, self._cleared.pop(key, NEVER))
+            self._cleared[key] = at
+            if len(self._cleared) > MAX_CLEARED:
+                del self._cleared[next(iter(self._cleared))]
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return
+        until = at + CLEARED_SECONDS if fingerprints.is_part(key) else at
+        suspect.cleared_at = max(suspect.cleared_at, at)
+        if suspect.drop_crashes(until):
+            self._record_change(key, now)
 
-    def _find(self, fingerprint: str) -> _Suspect:
-        return self._suspects.setdefault(fingerprint, _Suspect())
+    def _is_cleared(self, key: str, at: float) -> bool:
+        """Return whether a crash at a clock time doesn't count for a part."""
+        return at <= self._cleared.get(key, NEVER) + CLEARED_SECONDS
 
-    def _record_change(
-        self, fingerprint: str, suspect: _Suspect, now: float
+    def _has_expired(self, key: str, at: float, now: float) -> bool:
+        return fingerprints.is_part(key) and announcements.is_expired(at, now)
+
+    def _drop_expired_crashes(
+        self, key: str, suspect: _Suspect, now: float
     ) -> None:
-        self._announcements.record_change(fingerprint, now)
-        if suspect.is_barred:
-            self._barred[fingerprint] = None
-        else:
-            self._barred.pop(fingerprint, None)
-
-    def _forget(self, fingerprint: str) -> None:
-        self._suspects.pop(fingerprint, None)
-        self._barred.pop(fingerprint, None)
-        self._announcements.drop(fingerprint)
-
-    def _make_row(self, fingerprint: str, now: float) -> Row:
-        suspect = self._suspects[fingerprint]
-        last_seen = self._announcements.get_observed_at(fingerprint)
+        if not fingerprints.is_part(key):
+            return
+        if suspect.drop_crashes(now - KEEP_SECONDS):
+            self._is_outdated = True
+
+    def _get_suspect(self, key: str) -> _Suspect:
+        return self._suspects.setdefault(key, _Suspect())
+
+    def _record_change(self, key: str, now: float) -> None:
+        self._announcements.record_change(key, now)
+        self._is_outdated = True
+
+    def _get_causes(self) -> list[causes.Keys]:
+        if self._is_outdated:
+            self._is_outdated = False
+            self._causes = causes.find_causes(
+                {key: s.crashes for key, s in self._suspects.items()}
+            )
+            self._barred = dict.fromkeys(
+                key for cause in self._causes for key in sorted(cause)
+            )
+        return self._causes
+
+    def _find_cause(self, content: Content) -> causes.Keys | None:
+        """Return the cause by which a request is barred, if there is one."""
+        found = self._get_causes()
+        if not found:
+            return None
+        keys = {content.fingerprint, *content.parts}
+        workspace = _compute_hash(content.workspace)
+        for cause in found:
+            if cause <= keys and self._applies(cause, workspace):
+                return cause
+        return None
+
+    def _applies(self, cause: causes.Keys, workspace: int) -> bool:
+        # A workspace can name any part in its crashing requests, also one
+        # of another workspace, which must not be refused for that. The
+        # fingerprint of a request is one of its workspace anyway.
+        if not _has_parts_only(cause):
+            return True
+        workspaces = self._suspects[min(cause)].workspaces
+        return workspace in workspaces or len(workspaces) >= MIN_WORKSPACES
+
+    def _forget(self, key: str) -> None:
+        self._suspects.pop(key, None)
+        self._announcements.drop(key)
+        if key in self._barred:
+            del self._barred[key]
+            self._is_outdated = True
+
+    def _make_row(self, key: str, now: float) -> Row:
+        suspect = self._suspects[key]
+        last_seen = self._announcements.get_observed_at(key)
         return (
-            fingerprint,
+            key,
             _compute_age_ms(last_seen, now),
-            _compute_age_ms(suspect.completed_at, now),
+            _compute_age_ms(suspect.cleared_at, now),
             [
                 (start, _compute_age_ms(at, now))
                 for start, at in suspect.crashes.items()
             ],
+            sorted(suspect.workspaces),
         )
 
     def _trim(self) -> None:
@@ -184,20 +350,29 @@
             return
         # Removes several at once, so that a crash of many endpoints does not
         # sort all entries again for each request involved.
+        self._get_causes()
         ranked = sorted(
             self._suspects,
-            key=lambda f: (
-                self._suspects[f].is_barred,
-                self._announcements.get_observed_at(f),
+            key=lambda key: (
+                key in self._barred,
+                self._announcements.get_observed_at(key),
             ),
         )
-        for fingerprint in ranked[: MAX_SUSPECTS // 8]:
-            self._forget(fingerprint)
+        for key in ranked[: MAX_SUSPECTS // 8]:
+            self._forget(key)
+
+
+def _has_parts_only(cause: causes.Keys) -> bool:
+    return all(map(fingerprints.is_part, cause))
 
 
 def _compute_start_hash(endpoint: models.Endpoint) -> int:
     name, started = endpoint.start_id
-    return zlib.crc32(f"{name} {started}".encode())
+    return _compute_hash(f"{name} {started}")
+
+
+def _compute_hash(text: str) -> int:
+    return zlib.crc32(text.encode())
 
 
 def _compute_age_ms(at: float, now: float) -> int:
--- a/tests/relay/networks.py
+++ b/tests/relay/networks.py
@@ -41,7 +41,7 @@
         self.received = collections.Counter()
         self.members = membership.Membership(self.name, self.data_centre)
         self.quotas = quota.Quotas()
-        self.suspects = suspects.SuspectRequests()
+        self.suspects = suspects.Suspects()
         self.limits = endpoint_limits.EndpointLimits()
         address_fields = ("callers", "readiness", "lookups", "peers", "store")
         settings = settings_module.Settings(
--- a/tests/relay/nodes.py
+++ b/tests/relay/nodes.py
@@ -30,7 +30,7 @@
         self.mirror = mirror_module.Mirror()
         self.members = membership.Membership(self.name, data_centre)
         self.quotas = quota.Quotas()
-        self.suspects = suspects.SuspectRequests()
+        self.suspects = suspects.Suspects()
         self.limits = endpoint_limits.EndpointLimits()
         ticker = clock.RuntimeClock()
         address_fields = ("callers", "readiness", "lookups", "peers", "store")
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -56,7 +56,7 @@
             ),
         )
         self.budget = budget = CountingBudget()
-        self.suspects = suspects.SuspectRequests()
+        self.suspects = suspects.Suspects()
         room = self.room
         self.context = jobs.RelayContext(
             room.cluster_state,
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -47,7 +47,7 @@
             endpoint_limits.EndpointLimits(),
             self.room.pauses,
             self.room.paths,
-            suspects.SuspectRequests(),
+            suspects.Suspects(),
             self.room.forwarder,
             self.clock,
             self.room.log,
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -9,6 +9,7 @@
 
 from citronport.callers import replies
 from citronport.relay import sender
+from citronport.scheduler.direct import causes
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import suspects
 from tests.relay import fakes
@@ -19,6 +20,7 @@
 RESET_PAUSE_SECONDS = 0.2
 """Time for the data to be read before a reset, which discards the rest."""
 
+CONTENT = suspects.Content(fingerprint="f1")
 LAST_CHUNK = b"0\r\n\r\n"
 LARGE = b"x" * (2 * sender.BUFFERED_BYTES)
 
@@ -229,16 +231,16 @@
         """Guards against a crash that is recorded as a good answer."""
         for rest in (b"id", fakes.make_event(1) + b"id"):
             self.serve(fakes.close_delimited(rest))
-            for number in range(suspects.BAR_THRESHOLD - 1):
+            for number in range(causes.REQUEST_THRESHOLD - 1):
                 self.suspects.record_crash(
-                    "f1",
+                    CONTENT,
                     senders.samples.make_endpoint(f"other-{number}"),
                     self.room.ticker.now(),
                 )
             with contextlib.suppress(replies.StreamCutError):
                 self.ask()
             now = self.room.ticker.now()
-            self.assertTrue(self.suspects.is_barred("f1", now))
+            self.assertTrue(self.suspects.is_barred(CONTENT, now))
             self.assertEqual({}, dict(self.context.counts.body_ends))
             self.assertEqual(1, self.context.counts.cut_sends)
             self.assertEqual(0, self.room.board.get_load("e0").requests)
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -42,6 +42,7 @@
     path_lost=False,
     leases=1,
     barred=0,
+    barred_parts=0,
     lines_dropped=0,
     oldest_report_seconds=0.1,
 )
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -9,12 +9,15 @@
 from citronport import errors
 from citronport.callers import replies
 from citronport.relay import jobs
+from citronport.scheduler.direct import causes
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import suspects
 from tests.relay import fakes
 from tests.relay import samples
 from tests.relay import senders
 
+CONTENT = suspects.Content(fingerprint="f1")
+
 
 class SenderTest(senders.SenderCase):
     """Single requests over real sockets."""
@@ -306,13 +309,13 @@
 
     def is_barred(self):
         """Return whether the request of these tests is barred."""
-        return self.suspects.is_barred("f1", self.room.ticker.now())
+        return self.suspects.is_barred(CONTENT, self.room.ticker.now())
 
     def crash_others(self, number):
         """Record crashes, under the request, of endpoints not listed here."""
         for each in range(number):
             self.suspects.record_crash(
-                "f1",
+                CONTENT,
                 samples.make_endpoint(f"other-{each}"),
                 self.room.ticker.now(),
             )
@@ -321,7 +324,7 @@
         """Guards against one more crash for each retry of a caller."""
         endpoint = fakes.Endpoint(self, fakes.answer())
         self.prepare(endpoint)
-        self.crash_others(suspects.BAR_THRESHOLD)
+        self.crash_others(causes.REQUEST_THRESHOLD)
         self.assertEqual(503, self.ask())
         self.assertEqual(
             suspects.KEEP_SECONDS, float(self.started[-1][1]["retry-after"])
@@ -336,7 +339,7 @@
         other = fakes.Endpoint(self, fakes.answer())
         self.prepare(ending, other)
         self.room.health.record_answer("e1", False, self.room.ticker.now())
-        self.crash_others(suspects.BAR_THRESHOLD - 1)
+        self.crash_others(causes.REQUEST_THRESHOLD - 1)
         self.assertEqual(502, self.ask())
         self.assertEqual(0, len(other.requests))
 
@@ -348,7 +351,7 @@
         may_use = cluster_state.may_use
 
         def crash_then_check(endpoint):
-            self.crash_others(suspects.BAR_THRESHOLD)
+            self.crash_others(causes.REQUEST_THRESHOLD)
             return may_use(endpoint)
 
         cluster_state.may_use = crash_then_check
@@ -359,7 +362,7 @@
         """Guards against barring a request for reported failures."""
         bad = fakes.Endpoint(self, fakes.answer(500))
         self.prepare(bad)
-        self.crash_others(suspects.BAR_THRESHOLD - 1)
+        self.crash_others(causes.REQUEST_THRESHOLD - 1)
         self.assertEqual(500, self.ask())
         self.assertFalse(self.is_barred())
 
@@ -367,7 +370,7 @@
         """Guards against a missed crash whose connection reset is lost."""
         endpoint = fakes.Endpoint(self, fakes.never_answer)
         self.prepare(endpoint, timeout=0.1)
-        self.crash_others(suspects.BAR_THRESHOLD - 1)
+        self.crash_others(causes.REQUEST_THRESHOLD - 1)
         gevent.spawn_later(0.05, self.room.cluster_state.endpoints.clear)
         self.assertEqual(504, self.ask())
         self.assertTrue(self.is_barred())
--- a/tests/relay/test_summaries.py
+++ b/tests/relay/test_summaries.py
@@ -5,6 +5,7 @@
 import testtools
 
 from citronport.relay import membership
+from citronport.scheduler.direct import causes
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import suspects
 from tests.relay import networks
@@ -119,9 +120,10 @@
         each restart, that does not know of the earlier crashes.
         """
         self.network.run(4.0)
-        for number in range(suspects.BAR_THRESHOLD):
+        content = suspects.Content(fingerprint="f1")
+        for number in range(causes.REQUEST_THRESHOLD):
             self.nodes[number].suspects.record_crash(
-                "f1",
+                content,
                 samples.make_endpoint(f"e{number}"),
                 self.network.ticker.now(),
             )
@@ -131,7 +133,7 @@
         self.network.run(STABLE_SECONDS)
         now = self.network.ticker.now()
         for node in self.nodes:
-            self.assertTrue(node.suspects.is_barred("f1", now))
+            self.assertTrue(node.suspects.is_barred(content, now))
 
     def test_all_know_a_limit_that_an_endpoint_names_elsewhere(self):
         """Guards against a limit that other data centres exceed.
--- a/tests/scheduler/direct/test_announcements.py
+++ b/tests/scheduler/direct/test_announcements.py
@@ -3,6 +3,7 @@
 import testtools
 
 from citronport.scheduler.direct import announcements
+from citronport.scheduler.direct import causes
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
 from tests.relay import samples
@@ -55,10 +56,11 @@
 
     def test_forwarding_does_not_renew_a_suspect(self):
         """Guards against a bar that outlives its request by forwarding."""
-        fleet = Fleet(suspects.SuspectRequests)
-        for number in range(suspects.BAR_THRESHOLD):
+        fleet = Fleet(suspects.Suspects)
+        for number in range(causes.REQUEST_THRESHOLD):
             endpoint = samples.make_endpoint(f"e{number}")
-            fleet.nodes[0].record_crash("f", endpoint, 0.0)
+            content = suspects.Content(fingerprint="f")
+            fleet.nodes[0].record_crash(content, endpoint, 0.0)
         fleet.run(0.0, announcements.KEEP_SECONDS + 10 * REPORT_SECONDS)
         self.assertEqual(
             [0] * INSTANCES, [n.count_barred() for n in fleet.nodes]
