Take back the crash of an endpoint that answers later

Cause: a connection that breaks counted as a crash of the endpoint, and nothing took it back. Ruled out: the parts (none was barred); blame of the own path (other endpoints were reached at the time). Change: an answer to a request that was sent after the supposed crash shows that this start of the endpoint lives: its crash no longer counts, for any content, and the other instances are told. Tests red before: test_reset_by_a_live_endpoint_is_no_crash (True is not false), test_endpoint_that_answers_later_has_not_crashed and test_answer_of_an_endpoint_takes_back_its_crash_everywhere (no such call). Conclusion: other failures than crashes bar nothing for longer than it takes an endpoint to answer once more.

--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -45,6 +45,11 @@
         endpoint_headers.record_headers(
             self._context, reservation.endpoint, answer
         )
+        self._context.suspects.record_alive(
+            reservation.endpoint,
+            reservation.run.sent_at,
+            self._context.ticker.now(),
+        )
 
     def record_health(
         self, reservation: dispatcher.Reservation, good: bool
--- a/citronport/scheduler/direct/suspects.py
+++ b/citronport/scheduler/direct/suspects.py
@@ -35,14 +35,22 @@
 """Workspaces whose requests must have crashed endpoints before a part is
 barred for all others as well."""
 
+MAX_CRASHED = 256
+"""Most endpoint starts watched for an answer after their crash."""
+
 NEVER = float("-inf")
 
+_START_MARK = "start-"
+"""Begins the key of an endpoint start that answered after a broken
+connection. Instances announce it like a content that a good answer clears."""
+
 Row = tuple[str, int, int, list[tuple[int, int]], list[int]]
 """Update on one content that instances send each other: its key; the ages of
 its last occurrence and of its last good answer (-1: never); the endpoint
 starts that crashed under it since, each with the age of the crash; and the
 hashes of the workspaces whose requests these were. Ages are in
-milliseconds."""
+milliseconds. For an endpoint start that has not crashed, the age of its last
+answer is that of the request."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -112,11 +120,15 @@
 
     A part is suspected only if its request waited for its answer to begin
     when the endpoint crashed, and cleared by any answer that has begun.
+
+    A broken connection counts as a crash until the endpoint answers a request
+    that was sent later: some endpoints only reset a connection.
     """
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
         self._cleared: dict[str, float] = {}
+        self._crashed: dict[int, float] = {}
         self._causes: list[causes.Keys] = []
         self._barred: dict[str, None] = {}
         self._is_outdated = False
@@ -150,7 +162,7 @@
             suspect = self._get_suspect(key)
             self._announcements.record_observation(key, now)
             self._drop_expired_crashes(key, suspect, now)
-            changed = suspect.add_crash(start, now)
+            changed = self._add_crash(suspect, start, now)
             changed |= suspect.add_workspaces(
                 [_compute_hash(content.workspace)]
             )
@@ -159,6 +171,27 @@
         self._trim()
         return None if was_barred else self._find_cause(content)
 
+    def record_alive(
+        self, endpoint: models.Endpoint, sent_at: float, now: float
+    ) -> None:
+        """Record an answer of an endpoint, which takes back its crash.
+
+        Args:
+            endpoint: the endpoint.
+            sent_at: clock time at which its request was sent, seconds.
+            now: clock time, seconds.
+        """
+        if not self._crashed:
+            return
+        start = _compute_start_hash(endpoint)
+        if sent_at <= self._crashed.get(start, float("inf")):
+            return
+        self._take_back_crash(start, sent_at)
+        key = f"{_START_MARK}{start}"
+        self._get_suspect(key).cleared_at = sent_at
+        self._announcements.record_observation(key, now)
+        self._record_change(key, now)
+
     def record_begun(self, content: Content, now: float) -> None:
         """Record that an answer has begun, which clears the parts."""
         for key in content.parts:
@@ -220,6 +253,11 @@
                 continue
             self._announcements.record_repeat(key, last_seen)
             suspect = self._get_suspect(key)
+            if key.startswith(_START_MARK):
+                suspect.cleared_at = now - cleared_age / 1000
+                start = int(key.removeprefix(_START_MARK))
+                self._take_back_crash(start, suspect.cleared_at)
+                continue
             if cleared_age >= 0:
                 self._clear(key, now - cleared_age / 1000, now)
             times = {start: now - age / 1000 for start, age in crashes}
@@ -250,11 +288,29 @@
                     suspect.cleared_at, self._cleared[key]
                 )
             elif not self._has_expired(key, at, now):
-                changed |= suspect.add_crash(start, at)
+                changed |= self._add_crash(suspect, start, at)
         changed |= suspect.add_workspaces(workspaces)
         if changed:
             self._record_change(key, now)
 
+    def _add_crash(self, suspect: _Suspect, start: int, at: float) -> bool:
+        answered = self._suspects.get(f"{_START_MARK}{start}")
+        if answered is not None and at < answered.cleared_at:
+            return False
+        self._crashed.pop(start, None)
+        self._crashed[start] = at
+        if len(self._crashed) > MAX_CRASHED:
+            del self._crashed[next(iter(self._crashed))]
+        return suspect.add_crash(start, at)
+
+    def _take_back_crash(self, start: int, answered_at: float) -> None:
+        """Remove a crash before a request that the endpoint has answered."""
+        for suspect in self._suspects.values():
+            if suspect.crashes.get(start, answered_at) < answered_at:
+                del suspect.crashes[start]
+                self._is_outdated = True
+        self._crashed.pop(start, None)
+
     def _clear(self, key: str, at: float, now: float) -> None:
         """Drop the crashes for which a good answer at a clock time stands."""
         if fingerprints.is_part(key):
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -358,6 +358,16 @@
         self.assertEqual(503, self.ask())
         self.assertEqual(0, len(endpoint.requests))
 
+    def test_reset_by_a_live_endpoint_is_no_crash(self):
+        """Guards against barring a request for a reset connection."""
+        endpoint = fakes.Endpoint(self, fakes.close_unanswered, fakes.answer())
+        self.prepare(endpoint, max_endpoints=1)
+        self.crash_others(causes.REQUEST_THRESHOLD - 1)
+        self.assertEqual(502, self.ask())
+        self.assertTrue(self.is_barred())
+        self.assertEqual(200, self.ask(fingerprint="f2"))
+        self.assertFalse(self.is_barred())
+
     def test_failure_of_a_live_endpoint_is_no_crash(self):
         """Guards against barring a request for reported failures."""
         bad = fakes.Endpoint(self, fakes.answer(500))
--- a/tests/scheduler/direct/test_suspect_parts.py
+++ b/tests/scheduler/direct/test_suspect_parts.py
@@ -180,6 +180,24 @@
         self.suspects.remove_expired(now)
         self.assertFalse(self.is_barred(now, BAD))
 
+    def test_endpoint_that_answers_later_has_not_crashed(self):
+        """Guards against barring requests that a live endpoint has reset."""
+        unlucky = self.make("rare")
+        endpoints = [make_endpoint(n) for n in range(3)]
+        for number, endpoint in enumerate(endpoints):
+            self.suspects.record_crash(unlucky, endpoint, 1.0 + number)
+        self.assertTrue(self.suspects.is_barred(unlucky, 4.0))
+        # A request sent before may have been answered before the crash.
+        self.suspects.record_alive(endpoints[0], 0.9, 4.0)
+        self.assertTrue(self.suspects.is_barred(unlucky, 4.0))
+        for endpoint in endpoints[:2]:
+            self.suspects.record_alive(endpoint, 4.0, 4.1)
+        self.assertFalse(self.suspects.is_barred(unlucky, 5.0))
+        self.assertFalse(self.is_barred(5.0, "rare"))
+        self.suspects.record_crash(unlucky, endpoints[0], 6.0)
+        self.suspects.record_crash(unlucky, endpoints[1], 7.0)
+        self.assertTrue(self.suspects.is_barred(unlucky, 8.0))
+
     def test_random_crashes_bar_nothing(self):
         """Guards against barring sound requests for crashes of endpoints.
 
@@ -234,6 +252,21 @@
         fleet.exchange(3.0)
         self.assertEqual(0, fleet.count_barring(sound, 3.5))
 
+    def test_answer_of_an_endpoint_takes_back_its_crash_everywhere(self):
+        """Guards against a bar by instances that don't use the endpoint."""
+        fleet = Fleet(7)
+        for number in (0, 1):
+            self.crash(fleet.nodes[number], number, 1.0 + number, BAD)
+        fleet.exchange(3.0)
+        content = make_content("x", BAD)
+        self.assertEqual(7, fleet.count_barring(content, 3.3))
+        fleet.nodes[6].record_alive(make_endpoint(0), 3.3, 3.4)
+        fleet.exchange(3.5)
+        self.assertEqual(0, fleet.count_barring(content, 4.0))
+        fleet.nodes[5] = suspects.Suspects()
+        fleet.exchange(60.0)
+        self.assertEqual(0, fleet.count_barring(content, 61.0))
+
     def test_instance_that_starts_later_knows_the_part(self):
         """Guards against a restarted instance that admits a barred part."""
         fleet = Fleet(7)
