Count crashes in quick succession as more than one moment

What callers would see: a part that crashes engines more often than every 50 ms, as in a fleet of hundreds of them, was never barred. Cause: each crash prolonged the moment that it was counted with, so that a row of them was one. Change: a moment ends 50 ms after its first crash. Test red before: test_crashes_in_quick_succession_bar_the_part. After: tests of suspects and summaries pass.

--- a/citronport/scheduler/direct/causes.py
+++ b/citronport/scheduler/direct/causes.py
@@ -94,8 +94,9 @@
 
 def _count_moments(times: collections.abc.Iterable[float]) -> int:
     count = 0
-    previous = float("-inf")
+    moment = float("-inf")
     for at in sorted(times):
-        count += at - previous > SAME_MOMENT_SECONDS
-        previous = at
+        if at - moment > SAME_MOMENT_SECONDS:
+            moment = at
+            count += 1
     return count
--- a/tests/relay/test_summaries.py
+++ b/tests/relay/test_summaries.py
@@ -6,6 +6,7 @@
 
 from citronport.relay import membership
 from citronport.scheduler.direct import causes
+from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import suspects
 from tests.relay import networks
@@ -135,6 +136,23 @@
         for node in self.nodes:
             self.assertTrue(node.suspects.is_barred(content, now))
 
+    def test_all_bar_a_part_that_crashes_endpoints_elsewhere(self):
+        """Guards against two crashes in each data centre."""
+        self.network.run(4.0)
+        part = fingerprints.make_part_fingerprint("bad")
+        for number in range(causes.PART_THRESHOLD):
+            self.nodes[number].suspects.record_crash(
+                suspects.Content(fingerprint=f"f{number}", parts=(part,)),
+                samples.make_endpoint(f"e{number}"),
+                self.network.ticker.now(),
+            )
+            self.network.run(0.2)
+        self.network.run(KNOWN_SECONDS)
+        now = self.network.ticker.now()
+        content = suspects.Content(fingerprint="other", parts=(part,))
+        for node in self.nodes:
+            self.assertTrue(node.suspects.is_barred(content, now))
+
     def test_all_know_a_limit_that_an_endpoint_names_elsewhere(self):
         """Guards against a limit that other data centres exceed.
 
--- a/tests/scheduler/direct/test_suspect_parts.py
+++ b/tests/scheduler/direct/test_suspect_parts.py
@@ -116,6 +116,12 @@
             self.crash(1.0 + 0.005 * number, self.make("rare"))
         self.assertFalse(self.is_barred(2.0, "rare"))
 
+    def test_crashes_in_quick_succession_bar_the_part(self):
+        """Guards against a part that comes too often to be noticed."""
+        for number in range(10):
+            self.crash(1.0 + 0.02 * number, self.make(BAD))
+        self.assertTrue(self.is_barred(2.0, BAD))
+
     def test_repeats_of_one_request_bar_that_request_only(self):
         """Guards against barring parts of which only one request was bad."""
         bad = self.make("document")
