Keep the format of event streams in one module

Both now use citronport/eventstream.py; callers/replies.py keeps refusals and JSON. Behaviour: the final event of a closed stream may also end with a line feed and a CR LF, as any other event may.

--- a/citronport/callers/answers.py
+++ b/citronport/callers/answers.py
@@ -7,6 +7,7 @@
 
 from citronport import const as common
 from citronport import errors
+from citronport import eventstream
 from citronport import runs
 from citronport.callers import replies
 from citronport.endpoints import messages
@@ -45,7 +46,7 @@
                 head = message
                 continue
             case messages.Chunk() if run.work.call.stream:
-                data, rest = replies.split_events(rest + message.data)
+                data, rest = eventstream.split_events(rest + message.data)
                 if not data:
                     continue
             case messages.Chunk():
--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -12,6 +12,7 @@
 
 from citronport import const as common
 from citronport import errors
+from citronport import eventstream
 from citronport.endpoints import connection as endpoint_connection
 from citronport.endpoints import const
 from citronport.endpoints import messages
@@ -19,11 +20,6 @@
 
 _OUTPUT_TOKENS = re.compile(rb'"completion_tokens": ?(\d+)')
 _CACHED_TOKENS = re.compile(rb'"cached_tokens": ?(\d+)')
-_CLOSED_END = re.compile(
-    rb"(?:^|[\r\n])%b(?:\n\n|\r\n\r\n|\r\r)[\r\n]*$"
-    % re.escape(const.STREAM_END)
-)
-"""End of a stream whose connection was closed after its final event."""
 
 _CONNECTION_ERRORS = (OSError, http_response.HTTPParseError)
 
@@ -256,7 +252,7 @@
         # event. The engine may have kept the rest of a broken one.
         if opened.get_end() == endpoint_connection.BodyEnd.FRAMED:
             return True
-        return _CLOSED_END.search(self._tail) is not None
+        return eventstream.ends_with_line(self._tail, const.STREAM_END)
 
     def check_complete(self) -> AnswerSummary:
         """Check that the response is complete and return its summary.
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -6,6 +6,7 @@
 from geventhttpclient import response as http_response
 
 from citronport import errors
+from citronport import eventstream
 from citronport.callers import disconnects
 from citronport.callers import replies
 from citronport.endpoints import connection
@@ -347,7 +348,7 @@
         )
 
     def _record_events(self, events: bytes) -> None:
-        last = replies.find_last_event_id(events)
+        last = eventstream.find_last_event_id(events)
         if last is not None:
             self._last_event_id = last
         reservation = self._reservation
@@ -365,7 +366,7 @@
         self._context.loads.record_events(
             reservation.endpoint.name,
             reservation.run,
-            replies.count_events(events),
+            eventstream.count_events(events),
             engine.event_tokens if engine else 1,
             now,
         )
--- a/citronport/relay/streams.py
+++ b/citronport/relay/streams.py
@@ -1,6 +1,6 @@
 """Reads the events of an endpoint's stream."""
 
-from citronport.callers import replies
+from citronport import eventstream
 from citronport.endpoints import connection
 from citronport.relay import upstream
 
@@ -40,7 +40,7 @@
             HTTPParseError: the data is not valid HTTP.
         """
         while data := self._exchange.read():
-            events, self.rest = replies.split_events(self.rest + data)
+            events, self.rest = eventstream.split_events(self.rest + data)
             if events:
                 self._has_events = True
                 return events
@@ -50,7 +50,7 @@
 
     def _is_complete(self) -> bool:
         is_framed = self._exchange.get_end() == connection.BodyEnd.FRAMED
-        if replies.begins_event(self.rest):
+        if eventstream.begins_event(self.rest):
             return is_framed and not self._is_event_stream
         # The kernel closes the connections of a crashed process as if it
         # had ended its answers, so the close proves nothing by itself.
--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -7,6 +7,7 @@
 import testtools
 
 from citronport import errors
+from citronport import eventstream
 from citronport.callers import replies
 from citronport.relay import jobs
 from citronport.scheduler.direct import causes
@@ -401,20 +402,20 @@
         """Guards against events that wait for the end of their stream."""
         for events, rest in self.list_streams():
             self.assertEqual(
-                (events, rest), replies.split_events(events + rest)
+                (events, rest), eventstream.split_events(events + rest)
             )
 
     def test_count(self):
         """Guards against a speed that is never learned from events."""
         for events, _ in self.list_streams():
-            self.assertEqual(2, replies.count_events(events))
+            self.assertEqual(2, eventstream.count_events(events))
 
     def test_last_id(self):
         """Guards against a stream that is resumed at a wrong event."""
         for events, _ in self.list_streams():
-            self.assertEqual("8", replies.find_last_event_id(events))
+            self.assertEqual("8", eventstream.find_last_event_id(events))
         inner = fakes.make_event(7, "id: 9") + b"data: id:10\n\n"
-        self.assertEqual("7", replies.find_last_event_id(inner))
+        self.assertEqual("7", eventstream.find_last_event_id(inner))
 
 
 class LastEventTest(testtools.TestCase):
@@ -423,6 +424,8 @@
     def test_ids(self):
         """The last id is returned, wherever it occurs."""
         both = fakes.make_event(7) + fakes.make_event(8)
-        self.assertEqual("8", replies.find_last_event_id(both))
-        self.assertEqual("7", replies.find_last_event_id(fakes.make_event(7)))
-        self.assertIsNone(replies.find_last_event_id(b"data: x\n\n"))
+        self.assertEqual("8", eventstream.find_last_event_id(both))
+        self.assertEqual(
+            "7", eventstream.find_last_event_id(fakes.make_event(7))
+        )
+        self.assertIsNone(eventstream.find_last_event_id(b"data: x\n\n"))
