--- a/tests/relay/test_crashing_part.py
+++ b/tests/relay/test_crashing_part.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from tests.relay import fakes
+from tests.relay import engines
 from tests.relay import instances
 
 STABLE_SECONDS = 3.0
@@ -21,85 +21,6 @@
 SOUND_SHARE = 0.5
 """Share of the sound requests that must be served then."""
 
-DOWN_SECONDS = 0.4
-"""Time until a crashed endpoint is back."""
-
-BEGIN_SECONDS = 0.03
-"""Time from a request to its first event."""
-
-EVENTS = 12
-"""Events of a whole answer."""
-
-CRASHING = "bad"
-"""Part that crashes an endpoint which begins an answer on it."""
-
-
-class CrashingEngine(fakes.Endpoint):
-    """An engine that a part crashes; all that runs there is cut.
-
-    Args:
-        case: the test case whose store lists the engine.
-        number: distinguishes the engine from others.
-    """
-
-    def __init__(self, case, number):
-        super().__init__(case, fakes.answer())
-        self.case = case
-        self.number = number
-        self.starts = 0
-        self.crashes = 0
-        self.sends = 0
-        self.is_down = False
-        self.running = set()
-        self.register()
-
-    def register(self):
-        """Put an entry for a new start of the engine into the store."""
-        self.starts += 1
-        self.is_down = False
-        self.name = f"e{self.number}-{self.starts}"
-        self.case.put_endpoint(self.name, address=self.address)
-
-    def crash(self):
-        """Cut all connections and come back after a while."""
-        self.crashes += 1
-        self.is_down = True
-        self.case.store.delete(f"servers/{self.name}")
-        for sock in self.running:
-            sock.close()
-        self.running.clear()
-        gevent.spawn_later(DOWN_SECONDS, self.register)
-
-    def _serve_request(self, sock, file):
-        request = fakes.read_request(file)
-        if request is None or self.is_down:
-            return
-        headers = request[2]
-        if headers["x-expect-instance"] != self.name:
-            sock.sendall(
-                fakes.render(421, X_Attempt_Id=headers["x-attempt-id"])
-            )
-            return
-        crashes = CRASHING in list_parts(headers)[:-1]
-        self.sends += crashes
-        self.running.add(sock)
-        gevent.sleep(BEGIN_SECONDS)
-        if crashes and sock in self.running:
-            # The head of an answer gets out, sometimes with an event.
-            events = [fakes.make_event(1)] * (self.starts % 2)
-            fakes.stream(*events, complete=False)(sock, headers)
-            self.crash()
-        elif sock in self.running:
-            events = [fakes.make_event(n) for n in range(EVENTS)]
-            fakes.stream(*events, pause=0.02)(sock, headers)
-        self.running.discard(sock)
-
-
-def list_parts(headers):
-    """Return the ids of the parts that a request names."""
-    text = headers.get("x-prompt-prefix", "")
-    return [entry.partition(":")[0] for entry in text.split(",")]
-
 
 class CrashingPartTest(instances.InstanceCase):
     """Three instances and six engines, with sound requests all the time."""
@@ -109,7 +30,7 @@
         super().setUp()
         self.store.delete("servers/i-1")
         self.put_configuration(8, {"ratePerS": 10**7, "burst": 10**7})
-        self.engines = [CrashingEngine(self, n) for n in range(6)]
+        self.engines = [engines.Engine(self, n) for n in range(6)]
         self.hosts = self.start_all(3)
         self.statuses = []
         load = gevent.spawn(self.send_sound_requests)
@@ -159,9 +80,9 @@
         asks = []
         for number in range(int(seconds / 0.2)):
             parts = [
-                ("common", CRASHING, f"p{number % 5}"),
-                (CRASHING, f"p{number % 4}"),
-                ("common", f"p{number % 3}", CRASHING),
+                ("common", engines.CRASHING, f"p{number % 5}"),
+                (engines.CRASHING, f"p{number % 4}"),
+                ("common", f"p{number % 3}", engines.CRASHING),
             ][number % 3]
             host = hosts[number % len(hosts)]
             asks.append(gevent.spawn(self.ask_with_parts, host, *parts))
@@ -203,7 +124,7 @@
         for engine in (self.engines * 2)[:10]:
             engine.crash()
             gevent.sleep(0.25)
-        gevent.sleep(DOWN_SECONDS + 0.5)
+        gevent.sleep(engines.DOWN_SECONDS + 0.5)
         self.statuses.clear()
         gevent.sleep(2.0)
         self.assertEqual({200}, set(self.statuses))
