--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -75,16 +75,26 @@
             lambda: 1,
         )
 
-    def ask(self, fingerprint="f1", origin=None, **fields):
+    def ask(self, fingerprint="f1", origin=None, parts=(), **fields):
         """Send one request; return the status.
 
         Args:
             fingerprint: its fingerprint.
             origin: the instance that forwarded it; None for a caller.
+            parts: fingerprints of parts of its prompt.
             fields: further headers.
         """
         self.started = []
-        job = jobs.Job(
+        job = self.make_job(fingerprint, origin, parts, **fields)
+        self.sender = sender.Sender(self.context, job)
+        self.body = b""
+        for piece in self.sender.answer(self.start):
+            self.body += piece
+        return self.started[-1][0]
+
+    def make_job(self, fingerprint="f1", origin=None, parts=(), **fields):
+        """Return a request; the arguments are those of ``ask``."""
+        return jobs.Job(
             work=samples.make_work("id-1", self.route, self.room.ticker.now()),
             service=PLAIN,
             method="POST",
@@ -105,13 +115,9 @@
             workspace=test_quota.make_workspace(),
             units=1.0,
             version=1,
+            parts=parts,
             origin=origin,
         )
-        self.sender = sender.Sender(self.context, job)
-        self.body = b""
-        for piece in self.sender.answer(self.start):
-            self.body += piece
-        return self.started[-1][0]
 
     def start(self, status, headers):
         """Record the status and headers of the response."""
