Use one engine that restarts in both tests of crashes

CrashingEndpoint stood twice with Engine but for what crashes it (found with a search for duplicates).

--- a/tests/relay/test_crashing_request.py
+++ b/tests/relay/test_crashing_request.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from tests.relay import engines
 from tests.relay import fakes
 from tests.relay import instances
 
@@ -19,27 +20,8 @@
 CRASHING = "/review/crashing"
 
 
-class CrashingEndpoint(fakes.Endpoint):
-    """An endpoint that one path crashes; it restarts under a new name.
-
-    Args:
-        case: the test case whose store lists the endpoint.
-        number: distinguishes the endpoint from others.
-    """
-
-    def __init__(self, case, number):
-        super().__init__(case, fakes.answer())
-        self.case = case
-        self.number = number
-        self.starts = 0
-        self.crashes = 0
-        self.register()
-
-    def register(self):
-        """Put an entry for a new start of the endpoint into the store."""
-        self.starts += 1
-        self.name = f"e{self.number}-{self.starts}"
-        self.case.put_endpoint(self.name, address=self.address)
+class CrashingEndpoint(engines.Engine):
+    """An endpoint that one path crashes; it restarts under a new name."""
 
     def _serve_request(self, sock, file):
         request = fakes.read_request(file)
