--- a/citronport/scheduler/direct/causes.py
+++ b/citronport/scheduler/direct/causes.py
@@ -32,7 +32,7 @@
 
     Each crash has one cause. Contents that were only there are involved in
     fewer crashes than the cause, or in crashes that another one explains.
-    Parts that were involved in exactly the same crashes can't be told apart:
+    Parts that were involved in exactly the same crashes are indistinguishable:
     only a request that holds all of them is known to be harmful.
 
     Args:
@@ -83,11 +83,11 @@
 
 
 def _split_group(keys: list[str]) -> list[Keys]:
-    """Return the causes in a group of contents that can't be told apart."""
+    """Return the causes in a group of indistinguishable contents."""
     requests = [key for key in keys if not fingerprints.is_part(key)]
     if requests:
-        # The same requests crashed all these endpoints, so that nothing
-        # speaks against others that hold the same parts.
+        # The same requests were involved in all these crashes, which is no
+        # evidence against other requests that hold the same parts.
         return [frozenset((key,)) for key in requests]
     return [frozenset(keys)]
 
