Say in the refusal that parts of the request may be the reason

What callers saw: 503 with "several endpoints ended while they had this request", though a request with a barred part has reached none. Cause: the text is of the time when only whole requests were barred. No behaviour changes.

--- a/citronport/errors.py
+++ b/citronport/errors.py
@@ -150,7 +150,7 @@
         503, "this instance has no catalogue yet", may_retry=True
     ),
     Code.BARRED: _not_run(
-        503, "several endpoints ended while they had this request"
+        503, "several endpoints ended while they had this request or its parts"
     ),
     Code.LEAVING: _not_run(503, "this instance is leaving", may_retry=True),
     Code.ENDPOINT_LOST: _unknown(
