Log the software version of endpoints and what a request takes up

Cause: the kept lines of the incident could not tell whether callers or instances made streams go on at another version. Change: an entry's version is decoded (an entry without one is not usable, as for any other field), and so are Resumes and Last-Event-Id; request_sent names software, resumes and after, endpoint_listed names software. No logic changes.

--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -37,6 +37,7 @@
 HEADER_TOKEN_COUNTS: Final = "x-token-counts"
 HEADER_LENGTH_HINT: Final = "x-length-hint"
 HEADER_PROMPT_PARTS: Final = "x-prompt-prefix"
+HEADER_RESUMES: Final = "resumes"
 
 # Headers that an instance sets in requests to an endpoint
 
@@ -101,6 +102,7 @@
         HEADER_TOKEN_COUNTS,
         HEADER_PROMPT_PARTS,
         HEADER_RESUME_AFTER,
+        HEADER_RESUMES,
     )
 )
 """Headers that may occur once in a request; a duplicate is ambiguous."""
--- a/citronport/platform/models.py
+++ b/citronport/platform/models.py
@@ -195,6 +195,7 @@
     service: str
     address: _Address
     zone: str
+    software: str = msgspec.field(name="version")
     slots: _Count
     state: _State
     cold_ms: float = msgspec.field(default=0, name="coldLeftMs")
@@ -268,6 +269,7 @@
             service=record.service,
             address=record.address,
             data_centre=record.zone,
+            software=record.software,
             slots=record.slots,
             leaving=record.state == "draining",
             cold_seconds=record.cold_ms / _MILLISECONDS,
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -19,6 +19,21 @@
 _MAX_ID_CHARS = 200
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Resumption:
+    """A stream that a caller takes up again after it broke off.
+
+    Attributes:
+        begun_by: id of the attempt that brought its first event; empty if
+            the caller does not name it.
+        after: id of the last event that the caller has received; empty if
+            the caller does not name it.
+    """
+
+    begun_by: str
+    after: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallerRequest:
     """Decoded headers of a caller's request.
@@ -34,6 +49,7 @@
         has_token_counts: whether the request gives its token counts.
         prompt_parts: id and token count of each part of the prompt, in
             order.
+        resumption: the stream that the caller takes up again, if any.
     """
 
     request_id: str
@@ -44,6 +60,7 @@
     expected_tokens: int
     has_token_counts: bool
     prompt_parts: tuple[tuple[str, int], ...]
+    resumption: Resumption | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -127,6 +144,7 @@
             expected_tokens=max(0, expected),
             has_token_counts=has_token_counts,
             prompt_parts=parts,
+            resumption=_parse_resumption(fields),
         )
     )
 
@@ -272,6 +290,14 @@
     return tuple(parts)
 
 
+def _parse_resumption(fields: Headers) -> Resumption | None:
+    begun_by = fields.get(const.HEADER_RESUMES)
+    after = fields.get(const.HEADER_RESUME_AFTER)
+    if begun_by is None and after is None:
+        return None
+    return Resumption(begun_by=begun_by or "", after=after or "")
+
+
 def _parse_timeout(text: str | None) -> float | None:
     return None if text is None else max(0.0, float(text) / 1000.0)
 
--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -179,6 +179,7 @@
                 units=units,
                 version=configuration.version,
                 parts=make_parts(work, configuration.services.get(service)),
+                resumption=head.resumption,
             )
         )
 
--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -278,6 +278,7 @@
                     endpoint=endpoint.name,
                     service=endpoint.service,
                     data_centre=endpoint.data_centre,
+                    software=endpoint.software,
                     leaving=endpoint.leaving,
                     cold_seconds=endpoint.cold_seconds,
                     revision=revision,
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -71,6 +71,7 @@
     endpoint: str
     service: str
     data_centre: str
+    software: str
     leaving: bool
     cold_seconds: float
     revision: int
@@ -329,6 +330,11 @@
     Attributes:
         request: id of the request.
         endpoint: name of the chosen endpoint.
+        software: version of its software.
+        resumes: id of the attempt that began the stream, if the caller takes
+            one up and names it.
+        after: id of the last event of the stream that the caller has;
+            empty if it has none.
         attempt: number of the send, from 1.
         waited: seconds in the queue of this instance.
         prompt: number of prompt tokens.
@@ -344,6 +350,9 @@
 
     request: str
     endpoint: str
+    software: str
+    resumes: str
+    after: str
     attempt: int
     waited: float
     prompt: int
--- a/citronport/relay/forward_server.py
+++ b/citronport/relay/forward_server.py
@@ -118,6 +118,7 @@
             parts=application_module.make_parts(
                 work, configuration.services.get(forward.service)
             ),
+            resumption=head.resumption,
             origin=jobs.Origin(
                 instance=forward.instance,
                 tried=frozenset(forward.tried),
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -63,6 +63,7 @@
         workspace: workspace of the caller; None if no API keys are in use.
         units: units charged to the workspace's limit.
         version: version of the configuration used for validation.
+        resumption: the stream that its caller takes up again, if any.
         origin: the instance that forwarded it; None for a caller's request.
     """
 
@@ -77,6 +78,7 @@
     units: float
     version: int
     parts: tuple[str, ...] = ()
+    resumption: requests.Resumption | None = None
     origin: Origin | None = None
 
     @property
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -59,14 +59,28 @@
     job: jobs.Job,
     progress: Progress,
     reservation: dispatcher_module.Reservation,
+    last_event_id: str | None,
 ) -> None:
-    """Log and count a send, with the data that the endpoint was chosen by."""
+    """Log and count a send, with the data that the endpoint was chosen by.
+
+    Args:
+        context: components shared by all requests.
+        job: the request.
+        progress: state of the request.
+        reservation: the reservation of the endpoint.
+        last_event_id: id of the last event that the caller got in this
+            answer; None if there is none.
+    """
+    resumption = job.resumption
     context.counts.sends["sent"] += 1
     context.counts.leased_sends += reservation.leased
     context.log.write(
         events.RequestSent(
             request=job.work.request_id,
             endpoint=reservation.endpoint.name,
+            software=reservation.endpoint.software,
+            resumes=resumption.begun_by if resumption else "",
+            after=last_event_id or (resumption.after if resumption else ""),
             attempt=progress.attempts,
             waited=progress.waited,
             prompt=job.work.prompt_tokens,
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -250,7 +250,11 @@
             self._is_counted = True
             self._context.get_retry_budget(self._job.service).record_first(now)
         progress_module.record_sent(
-            self._context, self._job, self.progress, reservation
+            self._context,
+            self._job,
+            self.progress,
+            reservation,
+            self._last_event_id,
         )
         return exchange.send(
             requests.make_request(
--- a/citronport/scheduler/direct/models.py
+++ b/citronport/scheduler/direct/models.py
@@ -174,6 +174,8 @@
         service: the service it belongs to.
         address: "ip:port".
         data_centre: its location.
+        software: version of its software; streams of two versions do not fit
+            together.
         slots: concurrent requests.
         leaving: whether it accepts no new requests.
         cold_seconds: remaining cold time when the listing was written.
@@ -185,6 +187,7 @@
     service: str
     address: str
     data_centre: str
+    software: str
     slots: int
     leaving: bool
     cold_seconds: float
--- a/tests/platform/test_models.py
+++ b/tests/platform/test_models.py
@@ -129,6 +129,7 @@
         found = self.parse(born=1700).unwrap()
         self.assertEqual(("i-1", 1700), found.start_id)
         self.assertEqual(1.5, found.cold_seconds)
+        self.assertEqual("v1", found.software)
         self.assertFalse(found.leaving)
         self.assertTrue(self.parse(state="draining").unwrap().leaving)
 
@@ -147,6 +148,8 @@
             {"coldLeftMs": float("nan")},
             {"coldLeftMs": float("inf")},
             {"born": "today"},
+            {"version": ...},
+            {"version": 2},
         ):
             self.assertTrue(self.parse(**changes).is_err(), changes)
         self.assertTrue(models.parse_endpoint("servers/x", b"\xff{").is_err())
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -37,6 +37,21 @@
         self.assertFalse(head.has_token_counts)
         self.assertIsNone(head.timeout_seconds)
 
+    def test_stream_that_is_taken_up(self):
+        """Either header makes a request a continuation of a stream."""
+        parse = requests.parse_request
+        self.assertIsNone(parse(HEAD).unwrap().resumption)
+        for fields, begun_by, after in (
+            ({"resumes": "9c40", "last-event-id": "7"}, "9c40", "7"),
+            ({"resumes": "9c40"}, "9c40", ""),
+            ({"last-event-id": "7"}, "", "7"),
+        ):
+            head = parse({**HEAD, **fields}).unwrap()
+            self.assertEqual(
+                requests.Resumption(begun_by=begun_by, after=after),
+                head.resumption,
+            )
+
     def test_limit_of_an_endpoint(self):
         """An invalid limit is an error, not zero or the lack of a limit."""
         self.assertEqual(2.6, requests.parse_limit("2.6").unwrap())
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -76,6 +76,7 @@
         "service": service,
         "address": "127.0.0.1:1",
         "data_centre": "a",
+        "software": "v1",
         "slots": 2,
         "leaving": False,
         "cold_seconds": 0.0,
