Let an answer go on only at the software version that began it

What callers saw: events of two versions in one answer, after the endpoint that began it broke off. Cause: an instance that lets a stream go on chose among all endpoints of the service; nothing looked at the version of their software. Change: the first event binds the request to its endpoint's version (Work.software). It holds for the own choice, a lease (Ask), a request that another instance sends (Forward) and in the last look before the send; without a usable endpoint of it the request is refused at once (2107; once the caller has events, the answer is cut). An endpoint whose entry changes its version is another one. Ruled out: the budget of repeats and barred requests; in the tests all requests had one path, so that the third break barred them, which hid that streams go on. They have paths of their own now.

--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -137,6 +137,7 @@
         return (
             known is not None
             and known.start_id == endpoint.start_id
+            and known.software == endpoint.software
             and not known.leaving
             and known.data_centre not in self.evacuated
         )
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -135,6 +135,8 @@
                 have been tried too.
             paused: names of further endpoints that are not chosen.
         """
+        if self._is_version_gone(work, service):
+            return self._refuse(work, service)
         if self.exclusions.are_all_paused(work, service):
             return self._refuse(work, service)
         found = self._acquire_lease(work, service, tried, paused)
@@ -301,6 +303,7 @@
         if (
             endpoint is None
             or not self._cluster_state.may_use(endpoint)
+            or not work.fits(endpoint)
             or self._pauses.is_paused(endpoint.start_id, now)
         ):
             # The owner's copy of the store is newer or older than the one
@@ -372,7 +375,7 @@
         ]
         return service_view.ServiceView(
             endpoints=usable,
-            listed=frozenset(e.name for e in endpoints),
+            listed=endpoints,
             paused=self._pauses.list_names(endpoints, now),
             role=role,
             sample_size=sample_size,
@@ -428,9 +431,10 @@
         if not waiter.leased:
             paused |= view.paused
         excluded = waiter.tried | paused
-        candidates = [e for e in view.endpoints if e.name not in excluded]
-        if not candidates and excluded >= view.listed:
-            candidates = [e for e in view.endpoints if e.name not in paused]
+        fitting = [e for e in view.endpoints if waiter.work.fits(e)]
+        candidates = [e for e in fitting if e.name not in excluded]
+        if not candidates and excluded >= view.list_fitting(waiter.work):
+            candidates = [e for e in fitting if e.name not in paused]
         if self._may_wait_for_fast_engine(waiter, service, now):
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
@@ -461,11 +465,24 @@
             step_ms=self._loads.get_step_ms(name),
         )
 
+    def _is_version_gone(self, work: models.Work, service: str) -> bool:
+        """Return whether no endpoint may continue the request's stream."""
+        listed = self._cluster_state.list_endpoints(service)
+        return work.software is not None and not any(map(work.fits, listed))
+
+    def _choose_refusal_code(
+        self, work: models.Work, service: str
+    ) -> errors.Code:
+        if not self._cluster_state.list_endpoints(service):
+            return errors.Code.NO_ENDPOINT
+        if self._is_version_gone(work, service):
+            return errors.Code.VERSION_GONE
+        return errors.Code.OVERLOADED
+
     def _refuse(
         self, work: models.Work, service: str, retry_seconds: float = 0.0
     ) -> errors.Refusal:
-        listed = self._cluster_state.list_endpoints(service)
-        code = errors.Code.OVERLOADED if listed else errors.Code.NO_ENDPOINT
+        code = self._choose_refusal_code(work, service)
         remaining = max(0.0, work.deadline - self._ticker.now())
         # Most callers retry only once, so the retry time is not shorter than
         # the expected wait. The random spread keeps callers that are refused
--- a/citronport/relay/exclusions.py
+++ b/citronport/relay/exclusions.py
@@ -40,7 +40,8 @@
         longest wait, it is refused at once, as other instances may be served.
         """
         now = self._ticker.now()
-        endpoints = self._cluster_state.list_endpoints(service)
+        listed = self._cluster_state.list_endpoints(service)
+        endpoints = [e for e in listed if work.fits(e)]
         wait = self._pauses.compute_wait(endpoints, now)
         return wait > wait_queue.compute_max_wait(work, now)
 
--- a/citronport/relay/forward_server.py
+++ b/citronport/relay/forward_server.py
@@ -105,6 +105,7 @@
                 work,
                 arrived=now - forward.elapsed_seconds,
                 deadline=now + forward.remaining_seconds,
+                software=forward.software,
             ),
             service=forward.service,
             method=forward.method,
--- a/citronport/relay/forwarding.py
+++ b/citronport/relay/forwarding.py
@@ -74,6 +74,7 @@
         possible_runs: int,
         is_counted: bool,
         last_event_id: str | None,
+        software: str | None,
     ) -> bytes:
         """Return the encoded request to another instance.
 
@@ -86,6 +87,8 @@
             is_counted: whether it was sent to an endpoint before.
             last_event_id: id of the last event that the caller has
                 received; None if there is none.
+            software: the only software version that may run it; None if any
+                may.
         """
         work = job.work
         now = self._ticker.now()
@@ -108,6 +111,7 @@
             possible_runs=possible_runs,
             is_counted=is_counted,
             last_event_id=last_event_id,
+            software=software,
         )
         data = messages.CODEC.encode(forward)
         return connection.encode_request(self._own, "POST", PATH, data)
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -321,6 +321,7 @@
             remaining_seconds=work.deadline - now,
             tried=list(tried),
             paused=list(paused | self._list_unusable(service)),
+            software=work.software,
         )
 
     def _make_ended(
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -264,7 +264,7 @@
     def _decline(self, ask: messages.Ask) -> None:
         logging.warning(
             "%s declined lease request of %s for route %s: the route is"
-            " unknown or its service has no endpoints.",
+            " unknown or no endpoint of its service fits.",
             LOG,
             ask.instance,
             ask.route,
@@ -277,9 +277,9 @@
     def _make_work(self, ask: messages.Ask, now: float) -> models.Work | None:
         configuration = self._cluster_state.configuration
         route = configuration and configuration.find_route(ask.route)
-        if not route or not self._cluster_state.list_endpoints(ask.service):
+        if not route:
             return None
-        return models.Work(
+        work = models.Work(
             request_id=ask.request,
             route=route,
             tier=ask.tier,
@@ -289,4 +289,7 @@
             parts=(),
             arrived=now - ask.elapsed_seconds,
             deadline=now + ask.remaining_seconds,
+            software=ask.software,
         )
+        endpoints = self._cluster_state.list_endpoints(ask.service)
+        return work if any(map(work.fits, endpoints)) else None
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -13,7 +13,7 @@
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
 
-PROTOCOL = 10
+PROTOCOL = 11
 """Version of this protocol; messages of other versions are dropped."""
 
 MAX_MESSAGE_BYTES = 8_000_000
@@ -159,6 +159,8 @@
             further send is a repeat.
         last_event_id: id of the last event that the caller has received;
             None if it has received none.
+        software: the only software version that may run it; None if any
+            may.
     """
 
     protocol: int
@@ -179,6 +181,7 @@
     possible_runs: int
     is_counted: bool
     last_event_id: str | None
+    software: str | None
 
 
 class Want(msgspec.Struct, frozen=True, kw_only=True):
@@ -246,6 +249,8 @@
         tried: endpoints that the request must not be sent to again.
         paused: endpoints that want no request of the sender now, or that it
             does not reach.
+        software: the only software version that may run the request; None
+            if any may.
     """
 
     protocol: int
@@ -261,6 +266,7 @@
     remaining_seconds: float
     tried: list[str]
     paused: list[str]
+    software: str | None
 
 
 class Granted(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/peer_send.py
+++ b/citronport/relay/peer_send.py
@@ -49,6 +49,7 @@
         tried: collections.abc.Iterable[str],
         is_counted: bool,
         last_event_id: str | None,
+        software: str | None,
     ) -> requests.EndpointAnswer | errors.Refusal | None:
         """Ask instances until one takes the request.
 
@@ -57,6 +58,8 @@
             is_counted: whether the request was sent to an endpoint here.
             last_event_id: id of the last event that the caller has
                 received; None if it has received none.
+            software: the only software version that may run it; None if any
+                may.
 
         Returns:
             The answer or the refusal of the instance that took it; None if
@@ -75,7 +78,7 @@
                 self._context, self._job, self._progress, peer.instance
             )
             match exchange.send(
-                self._encode(tried, is_counted, last_event_id)
+                self._encode(tried, is_counted, last_event_id, software)
             ):
                 case upstream.Answered(answer=answer):
                     refusal = forwarding.parse_refusal(answer)
@@ -112,6 +115,7 @@
         tried: collections.abc.Iterable[str],
         is_counted: bool,
         last_event_id: str | None,
+        software: str | None,
     ) -> bytes:
         return self._context.forwarder.encode(
             self._job,
@@ -120,6 +124,7 @@
             self._progress.possible_runs,
             is_counted,
             last_event_id,
+            software,
         )
 
     def _check_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -1,6 +1,7 @@
 """Forwards one request to an endpoint and its response to the caller."""
 
 import collections.abc
+import dataclasses
 
 import gevent
 from geventhttpclient import response as http_response
@@ -195,7 +196,10 @@
         if self._repeats.is_barred():
             return self._refuse_barred()
         found = self._peer_send.send(
-            self._tried, self._is_counted, self._last_event_id
+            self._tried,
+            self._is_counted,
+            self._last_event_id,
+            self._work.software,
         )
         self._exchange = self._peer_send.exchange
         if isinstance(found, errors.Refusal) or found is None:
@@ -362,6 +366,11 @@
         if reservation.run.first_event_at is None:
             self._outcomes.record_health(reservation, True)
             self._context.dispatcher.record_first_event(reservation)
+            # What two versions write does not fit together, and an endpoint
+            # of another one would go on all the same.
+            self._work = dataclasses.replace(
+                self._work, software=reservation.endpoint.software
+            )
         configuration = self._context.cluster_state.configuration
         service = configuration and configuration.services.get(
             self._job.service
--- a/citronport/relay/service_view.py
+++ b/citronport/relay/service_view.py
@@ -13,7 +13,7 @@
     Attributes:
         endpoints: endpoints with free capacity; one that fills up is
             removed.
-        listed: names of all endpoints of the service, including full ones.
+        listed: all endpoints of the service, including full ones.
         paused: names of endpoints that want no request of this instance.
         role: role of this instance, which sets its share of cold and limited
             endpoints.
@@ -23,8 +23,12 @@
     """
 
     endpoints: list[models.Endpoint]
-    listed: frozenset[str]
+    listed: list[models.Endpoint]
     paused: frozenset[str]
     role: roles.Role
     sample_size: int
     typical_step_ms: float
+
+    def list_fitting(self, work: models.Work) -> frozenset[str]:
+        """Return the names of all endpoints whose software may run it."""
+        return frozenset(e.name for e in self.listed if work.fits(e))
--- a/citronport/scheduler/direct/models.py
+++ b/citronport/scheduler/direct/models.py
@@ -213,6 +213,8 @@
         parts: ids of the prompt's shared parts, in order.
         arrived: clock time at which the head arrived, seconds.
         deadline: clock time by which the final answer is due, seconds.
+        software: the only software version that may run it, as the stream
+            that it continues has events of that version; None if any may.
     """
 
     request_id: str
@@ -224,3 +226,8 @@
     parts: tuple[str, ...]
     arrived: float
     deadline: float
+    software: str | None = None
+
+    def fits(self, endpoint: Endpoint) -> bool:
+        """Return whether the software of an endpoint may run the request."""
+        return self.software is None or self.software == endpoint.software
--- a/tests/relay/test_barred_parts.py
+++ b/tests/relay/test_barred_parts.py
@@ -108,7 +108,7 @@
             (samples.make_service(senders.PLAIN),),
             workspaces={sent.workspace.name: sent.workspace},
         )
-        data = self.room.forwarder.encode(sent, (), (), 0, False, None)
+        data = self.room.forwarder.encode(sent, (), (), 0, False, None, None)
         server = forward_server.ForwardServer(
             None, self.context, lambda: False, self.room.ticker
         )
--- a/tests/relay/versions.py
+++ b/tests/relay/versions.py
@@ -195,7 +195,8 @@
         )
         status = 0
         try:
-            connection.request("POST", "/review/x", headers=headers)
+            target = f"/review/{stream.number}"
+            connection.request("POST", target, headers=headers)
             response = connection.getresponse()
             status = response.status
             stream.statuses.append(status)
