Take streams up only at the software version that began them

What callers saw: a stream that broke off went on, at the next attempt, with events of another version. Cause: which version began a stream was known to the instance that sent it first, and to nobody else; Resumes was not read. The class: what has to stay together over several sends is known to the first sender alone. Change: an attempt that takes a stream up is bound to the version that began it. The first event of a resumable stream is remembered under the id of the attempt that brought it; while streams of more than one version may be alive, it is told to all other instances of a small fleet, to three chosen by the id in a large one, before the caller gets it. Whoever does not know a stream asks them, and the owners, who get reports of first events anyway. What nobody knows goes on only if no more than one version can have begun it; else it is refused at once (2108, not run). Ruled out: an endpoint's name in place of its version (one comes back under its name with another); one version in the own list as a proof (others may know a second one; an instance that has just started knows no past).

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -18,6 +18,7 @@
 from citronport.relay import metrics
 from citronport.relay import refusals
 from citronport.relay import sender
+from citronport.relay import stream_versions
 from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import quota
@@ -153,26 +154,30 @@
                 return _err(errors.Code.UNKNOWN_KEY)
             workspace = configuration.workspaces[name]
             units = count_units(workspace, head)
+        # Before the limit is charged, as the stream may be refused.
+        target = self._choose_version(head, route)
+        if isinstance(target, errors.Refusal):
+            return result.Err(target)
+        if workspace is not None:
             refusal = self._charge(workspace, units, arrived)
             if refusal is not None:
                 return result.Err(refusal)
-        work = make_work(head, route, workspace, arrived)
+        work = make_work(head, route, workspace, arrived, target.software)
         method = environ["REQUEST_METHOD"]
-        target = environ[caller_const.ENVIRON_TARGET]
-        service = routing.choose_service(route, random.random())
+        service = target.service
         return result.Ok(
             jobs.Job(
                 work=work,
                 service=service,
                 method=method,
-                target=target,
+                target=environ[caller_const.ENVIRON_TARGET],
                 headers=fields,
                 body=body,
                 fingerprint=fingerprints.make_fingerprint(
                     workspace.name if workspace else "",
                     method,
                     route.host,
-                    target,
+                    environ[caller_const.ENVIRON_TARGET],
                     body,
                 ),
                 workspace=workspace,
@@ -183,6 +188,20 @@
             )
         )
 
+    def _choose_version(
+        self, head: requests.CallerRequest, route: models.Route
+    ) -> stream_versions.StreamVersion | errors.Refusal:
+        """Return the service, and the only software version if need be."""
+        is_stream = route.repeat == models.RepeatPolicy.STREAM
+        if head.resumption is not None and is_stream:
+            return self._context.stream_versions.resolve(
+                head.resumption, route
+            )
+        return stream_versions.StreamVersion(
+            service=routing.choose_service(route, random.random()),
+            software=None,
+        )
+
     def _await_start(
         self, head: requests.CallerRequest, arrived: float
     ) -> models.Configuration | None:
@@ -339,6 +358,7 @@
     route: models.Route,
     workspace: models.Workspace | None,
     arrived: float,
+    software: str | None = None,
 ) -> models.Work:
     """Return the properties of a request that scheduling depends on."""
     tier = route.tier
@@ -357,6 +377,7 @@
         parts=tuple(name for name, _ in head.prompt_parts),
         arrived=arrived,
         deadline=arrived + seconds,
+        software=software,
     )
 
 
--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -63,6 +63,7 @@
         routes: routes of that configuration.
         evacuated: names of data centres that get no new work.
         endpoints: all listed endpoints, by name.
+        list_number: number of the list, which grows as it changes.
 
     Args:
         cold_starts: receives the endpoints that are cold.
@@ -81,6 +82,7 @@
         self.routes = routing.Routes(())
         self.evacuated: set[str] = set()
         self.endpoints: dict[str, models.Endpoint] = {}
+        self.list_number = 0
         self._cold = cold_starts
         self._forget = forget
         self._log = log
@@ -315,6 +317,7 @@
                 self._forget(name)
 
     def _index(self) -> None:
+        self.list_number += 1
         self._by_service = {}
         for endpoint in self.endpoints.values():
             if not endpoint.leaving:
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -38,6 +38,8 @@
 from citronport.relay import reports
 from citronport.relay import settings as settings_module
 from citronport.relay import state
+from citronport.relay import stream_messages
+from citronport.relay import stream_versions
 from citronport.relay import summaries
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
@@ -47,6 +49,7 @@
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import suspects as suspects_module
 
 LOG = "relay:"
@@ -181,7 +184,7 @@
             ticker,
             self.reports.make,
             self._handle_report,
-            self._handle_lease_message,
+            self._handle_message,
             self.summaries,
             self.log,
         )
@@ -204,10 +207,19 @@
             self.health,
             self.limits,
             self.is_ready,
-            self.gossip.send_lease_message,
+            self.gossip.send_message,
             ticker,
             self.log,
         )
+        self.stream_versions = stream_versions.StreamVersions(
+            settings.instance,
+            self.members,
+            self.cluster_state,
+            self.leasing.owners,
+            self.gossip.send_message,
+            self._get_store_age,
+            ticker,
+        )
         self._budgets: dict[str, retries.RetryBudget] = {}
         context = jobs.RelayContext(
             self.cluster_state,
@@ -219,6 +231,7 @@
             self.paths,
             self.suspects,
             self.forwarder,
+            self.stream_versions,
             ticker,
             self.log,
             self.counts,
@@ -235,7 +248,7 @@
             ),
             lambda: self._leaving,
             lambda: self._closing,
-            lambda: ticker.now() - self.follower.answered_at,
+            self._get_store_age,
             self._is_discovering_peers,
             ticker,
         )
@@ -402,6 +415,7 @@
             self.leasing.lease_server.sweep()
             self.suspects.remove_expired(self._ticker.now())
             self.limits.remove_expired(self._ticker.now())
+            self.stream_versions.update()
             self.is_ready()
 
     def _watch_settings(self) -> None:
@@ -417,9 +431,24 @@
         self.reports.apply(report)
         self.dispatcher.schedule_match()
 
-    def _handle_lease_message(self, message: messages.LeaseMessage) -> None:
+    def _handle_message(self, message: messages.InstanceMessage) -> None:
+        match message:
+            case (
+                stream_messages.StreamsBegun()
+                | stream_messages.FindStream()
+                | stream_messages.StreamFound()
+            ):
+                self.stream_versions.handle(message)
+                return
+            case messages.Begun(request=request, endpoint=endpoint):
+                self.stream_versions.record_leased(request, endpoint)
+            case messages.Ended(request=request, verdict=runs.Verdict.GOOD):
+                self.stream_versions.forget(request)
         self.leasing.handle(message)
 
+    def _get_store_age(self) -> float:
+        return self._ticker.now() - self.follower.answered_at
+
     def _compute_standby_age(self) -> float | None:
         now = self._ticker.now()
         return follower_module.compute_standby_age(
@@ -448,6 +477,7 @@
         self._callers.tracker.limits = listeners.make_limits(
             self._settings, self.cluster_state.configuration
         )
+        self.stream_versions.update()
         self.is_ready()
         self.dispatcher.schedule_match()
 
--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -62,7 +62,7 @@
         ticker: the clock.
         make_report: returns this instance's report.
         handle_report: called with each new report.
-        handle_lease_message: called with each message on leases.
+        handle_message: called with each message for this instance alone.
         summaries: makes and applies summaries of data centres.
         log: receives events on instances that come into or out of reach.
     """
@@ -74,8 +74,8 @@
         ticker: clock.Clock,
         make_report: messages.MakeReport,
         handle_report: collections.abc.Callable[[messages.Report], None],
-        handle_lease_message: collections.abc.Callable[
-            [messages.LeaseMessage], None
+        handle_message: collections.abc.Callable[
+            [messages.InstanceMessage], None
         ],
         summaries: summaries_module.Summaries,
         log: eventlog.Log,
@@ -85,7 +85,7 @@
         self._ticker = ticker
         self._make_report = make_report
         self._handle_report = handle_report
-        self._handle_lease_message = handle_lease_message
+        self._handle_message = handle_message
         self._summaries = summaries
         self._log = log
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -184,12 +184,12 @@
         for seed in seeds:
             self._send_datagram(messages.CODEC.encode(meet), seed)
 
-    def send_lease_message(
-        self, instance: str, message: messages.LeaseMessage
+    def send_message(
+        self, instance: str, message: messages.InstanceMessage
     ) -> None:
-        """Send a message on leases to an instance, this one included."""
+        """Send a message to an instance, this one included."""
         if instance == self._settings.instance:
-            self._handle_lease_message(message)
+            self._handle_message(message)
             return
         address = self._members.get_address(instance)
         if address is not None:
@@ -236,7 +236,7 @@
                     type(message).__name__,
                 )
             case _:
-                self._handle_lease_message(message)
+                self._handle_message(message)
 
     def _handle_summary(self, summary: messages.Summary) -> None:
         if not self._summaries.apply(summary, self._ticker.now()):
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -11,6 +11,7 @@
 from citronport.relay import eventlog
 from citronport.relay import metrics
 from citronport.relay import paths as paths_module
+from citronport.relay import stream_versions as stream_versions_module
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
@@ -104,6 +105,7 @@
         paths: whether this instance has a path to the endpoints.
         suspects: contents that are suspected of crashing endpoints.
         forwarder: sends requests by way of other instances.
+        stream_versions: software versions that began streams.
         ticker: the clock.
         log: the event log.
         counts: counters for the metrics.
@@ -122,6 +124,7 @@
         paths: paths_module.Paths,
         suspects: suspects_module.Suspects,
         forwarder: "forwarding.Forwarder",
+        stream_versions: stream_versions_module.StreamVersions,
         ticker: clock.Clock,
         log: eventlog.Log,
         counts: metrics.Counts,
@@ -137,6 +140,7 @@
         self.paths = paths
         self.suspects = suspects
         self.forwarder = forwarder
+        self.stream_versions = stream_versions
         self.ticker = ticker
         self.log = log
         self.counts = counts
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -75,7 +75,7 @@
         loads: load_tracker.LoadTracker,
         brittle: brittleness.BrittleEndpoints,
         list_unusable: collections.abc.Callable[[str], frozenset[str]],
-        send: messages.SendLeaseMessage,
+        send: messages.SendMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
     ) -> None:
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -80,7 +80,7 @@
         loads: load_tracker.LoadTracker,
         health: health_module.Health,
         brittle: brittleness.BrittleEndpoints,
-        send: messages.SendLeaseMessage,
+        send: messages.SendMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
     ) -> None:
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -54,7 +54,7 @@
         health: health_module.Health,
         limits: endpoint_limits.EndpointLimits,
         is_ready: collections.abc.Callable[[], bool],
-        send: messages.SendLeaseMessage,
+        send: messages.SendMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
     ) -> None:
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from citronport import codec
+from citronport.relay import stream_messages
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
 
@@ -399,11 +400,14 @@
 """Returns the report of this instance; given a data centre, one that names
 members of it only."""
 
-SendLeaseMessage = collections.abc.Callable[[str, LeaseMessage], None]
-"""Sends a message on leases to the instance with the given name."""
+InstanceMessage = LeaseMessage | stream_messages.StreamMessage
+"""A message to one instance, as a datagram."""
+
+SendMessage = collections.abc.Callable[[str, InstanceMessage], None]
+"""Sends a message to the instance with the given name."""
 
 Message = (
-    Report | Meet | Summary | Want | Held | Packed | Forward | LeaseMessage
+    Report | Meet | Summary | Want | Held | Packed | Forward | InstanceMessage
 )
 
 CODEC: codec.Codec[Message] = codec.Codec(
@@ -424,6 +428,9 @@
         Meet,
         EndpointLeaving,
         Forward,
+        stream_messages.StreamsBegun,
+        stream_messages.FindStream,
+        stream_messages.StreamFound,
     ),
     MAX_MESSAGE_BYTES,
 )
--- a/citronport/relay/owners.py
+++ b/citronport/relay/owners.py
@@ -78,6 +78,14 @@
             ownership.find_pool(service, endpoint, pools), now
         )
 
+    def list_owners(self, service: str, now: float) -> set[str]:
+        """Return the owners of all endpoints of a service."""
+        owners = {
+            self.find_owner(ownership.Pool(service=service, number=n), now)
+            for n in range(self.count_pools(service))
+        }
+        return {owner for owner in owners if owner is not None}
+
     def count_pools(self, service: str) -> int:
         """Return the number of pools of a service."""
         return ownership.count_pools(
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -349,6 +349,9 @@
         self._record_completion()
 
     def _record_completion(self) -> None:
+        self._context.stream_versions.forget(
+            self._work.request_id, self._job.resumption
+        )
         # Another instance frames an answer anew, whatever its endpoint did.
         is_framed = self.progress.end == connection.BodyEnd.FRAMED
         self._outcomes.record_completion(
@@ -371,6 +374,12 @@
             self._work = dataclasses.replace(
                 self._work, software=reservation.endpoint.software
             )
+            if self._work.route.resumable:
+                self._context.stream_versions.record(
+                    self._work.request_id,
+                    self._job.resumption,
+                    reservation.endpoint,
+                )
         configuration = self._context.cluster_state.configuration
         service = configuration and configuration.services.get(
             self._job.service
--- /dev/null
+++ b/citronport/relay/stream_messages.py
@@ -0,0 +1,60 @@
+"""Messages on the software versions that began streams."""
+
+import msgspec
+
+Row = tuple[int, str, str]
+"""Key of a stream, its service, and the software version that began it."""
+
+
+class StreamsBegun(msgspec.Struct, frozen=True, kw_only=True):
+    """Tells an instance which software versions began some streams.
+
+    Attributes:
+        protocol: version of the protocol.
+        rows: a row for each stream.
+    """
+
+    protocol: int
+    rows: list[Row]
+
+
+class FindStream(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks an instance which software version began a stream.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: name of the sender.
+        key: key of the stream.
+        service: service that the stream would go on at if it is unknown.
+    """
+
+    protocol: int
+    instance: str
+    key: int
+    service: str
+
+
+class StreamFound(msgspec.Struct, frozen=True, kw_only=True):
+    """Answers ``FindStream``.
+
+    Attributes:
+        protocol: version of the protocol.
+        instance: name of the sender.
+        key: key of the stream.
+        service: service that began the stream; empty if it is unknown.
+        software: software version that began it; empty if it is unknown.
+        versions: software versions of the service asked for, see
+            ``software_history.Versions``.
+        is_complete: whether the sender knows of all of them.
+    """
+
+    protocol: int
+    instance: str
+    key: int
+    service: str
+    software: str
+    versions: list[str]
+    is_complete: bool
+
+
+StreamMessage = StreamsBegun | FindStream | StreamFound
--- /dev/null
+++ b/citronport/relay/stream_versions.py
@@ -0,0 +1,411 @@
+"""Remembers at which software version streams began, for the whole fleet.
+
+A caller takes a stream up again at any instance, while the one that began it
+may be gone. While streams of several versions may be alive, each instance
+therefore tells a few others, chosen by the stream, at which version a stream
+began, before its caller gets the first event.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import random
+import time
+
+import gevent
+from gevent import queue as gevent_queue
+
+from citronport import clock
+from citronport import errors
+from citronport.platform import requests
+from citronport.relay import cluster_state as cluster_state_module
+from citronport.relay import membership as membership_module
+from citronport.relay import messages
+from citronport.relay import owners as owners_module
+from citronport.relay import stream_messages
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import rendezvous
+from citronport.scheduler.direct import ring as ring_module
+from citronport.scheduler.direct import routing
+from citronport.scheduler.direct import software_history
+
+KEEPERS = 3
+"""Instances that keep the version of a stream in a large fleet. In a small
+one all do, so that any number of instances may be lost."""
+
+MAX_OWNER_POOLS = 2
+"""Most pools of a service whose owners are asked too."""
+
+MAX_STREAMS = 100_000
+"""Most streams to remember; the oldest are dropped."""
+
+ANSWER_SECONDS = (0.06, 0.12)
+"""How long answers are waited for, each time after asking."""
+
+STORE_FRESH_SECONDS = 3.0
+"""Age of the store's latest answer up to which the list of endpoints says
+what serves, where no other instance answers."""
+
+RING_CACHE_SECONDS = 0.05
+"""How long the list of instances is cached. Reports that change it arrive at
+intervals of 0.1 s or more."""
+
+ROWS_PER_MESSAGE = 100
+GROUP_SIZE = 12
+"""Messages sent without a pause."""
+
+GROUP_PAUSE_SECONDS = 0.005
+
+OTHER_INSTANCE_RETRY_SECONDS = 0.1
+"""Retry time where another instance may know the stream."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamVersion:
+    """Where a stream may go on.
+
+    Attributes:
+        service: the service that began it.
+        software: the software version that began it; None if any may go on.
+    """
+
+    service: str
+    software: str | None
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """A known stream.
+
+    Attributes:
+        version: where it began.
+        until: clock time until which it is remembered, seconds.
+    """
+
+    version: StreamVersion
+    until: float
+
+
+class StreamVersions:
+    """Knows where streams began, or asks the instances that keep it.
+
+    Args:
+        own: name of this instance.
+        members: the other instances.
+        cluster_state: source of the listed endpoints.
+        owners: owners of the endpoints, who get reports of first events.
+        send: sends a message to the named instance.
+        get_store_age: returns the age of the store's latest answer, seconds.
+        ticker: the clock.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        members: membership_module.Membership,
+        cluster_state: cluster_state_module.ClusterState,
+        owners: owners_module.Owners,
+        send: messages.SendMessage,
+        get_store_age: collections.abc.Callable[[], float],
+        ticker: clock.Clock,
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._cluster_state = cluster_state
+        self._owners = owners
+        self._send = send
+        self._get_store_age = get_store_age
+        self._ticker = ticker
+        self._history = software_history.SoftwareHistory(ticker.now())
+        self._records: collections.OrderedDict[int, _Record] = (
+            collections.OrderedDict()
+        )
+        self._shared_services: set[str] = set()
+        self._questions: dict[
+            int, list[gevent_queue.SimpleQueue[stream_messages.StreamFound]]
+        ] = {}
+        self._ring = ring_module.Ring(())
+        self._ring_until = float("-inf")
+        self._list_number = -1
+
+    def __len__(self) -> int:
+        """Return the number of remembered streams."""
+        return len(self._records)
+
+    def update(self) -> None:
+        """Take over the listed endpoints, and forget old streams.
+
+        Streams that began while one version served are told to others as
+        soon as a second one may serve.
+        """
+        now = self._ticker.now()
+        if self._list_number != self._cluster_state.list_number:
+            self._list_number = self._cluster_state.list_number
+            self._history.update(self._cluster_state.endpoints.values(), now)
+        while self._records:
+            key, record = next(iter(self._records.items()))
+            if now < record.until and len(self._records) <= MAX_STREAMS:
+                break
+            del self._records[key]
+        shared = {
+            service
+            for service in self._history.list_services()
+            if self._get_versions(service).get_only() is None
+        }
+        newly_shared = shared - self._shared_services
+        self._shared_services = shared
+        if newly_shared:
+            gevent.spawn(self._share_all, newly_shared)
+
+    def record(
+        self,
+        request_id: str,
+        resumption: requests.Resumption | None,
+        endpoint: models.Endpoint,
+    ) -> None:
+        """Remember at which version a request brings its first event.
+
+        Args:
+            request_id: id of the request.
+            resumption: the stream that it takes up again, if any.
+            endpoint: the endpoint that brings the event.
+        """
+        key = _make_key(request_id, resumption)
+        version = StreamVersion(
+            service=endpoint.service, software=endpoint.software
+        )
+        self._store(key, version)
+        if endpoint.service in self._shared_services:
+            row = (key, endpoint.service, endpoint.software)
+            for keeper in self._choose_keepers(key):
+                self._send_rows(keeper, [row])
+
+    def record_leased(self, request_id: str, endpoint: str) -> None:
+        """Remember the stream of another instance that leased an endpoint.
+
+        An owner gets reports of first events anyway, so that streams of an
+        instance that is killed are known although one version served.
+        """
+        known = self._cluster_state.endpoints.get(endpoint)
+        if known is not None:
+            self._store(
+                _make_key(request_id, None),
+                StreamVersion(service=known.service, software=known.software),
+            )
+
+    def forget(
+        self,
+        request_id: str,
+        resumption: requests.Resumption | None = None,
+    ) -> None:
+        """Forget a stream that is complete, unless others rely on it."""
+        key = _make_key(request_id, resumption)
+        record = self._records.get(key)
+        if record and record.version.service not in self._shared_services:
+            del self._records[key]
+
+    def resolve(
+        self, resumption: requests.Resumption, route: models.Route
+    ) -> StreamVersion | errors.Refusal:
+        """Return where a stream that a caller takes up may go on.
+
+        Args:
+            resumption: the stream.
+            route: its route.
+        """
+        service = routing.choose_service(route, random.random())
+        versions = self._get_versions(service)
+        key = _make_key("", resumption)
+        record = self._records.get(key)
+        if record is not None:
+            return _check_route(record.version, route)
+        answers = self._ask(key, service)
+        for answer in answers:
+            found = _get_version(answer)
+            if found is not None:
+                return _check_route(found, route)
+            versions = versions.merge(_get_versions(answer))
+        return self._resolve_unknown(
+            service, versions, is_answered=bool(answers)
+        )
+
+    def _resolve_unknown(
+        self,
+        service: str,
+        versions: software_history.Versions,
+        *,
+        is_answered: bool,
+    ) -> StreamVersion | errors.Refusal:
+        """Return where a stream that no instance knows may go on.
+
+        Args:
+            service: service that it would go on at.
+            versions: versions that may have begun it.
+            is_answered: whether another instance took part in this.
+        """
+        if not versions.names:
+            # The dispatcher refuses it, as there is no endpoint.
+            return StreamVersion(service=service, software=None)
+        # Without an answer of any other the list of endpoints may be old.
+        is_current = (
+            is_answered or self._get_store_age() <= STORE_FRESH_SECONDS
+        )
+        only = versions.get_only()
+        if only is not None and is_current:
+            return StreamVersion(service=service, software=only)
+        return errors.Refusal(
+            code=errors.Code.STREAM_UNKNOWN,
+            retry_after=None if is_answered else OTHER_INSTANCE_RETRY_SECONDS,
+        )
+
+    def handle(self, message: stream_messages.StreamMessage) -> None:
+        """Handle a message of another instance."""
+        match message:
+            case stream_messages.StreamsBegun(rows=rows):
+                for key, service, software in rows:
+                    self._store(
+                        key, StreamVersion(service=service, software=software)
+                    )
+            case stream_messages.FindStream():
+                self._answer(message)
+            case stream_messages.StreamFound():
+                for question in self._questions.get(message.key, ()):
+                    question.put(message)
+
+    def _store(self, key: int, version: StreamVersion) -> None:
+        until = self._ticker.now() + software_history.KEEP_SECONDS
+        self._records[key] = _Record(version, until)
+        self._records.move_to_end(key)
+
+    def _answer(self, question: stream_messages.FindStream) -> None:
+        record = self._records.get(question.key)
+        versions = self._get_versions(question.service)
+        found = stream_messages.StreamFound(
+            protocol=messages.PROTOCOL,
+            instance=self._own,
+            key=question.key,
+            service=record.version.service if record else "",
+            software=(record.version.software or "") if record else "",
+            versions=sorted(versions.names),
+            is_complete=versions.is_complete,
+        )
+        self._send(question.instance, found)
+
+    def _ask(
+        self, key: int, service: str
+    ) -> list[stream_messages.StreamFound]:
+        """Ask other instances for a stream.
+
+        Returns:
+            Their answers, up to the first one that knows the stream.
+        """
+        asked = self._choose_keepers(key) | self._list_owners(service)
+        answers: dict[str, stream_messages.StreamFound] = {}
+        queue: gevent_queue.SimpleQueue = gevent_queue.SimpleQueue()
+        self._questions.setdefault(key, []).append(queue)
+        question = stream_messages.FindStream(
+            protocol=messages.PROTOCOL,
+            instance=self._own,
+            key=key,
+            service=service,
+        )
+        try:
+            for seconds in ANSWER_SECONDS:
+                for instance in asked - set(answers):
+                    self._send(instance, question)
+                until = self._ticker.now() + seconds
+                while (left := until - self._ticker.now()) > 0:
+                    try:
+                        answer = queue.get(timeout=left)
+                    except gevent_queue.Empty:
+                        break
+                    answers[answer.instance] = answer
+                    if answer.service or set(answers) >= asked:
+                        return list(answers.values())
+        finally:
+            self._questions[key].remove(queue)
+            if not self._questions[key]:
+                del self._questions[key]
+        return list(answers.values())
+
+    def _get_versions(self, service: str) -> software_history.Versions:
+        return self._history.get_versions(
+            service, self._ticker.now(), time.time()
+        )
+
+    def _choose_keepers(self, key: int) -> set[str]:
+        """Return the other instances that keep the version of a stream."""
+        self._refresh_ring()
+        number = KEEPERS if self._members.is_large() else len(self._ring.names)
+        return set(self._ring.choose(key, number)) - {self._own}
+
+    def _refresh_ring(self) -> None:
+        now = self._ticker.now()
+        if now < self._ring_until:
+            return
+        self._ring_until = now + RING_CACHE_SECONDS
+        names = {r.instance for r in self._members.list_fresh(now)}
+        ordered = tuple(sorted(names | {self._own}))
+        if ordered != self._ring.names:
+            self._ring = ring_module.Ring(ordered)
+
+    def _list_owners(self, service: str) -> set[str]:
+        pools = self._owners.count_pools(service)
+        if pools > MAX_OWNER_POOLS:
+            return set()
+        now = self._ticker.now()
+        return self._owners.list_owners(service, now) - {self._own}
+
+    def _share_all(self, services: set[str]) -> None:
+        """Tell the keepers of all known streams of some services."""
+        rows: dict[str, list[stream_messages.Row]] = {}
+        for key, record in self._records.items():
+            version = record.version
+            if version.service in services:
+                row = (key, version.service, version.software or "")
+                for keeper in self._choose_keepers(key):
+                    rows.setdefault(keeper, []).append(row)
+        sent = 0
+        for keeper, kept in rows.items():
+            for start in range(0, len(kept), ROWS_PER_MESSAGE):
+                self._send_rows(keeper, kept[start : start + ROWS_PER_MESSAGE])
+                sent += 1
+                if sent % GROUP_SIZE == 0:
+                    self._ticker.sleep(GROUP_PAUSE_SECONDS)
+
+    def _send_rows(
+        self, instance: str, rows: list[stream_messages.Row]
+    ) -> None:
+        begun = stream_messages.StreamsBegun(
+            protocol=messages.PROTOCOL, rows=rows
+        )
+        self._send(instance, begun)
+
+
+def _make_key(request_id: str, resumption: requests.Resumption | None) -> int:
+    """Return the key of a stream: a hash of the attempt that began it."""
+    begun_by = resumption.begun_by if resumption else ""
+    return rendezvous.compute_hash(begun_by or request_id)
+
+
+def _check_route(
+    version: StreamVersion, route: models.Route
+) -> StreamVersion | errors.Refusal:
+    """Return a version if the route still allows its service."""
+    if version.service in {share.service for share in route.shares}:
+        return version
+    return errors.Refusal(code=errors.Code.VERSION_GONE)
+
+
+def _get_version(answer: stream_messages.StreamFound) -> StreamVersion | None:
+    if not answer.service:
+        return None
+    return StreamVersion(service=answer.service, software=answer.software)
+
+
+def _get_versions(
+    answer: stream_messages.StreamFound,
+) -> software_history.Versions:
+    return software_history.Versions(
+        names=frozenset(answer.versions), is_complete=answer.is_complete
+    )
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -8,7 +8,9 @@
 from citronport.relay import eventlog
 from citronport.relay import forwarding
 from citronport.relay import membership
+from citronport.relay import owners
 from citronport.relay import paths
+from citronport.relay import stream_versions
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
@@ -142,6 +144,25 @@
             self.ticker,
             self.log,
         )
+        self.owners = owners.Owners(
+            own,
+            1.0,
+            self.members,
+            self.cluster_state,
+            lambda: True,
+            self.log,
+            lambda: None,
+        )
+        self.sent = []
+        self.stream_versions = stream_versions.StreamVersions(
+            own,
+            self.members,
+            self.cluster_state,
+            self.owners,
+            lambda instance, message: self.sent.append((instance, message)),
+            lambda: 0.0,
+            self.ticker,
+        )
         self.cluster_state.configuration = (
             configuration or make_configuration()
         )
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -68,6 +68,7 @@
             room.paths,
             self.suspects,
             room.forwarder,
+            room.stream_versions,
             room.ticker,
             room.log,
             metrics.Counts(),
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -49,6 +49,7 @@
             self.room.paths,
             suspects.Suspects(),
             self.room.forwarder,
+            self.room.stream_versions,
             self.clock,
             self.room.log,
             metrics.Counts(),
