Let streams that are taken up go first within their route's tier

Cause: a new stream can use each slot that becomes free, one that is taken up only those of its version, and both waited in the same order. Change: within a tier and route tier they go first. Tests of large fleets, of the history of versions and of the dispatcher are added beside it.

--- a/citronport/scheduler/direct/wait_queue.py
+++ b/citronport/scheduler/direct/wait_queue.py
@@ -95,8 +95,11 @@
         requests late, and put short requests of a low tier ahead of the most
         valuable ones. Higher tiers go first, and within a tier the more
         urgent route, since its late answers are still worth more than timely
-        ones of the next route. Within a route, requests that can still meet
-        their objective go before those that are late.
+        ones of the next route. Within a route, streams that are taken up
+        again go first: they can use only the endpoints of one software
+        version, and others would take each slot there as it becomes free.
+        Then requests that can still meet their objective go before those
+        that are late.
         """
         return sorted(
             self._waiters, key=lambda w: self._compute_sort_key(w, now)
@@ -158,8 +161,9 @@
 
     def _compute_sort_key(
         self, waiter: Waiter, now: float
-    ) -> tuple[int, int, bool, float]:
+    ) -> tuple[int, int, bool, bool, float]:
         work = waiter.work
         expected_start = now + self._expect_first_event(work)
         late = expected_start > work.arrived + work.route.objective
-        return (work.tier, work.route.tier, late, work.arrived)
+        is_bound = work.software is not None
+        return (work.tier, work.route.tier, not is_bound, late, work.arrived)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -49,6 +49,48 @@
         self.assertGreater(found.retry_after, 0)
         self.assertEqual(0, room.dispatcher.count_waiting())
 
+    def acquire_for(self, room, name, software, tried=frozenset()):
+        """Return what a request of a version gets."""
+        work = samples.make_work(
+            name, now=room.ticker.now(), software=software
+        )
+        return room.dispatcher.acquire(work, samples.ENGINES, tried)
+
+    def test_stream_goes_on_at_its_version(self):
+        """Guards against an endpoint of another version that is idle."""
+        room = samples.DispatcherFixture(
+            [
+                samples.make_endpoint("e1", software="v1"),
+                samples.make_endpoint("e2", software="v2"),
+                samples.make_endpoint("e3", software="v2"),
+            ]
+        )
+        for number in range(2):
+            found = self.acquire_for(room, f"t{number}", "v1")
+            self.assertEqual("e1", found.endpoint.name)
+        # An endpoint that was tried is better than one of another version.
+        found = self.acquire_for(room, "t2", "v2", frozenset(("e2", "e3")))
+        self.assertEqual("v2", found.endpoint.software)
+
+    def test_version_that_is_gone(self):
+        """Guards against a wait for an endpoint that does not exist."""
+        room = samples.DispatcherFixture([samples.make_endpoint()])
+        began = room.ticker.now()
+        found = self.acquire_for(room, "t1", "v0")
+        self.assertEqual(errors.Code.VERSION_GONE, found.code)
+        self.assertGreater(found.retry_after, 0)
+        self.assertLess(room.ticker.now() - began, 0.05)
+
+    def test_other_version_under_the_old_name(self):
+        """Guards against the last look before a send that sees no change."""
+        old = samples.make_endpoint("e1", software="v1")
+        room = samples.DispatcherFixture([old])
+        self.assertTrue(room.cluster_state.may_use(old))
+        room.cluster_state.endpoints["e1"] = samples.make_endpoint(
+            "e1", software="v2"
+        )
+        self.assertFalse(room.cluster_state.may_use(old))
+
     def test_refused_at_once_if_the_wait_would_be_too_long(self):
         """Guards against a wait that can't succeed.
 
--- /dev/null
+++ b/tests/relay/test_stream_records.py
@@ -0,0 +1,304 @@
+"""Where the versions of streams are kept, in fleets of several sizes."""
+
+import random
+import time
+
+import gevent
+import testtools
+
+from citronport import errors
+from citronport.platform import requests
+from citronport.relay import cluster_state
+from citronport.relay import messages
+from citronport.relay import owners
+from citronport.relay import stream_messages
+from citronport.relay import stream_versions
+from citronport.scheduler.direct import cold_starts
+from citronport.scheduler.direct import models
+from citronport.scheduler.direct import software_history
+from tests.relay import networks
+from tests.relay import samples
+
+DATA_CENTRES = 6
+LARGE = 60
+VERSIONS = ("v1", "v2")
+LONG_AGO = 1_600_000_000_000
+"""Start of endpoints, Unix milliseconds."""
+
+UNKNOWN = errors.Code.STREAM_UNKNOWN
+
+
+class StreamRecordsCase(testtools.TestCase):
+    """Test case with a fleet whose instances remember streams."""
+
+    def start(self, instances, *software, data_centres=DATA_CENTRES):
+        """Start a fleet that lists one endpoint of each version."""
+        self.random = random.Random(instances)
+        self.network = networks.Network(instances, data_centres)
+        self.nodes = list(self.network.nodes.values())
+        self.sent = []
+        self.store_age = 0.0
+        self.versions = {}
+        self.lists = {}
+        self.route = samples.make_route(resumable=True)
+        for node in self.nodes:
+            self.add(node)
+        self.network.run(2.0)
+        self.list_endpoints(*software)
+
+    def add(self, node):
+        """Let an instance remember streams, as after its start."""
+        ticker = self.network.ticker
+        log = samples.make_log(ticker)
+        state = cluster_state.ClusterState(
+            cold_starts.ColdStarts(), lambda name: None, log
+        )
+        node_owners = owners.Owners(
+            node.name,
+            1.0,
+            node.members,
+            state,
+            lambda: True,
+            log,
+            lambda: None,
+        )
+
+        def send(instance, message):
+            self.sent.append(message)
+            node.gossip.send_message(instance, message)
+
+        found = stream_versions.StreamVersions(
+            node.name,
+            node.members,
+            state,
+            node_owners,
+            send,
+            lambda: self.store_age,
+            ticker,
+        )
+        node.gossip._handle_message = found.handle
+        self.versions[node.name] = found
+        self.lists[node.name] = state
+
+    def list_endpoints(self, *software, nodes=None, started=LONG_AGO):
+        """Let instances, by default all, list an endpoint of each version."""
+        for node in nodes or self.nodes:
+            state = self.lists[node.name]
+            state.endpoints = {
+                s: samples.make_endpoint(s, software=s, started=started)
+                for s in software
+            }
+            state._index()
+            self.versions[node.name].update()
+        # Tasks that tell others of known streams begin to run.
+        gevent.sleep(0)
+        self.network.run(0.1)
+
+    def begin(self, number, nodes=None):
+        """Begin streams; return version and first instance by id."""
+        begun = {}
+        for n in range(number):
+            node = self.random.choice(nodes or self.nodes)
+            listed = self.lists[node.name].endpoints
+            endpoint = self.random.choice(list(listed.values()))
+            self.versions[node.name].record(f"s{n}", None, endpoint)
+            begun[f"s{n}"] = (endpoint.software, node)
+        self.network.run(0.1)
+        return begun
+
+    def lose(self, *nodes):
+        """Let instances die; the others know it."""
+        self.network.dead.update(nodes)
+        self.nodes = [n for n in self.nodes if n not in self.network.dead]
+        self.network.run(4.0)
+
+    def take_up(self, begun_by, node, route=None):
+        """Return where a stream may go on, or the refusal."""
+        resumption = requests.Resumption(begun_by=begun_by, after="4")
+        task = gevent.spawn(
+            self.versions[node.name].resolve, resumption, route or self.route
+        )
+        until = self.network.ticker.now() + 1.0
+        while not task.ready() and self.network.ticker.now() < until:
+            gevent.sleep(0)
+            self.network.run(0.02)
+            gevent.sleep(0.001)
+        return task.get(timeout=1.0)
+
+    def take_up_all(self, begun):
+        """Take streams up at survivors; return the share that goes on.
+
+        Checks that none goes on at another version.
+        """
+        known = 0
+        for begun_by, (software, _) in begun.items():
+            found = self.take_up(begun_by, self.random.choice(self.nodes))
+            if isinstance(found, errors.Refusal):
+                self.assertEqual(UNKNOWN, found.code)
+                continue
+            self.assertEqual(software, found.software)
+            known += 1
+        return known / len(begun)
+
+
+class SmallFleetTest(StreamRecordsCase):
+    """Seven instances in four data centres."""
+
+    def start(self, *software):
+        """Start the fleet."""
+        super().start(7, *software, data_centres=4)
+
+    def test_all_but_one_are_lost(self):
+        """Guards against copies that are lost with any number."""
+        self.start(*VERSIONS)
+        begun = self.begin(40)
+        self.lose(*self.nodes[1:])
+        self.assertEqual(1.0, self.take_up_all(begun))
+
+    def test_cut_off_from_the_others(self):
+        """Guards against a guess where nobody can be asked."""
+        self.start("v1")
+        self.network.is_blocked = lambda sender, receiver: True
+        cut_off = self.nodes[0]
+        self.assertEqual("v1", self.take_up("s1", cut_off).software)
+        self.store_age = 10.0
+        refusal = self.take_up("s1", cut_off)
+        self.assertEqual(UNKNOWN, refusal.code)
+        self.assertIsNotNone(refusal.retry_after)
+
+    def test_second_version_that_only_others_list(self):
+        """Guards against one version in the own list as a proof."""
+        self.start("v1")
+        self.list_endpoints(*VERSIONS, nodes=self.nodes[1:])
+        self.assertEqual(UNKNOWN, self.take_up("s1", self.nodes[0]).code)
+
+    def test_stream_of_a_version_that_is_not_listed_yet(self):
+        """Guards against a new version taken for the only known one."""
+        self.start("v1")
+        self.list_endpoints(*VERSIONS, nodes=self.nodes[1:])
+        begun = self.begin(20, self.nodes[1:])
+        for begun_by, (software, _) in begun.items():
+            found = self.take_up(begun_by, self.nodes[0])
+            self.assertEqual(software, found.software)
+
+    def test_second_version_comes(self):
+        """Guards against streams that began before and are not told."""
+        self.start("v1")
+        begun = self.begin(20)
+        self.assertEqual([], self.sent)
+        self.list_endpoints(*VERSIONS)
+        self.lose(*self.nodes[1:])
+        self.assertEqual(1.0, self.take_up_all(begun))
+
+    def test_instance_lost_before_the_second_version_comes(self):
+        """Guards against streams whose only witness was the owner."""
+        self.start("v1")
+        begun = self.begin(20, self.nodes[:1])
+        for node in self.nodes[1:2]:
+            for begun_by in begun:
+                self.versions[node.name].record_leased(begun_by, "v1")
+        self.lose(self.nodes[0])
+        self.list_endpoints(*VERSIONS)
+        self.assertEqual(1.0, self.take_up_all(begun))
+
+    def test_all_started_again_after_a_replacement(self):
+        """Guards against a version that no instance has seen."""
+        self.start("v1")
+        for node in self.nodes:
+            self.add(node)
+        now = int(time.time() * 1000)
+        self.list_endpoints("v2", started=now)
+        self.assertEqual(UNKNOWN, self.take_up("s1", self.nodes[0]).code)
+        self.list_endpoints("v2", started=LONG_AGO)
+        self.assertEqual("v2", self.take_up("s1", self.nodes[0]).software)
+
+    def test_started_again_beside_others(self):
+        """Guards against an instance that has no past of its own."""
+        self.start("v1")
+        self.list_endpoints("v2")
+        self.add(self.nodes[0])
+        self.list_endpoints("v2", nodes=self.nodes[:1])
+        self.assertEqual(UNKNOWN, self.take_up("s1", self.nodes[0]).code)
+
+    def test_stream_that_is_taken_up_without_a_name(self):
+        """Guards against Last-Event-Id alone, which names no stream."""
+        self.start(*VERSIONS)
+        self.assertEqual(UNKNOWN, self.take_up("", self.nodes[0]).code)
+        self.list_endpoints("v1")
+        self.network.ticker.advance(software_history.KEEP_SECONDS + 1)
+        self.list_endpoints("v1")
+        self.assertEqual("v1", self.take_up("", self.nodes[0]).software)
+
+    def test_route_that_goes_to_another_service(self):
+        """Guards against a stream that goes on at another service."""
+        self.start(*VERSIONS)
+        ((begun_by, _),) = self.begin(1).items()
+        route = samples.make_route(
+            shares=(models.Share(service=samples.BOOKINGS, weight=1.0),)
+        )
+        refusal = self.take_up(begun_by, self.nodes[0], route)
+        self.assertEqual(errors.Code.VERSION_GONE, refusal.code)
+
+    def test_stream_that_is_complete(self):
+        """Guards against memory for streams that are over."""
+        self.start("v1")
+        endpoint = self.lists["i0"].endpoints["v1"]
+        found = self.versions["i0"]
+        found.record("s1", None, endpoint)
+        found.forget("s1")
+        self.assertEqual(0, len(found))
+        found.record("s2", None, endpoint)
+        self.network.ticker.advance(software_history.KEEP_SECONDS)
+        found.update()
+        self.assertEqual(0, len(found))
+
+
+class LargeFleetTest(StreamRecordsCase):
+    """Sixty instances in six data centres."""
+
+    def start(self, *software):
+        """Start the fleet."""
+        super().start(LARGE, *software)
+
+    def test_begun_by_killed_instances(self):
+        """Guards against versions that a few instances take with them."""
+        self.start(*VERSIONS)
+        begun = self.begin(100, self.nodes[:10])
+        self.lose(*self.nodes[:10])
+        self.assertGreater(self.take_up_all(begun), 0.95)
+
+    def test_lost_data_centre(self):
+        """Guards against versions that one data centre takes with it."""
+        self.start(*VERSIONS)
+        begun = self.begin(100)
+        self.lose(*[n for n in self.nodes if n.data_centre == "dc0"])
+        self.assertGreater(self.take_up_all(begun), 0.95)
+
+    def test_messages_of_a_stream(self):
+        """Guards against bytes that grow with the fleet."""
+        self.start(*VERSIONS)
+        self.sent.clear()
+        self.begin(100)
+        self.assertLessEqual(len(self.sent), 100 * stream_versions.KEEPERS)
+        sizes = [len(messages.CODEC.encode(m)) for m in self.sent]
+        self.assertLess(max(sizes), 64)
+
+    def test_no_message_while_one_version_serves(self):
+        """Guards against bytes that nothing needs."""
+        self.start("v1")
+        self.sent.clear()
+        self.begin(100)
+        self.assertEqual([], self.sent)
+
+    def test_second_version_comes(self):
+        """Guards against streams that began before and are not told."""
+        self.start("v1")
+        begun = self.begin(300)
+        self.list_endpoints(*VERSIONS)
+        told = [
+            m for m in self.sent if isinstance(m, stream_messages.StreamsBegun)
+        ]
+        self.assertLess(len(told), 300 * stream_versions.KEEPERS)
+        self.lose(*self.nodes[:10])
+        few = dict(list(begun.items())[:100])
+        self.assertGreater(self.take_up_all(few), 0.95)
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -182,6 +182,24 @@
         self.take_up(streams, self.hosts)
         self.check_sound(streams)
 
+    def test_taken_up_as_often_as_new_ones_begin(self):
+        """Guards against refusals of streams that few engines may serve."""
+        self.add_engines("v2", 2)
+        self.start_fleet()
+        streams = self.begin(self.hosts, 12)
+        bound = [s for s in streams if s.software == {"v1"}]
+        load = gevent.spawn(
+            self.begin, self.hosts, 10 * STREAMS, versions.EVENTS
+        )
+        gevent.sleep(BROKEN_SECONDS)
+        self.take_up(bound, self.hosts)
+        new = load.get(timeout=4 * versions.CALLER_SECONDS)
+        begun = sum(bool(s.events) for s in new) / len(new)
+        went_on = sum(s.is_sound for s in bound) / len(bound)
+        self.assertLess(begun, 1.0)
+        self.assertGreater(went_on, begun / 2)
+        self.assertEqual(0, self.count_mixed(streams + new))
+
     def test_new_streams_use_all_versions(self):
         """Guards against engines that nothing is sent to."""
         self.start_fleet()
--- a/tests/scheduler/direct/test_wait_queue.py
+++ b/tests/scheduler/direct/test_wait_queue.py
@@ -49,6 +49,19 @@
             waiter.work = dataclasses.replace(waiter.work, tier=1)
         self.assertEqual(["draft", "tag"], self.order([tag, draft], 0.1))
 
+    def test_taken_up_streams_first(self):
+        """Guards against streams that starve at the few they may go on at."""
+        bound = make_waiter("bound, late", 0.0, tier=1)
+        bound.work = dataclasses.replace(bound.work, software="v1")
+        waiters = [
+            make_waiter("urgent", 2.0, tier=0),
+            make_waiter("fresh", 2.0, tier=1),
+            bound,
+        ]
+        self.assertEqual(
+            ["urgent", "bound, late", "fresh"], self.order(waiters, 2.0)
+        )
+
     def test_match_removes_requests_that_got_a_slot(self):
         """Slots are assigned in order; other requests continue to wait."""
         queue = wait_queue.WaitQueue()
