Tell instances that start of the streams that they keep

What callers would see: while instances restart in turn and two versions serve, streams that break off later can't be taken up (LOST). Cause: each restart empties one copy of what is known; after the last one nobody knows streams that began before the first. Change: who sees a new start of another instance tells it of the streams that it is to keep, while several versions may serve. Before: test_all_start_again_in_turn failed with the line off, passes with it (all of 40 streams known).

--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -126,6 +126,7 @@
         ] = {}
         self._ring = ring_module.Ring(())
         self._ring_until = float("-inf")
+        self._started: dict[str, str] = {}
         self._list_number = -1
 
     def __len__(self) -> int:
@@ -139,6 +140,7 @@
         soon as a second one may serve.
         """
         now = self._ticker.now()
+        self._refresh_ring()
         if self._list_number != self._cluster_state.list_number:
             self._list_number = self._cluster_state.list_number
             self._history.update(self._cluster_state.endpoints.values(), now)
@@ -344,10 +346,17 @@
         if now < self._ring_until:
             return
         self._ring_until = now + RING_CACHE_SECONDS
-        names = {r.instance for r in self._members.list_fresh(now)}
-        ordered = tuple(sorted(names | {self._own}))
+        reports = self._members.list_fresh(now)
+        ordered = tuple(sorted({r.instance for r in reports} | {self._own}))
         if ordered != self._ring.names:
             self._ring = ring_module.Ring(ordered)
+        started = {r.instance: r.incarnation for r in reports}
+        new = {n for n, i in started.items() if self._started.get(n) != i}
+        self._started |= started
+        if new and self._shared_services:
+            # Instances that restart in turn would forget a stream one after
+            # the other, though never all of them are gone.
+            gevent.spawn(self._share_all, self._shared_services, new)
 
     def _list_owners(self, service: str) -> set[str]:
         pools = self._owners.count_pools(service)
@@ -356,14 +365,22 @@
         now = self._ticker.now()
         return self._owners.list_owners(service, now) - {self._own}
 
-    def _share_all(self, services: set[str]) -> None:
-        """Tell the keepers of all known streams of some services."""
+    def _share_all(
+        self, services: set[str], keepers: set[str] | None = None
+    ) -> None:
+        """Tell keepers of all known streams of some services.
+
+        Args:
+            services: the services.
+            keepers: the instances to tell; all keepers by default.
+        """
         rows: dict[str, list[stream_messages.Row]] = {}
         for key, record in self._records.items():
             version = record.version
             if version.service in services:
                 row = (key, version.service, version.software or "")
-                for keeper in self._choose_keepers(key):
+                chosen = self._choose_keepers(key)
+                for keeper in chosen if keepers is None else chosen & keepers:
                     rows.setdefault(keeper, []).append(row)
         sent = 0
         for keeper, kept in rows.items():
--- a/citronport/scheduler/direct/software_history.py
+++ b/citronport/scheduler/direct/software_history.py
@@ -6,8 +6,8 @@
 from citronport.scheduler.direct import models
 
 KEEP_SECONDS = 30.0
-"""Longest time for which a stream may be taken up again. Callers of streams
-wait half as long."""
+"""Longest time from the first event of a stream until its caller takes it up
+for the last time."""
 
 NEVER = float("-inf")
 
--- a/tests/relay/test_stream_records.py
+++ b/tests/relay/test_stream_records.py
@@ -112,6 +112,17 @@
         self.nodes = [n for n in self.nodes if n not in self.network.dead]
         self.network.run(4.0)
 
+    def restart(self, node, *software):
+        """Let an instance start again with empty state."""
+        node.start(self.network.seeds)
+        self.add(node)
+        self.list_endpoints(*software, nodes=[node])
+        self.network.run(0.5)
+        for found in self.versions.values():
+            found.update()
+        gevent.sleep(0)
+        self.network.run(0.1)
+
     def take_up(self, begun_by, node, route=None):
         """Return where a stream may go on, or the refusal."""
         resumption = requests.Resumption(begun_by=begun_by, after="4")
@@ -220,6 +231,14 @@
         self.list_endpoints("v2", nodes=self.nodes[:1])
         self.assertEqual(UNKNOWN, self.take_up("s1", self.nodes[0]).code)
 
+    def test_all_start_again_in_turn(self):
+        """Guards against copies that are lost one after the other."""
+        self.start(*VERSIONS)
+        begun = self.begin(40)
+        for node in self.nodes:
+            self.restart(node, *VERSIONS)
+        self.assertEqual(1.0, self.take_up_all(begun))
+
     def test_stream_that_is_taken_up_without_a_name(self):
         """Guards against Last-Event-Id alone, which names no stream."""
         self.start(*VERSIONS)
