Count the streams that callers take up, by how they were found

Cause: metrics could not tell a fleet that asks for streams, or refuses them, from one that knows them. Change: citronport_resumptions_total by own, asked, only version, unknown; citronport_streams. No logic changes. Tests: pages, stream records, sender, application pass.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -218,6 +218,7 @@
             self.leasing.owners,
             self.gossip.send_message,
             self._get_store_age,
+            self.counts,
             ticker,
         )
         self._budgets: dict[str, retries.RetryBudget] = {}
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -49,6 +49,8 @@
         repeats: sends of a request beyond the first one.
         cut_sends: sends during which the endpoint's connection broke.
         body_ends: answers by what proved their end.
+        resumptions: streams that callers took up, by how the version that
+            began them was found.
         first_byte_seconds: time to the first byte of an answer, by kind of
             route.
         longest_pauses: longest pause of each stream.
@@ -65,6 +67,7 @@
         self.repeats = 0
         self.cut_sends = 0
         self.body_ends: collections.Counter[str] = collections.Counter()
+        self.resumptions: collections.Counter[str] = collections.Counter()
         self.first_byte_seconds: dict[str, Durations] = (
             collections.defaultdict(Durations)
         )
@@ -111,6 +114,7 @@
             of crashing endpoints.
         barred_parts: parts of prompts, or sets of them, with which no request
             is sent any more for the same reason.
+        streams: streams whose software version is remembered.
         lines_dropped: log lines dropped since they were last logged.
         oldest_report_seconds: age of the oldest report in use.
     """
@@ -145,6 +149,7 @@
     leases: int
     barred: int
     barred_parts: int
+    streams: int
     lines_dropped: int
     oldest_report_seconds: float
 
@@ -228,6 +233,11 @@
         "Parts of prompts not sent, as endpoints ended under them.",
         state.barred_parts,
     )
+    gauge(
+        "streams",
+        "Streams whose software version is remembered.",
+        state.streams,
+    )
     gauge(
         "report_age_seconds",
         "Age of the oldest report in use.",
@@ -277,6 +287,11 @@
         "Answers of endpoints, by what proved their end.",
         [({"end": end}, n) for end, n in counts.body_ends.items()],
     )
+    counter(
+        "resumptions_total",
+        "Streams that callers took up, by how their version was found.",
+        [({"found": how}, n) for how, n in counts.resumptions.items()],
+    )
     counter(
         "store_calls_total",
         "Calls to the platform's store.",
--- a/citronport/relay/state.py
+++ b/citronport/relay/state.py
@@ -61,6 +61,7 @@
         leases=len(instance.leasing.leases),
         barred=instance.suspects.count_barred(),
         barred_parts=instance.suspects.count_barred_parts(),
+        streams=len(instance.stream_versions),
         lines_dropped=sum(instance.log.dropped.values()),
         oldest_report_seconds=instance.members.get_oldest_age(now),
     )
--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -21,6 +21,7 @@
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
+from citronport.relay import metrics
 from citronport.relay import owners as owners_module
 from citronport.relay import stream_messages
 from citronport.scheduler.direct import models
@@ -96,6 +97,7 @@
         owners: owners of the endpoints, who get reports of first events.
         send: sends a message to the named instance.
         get_store_age: returns the age of the store's latest answer, seconds.
+        counts: counters for the metrics.
         ticker: the clock.
     """
 
@@ -107,6 +109,7 @@
         owners: owners_module.Owners,
         send: messages.SendMessage,
         get_store_age: collections.abc.Callable[[], float],
+        counts: metrics.Counts,
         ticker: clock.Clock,
     ) -> None:
         self._own = own
@@ -115,6 +118,7 @@
         self._owners = owners
         self._send = send
         self._get_store_age = get_store_age
+        self._counts = counts
         self._ticker = ticker
         self._history = software_history.SoftwareHistory(ticker.now())
         self._records: collections.OrderedDict[int, _Record] = (
@@ -220,11 +224,13 @@
         key = _make_key("", resumption)
         record = self._records.get(key)
         if record is not None:
+            self._counts.resumptions["own"] += 1
             return _check_route(record.version, route)
         answers = self._ask(key, service)
         for answer in answers:
             found = _get_version(answer)
             if found is not None:
+                self._counts.resumptions["asked"] += 1
                 return _check_route(found, route)
             versions = versions.merge(_get_versions(answer))
         return self._resolve_unknown(
@@ -254,7 +260,9 @@
         )
         only = versions.get_only()
         if only is not None and is_current:
+            self._counts.resumptions["only version"] += 1
             return StreamVersion(service=service, software=only)
+        self._counts.resumptions["unknown"] += 1
         return errors.Refusal(
             code=errors.Code.STREAM_UNKNOWN,
             retry_after=None if is_answered else OTHER_INSTANCE_RETRY_SECONDS,
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -8,6 +8,7 @@
 from citronport.relay import eventlog
 from citronport.relay import forwarding
 from citronport.relay import membership
+from citronport.relay import metrics
 from citronport.relay import owners
 from citronport.relay import paths
 from citronport.relay import stream_versions
@@ -161,6 +162,7 @@
             self.owners,
             lambda instance, message: self.sent.append((instance, message)),
             lambda: 0.0,
+            metrics.Counts(),
             self.ticker,
         )
         self.cluster_state.configuration = (
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -43,6 +43,7 @@
     leases=1,
     barred=0,
     barred_parts=0,
+    streams=0,
     lines_dropped=0,
     oldest_report_seconds=0.1,
 )
--- a/tests/relay/test_stream_records.py
+++ b/tests/relay/test_stream_records.py
@@ -10,6 +10,7 @@
 from citronport.platform import requests
 from citronport.relay import cluster_state
 from citronport.relay import messages
+from citronport.relay import metrics
 from citronport.relay import owners
 from citronport.relay import stream_messages
 from citronport.relay import stream_versions
@@ -74,6 +75,7 @@
             node_owners,
             send,
             lambda: self.store_age,
+            metrics.Counts(),
             ticker,
         )
         node.gossip._handle_message = found.handle
