Split large modules: settings watch, refusals, crash records

Change: crash_records.py has the record of one content and the cleared parts; settings_watch.py notices changes of the settings file; refusals.py makes the refusals that depend on what has run. stream_versions.py handles its messages and the owner's reports itself. No logic changes; assertions as before. Tests: pages, suspects, summaries, barred parts, causes, stream records, sender pass.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -37,8 +37,8 @@
 from citronport.relay import replication as replication_module
 from citronport.relay import reports
 from citronport.relay import settings as settings_module
+from citronport.relay import settings_watch
 from citronport.relay import state
-from citronport.relay import stream_messages
 from citronport.relay import stream_versions
 from citronport.relay import summaries
 from citronport.scheduler.direct import cold_starts
@@ -49,7 +49,6 @@
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import retries
-from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import suspects as suspects_module
 
 LOG = "relay:"
@@ -68,9 +67,6 @@
 SWEEP_INTERVAL_SECONDS = 0.25
 """Interval at which expired state is removed."""
 
-SETTINGS_POLL_SECONDS = 2.0
-"""Interval at which the settings file is checked for changes."""
-
 
 class Instance:
     """An instance that accepts callers' requests and sends them to endpoints.
@@ -420,31 +416,14 @@
             self.is_ready()
 
     def _watch_settings(self) -> None:
-        seen = _get_file_version(self._path)
-        while True:
-            self._ticker.sleep(SETTINGS_POLL_SECONDS)
-            changed = _get_file_version(self._path)
-            if changed != seen:
-                seen = changed
-                self.reload()
+        settings_watch.watch(self._path, self._ticker, self.reload)
 
     def _handle_report(self, report: messages.Report) -> None:
         self.reports.apply(report)
         self.dispatcher.schedule_match()
 
     def _handle_message(self, message: messages.InstanceMessage) -> None:
-        match message:
-            case (
-                stream_messages.StreamsBegun()
-                | stream_messages.FindStream()
-                | stream_messages.StreamFound()
-            ):
-                self.stream_versions.handle(message)
-                return
-            case messages.Begun(request=request, endpoint=endpoint):
-                self.stream_versions.record_leased(request, endpoint)
-            case messages.Ended(request=request, verdict=runs.Verdict.GOOD):
-                self.stream_versions.forget(request)
+        self.stream_versions.handle(message)
         self.leasing.handle(message)
 
     def _get_store_age(self) -> float:
@@ -501,15 +480,3 @@
 
     def _log_task_death(self, name: str) -> None:
         logging.error("%s task %s died.", LOG, name)
-
-
-def _get_file_version(path: pathlib.Path) -> tuple[int, int]:
-    try:
-        status = path.stat()
-    except OSError as error:
-        # A file that is being replaced exists again at the next check.
-        logging.warning(
-            "%s cannot read settings file %s: %s.", LOG, path, error.strerror
-        )
-        return (0, 0)
-    return (status.st_mtime_ns, status.st_size)
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -22,7 +22,6 @@
 from citronport.relay import streams
 from citronport.relay import upstream
 from citronport.scheduler.direct import models
-from citronport.scheduler.direct import suspects
 
 BUFFERED_BYTES = 65536
 """Responses of plain services up to this size are read in full before the
@@ -76,7 +75,10 @@
             if error is not timeout:
                 raise
             self._record_silence(past_deadline=True)
-            yield from self._fail(start_response, self._refuse_past_deadline())
+            yield from self._fail(
+                start_response,
+                refusals.make_past_deadline(self.progress.attempts),
+            )
         except disconnects.CallerDisconnected:
             self._record_silence(past_deadline=False)
             raise
@@ -453,30 +455,17 @@
         )
 
     def _refuse_overloaded(self) -> errors.Refusal:
-        if self.progress.possible_runs:
-            return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
         remaining = max(0.0, self._work.deadline - self._context.ticker.now())
-        return errors.Refusal(
-            code=errors.Code.OVERLOADED,
-            retry_after=min(
+        return refusals.make_overloaded(
+            self.progress.possible_runs,
+            min(
                 dispatcher_module.MAX_RETRY_SHARE * remaining,
                 dispatcher_module.wait_queue.MIN_RETRY_AFTER_SECONDS,
             ),
         )
 
     def _refuse_barred(self) -> errors.Refusal:
-        if self.progress.possible_runs:
-            return errors.Refusal(code=errors.Code.ENDPOINT_LOST)
-        return errors.Refusal(
-            code=errors.Code.BARRED, retry_after=suspects.KEEP_SECONDS
-        )
-
-    def _refuse_past_deadline(self) -> errors.Refusal:
-        if self.progress.attempts:
-            code = errors.Code.DEADLINE_PASSED_RUNNING
-        else:
-            code = errors.Code.DEADLINE_PASSED_WAITING
-        return errors.Refusal(code=code)
+        return refusals.make_barred(self.progress.possible_runs)
 
     def _record_silence(self, *, past_deadline: bool) -> None:
         if self._reservation is not None:
--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -28,6 +28,7 @@
 from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import ring as ring_module
 from citronport.scheduler.direct import routing
+from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import software_history
 
 KEEPERS = 3
@@ -186,19 +187,6 @@
             for keeper in self._choose_keepers(key):
                 self._send_rows(keeper, [row])
 
-    def record_leased(self, request_id: str, endpoint: str) -> None:
-        """Remember the stream of another instance that leased an endpoint.
-
-        An owner gets reports of first events anyway, so that streams of an
-        instance that is killed are known although one version served.
-        """
-        known = self._cluster_state.endpoints.get(endpoint)
-        if known is not None:
-            self._store(
-                _make_key(request_id, None),
-                StreamVersion(service=known.service, software=known.software),
-            )
-
     def forget(
         self,
         request_id: str,
@@ -268,8 +256,12 @@
             retry_after=None if is_answered else OTHER_INSTANCE_RETRY_SECONDS,
         )
 
-    def handle(self, message: stream_messages.StreamMessage) -> None:
-        """Handle a message of another instance."""
+    def handle(self, message: messages.InstanceMessage) -> None:
+        """Handle a message of another instance; ignore most on leases.
+
+        An owner gets reports of first events anyway, so that streams of an
+        instance that is killed are known although one version served.
+        """
         match message:
             case stream_messages.StreamsBegun(rows=rows):
                 for key, service, software in rows:
@@ -281,6 +273,18 @@
             case stream_messages.StreamFound():
                 for question in self._questions.get(message.key, ()):
                     question.put(message)
+            case messages.Begun(request=request, endpoint=endpoint):
+                self._record_leased(request, endpoint)
+            case messages.Ended(request=request, verdict=runs.Verdict.GOOD):
+                self.forget(request)
+
+    def _record_leased(self, request_id: str, endpoint: str) -> None:
+        known = self._cluster_state.endpoints.get(endpoint)
+        if known is not None:
+            self._store(
+                _make_key(request_id, None),
+                StreamVersion(service=known.service, software=known.software),
+            )
 
     def _store(self, key: int, version: StreamVersion) -> None:
         until = self._ticker.now() + software_history.KEEP_SECONDS
--- a/citronport/scheduler/direct/suspects.py
+++ b/citronport/scheduler/direct/suspects.py
@@ -6,6 +6,7 @@
 
 from citronport.scheduler.direct import announcements
 from citronport.scheduler.direct import causes
+from citronport.scheduler.direct import crash_records
 from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import models
 
@@ -14,10 +15,6 @@
 the cause for as long after its latest crash, even if it recurs: endpoints may
 have been mended since, which only another request with it can show."""
 
-CLEARED_SECONDS = 60.0
-"""How long no crash counts for a part after an answer to a request with it has
-begun. Many endpoints may crash between two such answers."""
-
 BEGUN_EVENTS = 8
 """Events after which an answer has begun. An endpoint that crashes at the
 beginning of an answer may still send a few."""
@@ -25,21 +22,9 @@
 MAX_SUSPECTS = 2048
 """Most contents remembered at once."""
 
-MAX_CLEARED = 4096
-"""Most cleared parts remembered at once, in half a megabyte."""
-
-MAX_CRASHES = 16
-"""Most crashes remembered for one content, which keeps updates small."""
-
-MIN_WORKSPACES = 2
-"""Workspaces whose requests must have crashed endpoints before a part is
-barred for all others as well."""
-
 MAX_CRASHED = 256
 """Most endpoint starts watched for an answer after their crash."""
 
-NEVER = float("-inf")
-
 _START_MARK = "start-"
 """Begins the key of an endpoint start that answered after a broken
 connection. Instances announce it like a content that a good answer clears."""
@@ -68,47 +53,6 @@
     workspace: str = ""
 
 
-@dataclasses.dataclass(slots=True)
-class _Suspect:
-    """State of one content; clock times in seconds.
-
-    Attributes:
-        crashes: time of the crash of each endpoint start.
-        cleared_at: time of its last good answer.
-        workspaces: hashes of workspaces whose requests crashed endpoints.
-    """
-
-    crashes: dict[int, float] = dataclasses.field(default_factory=dict)
-    cleared_at: float = NEVER
-    workspaces: set[int] = dataclasses.field(default_factory=set)
-
-    def add_crash(self, start: int, at: float) -> bool:
-        """Add a crash; return whether it is new and counts."""
-        if at <= self.cleared_at or start in self.crashes:
-            return False
-        if len(self.crashes) >= MAX_CRASHES:
-            return False
-        self.crashes[start] = at
-        return True
-
-    def add_workspaces(self, hashes: collections.abc.Iterable[int]) -> bool:
-        """Add workspaces; return whether one of them is new and counts."""
-        if not self.crashes:
-            return False
-        new = set(hashes) - self.workspaces
-        new = set(sorted(new)[: MIN_WORKSPACES - len(self.workspaces)])
-        self.workspaces |= new
-        return bool(new)
-
-    def drop_crashes(self, until: float) -> bool:
-        """Drop crashes up to a clock time; return whether any were."""
-        count = len(self.crashes)
-        self.crashes = {s: at for s, at in self.crashes.items() if at > until}
-        if not self.crashes:
-            self.workspaces.clear()
-        return len(self.crashes) < count
-
-
 class Suspects:
     """Tracks contents of requests that are suspected of crashing endpoints.
 
@@ -126,8 +70,8 @@
     """
 
     def __init__(self) -> None:
-        self._suspects: dict[str, _Suspect] = {}
-        self._cleared: dict[str, float] = {}
+        self._suspects: dict[str, crash_records.CrashRecord] = {}
+        self._cleared = crash_records.ClearedParts()
         self._crashed: dict[int, float] = {}
         self._causes: list[causes.Keys] = []
         self._barred: dict[str, None] = {}
@@ -157,7 +101,9 @@
         start = _compute_start_hash(endpoint)
         keys = [content.fingerprint]
         if not has_begun:
-            keys += [k for k in content.parts if not self._is_cleared(k, now)]
+            keys += [
+                k for k in content.parts if not self._cleared.covers(k, now)
+            ]
         for key in keys:
             suspect = self._get_suspect(key)
             self._announcements.record_observation(key, now)
@@ -268,9 +214,13 @@
             self._drop_expired_crashes(key, self._suspects[key], now)
 
     def _apply_answer(
-        self, key: str, suspect: _Suspect, cleared_at: float, now: float
+        self,
+        key: str,
+        suspect: crash_records.CrashRecord,
+        cleared_at: float,
+        now: float,
     ) -> None:
-        known_at = max(suspect.cleared_at, self._cleared.get(key, NEVER))
+        known_at = max(suspect.cleared_at, self._cleared.get_time(key))
         # The time under way is not part of an age, so that each time an
         # answer is passed on, it seems a little newer.
         if cleared_at - known_at <= announcements.REPEAT_TOLERANCE_SECONDS:
@@ -286,18 +236,18 @@
     def _apply_crashes(
         self,
         key: str,
-        suspect: _Suspect,
+        suspect: crash_records.CrashRecord,
         crashes: causes.Crashes,
         workspaces: list[int],
         now: float,
     ) -> None:
         changed = False
         for start, at in crashes.items():
-            if self._is_cleared(key, at):
+            if self._cleared.covers(key, at):
                 # The other instance has not seen the answer.
                 self._announcements.record_change(key, now)
                 suspect.cleared_at = max(
-                    suspect.cleared_at, self._cleared[key]
+                    suspect.cleared_at, self._cleared.get_time(key)
                 )
             elif not self._has_expired(key, at, now):
                 changed |= self._add_crash(suspect, start, at)
@@ -305,7 +255,9 @@
         if changed:
             self._record_change(key, now)
 
-    def _add_crash(self, suspect: _Suspect, start: int, at: float) -> bool:
+    def _add_crash(
+        self, suspect: crash_records.CrashRecord, start: int, at: float
+    ) -> bool:
         answered = self._suspects.get(f"{_START_MARK}{start}")
         if answered is not None and at < answered.cleared_at:
             return False
@@ -326,35 +278,29 @@
     def _clear(self, key: str, at: float, now: float) -> None:
         """Drop the crashes for which a good answer at a clock time stands."""
         if fingerprints.is_part(key):
-            at = max(at, self._cleared.pop(key, NEVER))
-            self._cleared[key] = at
-            if len(self._cleared) > MAX_CLEARED:
-                del self._cleared[next(iter(self._cleared))]
+            at = self._cleared.add(key, at)
         suspect = self._suspects.get(key)
         if suspect is None:
             return
-        until = at + CLEARED_SECONDS if fingerprints.is_part(key) else at
+        is_part = fingerprints.is_part(key)
+        until = at + crash_records.CLEARED_SECONDS if is_part else at
         suspect.cleared_at = max(suspect.cleared_at, at)
         if suspect.drop_crashes(until):
             self._record_change(key, now)
 
-    def _is_cleared(self, key: str, at: float) -> bool:
-        """Return whether a crash at a clock time doesn't count for a part."""
-        return at <= self._cleared.get(key, NEVER) + CLEARED_SECONDS
-
     def _has_expired(self, key: str, at: float, now: float) -> bool:
         return fingerprints.is_part(key) and announcements.is_expired(at, now)
 
     def _drop_expired_crashes(
-        self, key: str, suspect: _Suspect, now: float
+        self, key: str, suspect: crash_records.CrashRecord, now: float
     ) -> None:
         if not fingerprints.is_part(key):
             return
         if suspect.drop_crashes(now - KEEP_SECONDS):
             self._is_outdated = True
 
-    def _get_suspect(self, key: str) -> _Suspect:
-        return self._suspects.setdefault(key, _Suspect())
+    def _get_suspect(self, key: str) -> crash_records.CrashRecord:
+        return self._suspects.setdefault(key, crash_records.CrashRecord())
 
     def _record_change(self, key: str, now: float) -> None:
         self._announcements.record_change(key, now)
@@ -390,7 +336,10 @@
         if not _has_parts_only(cause):
             return True
         workspaces = self._suspects[min(cause)].workspaces
-        return workspace in workspaces or len(workspaces) >= MIN_WORKSPACES
+        return (
+            workspace in workspaces
+            or len(workspaces) >= crash_records.MIN_WORKSPACES
+        )
 
     def _forget(self, key: str) -> None:
         self._suspects.pop(key, None)
@@ -444,4 +393,6 @@
 
 
 def _compute_age_ms(at: float, now: float) -> int:
-    return -1 if at == NEVER else max(0, round((now - at) * 1000))
+    return (
+        -1 if at == crash_records.NEVER else max(0, round((now - at) * 1000))
+    )
--- a/tests/relay/test_stream_records.py
+++ b/tests/relay/test_stream_records.py
@@ -209,7 +209,13 @@
         begun = self.begin(20, self.nodes[:1])
         for node in self.nodes[1:2]:
             for begun_by in begun:
-                self.versions[node.name].record_leased(begun_by, "v1")
+                self.versions[node.name].handle(
+                    messages.Begun(
+                        protocol=messages.PROTOCOL,
+                        request=begun_by,
+                        endpoint="v1",
+                    )
+                )
         self.lose(self.nodes[0])
         self.list_endpoints(*VERSIONS)
         self.assertEqual(1.0, self.take_up_all(begun))
--- a/tests/scheduler/direct/test_suspect_parts.py
+++ b/tests/scheduler/direct/test_suspect_parts.py
@@ -7,6 +7,7 @@
 import testtools
 
 from citronport.scheduler.direct import announcements
+from citronport.scheduler.direct import crash_records
 from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import suspects
 from tests.scheduler.direct import test_suspects
@@ -287,12 +288,12 @@
         """Guards against reports and state that grow with parts in use."""
         node = suspects.Suspects()
         now = 0.0
-        for number in range(3 * suspects.MAX_CLEARED):
+        for number in range(3 * crash_records.MAX_CLEARED):
             now += 0.01
             content = make_content(f"f{number}", f"a{number}", f"b{number}")
             node.record_begun(content, now)
         self.assertEqual([], node.list_updates(now))
-        self.assertLessEqual(len(node._cleared), suspects.MAX_CLEARED)
+        self.assertLessEqual(len(node._cleared), crash_records.MAX_CLEARED)
         for number in range(2 * suspects.MAX_SUSPECTS):
             now += 0.01
             self.crash(node, number, now, f"c{number}", f"d{number}")
