Let unnamed streams go on where one version serves, without a pause

What callers would see: for up to 30 s after the first start of a fleet, streams whose callers send Last-Event-Id alone are refused, though one version serves; and each stream of a killed instance waits 0.18 s. Cause: a past that is not known counted as if it had a second version, also for callers that name no stream, whom no record can help; and answers of killed instances were waited for. Change: an unnamed stream goes on if one version is known, by however little past; a named one needs the past as before. Where two answers agree on one version, no more are waited for. Tests: test_unnamed_stream_after_the_first_start and test_killed_instance_is_not_waited_for, red before.

--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -44,6 +44,9 @@
 ANSWER_SECONDS = (0.06, 0.12)
 """How long answers are waited for, each time after asking."""
 
+SINGLE_VERSION_ANSWERS = 2
+"""Answers that are enough where they agree that one version serves."""
+
 STORE_FRESH_SECONDS = 3.0
 """Age of the store's latest answer up to which the list of endpoints says
 what serves, where no other instance answers."""
@@ -157,7 +160,7 @@
         shared = {
             service
             for service in self._history.list_services()
-            if self._get_versions(service).get_only() is None
+            if self._get_versions(service).get_only(is_named=True) is None
         }
         newly_shared = shared - self._shared_services
         self._shared_services = shared
@@ -214,31 +217,15 @@
         if record is not None:
             self._counts.resumptions["own"] += 1
             return _check_route(record.version, route)
-        answers = self._ask(key, service)
-        for answer in answers:
+        is_named = bool(resumption.begun_by)
+        is_answered = False
+        for answer in self._ask(key, service):
+            is_answered = True
             found = _get_version(answer)
             if found is not None:
                 self._counts.resumptions["asked"] += 1
                 return _check_route(found, route)
             versions = versions.merge(_get_versions(answer))
-        return self._resolve_unknown(
-            service, versions, is_answered=bool(answers)
-        )
-
-    def _resolve_unknown(
-        self,
-        service: str,
-        versions: software_history.Versions,
-        *,
-        is_answered: bool,
-    ) -> StreamVersion | errors.Refusal:
-        """Return where a stream that no instance knows may go on.
-
-        Args:
-            service: service that it would go on at.
-            versions: versions that may have begun it.
-            is_answered: whether another instance took part in this.
-        """
         if not versions.names:
             # The dispatcher refuses it, as there is no endpoint.
             return StreamVersion(service=service, software=None)
@@ -246,7 +233,7 @@
         is_current = (
             is_answered or self._get_store_age() <= STORE_FRESH_SECONDS
         )
-        only = versions.get_only()
+        only = versions.get_only(is_named=is_named)
         if only is not None and is_current:
             self._counts.resumptions["only version"] += 1
             return StreamVersion(service=service, software=only)
@@ -310,9 +297,14 @@
     ) -> list[stream_messages.StreamFound]:
         """Ask other instances for a stream.
 
+        Where one version serves, two answers are enough: a stream goes on
+        there whether it is known or not, and instances that were killed are
+        among those asked for a second.
+
         Returns:
             Their answers, up to the first one that knows the stream.
         """
+        versions = self._get_versions(service)
         asked = self._choose_keepers(key) | self._list_owners(service)
         answers: dict[str, stream_messages.StreamFound] = {}
         queue: gevent_queue.SimpleQueue = gevent_queue.SimpleQueue()
@@ -324,7 +316,7 @@
             service=service,
         )
         try:
-            for seconds in ANSWER_SECONDS:
+            for seconds in ANSWER_SECONDS if asked else ():
                 for instance in asked - set(answers):
                     self._send(instance, question)
                 until = self._ticker.now() + seconds
@@ -334,7 +326,12 @@
                     except gevent_queue.Empty:
                         break
                     answers[answer.instance] = answer
-                    if answer.service or set(answers) >= asked:
+                    versions = versions.merge(_get_versions(answer))
+                    is_single = versions.get_only(is_named=True) is not None
+                    enough = (
+                        SINGLE_VERSION_ANSWERS if is_single else len(asked)
+                    )
+                    if answer.service or len(answers) >= enough:
                         return list(answers.values())
         finally:
             self._questions[key].remove(queue)
--- a/tests/relay/test_stream_records.py
+++ b/tests/relay/test_stream_records.py
@@ -228,9 +228,28 @@
         now = int(time.time() * 1000)
         self.list_endpoints("v2", started=now)
         self.assertEqual(UNKNOWN, self.take_up("s1", self.nodes[0]).code)
+        self.assertEqual("v2", self.take_up("", self.nodes[0]).software)
         self.list_endpoints("v2", started=LONG_AGO)
         self.assertEqual("v2", self.take_up("s1", self.nodes[0]).software)
 
+    def test_unnamed_stream_after_the_first_start(self):
+        """Guards against refusals for as long as no past is known."""
+        self.start("v1")
+        now = int(time.time() * 1000)
+        self.list_endpoints("v1", started=now)
+        self.assertEqual("v1", self.take_up("", self.nodes[0]).software)
+
+    def test_killed_instance_is_not_waited_for(self):
+        """Guards against a pause in each stream of a killed instance."""
+        self.start("v1")
+        begun = self.begin(5, self.nodes[:1])
+        self.network.dead.add(self.nodes[0])
+        for begun_by in begun:
+            began = self.network.ticker.now()
+            found = self.take_up(begun_by, self.nodes[1])
+            self.assertEqual("v1", found.software)
+            self.assertLess(self.network.ticker.now() - began, 0.06)
+
     def test_started_again_beside_others(self):
         """Guards against an instance that has no past of its own."""
         self.start("v1")
