Charge streams that are taken up, and keep what the holder told

Found in a reading of the change, three faults of one piece: Cause: a stream that is taken up was looked for before its workspace's limit was charged, so that a flood of them cost questions to others without a limit; an owner's older list overwrote the version that the instance which holds the lease had told; streams without a name waited for killed instances in a young fleet. Change: charge first and give the units back with a refusal; what was told stays; the answers that are enough depend on whether the stream is named.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -154,14 +154,14 @@
                 return _err(errors.Code.UNKNOWN_KEY)
             workspace = configuration.workspaces[name]
             units = count_units(workspace, head)
-        # Before the limit is charged, as the stream may be refused.
-        target = self._choose_version(head, route)
-        if isinstance(target, errors.Refusal):
-            return result.Err(target)
-        if workspace is not None:
             refusal = self._charge(workspace, units, arrived)
             if refusal is not None:
                 return result.Err(refusal)
+        target = self._choose_version(head, route)
+        if isinstance(target, errors.Refusal):
+            if workspace is not None:
+                self._quotas.refund(workspace, units)
+            return result.Err(target)
         work = make_work(head, route, workspace, arrived, target.software)
         method = environ["REQUEST_METHOD"]
         service = target.service
--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -219,7 +219,7 @@
             return _check_route(record.version, route)
         is_named = bool(resumption.begun_by)
         is_answered = False
-        for answer in self._ask(key, service):
+        for answer in self._ask(key, service, is_named=is_named):
             is_answered = True
             found = _get_version(answer)
             if found is not None:
@@ -266,10 +266,13 @@
                 self.forget(request)
 
     def _record_leased(self, request_id: str, endpoint: str) -> None:
+        key = _make_key(request_id, None)
         known = self._cluster_state.endpoints.get(endpoint)
-        if known is not None:
+        # What the instance itself has told stays: its list may be newer, and
+        # the endpoint be back under its name with another version.
+        if known is not None and key not in self._records:
             self._store(
-                _make_key(request_id, None),
+                key,
                 StreamVersion(service=known.service, software=known.software),
             )
 
@@ -293,7 +296,7 @@
         self._send(question.instance, found)
 
     def _ask(
-        self, key: int, service: str
+        self, key: int, service: str, *, is_named: bool
     ) -> list[stream_messages.StreamFound]:
         """Ask other instances for a stream.
 
@@ -327,9 +330,9 @@
                         break
                     answers[answer.instance] = answer
                     versions = versions.merge(_get_versions(answer))
-                    is_single = versions.get_only(is_named=True) is not None
+                    only = versions.get_only(is_named=is_named)
                     enough = (
-                        SINGLE_VERSION_ANSWERS if is_single else len(asked)
+                        len(asked) if only is None else SINGLE_VERSION_ANSWERS
                     )
                     if answer.service or len(answers) >= enough:
                         return list(answers.values())
--- a/tests/relay/test_stream_records.py
+++ b/tests/relay/test_stream_records.py
@@ -220,6 +220,20 @@
         self.list_endpoints(*VERSIONS)
         self.assertEqual(1.0, self.take_up_all(begun))
 
+    def test_owner_with_an_older_list(self):
+        """Guards against an owner's view in place of what was told."""
+        self.start(*VERSIONS)
+        ((begun_by, (software, _)),) = self.begin(1).items()
+        (other,) = set(VERSIONS) - {software}
+        owner = self.versions[self.nodes[1].name]
+        owner.handle(
+            messages.Begun(
+                protocol=messages.PROTOCOL, request=begun_by, endpoint=other
+            )
+        )
+        found = self.take_up(begun_by, self.nodes[1])
+        self.assertEqual(software, found.software)
+
     def test_all_started_again_after_a_replacement(self):
         """Guards against a version that no instance has seen."""
         self.start("v1")
@@ -237,7 +251,10 @@
         self.start("v1")
         now = int(time.time() * 1000)
         self.list_endpoints("v1", started=now)
+        self.network.dead.add(self.nodes[1])
+        began = self.network.ticker.now()
         self.assertEqual("v1", self.take_up("", self.nodes[0]).software)
+        self.assertLess(self.network.ticker.now() - began, 0.06)
 
     def test_killed_instance_is_not_waited_for(self):
         """Guards against a pause in each stream of a killed instance."""
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -173,6 +173,18 @@
         self.assertLess(time.monotonic() - began, AT_ONCE_SECONDS)
         self.check_refused(streams, errors.Code.STREAM_UNKNOWN)
 
+    def test_refused_stream_uses_no_limit(self):
+        """Guards against a workspace charged for what has not run."""
+        self.start_fleet()
+        limit = {"ratePerS": 1, "burst": 400, "unit": "tokens"}
+        self.put_configuration(9, limit, resumable=True)
+        gevent.sleep(LISTED_SECONDS)
+        for stream in self.make_unknown():
+            self.take_up([stream], self.hosts[:1])
+            self.check_refused([stream], errors.Code.STREAM_UNKNOWN)
+        (new,) = self.begin(self.hosts[:1], 1, versions.EVENTS)
+        self.check_sound([new])
+
     def test_unknown_stream_of_the_only_version(self):
         """Guards against the refusal of streams that fit anywhere."""
         for engine in self.list_engines("v2"):
