Let callers of the soak take streams up while two versions serve

Change: engines of the soak have one of two software versions and come back from a drain at the other one; callers of resumable streams take a cut one up, twice at most, at any instance. A body read piece by piece left its connection unread, so that a third of the requests did not reach an instance; mended in the harness.

--- a/tests/relay/engines.py
+++ b/tests/relay/engines.py
@@ -52,7 +52,13 @@
         self.starts += 1
         self.is_down = False
         self.name = f"e{self.number}-{self.starts}"
-        self.case.put_endpoint(self.name, address=self.address)
+        self.case.put_endpoint(
+            self.name, address=self.address, **self.make_entry()
+        )
+
+    def make_entry(self):
+        """Return further fields of its entry."""
+        return {}
 
     def crash(self):
         """Cut all connections and come back after a while."""
--- a/tests/relay/soak_fleet.py
+++ b/tests/relay/soak_fleet.py
@@ -4,6 +4,7 @@
 import dataclasses
 import http.client
 import random
+import re
 import signal
 import time
 
@@ -36,6 +37,7 @@
 
 KNOWN_CRASHES = 5
 ALLOWED_SENDS = 3
+MAX_TAKEN_UP = 2
 FAULTS = (
     "kill",
     "term",
@@ -62,6 +64,10 @@
 }
 
 
+VERSIONS = ("v1", "v2")
+EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]+)\n\n")
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Outcome:
     """What a caller saw of one request.
@@ -71,12 +77,31 @@
         kind: name of its route.
         status: HTTP status; 0 if none came.
         body: the body; None if it was not complete.
+        received: all that came of the body.
+        code: result code of a refusal; empty without one.
+        resumes: the outcome of the attempt that it takes up; None if none.
     """
 
     request_id: str
     kind: str
     status: int
     body: bytes | None
+    received: bytes = b""
+    code: str = ""
+    resumes: "Outcome | None" = None
+
+    @property
+    def target(self):
+        """Path of the request, which is that of the first attempt."""
+        if self.resumes:
+            return self.resumes.target
+        return f"/{self.kind}/{self.request_id}"
+
+    def list_events(self):
+        """Return number and text of each event of the stream."""
+        earlier = self.resumes.list_events() if self.resumes else []
+        found = [(int(n), text) for n, text in EVENT.findall(self.received)]
+        return earlier + found if self.status == 200 else earlier
 
 
 class SoakEngine(engines.Engine):
@@ -90,8 +115,13 @@
     def __init__(self, fleet, number):
         self.fleet = fleet
         self.left_at = None
+        self.software = VERSIONS[number % len(VERSIONS)]
         super().__init__(fleet.case, number)
 
+    def make_entry(self):
+        """Return version and time of its start."""
+        return {"version": self.software, "born": int(time.time() * 1000)}
+
     def leave(self):
         """Leave gracefully, and come back under another name."""
         if self.is_down or self.left_at is not None:
@@ -103,6 +133,7 @@
         self.left_at = None
         if not self.is_down and self.name == name:
             self.case.store.delete(f"servers/{name}")
+            (self.software,) = set(VERSIONS) - {self.software}
             self.register()
 
     def _answer(self, sock, request):
@@ -121,8 +152,9 @@
             fakes.answer(body=target.encode())(sock, headers)
             return
         first = int(headers.get("last-event-id", -1)) + 1
+        text = f"{self.software} {target}"
         events = [
-            fakes.make_event(n, target) for n in range(first, engines.EVENTS)
+            fakes.make_event(n, text) for n in range(first, engines.EVENTS)
         ]
         fakes.stream(*events, pause=0.03)(sock, headers)
 
@@ -230,19 +262,51 @@
             self.outcomes.append(outcome)
             if outcome.body is None:
                 connections.pop(host).close()
+                self._take_up(outcome, chance)
             gevent.sleep(chance.uniform(0.02, 0.15))
 
-    def ask_once(self, host, request_id, kind, parts=("common",)):
+    def _take_up(self, outcome, chance):
+        """Take a stream up again, at any instance, until it is whole."""
+        for number in range(MAX_TAKEN_UP):
+            events = outcome.list_events()
+            if outcome.kind != "review" or not events or outcome.body:
+                return
+            first = outcome
+            while first.resumes and first.resumes.list_events():
+                first = first.resumes
+            outcome = self.ask_once(
+                chance.choice(self.hosts),
+                f"{first.request_id}-{number}",
+                outcome.kind,
+                Resumes=first.request_id,
+                Last_Event_Id=str(events[-1][0]),
+                resumes=outcome,
+            )
+            self.outcomes.append(outcome)
+
+    def ask_once(
+        self,
+        host,
+        request_id,
+        kind,
+        parts=("common",),
+        resumes=None,
+        **headers,
+    ):
         """Send a request on a connection of its own; return the outcome."""
         connection = http.client.HTTPConnection(
             host, instances.PORTS["callers"], timeout=6.0
         )
         try:
-            return self._ask(connection, request_id, kind, parts)
+            return self._ask(
+                connection, request_id, kind, parts, resumes, **headers
+            )
         finally:
             connection.close()
 
-    def _ask(self, connection, request_id, kind, parts):
+    def _ask(
+        self, connection, request_id, kind, parts, resumes=None, **fields
+    ):
         prefix = ",".join(f"{p}:20" for p in (*parts, request_id))
         headers = {
             "Host": "shop.example",
@@ -251,18 +315,31 @@
             "X-Deadline-Ms": "4000",
             "X-Token-Counts": "60,60",
             "X-Prompt-Prefix": prefix,
+            **{k.replace("_", "-"): value for k, value in fields.items()},
         }
-        status, body = 0, None
+        status, body, received, code = 0, None, b"", ""
         try:
-            connection.request("POST", f"/{kind}/{request_id}", b"", headers)
+            target = f"/{kind}/{fields.get('Resumes', request_id)}"
+            connection.request("POST", target, b"", headers)
             response = connection.getresponse()
             status = response.status
-            body = response.read()
+            code = response.headers.get("X-Citronport-Code", "")
+            while piece := response.read1():
+                received += piece
+            # Marks the response as read, so that its connection is reused.
+            response.read()
+            body = received
         except (OSError, http.client.HTTPException):
             # The caller sees a refused, cut or silent connection.
             pass
         return Outcome(
-            request_id=request_id, kind=kind, status=status, body=body
+            request_id=request_id,
+            kind=kind,
+            status=status,
+            body=body,
+            received=received,
+            code=code,
+            resumes=resumes,
         )
 
     def _choose_instance(self, chance):
@@ -367,8 +444,20 @@
         if not resumable and runs and outcome.status in NOT_RUN:
             found.append(f"{outcome.request_id} ran and got {outcome.status}")
         is_whole = outcome.status == 200 and outcome.body is not None
-        if is_whole and outcome.body != make_body(outcome):
-            found.append(f"{outcome.request_id} got a wrong body")
+        if outcome.kind in ("book", "status"):
+            if is_whole and outcome.body != outcome.target.encode():
+                found.append(f"{outcome.request_id} got a wrong body")
+            continue
+        events = outcome.list_events()
+        if [number for number, _ in events] != list(range(len(events))):
+            found.append(f"{outcome.request_id} misses or repeats events")
+        texts = {text.decode() for _, text in events}
+        if len(texts) > 1:
+            found.append(f"{outcome.request_id} has events of two versions")
+        if not texts <= {f"{v} {outcome.target}" for v in VERSIONS}:
+            found.append(f"{outcome.request_id} got another one's events")
+        if is_whole and len(events) != engines.EVENTS:
+            found.append(f"{outcome.request_id} ends before its last event")
     found += [f"{name} reached a leaving engine" for name in fleet.late]
     if fleet.known_at is not None:
         sends = fleet.count_part_sends() - fleet.known_sends
@@ -377,12 +466,9 @@
     return found
 
 
-def make_body(outcome):
-    """Return the body of a whole answer to a request."""
-    target = f"/{outcome.kind}/{outcome.request_id}"
-    if outcome.kind in ("book", "status"):
-        return target.encode()
-    return b"".join(fakes.make_event(n, target) for n in range(engines.EVENTS))
+def list_taken_up(fleet):
+    """Return the outcomes of attempts that took a stream up again."""
+    return [outcome for outcome in fleet.outcomes if outcome.resumes]
 
 
 def wait_until_up(fleet):
--- a/tests/relay/test_soak.py
+++ b/tests/relay/test_soak.py
@@ -3,6 +3,7 @@
 The environment variable SOAK_SEEDS names other seeds, as in "1-50".
 """
 
+import collections
 import os
 
 from tests.relay import instances
@@ -28,11 +29,16 @@
             if outcome.status != 200 or outcome.body is None:
                 broken.append(f"last-{number}: {outcome.status} in the calm")
         statuses = [outcome.status for outcome in fleet.outcomes]
+        taken_up = soak_fleet.list_taken_up(fleet)
+        went_on = sum(outcome.status == 200 for outcome in taken_up)
+        codes = collections.Counter(outcome.code for outcome in taken_up)
         print(
             f"soak seed {seed}: {len(fleet.faults)} faults,"
             f" {statuses.count(200)} of {len(statuses)} answered,"
             f" {fleet.count_part_sends()} of {fleet.sent_parts} requests"
-            f" with the crashing part sent, {len(broken)} broken"
+            f" with the crashing part sent, {went_on} of {len(taken_up)}"
+            f" attempts to take a stream up went on ({dict(codes)}),"
+            f" {len(broken)} broken"
         )
         self.assertEqual([], broken)
 
