List fitting endpoints without a look at each for unbound requests

Change: Work.list_fitting returns the list itself for unbound requests; words of comments and a name. No decision changes.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -431,9 +431,9 @@
         if not waiter.leased:
             paused |= view.paused
         excluded = waiter.tried | paused
-        fitting = [e for e in view.endpoints if waiter.work.fits(e)]
+        fitting = waiter.work.list_fitting(view.endpoints)
         candidates = [e for e in fitting if e.name not in excluded]
-        if not candidates and excluded >= view.list_fitting(waiter.work):
+        if not candidates and excluded >= view.list_names(waiter.work):
             candidates = [e for e in fitting if e.name not in paused]
         if self._may_wait_for_fast_engine(waiter, service, now):
             candidates = self._selector.list_for_prompt(
@@ -467,8 +467,10 @@
 
     def _is_version_gone(self, work: models.Work, service: str) -> bool:
         """Return whether no endpoint may continue the request's stream."""
+        if work.software is None:
+            return False
         listed = self._cluster_state.list_endpoints(service)
-        return work.software is not None and not any(map(work.fits, listed))
+        return not work.list_fitting(listed)
 
     def _choose_refusal_code(
         self, work: models.Work, service: str
--- a/citronport/relay/exclusions.py
+++ b/citronport/relay/exclusions.py
@@ -41,7 +41,7 @@
         """
         now = self._ticker.now()
         listed = self._cluster_state.list_endpoints(service)
-        endpoints = [e for e in listed if work.fits(e)]
+        endpoints = work.list_fitting(listed)
         wait = self._pauses.compute_wait(endpoints, now)
         return wait > wait_queue.compute_max_wait(work, now)
 
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -292,4 +292,4 @@
             software=ask.software,
         )
         endpoints = self._cluster_state.list_endpoints(ask.service)
-        return work if any(map(work.fits, endpoints)) else None
+        return work if work.list_fitting(endpoints) else None
--- a/citronport/relay/service_view.py
+++ b/citronport/relay/service_view.py
@@ -29,6 +29,6 @@
     sample_size: int
     typical_step_ms: float
 
-    def list_fitting(self, work: models.Work) -> frozenset[str]:
-        """Return the names of all endpoints whose software may run it."""
-        return frozenset(e.name for e in self.listed if work.fits(e))
+    def list_names(self, work: models.Work) -> frozenset[str]:
+        """Return the names of all endpoints that may run a request."""
+        return frozenset(e.name for e in work.list_fitting(self.listed))
--- a/citronport/relay/stream_messages.py
+++ b/citronport/relay/stream_messages.py
@@ -7,7 +7,7 @@
 
 
 class StreamsBegun(msgspec.Struct, frozen=True, kw_only=True):
-    """Tells an instance which software versions began some streams.
+    """Reports to an instance which software versions began some streams.
 
     Attributes:
         protocol: version of the protocol.
--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -1,9 +1,9 @@
-"""Remembers at which software version streams began, for the whole fleet.
+"""Remembers at which software versions streams began.
 
-A caller takes a stream up again at any instance, while the one that began it
+A caller takes a stream up again at any instance, when the one that began it
 may be gone. While streams of several versions may be alive, each instance
-therefore tells a few others, chosen by the stream, at which version a stream
-began, before its caller gets the first event.
+therefore reports to a few others, the keepers of the stream, at which version
+it began, before its caller gets the first event.
 """
 
 import collections
@@ -134,7 +134,7 @@
         ] = {}
         self._ring = ring_module.Ring(())
         self._ring_until = float("-inf")
-        self._started: dict[str, str] = {}
+        self._incarnations: dict[str, str] = {}
         self._list_number = -1
 
     def __len__(self) -> int:
@@ -144,8 +144,8 @@
     def update(self) -> None:
         """Take over the listed endpoints, and forget old streams.
 
-        Streams that began while one version served are told to others as
-        soon as a second one may serve.
+        Streams that began while one version served are reported to their
+        keepers as soon as a second one may serve.
         """
         now = self._ticker.now()
         self._refresh_ring()
@@ -268,7 +268,7 @@
     def _record_leased(self, request_id: str, endpoint: str) -> None:
         key = _make_key(request_id, None)
         known = self._cluster_state.endpoints.get(endpoint)
-        # What the instance itself has told stays: its list may be newer, and
+        # A report of the instance itself stays: its list may be newer, and
         # the endpoint be back under its name with another version.
         if known is not None and key not in self._records:
             self._store(
@@ -362,9 +362,9 @@
         ordered = tuple(sorted({r.instance for r in reports} | {self._own}))
         if ordered != self._ring.names:
             self._ring = ring_module.Ring(ordered)
-        started = {r.instance: r.incarnation for r in reports}
-        new = {n for n, i in started.items() if self._started.get(n) != i}
-        self._started |= started
+        fresh = {r.instance: r.incarnation for r in reports}
+        new = {n for n, i in fresh.items() if self._incarnations.get(n) != i}
+        self._incarnations |= fresh
         if new and self._shared_services:
             # Instances that restart in turn would forget a stream one after
             # the other, though never all of them are gone.
@@ -380,11 +380,11 @@
     def _share_all(
         self, services: set[str], keepers: set[str] | None = None
     ) -> None:
-        """Tell keepers of all known streams of some services.
+        """Report all known streams of some services to their keepers.
 
         Args:
             services: the services.
-            keepers: the instances to tell; all keepers by default.
+            keepers: the keepers to report to; all by default.
         """
         rows: dict[str, list[stream_messages.Row]] = {}
         for key, record in self._records.items():
--- a/citronport/scheduler/direct/models.py
+++ b/citronport/scheduler/direct/models.py
@@ -231,3 +231,9 @@
     def fits(self, endpoint: Endpoint) -> bool:
         """Return whether the software of an endpoint may run the request."""
         return self.software is None or self.software == endpoint.software
+
+    def list_fitting(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+        """Return those of some endpoints that may run the request."""
+        if self.software is None:
+            return endpoints
+        return [e for e in endpoints if e.software == self.software]
--- a/citronport/scheduler/direct/software_history.py
+++ b/citronport/scheduler/direct/software_history.py
@@ -27,11 +27,11 @@
     def get_only(self, *, is_named: bool) -> str | None:
         """Return the version of all streams; None if there may be several.
 
-        Instances that have all started lately know no version that was
-        replaced before. What began since then they know by its name, so
-        that a named stream which is unknown may be older. A caller that
-        names no stream can't be told apart from one of an older stream, and
-        would be refused for as long.
+        If all instances have started lately, none knows of a version that
+        was replaced before. They know each stream that began since by its
+        name, so that one with an unknown name may be of that version. A
+        stream without a name is assumed not to be: otherwise all of them
+        would be refused for ``KEEP_SECONDS`` after such a start.
 
         Args:
             is_named: whether the caller names the stream.
