Follow a moved constant in one more test

After: test_announcements, 5 passed, 0 failed; no other use of the moved names is left (grep). Conclusion: the assertion is as before.

--- a/tests/scheduler/direct/test_announcements.py
+++ b/tests/scheduler/direct/test_announcements.py
@@ -6,6 +6,7 @@
 from citronport.scheduler.direct import causes
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import fingerprints
+from citronport.scheduler.direct import crash_records
 from citronport.scheduler.direct import suspects
 from tests.relay import samples
 
@@ -75,7 +76,9 @@
         fleet.nodes[0].record_crash(content, samples.make_endpoint("e"), 0.0)
         now = fleet.run(0.0, 2 * REPORT_SECONDS)
         fleet.nodes[0].record_begun(content, now)
-        now = fleet.run(now, now + suspects.CLEARED_SECONDS + REPORT_SECONDS)
+        now = fleet.run(
+            now, now + crash_records.CLEARED_SECONDS + REPORT_SECONDS
+        )
         for number in range(causes.PART_THRESHOLD):
             endpoint = samples.make_endpoint(f"e{number}")
             other = suspects.Content(fingerprint=f"f{number}", parts=(part,))
