--- a/tests/scheduler/direct/test_announcements.py
+++ b/tests/scheduler/direct/test_announcements.py
@@ -4,9 +4,9 @@
 
 from citronport.scheduler.direct import announcements
 from citronport.scheduler.direct import causes
+from citronport.scheduler.direct import crash_records
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import fingerprints
-from citronport.scheduler.direct import crash_records
 from citronport.scheduler.direct import suspects
 from tests.relay import samples
 
