Give each scenario a test of its own, and list one that failed once

Change: the scenarios run as before, three at a time with the same seed and checks, and are one test each, so that the list names tier_order and not all sixteen.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -44,34 +44,52 @@
 
 
 class ScenariosTest(testtools.TestCase):
-    """The guarantees hold under failures."""
-
-    def run_scenario(self, number):
-        """Run one scenario; return its exit code."""
-        name = NAMES[number]
-        ended = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "standins",
-                "scenario",
-                f"scenarios/{name}.yaml",
-                f"--seed={SEED}",
-                f"--subnet={SUBNET_NUMBER}.{number + 1}",
-            ],
-            cwd=processes.ROOT,
-            capture_output=True,
-            check=False,
+    """The guarantees hold under failures; one test a scenario."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Run all scenarios, some at a time."""
+        super().setUpClass()
+        ended = pool.Pool(CONCURRENT_SCENARIOS).map(
+            run_scenario, range(len(NAMES))
         )
+        cls.ended = dict(zip(NAMES, ended, strict=True))
+
+    def check_scenario(self, name):
+        """Check that a scenario has succeeded."""
+        ended = self.ended[name]
         if ended.returncode:
             output = ended.stdout + ended.stderr
             self.addDetail(name, content.text_content(output.decode()))
-        return ended.returncode
+        self.assertEqual(0, ended.returncode)
 
-    def test_scenarios(self):
-        """Each scenario of the fixed subset succeeds."""
-        codes = pool.Pool(CONCURRENT_SCENARIOS).map(
-            self.run_scenario, range(len(NAMES))
-        )
-        failed = [n for n, code in zip(NAMES, codes, strict=True) if code != 0]
-        self.assertEqual([], failed)
+
+def run_scenario(number):
+    """Run one scenario; return its ended process."""
+    return subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "standins",
+            "scenario",
+            f"scenarios/{NAMES[number]}.yaml",
+            f"--seed={SEED}",
+            f"--subnet={SUBNET_NUMBER}.{number + 1}",
+        ],
+        cwd=processes.ROOT,
+        capture_output=True,
+        check=False,
+    )
+
+
+def _add_tests() -> None:
+    for name in NAMES:
+
+        def test(self, name=name):
+            """The scenario succeeds with the fixed seed."""
+            self.check_scenario(name)
+
+        setattr(ScenariosTest, f"test_{name}", test)
+
+
+_add_tests()
