--- a/citronport/scheduler/direct/ring.py
+++ b/citronport/scheduler/direct/ring.py
@@ -1,6 +1,7 @@
 """Consistent hashing: which instances keep what belongs to a key."""
 
 import bisect
+import functools
 
 from citronport.scheduler.direct import rendezvous
 
@@ -19,9 +20,14 @@
 
     def __init__(self, names: tuple[str, ...]) -> None:
         self.names = names
-        self._points = sorted(
+
+    @functools.cached_property
+    def _points(self) -> list[tuple[int, str]]:
+        # Computed on the first choice: while one software version serves,
+        # names change and nothing is chosen.
+        return sorted(
             (rendezvous.compute_hash(f"{name} {number}"), name)
-            for name in names
+            for name in self.names
             for number in range(POINTS)
         )
 
