Keep limits when all instances are killed during a flood

Each started with an eighth of the burst and admitted it, charged nothing that the others had admitted before their first report, and took reports for 0.1 s old, since it knew only a part of the fleet. Refunds and forgiven debt were ruled out: neither occurs in the window.

A new instance now starts with an empty bucket, keeps to its share of what is left for two seconds, assumes reports of half a second, and charges what other new instances have admitted before their first report or before its own first request of the workspace. Reports and summaries say how long their sender has been up. Instances that have run for longer set a baseline as before, so that a single restart charges no past usage.

--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -30,6 +30,7 @@
         instance: name of the sender.
         incarnation: unique for each start of its process.
         number: sequence number within the incarnation.
+        up_seconds: time since the sender's start.
         data_centre: data centre of the sender.
         capacity: processor cores that the sender has.
         caller_address: its address for callers.
@@ -59,6 +60,7 @@
     instance: str
     incarnation: str
     number: int
+    up_seconds: float
     data_centre: str
     capacity: float
     caller_address: str
@@ -105,6 +107,7 @@
         instance: name of the sender.
         incarnation: unique for each start of its process.
         number: sequence number within the incarnation.
+        up_seconds: time since the sender's start.
         data_centre: data centre of the sender and of all rows.
         is_forwarded: whether an instance of the receiver's data centre,
             which got it from the envoy, has forwarded it.
@@ -126,6 +129,7 @@
     instance: str
     incarnation: str
     number: int
+    up_seconds: float
     data_centre: str
     is_forwarded: bool
     rows: list[Row]
--- a/citronport/relay/reports.py
+++ b/citronport/relay/reports.py
@@ -64,6 +64,7 @@
         self._is_ready = is_ready
         self._is_leaving = is_leaving
         self._ticker = ticker
+        self._started_at = ticker.now()
         self._number = 0
 
     def update_settings(self, settings: settings_module.Settings) -> None:
@@ -91,6 +92,7 @@
             instance=settings.instance,
             incarnation=self._incarnation,
             number=self._number,
+            up_seconds=now - self._started_at,
             data_centre=settings.data_centre,
             capacity=settings.capacity,
             caller_address=str(settings.callers),
@@ -132,7 +134,11 @@
                 ),
             )
         self._quotas.apply_totals(
-            report.instance, report.incarnation, report.admitted_units, now
+            report.instance,
+            report.incarnation,
+            report.admitted_units,
+            now,
+            report.up_seconds,
         )
         self._suspects.apply_updates(report.suspects, now)
         self._limits.apply_updates(report.limits, now)
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -59,7 +59,8 @@
     def make(self, now: float) -> messages.Summary:
         """Return a summary of this data centre for other ones."""
         self.made += 1
-        local = [*self._members.list_local(now), (self._make_report(), 0.0)]
+        own_report = self._make_report()
+        local = [*self._members.list_local(now), (own_report, 0.0)]
         # One profile for each service is enough: that of its pool's owner.
         profiles = {row[0]: row for r, _ in local for row in r.profiles}
         return messages.Summary(
@@ -67,6 +68,7 @@
             instance=self._instance,
             incarnation=self._incarnation,
             number=self.made,
+            up_seconds=own_report.up_seconds,
             data_centre=self._data_centre,
             is_forwarded=False,
             rows=[_make_row(report, age) for report, age in local],
@@ -106,6 +108,7 @@
             incarnation,
             summary.admitted_units,
             now,
+            summary.up_seconds,
         )
         for service, base, per_token, total in summary.profiles:
             self._profiles.set_remote(
@@ -161,6 +164,7 @@
         instance=instance,
         incarnation=incarnation,
         number=number,
+        up_seconds=float("inf"),
         data_centre=summary.data_centre,
         capacity=capacity,
         caller_address=callers,
--- a/citronport/scheduler/direct/buckets.py
+++ b/citronport/scheduler/direct/buckets.py
@@ -73,7 +73,14 @@
         self.level -= units
         self.reserved = max(0.0, self.reserved - units)
 
-    def has_local_share(self, instances: int, lag: float, now: float) -> bool:
+    def has_local_share(
+        self,
+        instances: int,
+        lag: float,
+        now: float,
+        *,
+        is_usage_known: bool = True,
+    ) -> bool:
         """Return whether this instance may use more of the remaining units.
 
         Guards against instances that all use the same remaining units:
@@ -82,10 +89,18 @@
         only if less is left than is used until the next report, since
         callers do not spread evenly over instances. As for the limit itself,
         the size of the request does not matter.
+
+        Args:
+            instances: number of instances that share the limit.
+            lag: time until other instances learn of usage here, seconds.
+            now: clock time, seconds.
+            is_usage_known: whether the recent usage includes that of others;
+                otherwise the share always applies.
         """
         if now >= self.unreported_until:
             return True
-        if self.level >= USAGE_MARGIN * self._compute_usage_rate(now) * lag:
+        usage = USAGE_MARGIN * self._compute_usage_rate(now) * lag
+        if is_usage_known and self.level >= usage:
             return True
         remaining = self.level + self.unreported
         return self.unreported <= SKEW_FACTOR * remaining / instances
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -36,6 +36,10 @@
 MIN_STARTUP_INSTANCES = 8
 """Smallest number of instances among which a new one divides limits."""
 
+STARTUP_LAG_SECONDS = 0.5
+"""Shortest delay of reports that a new instance assumes. It knows only a part
+of a large fleet at first, whose reports to all take longer than to these."""
+
 MAJORITY = 0.5
 """Share of the instances above which a partition is the majority; there is
 at most one such partition."""
@@ -69,6 +73,9 @@
         self._over = over
         self._slack = slack
         self._buckets: dict[str, bucket_module.Bucket] = {}
+        # Units that others admitted before this instance, while it is new,
+        # had a bucket to charge them to.
+        self._early_usage: usage.Units = {}
         self._usage = usage.Usage()
         self._started = started
 
@@ -97,14 +104,20 @@
         if workspace.rate <= 0:
             return None
         age = now - self._started
-        if age < STARTUP_SECONDS and self._usage.has_no_reports:
+        is_new = age < STARTUP_SECONDS
+        if is_new:
+            lag = max(lag, STARTUP_LAG_SECONDS)
+        if is_new and self._usage.has_no_reports:
             rate, burst = compute_startup_share(workspace, instances)
         else:
             rate, burst = self._compute_share(workspace, reach, lag)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            level = compute_startup_share(workspace, instances)[1] + age * rate
-            bucket = bucket_module.Bucket(min(burst, level), now)
+            # If all instances were killed during a flood, the burst has been
+            # used up and none of them knows. With a part of the burst for
+            # each, a large fleet would admit it several times over.
+            used = self._early_usage.pop(workspace.name, 0.0)
+            bucket = bucket_module.Bucket(min(burst, age * rate) - used, now)
             self._buckets[workspace.name] = bucket
         bucket.refill(rate, burst, lag, now)
         # A request is admitted if any units are left, and later requests pay
@@ -113,7 +126,7 @@
         # same workspace would never find enough.
         needed = min(1.0, units)
         if bucket.level >= needed and bucket.has_local_share(
-            instances, lag, now
+            instances, lag, now, is_usage_known=not is_new
         ):
             bucket.take(units, lag, now)
             self._usage.add(workspace.name, units)
@@ -131,6 +144,7 @@
         incarnation: str,
         totals: usage.Units,
         now: float,
+        up_seconds: float = float("inf"),
     ) -> None:
         """Charge the usage of another instance since its last report.
 
@@ -139,10 +153,12 @@
             incarnation: id of its current start.
             totals: its running totals by workspace.
             now: clock time, seconds.
+            up_seconds: time since its start.
         """
-        self._charge(
-            self._usage.apply_totals(sender, incarnation, totals), now
+        increase = self._usage.apply_totals(
+            sender, incarnation, totals, is_new=up_seconds < STARTUP_SECONDS
         )
+        self._charge(increase, now)
 
     def apply_data_centre_totals(
         self,
@@ -151,6 +167,7 @@
         incarnation: str,
         totals: usage.Units,
         now: float,
+        up_seconds: float = float("inf"),
     ) -> None:
         """Charge the usage of another data centre since its last summary.
 
@@ -160,9 +177,15 @@
             incarnation: id of the envoy's current start.
             totals: the envoy's ``get_data_centre_totals``.
             now: clock time, seconds.
+            up_seconds: time since the envoy's start.
         """
         increase = self._usage.apply_data_centre_totals(
-            data_centre, envoy, incarnation, totals, now
+            data_centre,
+            envoy,
+            incarnation,
+            totals,
+            now,
+            is_new=up_seconds < STARTUP_SECONDS,
         )
         self._charge(increase, now)
 
@@ -180,6 +203,9 @@
             if bucket is not None:
                 bucket.level -= units
                 bucket.record_usage(max(0.0, units), now)
+            elif now - self._started < STARTUP_SECONDS:
+                early = self._early_usage.get(name, 0.0)
+                self._early_usage[name] = early + units
 
     def refund(self, workspace: models.Workspace, units: float) -> None:
         """Undo the admission of a request that was refused and has not run.
@@ -227,8 +253,8 @@
     If all instances are killed and restart while a workspace is far over its
     limit, they have lost their totals, and each would admit a full burst
     before the first report of the others arrives. An instance therefore
-    starts with its share of the burst and uses its share of the rate until it
-    gets a report.
+    starts with an empty bucket and uses its share of the rate until it gets a
+    report.
     """
     share = 1.0 / max(MIN_STARTUP_INSTANCES, instances)
     return workspace.rate * share, workspace.burst * share
--- a/citronport/scheduler/direct/usage.py
+++ b/citronport/scheduler/direct/usage.py
@@ -67,21 +67,35 @@
         self._add_to_data_centre(workspace, units)
 
     def apply_totals(
-        self, sender: str, incarnation: str, totals: Units
+        self,
+        sender: str,
+        incarnation: str,
+        totals: Units,
+        *,
+        is_new: bool = False,
     ) -> Units:
         """Apply the totals of another instance of this data centre.
 
         The first report of an instance only sets the baseline. Otherwise an
         instance that has just started would charge all past usage of the
         others, and refuse all workspaces until their bursts are refilled.
+        What an instance that is new itself has admitted is charged: if all
+        have started at once, that is the whole usage so far.
+
+        Args:
+            sender: name of the other instance.
+            incarnation: id of its current start.
+            totals: units that it has admitted since then.
+            is_new: whether it has just started.
 
         Returns:
             The units admitted there since its last report.
         """
         reporter = self._instances.get(sender)
         if reporter is None:
-            self._instances[sender] = _Reporter(incarnation, dict(totals))
-            return {}
+            baseline = {} if is_new else dict(totals)
+            reporter = _Reporter(incarnation, baseline)
+            self._instances[sender] = reporter
         increase = reporter.update(incarnation, totals)
         for name, units in increase.items():
             self._add_to_data_centre(name, units)
@@ -94,6 +108,8 @@
         incarnation: str,
         totals: Units,
         now: float,
+        *,
+        is_new: bool = False,
     ) -> Units:
         """Apply the totals of another data centre from one of its envoys.
 
@@ -103,6 +119,14 @@
         one of them can take over from there if it fails. Otherwise the units
         in between would not be charged, and would be admitted again.
 
+        Args:
+            data_centre: name of the other data centre.
+            envoy: the instance that reports for it.
+            incarnation: id of the envoy's current start.
+            totals: units admitted there, as known to the envoy.
+            now: clock time, seconds.
+            is_new: whether the envoy has just started.
+
         Returns:
             The units admitted there since the last report of the active
             envoy.
@@ -115,10 +139,13 @@
             # Without earlier totals there is no increase to charge. Only an
             # envoy that is already known has the totals at which the active
             # one stopped.
-            self._envoys[data_centre, envoy] = _Reporter(
-                incarnation, dict(totals), now
+            charges = is_new and envoy == active
+            reporter = _Reporter(
+                incarnation, {} if charges else dict(totals), now
             )
-            return {}
+            self._envoys[data_centre, envoy] = reporter
+            if not charges:
+                return {}
         if envoy == active or now - reported_at > ENVOY_TIMEOUT_SECONDS:
             self._active_envoys[data_centre] = (envoy, now)
             reporter.reported_at = now
--- a/measures/streams.py
+++ b/measures/streams.py
@@ -161,6 +161,7 @@
         instance=f"i{number}",
         incarnation="1",
         number=1,
+        up_seconds=60.0,
         data_centre=f"dc{number % 6}",
         capacity=1.0,
         caller_address=f"127.0.0.1:{number}",
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -13,6 +13,7 @@
         "instance": name,
         "incarnation": "1",
         "number": number,
+        "up_seconds": 60.0,
         "data_centre": "a",
         "capacity": 1.0,
         "caller_address": f"10.0.0.1:{len(name)}",
--- a/tests/scheduler/direct/test_quota.py
+++ b/tests/scheduler/direct/test_quota.py
@@ -27,7 +27,7 @@
     )
 
 
-def exchange_totals(partition, now):
+def exchange_totals(partition, now, up_seconds=float("inf")):
     """Exchange totals between all instances of a partition."""
     for index, one in enumerate(partition):
         for other in partition:
@@ -82,6 +82,47 @@
     return admitted
 
 
+def flood_with_restart(fleet, lag, killed_at=6.5, down_seconds=0.7):
+    """Simulate a flood during which all instances are killed at once.
+
+    Args:
+        fleet: number of instances.
+        lag: pause between two reports, seconds.
+        killed_at: clock time at which all instances are killed, seconds.
+        down_seconds: time until they have started again.
+
+    Returns:
+        Time and units of each admitted request.
+    """
+    workspace = make_workspace()
+    admitted = []
+    started = -10.0
+    instances = [quota.Quotas(OVER, SLACK, started) for _ in range(fleet)]
+    exchange_totals(instances, 0.0)
+    known = fleet
+    now = reported_at = 0.0
+    while now < 14.0:
+        if started < killed_at <= now:
+            now = started = reported_at = killed_at + down_seconds
+            instances = [quota.Quotas(OVER, SLACK, now) for _ in range(fleet)]
+            # The first requests come when each has found some of the others.
+            known = fleet // 4
+            now += 0.2
+        for number, one in enumerate(instances):
+            # Each instance gets three requests a second, which is four times
+            # the limit.
+            if (round(now * 100) + number) % 30 == 0:
+                wait = one.admit(workspace, 200.0, 1.0, now, known, lag)
+                if wait is None:
+                    admitted.append((now, 200.0))
+        if now - reported_at >= lag:
+            reported_at = now
+            known = fleet
+            exchange_totals(instances, now, now - started)
+        now += 0.01
+    return admitted
+
+
 def count_busiest_window(admitted):
     """Return the largest number of units admitted within a window."""
     return max(
@@ -263,6 +304,18 @@
         self.assertLessEqual(count_busiest_window(admitted), bound)
         self.assertGreater(sum(u for _, u in admitted), 0.8 * RATE * 16)
 
+    def test_restart_of_all_in_a_flood_keeps_the_limit(self):
+        """Guards against a second burst from a fleet that is killed at once.
+
+        All instances forget what was admitted. Until they know each other
+        again, each learns of the others' admissions only half a second later.
+        """
+        admitted = flood_with_restart(fleet=63, lag=0.55)
+        bound = (RATE * WINDOW_SECONDS + BURST) * (1 + OVER) + SLACK
+        self.assertLessEqual(count_busiest_window(admitted), bound)
+        after = [u for t, u in admitted if t >= 8.0]
+        self.assertGreater(sum(after), 0.8 * RATE * 6)
+
     def test_refunded_units_can_be_used_again(self):
         """The units of a refused request are available on all instances."""
         quotas, other = quota.Quotas(), quota.Quotas()
