Prefer endpoints of the sender's data centre

The choice of an endpoint ignored data centres, so that requests and answers crossed links between them while local slots were free. The cost of a remote endpoint grows by a share of the objective. Endpoints in time go before late ones, and a local endpoint without a free slot has no advantage. Samples hold local and remote endpoints. With penalty 0 the choices are the same.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -119,6 +119,10 @@
         self.owners: owners_module.Owners | None = None
         self.lease_client: lease_client_module.LeaseClient | None = None
 
+    def set_remote_penalty(self, penalty: float) -> None:
+        """Set the cost of other data centres, as a share of the objective."""
+        self._selector.remote_penalty = penalty
+
     def acquire(
         self,
         work: models.Work,
@@ -173,7 +177,7 @@
         queue = self._queues.get(service)
         if queue is None:
             queue = wait_queue.WaitQueue(
-                lambda w: self._estimate_first_event(w, service)
+                lambda w: self._selector.estimate_typical(w, service)
             )
             self._queues[service] = queue
         queue.add(waiter)
@@ -384,16 +388,6 @@
             ),
         )
 
-    def _estimate_first_event(self, work: models.Work, service: str) -> float:
-        """Return the expected time from send to first event, seconds."""
-        if not work.prompt_tokens:
-            return 0.0
-        profile = self._loads.profiles.get(service)
-        step = self._loads.get_typical_step_ms() * runs.SECONDS_PER_MS
-        return step * (
-            profile.base_steps + profile.steps_per_token * work.prompt_tokens
-        )
-
     def _may_wait_for_fast_engine(
         self, waiter: wait_queue.Waiter, service: models.Service, now: float
     ) -> bool:
@@ -404,7 +398,7 @@
         of its longest wait remains for any engine.
         """
         work, since = waiter.work, waiter.waiting_since
-        expected = now + self._estimate_first_event(work, service.name)
+        expected = now + self._selector.estimate_typical(work, service.name)
         if expected > work.arrived + work.route.objective:
             return False
         return now - since <= wait_queue.compute_max_wait(work, since) / 2
@@ -440,7 +434,9 @@
                 waiter.work, service, candidates, view.typical_step_ms
             )
         if not waiter.leased and view.sample_size < len(candidates):
-            candidates = random.sample(candidates, view.sample_size)
+            candidates = self._selector.draw_sample(
+                waiter.work, candidates, view.sample_size
+            )
         placement = self._selector.choose(
             waiter.work, service, candidates, now
         )
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -5,6 +5,7 @@
 import math
 
 from citronport.scheduler.direct import cold_starts
+from citronport.scheduler.direct import data_centres
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
@@ -71,6 +72,10 @@
         health: health of endpoints.
         cold: cold endpoints.
         limits: rate limits announced by endpoints.
+
+    Attributes:
+        remote_penalty: cost of an endpoint in another data centre than the
+            sending instance, as a share of the request's objective.
     """
 
     def __init__(
@@ -84,6 +89,7 @@
         self._health = health
         self._cold = cold
         self._limits = limits
+        self.remote_penalty = 0.0
 
     def choose(
         self,
@@ -97,6 +103,8 @@
         Engines differ in speed and admit requests in order of arrival. The
         request goes where it is expected to start first, as it would be late
         behind a long queue or on a slow engine while other engines idle.
+        The penalty for another data centre never outweighs that the request
+        would be in time.
 
         Args:
             work: the request.
@@ -105,13 +113,34 @@
             now: clock time, seconds.
         """
         best: Placement | None = None
+        best_rank = (True, math.inf)
+        remaining = work.arrived + work.route.objective - now
         for endpoint in endpoints:
             seconds = self.estimate(work, service, endpoint)
             cost = seconds + self._compute_penalty(endpoint, now)
-            if best is None or cost < best.cost:
+            # Lateness follows from the cost without the penalty for another
+            # data centre, so that an endpoint that fails does not count as in
+            # time, and the order without that penalty is the order of costs.
+            is_late = cost > remaining
+            cost += self._compute_remote_penalty(work, endpoint)
+            if best is None or (is_late, cost) < best_rank:
                 best = Placement(endpoint=endpoint, seconds=seconds, cost=cost)
+                best_rank = (is_late, cost)
         return best
 
+    def draw_sample(
+        self, work: models.Work, endpoints: list[models.Endpoint], number: int
+    ) -> list[models.Endpoint]:
+        """Return a random sample of the endpoints for one choice.
+
+        Args:
+            work: the request.
+            endpoints: the endpoints to draw from.
+            number: size of the sample, see ``compute_sample_size``.
+        """
+        data_centre = work.data_centre if self.remote_penalty else ""
+        return data_centres.draw_sample(endpoints, number, data_centre)
+
     def find_typical_step_ms(
         self, endpoints: collections.abc.Iterable[models.Endpoint], now: float
     ) -> float:
@@ -244,6 +273,20 @@
             profile.base_steps + profile.steps_per_token * tokens
         )
 
+    def estimate_typical(self, work: models.Work, service: str) -> float:
+        """Return the time from send to first event, seconds.
+
+        It is that of an idle endpoint of the service with the typical step
+        time; 0 for a plain request.
+        """
+        if not work.prompt_tokens:
+            return 0.0
+        profile = self._loads.profiles.get(service)
+        step = self._loads.get_typical_step_ms() * runs.SECONDS_PER_MS
+        return step * (
+            profile.base_steps + profile.steps_per_token * work.prompt_tokens
+        )
+
     def compute_slot_rate(
         self,
         service: models.Service,
@@ -283,3 +326,20 @@
         name = endpoint.name
         failure_share = self._health.get_failure_share(name, now)
         return failure_share * FAILURE_PENALTY_SECONDS
+
+    def _compute_remote_penalty(
+        self, work: models.Work, endpoint: models.Endpoint
+    ) -> float:
+        """Return the cost of using another data centre, seconds.
+
+        A local endpoint without a free slot costs as much, so that a request
+        does not queue there while a remote endpoint has a free slot.
+        """
+        if not (self.remote_penalty and work.data_centre):
+            return 0.0
+        if (
+            not data_centres.is_remote(work.data_centre, endpoint.data_centre)
+            and self._loads.count_requests(endpoint.name) < endpoint.slots
+        ):
+            return 0.0
+        return self.remote_penalty * work.route.objective
