Name instances of the caller's data centre in lookups

Callers name their data centre in a lookup, and the answer ignored it, so that most of them connected to instances elsewhere.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -15,7 +15,6 @@
 from citronport import tasks
 from citronport.callers import server as caller_server
 from citronport.platform import client as store_client
-from citronport.platform import const as store_const
 from citronport.platform import models as wire_models
 from citronport.relay import application
 from citronport.relay import cluster_state as cluster_state_module
@@ -29,6 +28,7 @@
 from citronport.relay import jobs
 from citronport.relay import leasing as leasing_module
 from citronport.relay import listeners
+from citronport.relay import lookups
 from citronport.relay import membership
 from citronport.relay import messages
 from citronport.relay import metrics
@@ -47,7 +47,6 @@
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import pauses
 from citronport.scheduler.direct import quota
-from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import suspects as suspects_module
 
@@ -148,6 +147,7 @@
             self.pauses,
             ticker,
         )
+        self.dispatcher.set_remote_penalty(settings.scheduling.remote_penalty)
         self.reports = reports.Reports(
             settings,
             self._incarnation,
@@ -250,6 +250,13 @@
             self._is_discovering_peers,
             ticker,
         )
+        self.directory = lookups.Directory(
+            settings,
+            self.members,
+            self.cluster_state,
+            self.is_ready,
+            ticker,
+        )
         self._callers = listeners.make_caller_server(
             settings, self.application
         )
@@ -304,7 +311,11 @@
                 self._settings = settings
                 self.gossip.update_settings(settings)
                 self.reports.update_settings(settings)
+                self.directory.update_settings(settings)
                 self._budgets.clear()
+                self.dispatcher.set_remote_penalty(
+                    settings.scheduling.remote_penalty
+                )
                 self.log.write(
                     events.SettingsReloaded(accepted=True, detail="")
                 )
@@ -321,33 +332,6 @@
             self.log.write(events.Ready(ready=ready))
         return ready
 
-    def list_addresses(self, caller: str) -> tuple[str, ...]:
-        """Return the addresses that a caller should use.
-
-        With hundreds of instances, a lookup response names only a few. If
-        all callers got the same list, each would use its first addresses,
-        and those instances would carry the whole load while the others
-        idle. Each caller therefore gets a subset of its own, which is the
-        same whichever instance it asks, so that it can reuse connections.
-
-        Args:
-            caller: address of the caller.
-        """
-        now = self._ticker.now()
-        capacities = {
-            r.caller_address: r.capacity for r in self.members.list_usable(now)
-        }
-        if self.is_ready():
-            own = self._settings
-            capacities[str(own.callers)] = own.capacity
-        return tuple(
-            sorted(
-                rendezvous.choose_by_weight(
-                    caller, capacities, store_const.MAX_LOOKUP_ADDRESSES
-                )
-            )
-        )
-
     def _is_discovering_peers(self) -> bool:
         """Return whether requests should wait for peer discovery.
 
@@ -371,7 +355,7 @@
             self._forwards,
             *listeners.make_other_servers(
                 self._settings,
-                application.Lookups(self.list_addresses),
+                application.Lookups(self.directory.list_addresses),
                 application.Readiness(self.is_ready),
                 application.Metrics(
                     lambda: state.read_state(self, self._ticker.now()),
