--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -333,10 +333,9 @@
         request: id of the request.
         endpoint: name of the chosen endpoint.
         software: version of its software.
-        resumes: id of the attempt that began the stream, if the caller takes
-            one up and names it.
-        after: id of the last event of the stream that the caller has;
-            empty if it has none.
+        remote: whether it is known to be in another data centre.
+        resumes: attempt that began the stream, if its caller names one.
+        after: id of its last event that the caller has; empty if none.
         attempt: number of the send, from 1.
         waited: seconds in the queue of this instance.
         prompt: number of prompt tokens.
@@ -353,6 +352,7 @@
     request: str
     endpoint: str
     software: str
+    remote: bool
     resumes: str
     after: str
     attempt: int
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -45,6 +45,10 @@
         requests: requests by kind of route, tier and outcome.
         refusals: refusals by name of the result code.
         sends: sends to endpoints, by result.
+        scoped_sends: sends to endpoints, by scope: "local", or "remote" if
+            the endpoint is known to be in another data centre.
+        body_bytes: bytes of bodies sent to endpoints and received from them,
+            by scope and direction ("request" or "answer").
         leased_sends: sends to an endpoint that its owner chose.
         repeats: sends of a request beyond the first one.
         cut_sends: sends during which the endpoint's connection broke.
@@ -63,6 +67,10 @@
         )
         self.refusals: collections.Counter[str] = collections.Counter()
         self.sends: collections.Counter[str] = collections.Counter()
+        self.scoped_sends: collections.Counter[str] = collections.Counter()
+        self.body_bytes: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.leased_sends = 0
         self.repeats = 0
         self.cut_sends = 0
@@ -74,6 +82,17 @@
         self.longest_pauses = Durations()
         self.queue_seconds = Durations()
 
+    def record_scope(self, *, remote: bool, request_bytes: int) -> None:
+        """Count a send to an endpoint by its scope.
+
+        Args:
+            remote: whether the endpoint is in another data centre.
+            request_bytes: size of the request's body.
+        """
+        scope = get_scope(remote=remote)
+        self.scoped_sends[scope] += 1
+        self.body_bytes[scope, "request"] += request_bytes
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class State:
@@ -154,6 +173,11 @@
     oldest_report_seconds: float
 
 
+def get_scope(*, remote: bool) -> str:
+    """Return the label of sends within or between data centres."""
+    return "remote" if remote else "local"
+
+
 def render(state: State, counts: Counts) -> tuple[bytes, str]:
     """Return the metrics in the text format, and their content type."""
     # Imported at the first query: the library loads an event loop of its
@@ -267,6 +291,19 @@
             for r, number in counts.sends.items()
         ),
     )
+    counter(
+        "endpoint_sends_total",
+        "Sends to endpoints, by scope.",
+        [({"scope": scope}, n) for scope, n in counts.scoped_sends.items()],
+    )
+    counter(
+        "endpoint_body_bytes_total",
+        "Bytes of bodies to and from endpoints, by scope.",
+        (
+            ({"scope": scope, "direction": direction}, number)
+            for (scope, direction), number in counts.body_bytes.items()
+        ),
+    )
     counter(
         "leased_sends_total",
         "Sends to endpoints that their owner chose.",
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -6,6 +6,9 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import events
 from citronport.relay import jobs
+from citronport.relay import metrics
+from citronport.relay import upstream
+from citronport.scheduler.direct import data_centres
 
 MAX_LOGGED_PARTS = 8
 """Parts of a prompt in one log line. A head has room for a thousand."""
@@ -72,13 +75,16 @@
             answer; None if there is none.
     """
     resumption = job.resumption
+    remote = _is_remote(job, reservation)
     context.counts.sends["sent"] += 1
+    context.counts.record_scope(remote=remote, request_bytes=len(job.body))
     context.counts.leased_sends += reservation.leased
     context.log.write(
         events.RequestSent(
             request=job.work.request_id,
             endpoint=reservation.endpoint.name,
             software=reservation.endpoint.software,
+            remote=remote,
             resumes=resumption.begun_by if resumption else "",
             after=last_event_id or (resumption.after if resumption else ""),
             attempt=progress.attempts,
@@ -96,6 +102,35 @@
     )
 
 
+def record_answer_bytes(
+    context: jobs.RelayContext,
+    job: jobs.Job,
+    reservation: dispatcher_module.Reservation | None,
+    exchange: upstream.Exchange,
+) -> None:
+    """Count the bytes of an answer's body that came from an endpoint.
+
+    Args:
+        context: components shared by all requests.
+        job: the request.
+        reservation: the reservation of the endpoint; None if another
+            instance answered.
+        exchange: the exchange with it.
+    """
+    if reservation is None:
+        return
+    scope = metrics.get_scope(remote=_is_remote(job, reservation))
+    context.counts.body_bytes[scope, "answer"] += exchange.received_bytes
+
+
+def _is_remote(
+    job: jobs.Job, reservation: dispatcher_module.Reservation
+) -> bool:
+    return data_centres.is_remote(
+        job.work.data_centre, reservation.endpoint.data_centre
+    )
+
+
 def record_forwarded(
     context: jobs.RelayContext, job: jobs.Job, progress: Progress, peer: str
 ) -> None:
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -480,6 +480,9 @@
     def _release(self) -> None:
         self._peer_send.close()
         if self._exchange is not None:
+            progress_module.record_answer_bytes(
+                self._context, self._job, self._reservation, self._exchange
+            )
             self._exchange.close()
             self._exchange = None
         if self._reservation is not None:
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -76,12 +76,16 @@
     Args:
         address: "ip:port" of the endpoint.
         request_id: id that the response must carry.
+
+    Attributes:
+        received_bytes: bytes of the response body that were read.
     """
 
     def __init__(self, address: str, request_id: str) -> None:
         self._address = address
         self._request_id = request_id
         self._connection: connection.Connection | None = None
+        self.received_bytes = 0
 
     def open(self) -> Unreachable | None:
         """Connect to the endpoint."""
@@ -121,7 +125,9 @@
             HTTPParseError: the data is not valid HTTP.
         """
         assert self._connection is not None
-        return self._connection.read()
+        data = self._connection.read()
+        self.received_bytes += len(data)
+        return data
 
     def get_end(self) -> connection.BodyEnd:
         """Return what proved the end of the body, once it was read."""
