Name instances of all data centres in lookups again

Callers keep a lookup for two to six seconds; while a data centre is being lost, its callers would know only instances that are lost with it, and nothing is won by it for the bytes between endpoints and instances.

--- a/citronport/platform/const.py
+++ b/citronport/platform/const.py
@@ -6,8 +6,6 @@
 
 PATH_READY: Final = "/citronport/readyz"
 PATH_LOOKUP: Final = "/citronport/resolve"
-QUERY_DATA_CENTRE: Final = "zone"
-"""Name of the caller's data centre in the query of a lookup."""
 MAX_LOOKUP_ADDRESSES: Final = 64
 """Most addresses in the response to a lookup."""
 
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 import math
-import urllib.parse
 
 import result
 
@@ -119,15 +118,6 @@
         return self.is_event_stream or not self.content_type
 
 
-def parse_lookup(query: str) -> str:
-    """Return the data centre of a caller from the query of its lookup.
-
-    Empty if the query does not name exactly one.
-    """
-    values = urllib.parse.parse_qs(query).get(const.QUERY_DATA_CENTRE, [])
-    return values[0] if len(values) == 1 else ""
-
-
 def parse_request(
     fields: Headers,
 ) -> result.Result[CallerRequest, errors.Refusal]:
--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -290,13 +290,11 @@
     """The WSGI application that returns the instances a caller should use.
 
     Args:
-        list_addresses: returns the instance addresses for a caller's address
-            and data centre.
+        list_addresses: returns the instance addresses for a caller's address.
     """
 
     def __init__(
-        self,
-        list_addresses: collections.abc.Callable[[str, str], tuple[str, ...]],
+        self, list_addresses: collections.abc.Callable[[str], tuple[str, ...]]
     ) -> None:
         self._list_addresses = list_addresses
 
@@ -307,10 +305,7 @@
         if environ["PATH_INFO"] != wire.PATH_LOOKUP:
             refusal = errors.Refusal(code=errors.Code.UNKNOWN_PATH)
             return refusals.answer(start_response, refusal)
-        addresses = self._list_addresses(
-            environ.get("REMOTE_ADDR", ""),
-            requests.parse_lookup(environ.get("QUERY_STRING", "")),
-        )
+        addresses = self._list_addresses(environ.get("REMOTE_ADDR", ""))
         if not addresses:
             refusal = errors.Refusal(
                 code=errors.Code.NO_CATALOGUE,
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -251,9 +251,9 @@
             ticker,
         )
         self.directory = lookups.Directory(
-            settings,
+            str(settings.callers),
+            settings.capacity,
             self.members,
-            self.cluster_state,
             self.is_ready,
             ticker,
         )
@@ -311,7 +311,6 @@
                 self._settings = settings
                 self.gossip.update_settings(settings)
                 self.reports.update_settings(settings)
-                self.directory.update_settings(settings)
                 self._budgets.clear()
                 self.dispatcher.set_remote_penalty(
                     settings.scheduling.remote_penalty
--- a/citronport/scheduler/direct/data_centres.py
+++ b/citronport/scheduler/direct/data_centres.py
@@ -1,34 +1,9 @@
-"""Prefers endpoints and instances of a data centre over remote ones."""
+"""Tells endpoints of the own data centre from those of other ones."""
 
-import collections.abc
-import dataclasses
 import random
 
 from citronport.scheduler.direct import models
 
-MIN_LOOKUP_INSTANCES = 2
-"""Fewest instances that a lookup may name: callers need a second one if the
-first one stops."""
-
-MIN_CAPACITY_SHARE = 0.5
-"""Smallest capacity of the instances that a lookup may name, relative to an
-equal part of the whole capacity for each data centre."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Entry:
-    """An instance that callers may use.
-
-    Attributes:
-        address: its address for callers, "ip:port".
-        data_centre: its location.
-        capacity: processor cores that it has, above 0.
-    """
-
-    address: str
-    data_centre: str
-    capacity: float
-
 
 def is_remote(data_centre: str, other: str) -> bool:
     """Return whether two data centres differ; unknown ones never do."""
@@ -65,28 +40,3 @@
         if others:
             drawn.append(random.choice(others))
     return drawn
-
-
-def choose_entries(
-    entries: collections.abc.Collection[Entry], data_centre: str
-) -> list[Entry]:
-    """Return the instances that a caller in a data centre should use.
-
-    Those of its data centre, unless they are too few or too small for all
-    of its callers; then all instances.
-
-    Args:
-        entries: all instances that callers may use.
-        data_centre: data centre of the caller; may be unknown.
-    """
-    local = [e for e in entries if e.data_centre == data_centre]
-    if len(local) < MIN_LOOKUP_INSTANCES:
-        return list(entries)
-    equal_part = _sum_capacity(entries) / len({e.data_centre for e in entries})
-    if _sum_capacity(local) < MIN_CAPACITY_SHARE * equal_part:
-        return list(entries)
-    return local
-
-
-def _sum_capacity(entries: collections.abc.Iterable[Entry]) -> float:
-    return sum(e.capacity for e in entries)
