Place long answers by the speed of engines, and learn it early

The choice looked at the time to the first event only.

Result: new tests of both rules fail without them; dispatcher, leasing, selection, stream records and pages pass.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -94,7 +94,9 @@
         self.started_at = ticker.now()
         self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
-        self.loads = load_tracker.LoadTracker()
+        self.loads = load_tracker.LoadTracker(
+            early_step_times=settings.scheduling.early_step_times
+        )
         self.health = health_module.Health()
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
@@ -146,6 +148,7 @@
             self.cold,
             self.limits,
             self.pauses,
+            settings.scheduling,
             ticker,
         )
         self.reports = reports.Reports(
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -15,10 +15,12 @@
 from citronport.relay import messages
 from citronport.relay import owners as owners_module
 from citronport.relay import service_view
+from citronport.relay import settings
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
+from citronport.scheduler.direct import long_answers
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import pauses as pauses_module
 from citronport.scheduler.direct import quota
@@ -77,6 +79,7 @@
         cold: endpoints that are cold.
         limits: rate limits announced by endpoints.
         pauses: pauses that endpoints ask this instance for.
+        scheduling: optional rules.
         ticker: the clock.
 
     Attributes:
@@ -95,6 +98,7 @@
         cold: cold_starts.ColdStarts,
         limits: endpoint_limits.EndpointLimits,
         pauses: pauses_module.Pauses,
+        scheduling: settings.Scheduling,
         ticker: clock.Clock,
     ) -> None:
         self._own = own
@@ -105,6 +109,7 @@
         self._cold = cold
         self._limits = limits
         self._pauses = pauses
+        self._scheduling = scheduling
         self.exclusions = exclusions.Exclusions(
             cluster_state, health, pauses, ticker
         )
@@ -211,10 +216,27 @@
     def record_first_event(self, reservation: Reservation) -> None:
         """Report the first event of a leased request to its owner."""
         if reservation.leased and self.lease_client is not None:
-            self.lease_client.report_first_event(
+            self.lease_client.report_begun(
                 reservation.run.request_id, reservation.endpoint.name
             )
 
+    def record_early_step_time(self, reservation: Reservation) -> None:
+        """Report the first step time of an endpoint to its owner.
+
+        The owner would otherwise learn it only at the end of the request,
+        and place others there by the step time of a typical endpoint.
+        """
+        name = reservation.endpoint.name
+        step_ms = self._loads.get_own_step_ms(name)
+        if (
+            reservation.leased
+            and self.lease_client is not None
+            and step_ms is not None
+        ):
+            self.lease_client.report_begun(
+                reservation.run.request_id, name, step_ms
+            )
+
     def release(self, reservation: Reservation, request_id: str) -> None:
         """Release a reservation."""
         if reservation.leased and self.lease_client is not None:
@@ -409,6 +431,22 @@
             return False
         return now - since <= wait_queue.compute_max_wait(work, since) / 2
 
+    def _list_for_answer(
+        self,
+        work: models.Work,
+        endpoints: list[models.Endpoint],
+        view: service_view.ServiceView,
+    ) -> list[models.Endpoint]:
+        if not self._scheduling.fit_long_answers:
+            return endpoints
+        return long_answers.list_fast_enough(
+            work,
+            endpoints,
+            view.listed,
+            self._loads.get_step_ms,
+            self._ticker.now(),
+        )
+
     def _get_role(self, now: float) -> roles.Role:
         if now >= self._role_until:
             instances = self._members.list_known(now)
@@ -439,6 +477,7 @@
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
             )
+            candidates = self._list_for_answer(waiter.work, candidates, view)
         if not waiter.leased and view.sample_size < len(candidates):
             candidates = random.sample(candidates, view.sample_size)
         placement = self._selector.choose(
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -152,13 +152,26 @@
                 self._make_ended(answer.request, answer.endpoint),
             )
 
-    def report_first_event(self, request_id: str, endpoint: str) -> None:
-        """Report the first event of a request to the owner."""
+    def report_begun(
+        self, request_id: str, endpoint: str, step_ms: float = 0.0
+    ) -> None:
+        """Report to the owner that a request got its first event.
+
+        Args:
+            request_id: id of the request.
+            endpoint: endpoint that it runs at.
+            step_ms: step time of the endpoint, milliseconds, if its first
+                events were the first to show it; else 0.
+        """
         grant = self._grants.get((request_id, endpoint))
         if grant is None:
             return
         begun = messages.Begun(
-            protocol=messages.PROTOCOL, request=request_id, endpoint=endpoint
+            protocol=messages.PROTOCOL,
+            request=request_id,
+            endpoint=endpoint,
+            instance=self._own,
+            pace=int(step_ms * 1e6),
         )
         for owner in self._list_owners(endpoint, *grant):
             self._send(owner, begun)
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -129,6 +129,10 @@
     def handle_begun(self, begun: messages.Begun) -> None:
         """Record the first event of a leased request."""
         self._health.record_reached(begun.endpoint, self._ticker.now())
+        if begun.pace and begun.endpoint in self._cluster_state.endpoints:
+            self._loads.apply_step_ms(
+                begun.instance, begun.endpoint, begun.pace / 1e6
+            )
         self._leases.record_first_event(
             begun.request, begun.endpoint, self._ticker.now()
         )
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -387,13 +387,15 @@
             self._job.service
         )
         engine = service.engine if service else None
-        self._context.loads.record_events(
+        is_first_step_time = self._context.loads.record_events(
             reservation.endpoint.name,
             reservation.run,
             eventstream.count_events(events),
             engine.event_tokens if engine else 1,
             now,
         )
+        if is_first_step_time:
+            self._context.dispatcher.record_early_step_time(reservation)
         self._outcomes.record_events(reservation)
 
     def _start(
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -75,11 +75,18 @@
             treats all data centres alike.
         early_owners: whether an instance that still discovers the others
             already leases out slots.
+        fit_long_answers: whether requests for long answers wait briefly for
+            an endpoint that is fast enough to end them by their deadline.
+        early_step_times: whether the first events of a stream give a step
+            time to an endpoint that has none yet, which its owner learns at
+            once.
     """
 
     fair_shares: bool = False
     remote_penalty: Share = 0.0
     early_owners: bool = False
+    fit_long_answers: bool = False
+    early_step_times: bool = False
 
 
 class Settings(
--- a/citronport/scheduler/direct/load_tracker.py
+++ b/citronport/scheduler/direct/load_tracker.py
@@ -66,9 +66,16 @@
 
     Attributes:
         profiles: steps that requests of each service take.
+
+    Args:
+        early_step_times: whether an endpoint without a step time gets one
+            from the first events of a stream.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, early_step_times: bool = False) -> None:
+        self._early_step_times = early_step_times
+        # Endpoints whose step time comes from an incomplete sample.
+        self._early: set[str] = set()
         self.profiles = profiles.Profiles()
         self._own: dict[str, dict[str, runs.Run]] = {}
         # Requests of this instance whose slots another one leased out:
@@ -138,7 +145,7 @@
         events: int,
         tokens: int,
         now: float,
-    ) -> None:
+    ) -> bool:
         """Record events of a stream.
 
         Args:
@@ -147,14 +154,27 @@
             events: number of events received.
             tokens: tokens in one event.
             now: clock time, seconds.
+
+        Returns:
+            Whether they gave the endpoint its first step time, before a
+            sample was complete.
         """
         if run.first_event_at is None:
             run.record_first_event(events, now)
             self._update_profile(endpoint, run, now)
-            return
+            return False
         step_ms = run.record_events(events, tokens, now)
         if step_ms is not None:
             self._update_step_ms(endpoint, step_ms)
+            return False
+        if not self._early_step_times or endpoint in self._step_ms:
+            return False
+        step_ms = run.get_early_step_ms(tokens)
+        if step_ms is None:
+            return False
+        self._update_step_ms(endpoint, step_ms)
+        self._early.add(endpoint)
+        return True
 
     def record_answer(self, endpoint: str, run: runs.Run, now: float) -> None:
         """Record a complete answer of a plain service."""
@@ -347,6 +367,7 @@
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that is gone."""
         self._step_ms.pop(endpoint, None)
+        self._early.discard(endpoint)
         self._answer_seconds.pop(endpoint, None)
         self._median_step_ms.pop(endpoint, None)
         for report in self._remote.values():
@@ -385,7 +406,8 @@
         step_ms = min(MAX_STEP_MS, max(MIN_STEP_MS, step_ms))
         mean = self._step_ms.get(endpoint)
         self._median_step_ms.pop(endpoint, None)
-        if mean is None:
+        if mean is None or endpoint in self._early:
+            self._early.discard(endpoint)
             self._step_ms[endpoint] = step_ms
         else:
             self._step_ms[endpoint] = mean + STEP_MS_WEIGHT * (step_ms - mean)
--- a/citronport/scheduler/direct/runs.py
+++ b/citronport/scheduler/direct/runs.py
@@ -108,6 +108,21 @@
         )
         if self.spans < SPANS_PER_SAMPLE:
             return None
-        step_ms = self.min_event_seconds / (tokens * SECONDS_PER_MS)
+        step_ms = self.get_early_step_ms(tokens)
         self.min_event_seconds, self.spans = None, 0
         return step_ms
+
+    def get_early_step_ms(self, tokens: int) -> float | None:
+        """Return a rough step time from the spans of an incomplete sample.
+
+        It may include the prefill of other requests' prompts.
+
+        Args:
+            tokens: tokens in one event.
+
+        Returns:
+            Milliseconds per step; None without a span.
+        """
+        if self.min_event_seconds is None:
+            return None
+        return self.min_event_seconds / (tokens * SECONDS_PER_MS)
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -11,6 +11,7 @@
 from citronport.relay import metrics
 from citronport.relay import owners
 from citronport.relay import paths
+from citronport.relay import settings
 from citronport.relay import stream_versions
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
@@ -121,9 +122,17 @@
         ticker: the clock; the real one by default.
         configuration: the configuration in force; the sample by default.
         own: name of the instance.
+        scheduling: optional rules of scheduling; none by default.
     """
 
-    def __init__(self, endpoints, ticker=None, configuration=None, own="own"):
+    def __init__(
+        self,
+        endpoints,
+        ticker=None,
+        configuration=None,
+        own="own",
+        scheduling=None,
+    ):
         self.ticker = ticker or clock.RuntimeClock()
         self.board = load_tracker.LoadTracker()
         self.health = health_module.Health()
@@ -180,5 +189,6 @@
             self.cold,
             self.limits,
             self.pauses,
+            scheduling or settings.Scheduling(),
             self.ticker,
         )
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -6,14 +6,15 @@
 
 from citronport import errors
 from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import settings
 from citronport.scheduler.direct import wait_queue
 from tests.relay import samples
 
 
-def make_room_with_a_slow_engine():
+def make_room_with_a_slow_engine(scheduling=None):
     """Return a fixture in which only the slow one of three engines is free."""
     endpoints = [samples.make_endpoint(n) for n in ("e1", "e2", "e3")]
-    room = samples.DispatcherFixture(endpoints)
+    room = samples.DispatcherFixture(endpoints, scheduling=scheduling)
     now = room.ticker.now()
     for name, step_ms in (("e1", 12.0), ("e2", 3.0), ("e3", 3.0)):
         room.board.apply_step_ms("other", name, step_ms)
@@ -244,6 +245,35 @@
         self.assertIsNone(handles[0].value)
         self.assertEqual("e1", handles[1].value.endpoint.name)
 
+    def acquire_long_answer(self, scheduling):
+        """Return what a long answer gets that a slow engine can't end."""
+        room = make_room_with_a_slow_engine(scheduling)
+        route = samples.make_route(objective=0.4, timeout=10.0)
+        work = samples.make_work(
+            "long",
+            route,
+            room.ticker.now(),
+            prompt_tokens=100,
+            output_tokens=4000,
+            expected_tokens=1000,
+        )
+        for name in ("t0", "t2", "t4"):
+            gevent.spawn_later(
+                0.02, room.board.record_end, "e2", name, room.ticker.now()
+            )
+        gevent.spawn_later(0.03, room.dispatcher.schedule_match)
+        return room.dispatcher.acquire(work, samples.ENGINES, frozenset())
+
+    def test_long_answer_waits_for_an_engine_that_ends_it_in_time(self):
+        """Guards against answers that a slow engine can't end in time."""
+        rules = settings.Scheduling(fit_long_answers=True)
+        self.assertEqual("e2", self.acquire_long_answer(rules).endpoint.name)
+
+    def test_long_answer_without_the_option(self):
+        """By default the first free engine is used, whatever its speed."""
+        rules = settings.Scheduling()
+        self.assertEqual("e1", self.acquire_long_answer(rules).endpoint.name)
+
     def test_no_endpoint_has_its_own_code(self):
         """Without a listed endpoint, the refusal after the wait says so."""
         room = samples.DispatcherFixture([])
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -110,6 +110,17 @@
         """Wait until pending messages have been delivered."""
         gevent.sleep(0.01)
 
+    def test_first_step_time_of_an_endpoint_reaches_the_owner(self):
+        """Guards against requests sent to a slow engine taken for a usual one.
+
+        The owner has no step time of it until the first request there ends.
+        """
+        reservation = self.one.acquire()
+        self.one.room.board._update_step_ms("e1", 11.0)
+        self.one.room.dispatcher.record_early_step_time(reservation)
+        self.settle()
+        self.assertAlmostEqual(11.0, self.owner.room.board.get_step_ms("e1"))
+
     def test_all_see_the_same_owner(self):
         """All nodes determine the same owner without messages."""
         owners = {self.find_owner(node) for node in self.net.values()}
--- a/tests/relay/test_stream_records.py
+++ b/tests/relay/test_stream_records.py
@@ -212,6 +212,7 @@
                 self.versions[node.name].handle(
                     messages.Begun(
                         protocol=messages.PROTOCOL,
+                        instance="own",
                         request=begun_by,
                         endpoint="v1",
                     )
@@ -228,7 +229,10 @@
         owner = self.versions[self.nodes[1].name]
         owner.handle(
             messages.Begun(
-                protocol=messages.PROTOCOL, request=begun_by, endpoint=other
+                protocol=messages.PROTOCOL,
+                instance="own",
+                request=begun_by,
+                endpoint=other,
             )
         )
         found = self.take_up(begun_by, self.nodes[1])
