--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -93,7 +93,9 @@
         self.started_at = ticker.now()
         self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
-        self.loads = load_tracker.LoadTracker()
+        self.loads = load_tracker.LoadTracker(
+            early_step_times=settings.scheduling.early_step_times
+        )
         self.health = health_module.Health()
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
@@ -145,9 +147,9 @@
             self.cold,
             self.limits,
             self.pauses,
+            settings.scheduling,
             ticker,
         )
-        self.dispatcher.set_remote_penalty(settings.scheduling.remote_penalty)
         self.reports = reports.Reports(
             settings,
             self._incarnation,
@@ -312,9 +314,7 @@
                 self.gossip.update_settings(settings)
                 self.reports.update_settings(settings)
                 self._budgets.clear()
-                self.dispatcher.set_remote_penalty(
-                    settings.scheduling.remote_penalty
-                )
+                self.dispatcher.update_scheduling(settings.scheduling)
                 self.log.write(
                     events.SettingsReloaded(accepted=True, detail="")
                 )
--- a/tests/relay/test_remote_penalty.py
+++ b/tests/relay/test_remote_penalty.py
@@ -104,7 +104,9 @@
     def test_data_centre_of_the_sender_counts(self):
         """Guards against a lease near the owner instead of the sender."""
         room = Room(3, 2)
-        room.dispatcher.set_remote_penalty(0.3)
+        room.dispatcher.update_scheduling(
+            settings_module.Scheduling(remote_penalty=0.3)
+        )
         for place in (*PLACES, *PLACES):
             found = room.choose(f"r {place}", place, leased=True)
             self.assertEqual(place, found.data_centre)
@@ -116,7 +118,9 @@
         """
         service = samples.make_service(engine=None, cold_rate=0.0)
         room = Room(3, 63, service)
-        room.dispatcher.set_remote_penalty(0.3)
+        room.dispatcher.update_scheduling(
+            settings_module.Scheduling(remote_penalty=0.3)
+        )
         places = []
         for number in range(20):
             found = room.choose(f"r{number}", "b", prompt_tokens=0)
@@ -129,7 +133,9 @@
         service = samples.make_service(engine=None, cold_rate=0.0)
         for _ in range(20):
             room = Room(3, 63, service)
-            room.dispatcher.set_remote_penalty(1.0)
+            room.dispatcher.update_scheduling(
+                settings_module.Scheduling(remote_penalty=1.0)
+            )
             places = [
                 room.choose(f"r{n}", "b", prompt_tokens=0).data_centre
                 for n in range(4)
