Let instances own endpoints while a whole fleet starts

Cause: an instance was a candidate for owner only once it was ready for callers. All instances of a restarted fleet become ready in the same moment, so that each saw itself as the only candidate and granted all slots. Change: with scheduling.early_owners, an instance that still discovers the others is a candidate (Report.starting), seeds come first for 2 s if the fleet starts, each change of ready or starting is reported at once, and an unanswered request goes to the next owner instead of an own choice.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -33,11 +33,13 @@
 from citronport.relay import messages
 from citronport.relay import metrics
 from citronport.relay import mirror as mirror_module
+from citronport.relay import owners as owners_module
 from citronport.relay import paths
 from citronport.relay import replication as replication_module
 from citronport.relay import reports
 from citronport.relay import settings as settings_module
 from citronport.relay import settings_watch
+from citronport.relay import startup
 from citronport.relay import state
 from citronport.relay import stream_versions
 from citronport.relay import summaries
@@ -57,10 +59,6 @@
 """How long a stopping instance still accepts requests. Callers cache a lookup
 response for two seconds; new lookup responses omit the instance at once."""
 
-PEER_DISCOVERY_SECONDS = 0.6
-"""Longest time after a start to wait for the other instances to be known.
-There may be none."""
-
 EXIT_MARGIN_SECONDS = 0.7
 """Time left between the latest exit of the process and its forced kill."""
 
@@ -90,7 +88,6 @@
         self.log = eventlog.Log(settings.instance, ticker)
         self._leaving = False
         self._closing = False
-        self._ready = False
         self.started_at = ticker.now()
         self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
@@ -148,6 +145,21 @@
             self.pauses,
             ticker,
         )
+        self.startup = startup.Startup(
+            self.started_at,
+            self.cluster_state,
+            self.members,
+            lambda: self._leaving,
+            lambda: self.replication.misses_lost_items(),
+            (
+                (lambda: self.leasing.owners.knows_owners(ticker.now()))
+                if settings.scheduling.early_owners
+                else None
+            ),
+            lambda: self.gossip.report_change(),
+            ticker,
+            self.log,
+        )
         self.reports = reports.Reports(
             settings,
             self._incarnation,
@@ -161,6 +173,7 @@
             self.paths,
             self.is_ready,
             lambda: self._leaving,
+            self.startup.is_starting,
             ticker,
         )
         self.summaries = summaries.Summaries(
@@ -206,6 +219,7 @@
             self.gossip.send_message,
             ticker,
             self.log,
+            self._make_early_owners(),
         )
         self.stream_versions = stream_versions.StreamVersions(
             settings.instance,
@@ -247,7 +261,7 @@
             lambda: self._leaving,
             lambda: self._closing,
             self._get_store_age,
-            self._is_discovering_peers,
+            self.startup.is_discovering,
             ticker,
         )
         self._callers = listeners.make_caller_server(
@@ -311,15 +325,7 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should use this instance."""
-        ready = (
-            self.cluster_state.configuration is not None
-            and not self._leaving
-            and not self._is_discovering_peers()
-        )
-        if ready != self._ready:
-            self._ready = ready
-            self.log.write(events.Ready(ready=ready))
-        return ready
+        return self.startup.is_ready()
 
     def list_addresses(self, caller: str) -> tuple[str, ...]:
         """Return the addresses that a caller should use.
@@ -348,21 +354,15 @@
             )
         )
 
-    def _is_discovering_peers(self) -> bool:
-        """Return whether requests should wait for peer discovery.
-
-        When all instances restart at once, the requests of about two seconds
-        are retried at the first instances that are up. An instance that
-        knows no peers assumes that it has all endpoints to itself; a hundred
-        such instances send each endpoint many times its capacity, and the
-        endpoints reject requests that could have waited for a moment.
-        """
-        now = self._ticker.now()
-        if now - self.started_at >= PEER_DISCOVERY_SECONDS:
-            return False
-        return (
-            self.members.is_growing(now)
-            or self.replication.misses_lost_items()
+    def _make_early_owners(self) -> owners_module.EarlyOwners | None:
+        settings = self._settings
+        if not settings.scheduling.early_owners:
+            return None
+        return owners_module.EarlyOwners(
+            started_at=self.started_at,
+            peer_address=str(settings.peers),
+            seeds=frozenset(map(str, settings.seeds)),
+            is_starting=self.startup.is_starting,
         )
 
     def _make_servers(self) -> list[caller_server.Server]:
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -284,12 +284,13 @@
 
 
 class OwnerChanged(msgspec.Struct, frozen=True, kw_only=True):
-    """The owner of a service's endpoints, which grants slots, changed."""
+    """The owner of a service's endpoints changed; it may still be starting."""
 
     service: str
     pool: int
     owner: str
     candidates: int
+    starting: bool
 
 
 class OwnerSilent(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -118,12 +118,39 @@
         owner = self._choose_owner(service)
         if owner is None or owner == self._own:
             return None
+        now = self._ticker.now()
+        # A request may have used up its wait on a connection that failed. An
+        # endpoint with a free slot still serves it; it only may not queue.
+        end = now + max(
+            MIN_ASK_SECONDS, wait_queue.compute_max_wait(work, now)
+        )
+        while True:
+            found = self._ask_owner(work, service, tried, paused, owner, end)
+            now = self._ticker.now()
+            if found is not None or not self._owners.is_early(now):
+                return found
+            # This instance has just started and knows no loads: the next
+            # owner decides better, unless this one declined.
+            next_owner = self._choose_owner(service)
+            if next_owner in (None, owner, self._own) or now >= end:
+                return None
+            owner = next_owner
+
+    def _ask_owner(
+        self,
+        work: models.Work,
+        service: str,
+        tried: frozenset[str],
+        paused: frozenset[str],
+        owner: str,
+        end: float,
+    ) -> Answer | None:
         answers = gevent_queue.SimpleQueue()
         self._pending[work.request_id] = answers
         found: Answer | None = None
         try:
             found = self._await_grant(
-                work, service, tried, paused, owner, answers
+                work, service, tried, paused, owner, answers, end
             )
         finally:
             del self._pending[work.request_id]
@@ -240,13 +267,8 @@
         paused: frozenset[str],
         owner: str,
         answers: gevent_queue.SimpleQueue,
+        end: float,
     ) -> Answer | None:
-        now = self._ticker.now()
-        # A request may have used up its wait on a connection that failed. An
-        # endpoint with a free slot still serves it; it only may not queue.
-        end = now + max(
-            MIN_ASK_SECONDS, wait_queue.compute_max_wait(work, now)
-        )
         unanswered = 0
         while (now := self._ticker.now()) < end:
             self._send(
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -41,6 +41,8 @@
         send: sends a message to the named instance.
         ticker: the clock.
         log: the event log.
+        early: rules for instances that still discover the others; None if
+            only those that are ready for callers own endpoints.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         send: messages.SendMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
+        early: owners_module.EarlyOwners | None = None,
     ) -> None:
         self._ticker = ticker
         self.owners = owners_module.Owners(
@@ -67,6 +70,7 @@
             is_ready,
             log,
             self._on_owner_change,
+            early,
         )
         self.lease_client = lease_client_module.LeaseClient(
             own,
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -109,6 +109,8 @@
         self._local_count = 0
         self._last_added_at = float("-inf")
         self._new_addresses: list[str] = []
+        self._first_report_at: float | None = None
+        self._first_states: list[bool] = []
 
     def get_report_interval(self) -> float:
         """Return the minimum interval between two reports, seconds."""
@@ -136,6 +138,14 @@
         """Return whether no other instance is known yet."""
         return not self._members
 
+    def found_running_fleet(self) -> bool:
+        """Return whether most instances were ready before this one started.
+
+        Only the first reports that arrive just after the start count. Later
+        ones may be of instances that have become ready since.
+        """
+        return 2 * sum(self._first_states) > len(self._first_states)
+
     def is_growing(self, now: float) -> bool:
         """Return whether this instance is still discovering others."""
         return self.is_alone() or now - self._last_added_at < GROWING_SECONDS
@@ -165,6 +175,8 @@
         if not self._is_newer(member, report, now):
             return False
         last = member.report
+        if last is None:
+            self._record_first_report(report, now)
         if last is None or last.incarnation != report.incarnation:
             self._new_addresses.append(report.peer_address)
         member.report = report
@@ -369,6 +381,14 @@
             self._last_added_at = now
         return member
 
+    def _record_first_report(
+        self, report: messages.Report, now: float
+    ) -> None:
+        if self._first_report_at is None:
+            self._first_report_at = now
+        if now - self._first_report_at <= GROWING_SECONDS:
+            self._first_states.append(report.ready)
+
     def _is_newer(
         self, member: Member, report: messages.Report, now: float
     ) -> bool:
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -36,6 +36,7 @@
         peer_address: its address for other instances.
         ready: whether callers should use it.
         leaving: whether it is shutting down.
+        starting: whether it has a configuration and still discovers others.
         revision: store revision up to which it knows all changes.
         store_seconds: age of the store's latest answer to the sender; -1 if
             the sender is on standby.
@@ -65,6 +66,7 @@
     peer_address: str
     ready: bool
     leaving: bool
+    starting: bool
     revision: int
     store_seconds: float
     knows_lost: bool
@@ -92,7 +94,20 @@
 
 
 Row = tuple[
-    str, str, int, float, float, str, str, bool, bool, int, float, bool, bool
+    str,
+    str,
+    int,
+    float,
+    float,
+    str,
+    str,
+    bool,
+    bool,
+    bool,
+    int,
+    float,
+    bool,
+    bool,
 ]
 """State of one instance in a summary; see ``Summary.rows``."""
 
@@ -111,8 +126,9 @@
         rows: for each instance in reach: its name, incarnation, number of
             its latest report, age of that report in seconds, and these
             fields of it: ``capacity``, ``caller_address``,
-            ``peer_address``, ``ready``, ``leaving``, ``revision``,
-            ``store_seconds``, ``knows_lost`` and ``path_lost``.
+            ``peer_address``, ``ready``, ``leaving``, ``starting``,
+            ``revision``, ``store_seconds``, ``knows_lost`` and
+            ``path_lost``.
         admitted_units: units that all instances of the data centre have
             admitted since the sender's start, by workspace.
         profiles: as in a report.
--- a/citronport/relay/owners.py
+++ b/citronport/relay/owners.py
@@ -4,11 +4,13 @@
 """
 
 import collections.abc
+import dataclasses
 
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import eventlog
 from citronport.relay import events
 from citronport.relay import membership as membership_module
+from citronport.relay import messages
 from citronport.scheduler.direct import ownership
 
 CANDIDATES_CACHE_SECONDS = 0.2
@@ -19,6 +21,27 @@
 """How long an unresponsive owner is excluded from the candidates. If it is
 dead, all instances see it as unreachable after about the same time."""
 
+STARTING_CACHE_SECONDS = 0.02
+"""The same time just after the start of this instance, when reports of new
+candidates arrive within milliseconds."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EarlyOwners:
+    """How instances that still discover the others own endpoints.
+
+    Attributes:
+        started_at: clock time at which this instance started, seconds.
+        peer_address: address of this instance for other instances.
+        seeds: addresses of the seeds for other instances.
+        is_starting: returns whether this instance still discovers others.
+    """
+
+    started_at: float
+    peer_address: str
+    seeds: frozenset[str]
+    is_starting: collections.abc.Callable[[], bool]
+
 
 class Owners:
     """Finds the owner of each pool of endpoints.
@@ -31,6 +54,8 @@
         is_ready: returns whether this instance may own endpoints.
         log: the event log.
         on_change: called after an owner has changed.
+        early: rules for instances that still discover the others; None if
+            only those that are ready for callers own endpoints.
     """
 
     def __init__(
@@ -42,6 +67,7 @@
         is_ready: collections.abc.Callable[[], bool],
         log: eventlog.Log,
         on_change: collections.abc.Callable[[], None],
+        early: EarlyOwners | None = None,
     ) -> None:
         self._own = own
         self._capacity = capacity
@@ -50,9 +76,11 @@
         self._is_ready = is_ready
         self._log = log
         self._on_change = on_change
+        self._early = early
         self._unresponsive: dict[str, float] = {}
         self._candidates: tuple[ownership.Candidate, ...] = ()
         self._owners: dict[ownership.Pool, str | None] = {}
+        self._is_burst = False
         self._refreshed_at = float("-inf")
         self._logged: dict[ownership.Pool, str | None] = {}
         self._owner_since: dict[ownership.Pool, float] = {}
@@ -64,7 +92,7 @@
         """
         self._refresh_candidates(now)
         if pool not in self._owners:
-            owner = ownership.choose_owner(pool, self._candidates)
+            owner = ownership.choose_owner(pool, self._list_eligible(pool))
             self._owners[pool] = owner
             self._record_owner(pool, owner, now)
         return self._owners[pool]
@@ -105,13 +133,46 @@
                 longest = max(longest or 0.0, now - self._owner_since[pool])
         return longest
 
+    def is_early(self, now: float) -> bool:
+        """Return whether this instance started too recently to know loads.
+
+        It is False unless instances own endpoints while they start.
+        """
+        return (
+            self._early is not None
+            and now - self._early.started_at < ownership.START_SECONDS
+        )
+
+    def is_unowned_at_start(self, service: str, now: float) -> bool:
+        """Return whether endpoints have no owner just after the start."""
+        return self.is_early(now) and not self.list_owners(service, now)
+
+    def knows_owners(self, now: float) -> bool:
+        """Return whether the other instances that own endpoints are known.
+
+        A seed in reach without a configuration will own endpoints soon if
+        the whole fleet starts.
+        """
+        fresh = self._members.list_fresh(now)
+        if not any(map(self._may_own, fresh)):
+            return False
+        return self._members.found_running_fleet() or all(
+            r.leaving or self._may_own(r)
+            for r in fresh
+            if self._is_seed(r.peer_address)
+        )
+
     def mark_unresponsive(self, instance: str, now: float) -> None:
         """Exclude an unresponsive owner from the candidates for a while."""
         self._unresponsive[instance] = now + UNRESPONSIVE_SECONDS
         self._refreshed_at = float("-inf")
 
     def _refresh_candidates(self, now: float) -> None:
-        if now - self._refreshed_at < CANDIDATES_CACHE_SECONDS:
+        is_early = self.is_early(now)
+        cache_seconds = (
+            STARTING_CACHE_SECONDS if is_early else CANDIDATES_CACHE_SECONDS
+        )
+        if now - self._refreshed_at < cache_seconds:
             return
         self._refreshed_at = now
         self._unresponsive = {
@@ -120,8 +181,10 @@
             if now < until
         }
         candidates = self._list_candidates(now)
-        if candidates != self._candidates:
+        is_burst = is_early and not self._members.found_running_fleet()
+        if candidates != self._candidates or is_burst != self._is_burst:
             self._candidates = candidates
+            self._is_burst = is_burst
             self._owners.clear()
 
     def _list_candidates(self, now: float) -> tuple[ownership.Candidate, ...]:
@@ -131,20 +194,49 @@
         ):
             return ()
         found = [
-            ownership.Candidate(instance=r.instance, capacity=r.capacity)
+            ownership.Candidate(
+                instance=r.instance,
+                capacity=r.capacity,
+                starting=r.starting,
+                seed=self._is_seed(r.peer_address),
+            )
             for r in self._members.list_fresh(now)
-            if r.ready
-            and not r.leaving
-            and r.instance not in self._unresponsive
+            if self._may_own(r) and r.instance not in self._unresponsive
         ]
-        if self._is_ready():
+        if not found and self.is_early(now):
+            # The others are starting too. If each instance took itself for
+            # the owner, each would grant all slots.
+            return ()
+        ready = self._is_ready()
+        starting = self._early is not None and self._early.is_starting()
+        if ready or starting:
             found.append(
                 ownership.Candidate(
-                    instance=self._own, capacity=self._capacity
+                    instance=self._own,
+                    capacity=self._capacity,
+                    starting=starting,
+                    seed=self._early is not None
+                    and self._is_seed(self._early.peer_address),
                 )
             )
         return tuple(sorted(found, key=lambda c: c.instance))
 
+    def _may_own(self, report: messages.Report) -> bool:
+        starting = self._early is not None and report.starting
+        return (report.ready or starting) and not report.leaving
+
+    def _is_seed(self, peer_address: str) -> bool:
+        return self._early is not None and peer_address in self._early.seeds
+
+    def _list_eligible(
+        self, pool: ownership.Pool
+    ) -> tuple[ownership.Candidate, ...]:
+        # A service of several pools has more requests than the seeds of a
+        # fleet could lease slots to.
+        if self._is_burst and self.count_pools(pool.service) == 1:
+            return ownership.list_starters(self._candidates)
+        return self._candidates
+
     def _record_owner(
         self, pool: ownership.Pool, owner: str | None, now: float
     ) -> None:
@@ -158,6 +250,10 @@
                 pool=pool.number,
                 owner=owner or "",
                 candidates=len(self._candidates),
+                starting=any(
+                    c.starting and c.instance == owner
+                    for c in self._candidates
+                ),
             )
         )
         self._on_change()
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -74,6 +74,11 @@
     resumption = job.resumption
     context.counts.sends["sent"] += 1
     context.counts.leased_sends += reservation.leased
+    owners = context.dispatcher.owners
+    if owners is not None and not reservation.leased:
+        context.counts.unowned_start_sends += owners.is_unowned_at_start(
+            job.service, context.ticker.now()
+        )
     context.log.write(
         events.RequestSent(
             request=job.work.request_id,
--- a/citronport/relay/reports.py
+++ b/citronport/relay/reports.py
@@ -32,6 +32,8 @@
         paths: whether this instance has a path to the endpoints.
         is_ready: returns whether callers should use this instance.
         is_leaving: returns whether this instance is shutting down.
+        is_starting: returns whether it has a configuration and still
+            discovers the others.
         ticker: the clock.
     """
 
@@ -49,6 +51,7 @@
         paths: paths_module.Paths,
         is_ready: collections.abc.Callable[[], bool],
         is_leaving: collections.abc.Callable[[], bool],
+        is_starting: collections.abc.Callable[[], bool],
         ticker: clock.Clock,
     ) -> None:
         self._settings = settings
@@ -63,6 +66,7 @@
         self._paths = paths
         self._is_ready = is_ready
         self._is_leaving = is_leaving
+        self._is_starting = is_starting
         self._ticker = ticker
         self._number = 0
 
@@ -97,6 +101,7 @@
             peer_address=str(settings.peers),
             ready=self._is_ready(),
             leaving=self._is_leaving(),
+            starting=self._is_starting(),
             revision=self._mirror.revision,
             store_seconds=(
                 -1.0
--- a/citronport/scheduler/direct/ownership.py
+++ b/citronport/scheduler/direct/ownership.py
@@ -20,6 +20,11 @@
 instances are busy with their own callers."""
 
 
+START_SECONDS = 2.0
+"""Time after the start of an instance in which it knows too little of the
+loads to choose endpoints by itself while an owner may answer."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
     """An instance that may own endpoints.
@@ -27,10 +32,14 @@
     Attributes:
         instance: name of the instance.
         capacity: number of processor cores.
+        starting: whether it still discovers the other instances.
+        seed: whether it is one of the seeds of the fleet.
     """
 
     instance: str
     capacity: float
+    starting: bool = False
+    seed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -58,6 +67,22 @@
     )
 
 
+def list_starters(
+    candidates: tuple[Candidate, ...],
+) -> tuple[Candidate, ...]:
+    """Return the candidates that own endpoints while a whole fleet starts.
+
+    All instances know the seeds within milliseconds, and the others of other
+    data centres a third of a second later. If all candidates counted, each
+    data centre would choose an owner of its own, and each owner would grant
+    all slots.
+
+    Returns:
+        The seeds; all candidates if no seed is one.
+    """
+    return tuple(c for c in candidates if c.seed) or candidates
+
+
 def choose_owner(pool: Pool, candidates: tuple[Candidate, ...]) -> str | None:
     """Return the instance that owns a pool; None without candidates.
 
--- a/measures/streams.py
+++ b/measures/streams.py
@@ -150,6 +150,7 @@
         software=software,
         slots=8,
         leaving=False,
+        starting=False,
         cold_seconds=0.0,
         started=1,
     )
--- a/tests/relay/networks.py
+++ b/tests/relay/networks.py
@@ -134,9 +134,10 @@
     Args:
         instances: number of instances.
         data_centres: number of data centres that they are spread over.
+        make_node: makes an instance.
     """
 
-    def __init__(self, instances, data_centres):
+    def __init__(self, instances, data_centres, make_node=Node):
         self.ticker = clock.ManualClock(1.0)
         self.nodes = {}
         self.dead = set()
@@ -148,7 +149,7 @@
         self.seeds = seeds
         for number in range(instances):
             data_centre = f"dc{number % data_centres}"
-            node = Node(self, number, data_centre, seeds)
+            node = make_node(self, number, data_centre, seeds)
             self.nodes[node.address] = node
 
     def send(self, sender, data, address):
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -19,6 +19,7 @@
         "peer_address": f"10.0.0.{len(name)}:9",
         "ready": True,
         "leaving": False,
+        "starting": False,
         "revision": 5,
         "store_seconds": 0.1,
         "knows_lost": False,
