Test the next owner after a start, and decisions without the setting

Cause: two rules of early_owners had no test of their own: the next owner instead of an own choice, and that nothing changes without the setting. Change: tests of an instance that has just started and of an older one, and a replay of all reports of a start to an instance without the setting.

--- a/tests/relay/test_fleet_start.py
+++ b/tests/relay/test_fleet_start.py
@@ -321,6 +321,37 @@
         self.assertEqual([], fleet.waiting)
         self.assertNotIn(seed.name, fleet.asked)
 
+    def test_without_the_setting_starting_changes_nothing(self):
+        """Guards against decisions that change although the setting is off.
+
+        Replays all reports of a start to an instance without the setting,
+        and compares its owners with those among the ready instances.
+        """
+        fleet = Fleet(INSTANCES)
+        reports = []
+        for node in fleet.nodes.values():
+            node.handle_report = lambda report: reports.append(
+                (fleet.ticker.now(), report)
+            )
+        fleet.run(1.0)
+        self.assertTrue(any(r.starting for _, r in reports))
+        room = samples.DispatcherFixture(ENDPOINTS, own="own")
+        for number, (now, report) in enumerate(reports):
+            room.members.apply_report(report, now)
+            if number % 50:
+                continue
+            room.owners._refreshed_at = float("-inf")
+            ready = [r for r in room.members.list_fresh(now) if r.ready]
+            candidates = [
+                ownership.Candidate(instance=r.instance, capacity=r.capacity)
+                for r in ready
+            ]
+            own = ownership.Candidate(instance="own", capacity=1.0)
+            expected = ownership.choose_owner(POOL, (*candidates, own))
+            if len(room.members.list_known(now)) < 2:
+                expected = None
+            self.assertEqual(expected, room.owners.find_owner(POOL, now))
+
     def test_rolling_restart_keeps_the_owner(self):
         """Guards against an owner that changes with each restart."""
         fleet = Fleet(INSTANCES)
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -26,7 +26,7 @@
         lost: types of messages to the instance that are dropped.
     """
 
-    def __init__(self, name, net, endpoints, configuration=None):
+    def __init__(self, name, net, endpoints, configuration=None, early=None):
         self.name = name
         self.silent = False
         self.lost = ()
@@ -48,6 +48,7 @@
             self.send,
             room.ticker,
             room.log,
+            early,
         )
 
     def send(self, instance, message):
@@ -210,6 +211,35 @@
         self.settle()
         self.assertEqual(1, second.leasing.leases.has("held", "e1"))
 
+    def acquire_just_started(self, age):
+        """Return what an instance of an age gets from a dead owner's fleet."""
+        now = self.one.room.ticker.now()
+        early = owners_module.EarlyOwners(
+            started_at=now - age,
+            peer_address="10.0.0.9:9",
+            seeds=frozenset(),
+            is_starting=lambda: False,
+        )
+        node = Node("new", self.net, [samples.make_endpoint()], None, early)
+        self.net["new"] = node
+        for other in self.names:
+            report = test_membership.make_report(other)
+            node.room.members.apply_report(report, now)
+        self.net[self.find_owner(node)].silent = True
+        return node.acquire("r1")
+
+    def test_started_instance_asks_the_next_owner(self):
+        """Guards against a choice without any knowledge of the loads.
+
+        An instance that has just started gets no answer from the owner.
+        """
+        self.assertTrue(self.acquire_just_started(0.0).leased)
+
+    def test_older_instance_chooses_by_itself(self):
+        """Guards against a request that asks one dead owner after another."""
+        age = ownership.START_SECONDS
+        self.assertFalse(self.acquire_just_started(age).leased)
+
     def test_successor_of_a_leaving_owner_learns_the_leases(self):
         """Guards against a new owner that grants reserved capacity again.
 
