Test a fleet that starts while the store answers late

Cause: reports to instances that contacted a seed, and instances that see no candidate but themselves, had no test that fails without these rules.

--- a/tests/relay/test_fleet_start.py
+++ b/tests/relay/test_fleet_start.py
@@ -164,6 +164,7 @@
         self.dead = set(self.start_times)
         self.killed = set()
         self.unconfigured = set()
+        self.store_back_at = 0.0
         self.asked = collections.Counter()
         self.waiting = [
             (number, self.random.choice(list(self.by_name)))
@@ -212,7 +213,8 @@
                 node.configured_at = (
                     float("inf")
                     if node in self.unconfigured
-                    else now + self.random.uniform(0.02, 0.1)
+                    else max(now, self.store_back_at)
+                    + self.random.uniform(0.02, 0.1)
                 )
 
     def _send_requests(self, now):
@@ -352,6 +354,25 @@
                 expected = None
             self.assertEqual(expected, room.owners.find_owner(POOL, now))
 
+    def test_store_answers_late(self):
+        """Guards against seeds that others count only with a summary."""
+        fleet = Fleet(INSTANCES)
+        fleet.store_back_at = fleet.ticker.now() + 0.4
+        fleet.run(1.5)
+        self.assertEqual(1, len(fleet.asked), fleet.asked)
+
+    def test_only_candidate_in_its_own_view(self):
+        """Guards against an instance that takes itself for the owner.
+
+        The store answers after discovery has ended. The instances that get
+        the configuration first know of no other candidate.
+        """
+        fleet = Fleet(INSTANCES, seed=0)
+        fleet.store_back_at = fleet.ticker.now() + 0.7
+        fleet.run(1.5)
+        alone = [name for name in fleet.asked if "without" in name]
+        self.assertNotEqual([], alone)
+
     def test_rolling_restart_keeps_the_owner(self):
         """Guards against an owner that changes with each restart."""
         fleet = Fleet(INSTANCES)
