--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -50,6 +50,8 @@
         body_bytes: bytes of bodies sent to endpoints and received from them,
             by scope and direction ("request" or "answer").
         leased_sends: sends to an endpoint that its owner chose.
+        unowned_start_sends: sends just after the start of this instance, to
+            an endpoint without an owner.
         repeats: sends of a request beyond the first one.
         cut_sends: sends during which the endpoint's connection broke.
         body_ends: answers by what proved their end.
@@ -72,6 +74,7 @@
             collections.Counter()
         )
         self.leased_sends = 0
+        self.unowned_start_sends = 0
         self.repeats = 0
         self.cut_sends = 0
         self.body_ends: collections.Counter[str] = collections.Counter()
@@ -309,6 +312,11 @@
         "Sends to endpoints that their owner chose.",
         [({}, counts.leased_sends)],
     )
+    counter(
+        "unowned_start_sends_total",
+        "Sends without an owner just after the start.",
+        [({}, counts.unowned_start_sends)],
+    )
     counter(
         "repeats_total",
         "Sends beyond the first of a request.",
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -79,6 +79,11 @@
     context.counts.sends["sent"] += 1
     context.counts.record_scope(remote=remote, request_bytes=len(job.body))
     context.counts.leased_sends += reservation.leased
+    owners = context.dispatcher.owners
+    if owners is not None and not reservation.leased:
+        context.counts.unowned_start_sends += owners.is_unowned_at_start(
+            job.service, context.ticker.now()
+        )
     context.log.write(
         events.RequestSent(
             request=job.work.request_id,
