Move the tags of start-time fair queueing to a module of their own

Cause: the wait queue of the relay needs the same tags and virtual time. Change: fair_queueing.py keeps both; queue.py uses one of them per tier. Result: the 56 tests whose names contain wait_queue, decisions, bound, selection or dispatcher pass; the order in queue.py is the same.

--- a/citronport/scheduler/queue.py
+++ b/citronport/scheduler/queue.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from citronport import const as common
+from citronport.scheduler import fair_queueing
 from citronport.scheduler import models
 
 Group = tuple[models.Kind, str]
@@ -53,8 +54,9 @@
             tuple[Group, int], dict[str, collections.deque[QueuedRequest]]
         ] = collections.defaultdict(dict)
         self._by_id: dict[str, QueuedRequest] = {}
-        self._finish_tags: dict[tuple[int, str], float] = {}
-        self._virtual_times = [0.0] * common.TIERS
+        self._tags: list[fair_queueing.FairQueueing[str]] = [
+            fair_queueing.FairQueueing() for _ in range(common.TIERS)
+        ]
         self._cost: collections.Counter[tuple[Group, int]] = (
             collections.Counter()
         )
@@ -71,13 +73,8 @@
     def push(self, waiting: QueuedRequest, weight: float) -> None:
         """Queue a request behind the others of its workspace."""
         request = waiting.request
-        key = (request.tier, request.workspace)
-        start = max(
-            self._virtual_times[request.tier], self._finish_tags.get(key, 0.0)
-        )
-        waiting.start_tag = start
-        self._finish_tags[key] = start + waiting.cost_seconds / max(
-            weight, 1e-6
+        waiting.start_tag = self._tags[request.tier].charge(
+            request.workspace, waiting.cost_seconds, weight
         )
         by_workspace = self._queues[get_group(request), request.tier]
         by_workspace.setdefault(request.workspace, collections.deque()).append(
@@ -108,10 +105,7 @@
         waiting = self.pop(request_id)
         if waiting is None:
             return
-        tier = waiting.request.tier
-        self._virtual_times[tier] = max(
-            self._virtual_times[tier], waiting.start_tag
-        )
+        self._tags[waiting.request.tier].advance(waiting.start_tag)
 
     def iterate_heads(
         self, group: Group, tier: int
