Share scarce slots fairly between workspaces, and refuse early

Cause: in a shortage, a workspace at five times its usual demand was served a larger part of its requests than those that asked for no more than usual. Change: with fair_shares, the wait queue orders by tags of start-time fair queueing, and requests that can get no slot in time are refused early.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -22,6 +22,7 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
 from citronport.relay import events
+from citronport.relay import fair_queues
 from citronport.relay import follower as follower_module
 from citronport.relay import forward_server
 from citronport.relay import forwarding
@@ -49,6 +50,7 @@
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import suspects as suspects_module
 
 LOG = "relay:"
@@ -147,6 +149,18 @@
             self.limits,
             self.pauses,
             ticker,
+            fair_queues.make_fair_queues(
+                settings.scheduling,
+                self.cluster_state,
+                selection.Selector(
+                    self.loads, self.health, self.cold, self.limits
+                ),
+                self.loads,
+                self.pauses,
+                ticker,
+                self.log,
+                self.counts,
+            ),
         )
         self.reports = reports.Reports(
             settings,
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -10,6 +10,7 @@
 from citronport import errors
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import exclusions
+from citronport.relay import fair_queues as fair_queues_module
 from citronport.relay import lease_client as lease_client_module
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
@@ -17,6 +18,7 @@
 from citronport.relay import service_view
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
+from citronport.scheduler.direct import expectations
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
@@ -78,6 +80,8 @@
         limits: rate limits announced by endpoints.
         pauses: pauses that endpoints ask this instance for.
         ticker: the clock.
+        fair_queues: shares slots fairly between workspaces; None to serve
+            requests of one urgency in order of arrival.
 
     Attributes:
         exclusions: endpoints that are not chosen for this instance.
@@ -96,6 +100,7 @@
         limits: endpoint_limits.EndpointLimits,
         pauses: pauses_module.Pauses,
         ticker: clock.Clock,
+        fair_queues: fair_queues_module.FairQueues | None = None,
     ) -> None:
         self._own = own
         self._cluster_state = cluster_state
@@ -110,6 +115,8 @@
         )
         self._ticker = ticker
         self._selector = selection.Selector(loads, health, cold, limits)
+        self._expectations = expectations.Expectations(loads)
+        self._fair_queues = fair_queues
         self._queues: dict[str, wait_queue.WaitQueue] = {}
         self._match_scheduled = False
         self._role: roles.Role = roles.Sender(own, (own,))
@@ -160,7 +167,11 @@
             assignment.wait(timeout=wait_queue.compute_max_wait(work, now))
         finally:
             self.cancel(waiter, service)
-        return assignment.value or self._refuse(work, service)
+        match assignment.value:
+            case wait_queue.NoSlot(retry_seconds=seconds):
+                return self._refuse(work, service, seconds)
+            case found:
+                return found or self._refuse(work, service)
 
     def enqueue(self, waiter: wait_queue.Waiter, service: str) -> float | None:
         """Queue a request and match it at once if there is capacity.
@@ -173,7 +184,8 @@
         queue = self._queues.get(service)
         if queue is None:
             queue = wait_queue.WaitQueue(
-                lambda w: self._estimate_first_event(w, service)
+                lambda w: self._expectations.estimate_first_event(w, service),
+                self._fair_queues and self._fair_queues.make_shares(service),
             )
             self._queues[service] = queue
         queue.add(waiter)
@@ -255,7 +267,17 @@
         """Match queued requests at a fixed interval, indefinitely."""
         while True:
             self._ticker.sleep(MATCH_INTERVAL_SECONDS)
-            self._match_queues()
+            self.match_regularly()
+
+    def match_regularly(self) -> None:
+        """Match all queues, and refuse requests that get no slot in time."""
+        self._match_scheduled = False
+        for service, queue in self._queues.items():
+            if not len(queue):
+                continue
+            is_full = self._match_queue(service, queue)
+            if self._fair_queues is not None:
+                self._fair_queues.check(service, queue, is_full=is_full)
 
     def count_waiting(self) -> int:
         """Return the number of waiting requests."""
@@ -327,15 +349,16 @@
             leased=True,
         )
 
-    def _match_queue(self, service: str, queue: wait_queue.WaitQueue) -> None:
+    def _match_queue(self, service: str, queue: wait_queue.WaitQueue) -> bool:
+        """Match a queue; return whether no endpoint has capacity left."""
         now = self._ticker.now()
         configuration = self._cluster_state.configuration
         known_service = configuration and configuration.services.get(service)
         if not known_service:
-            return
+            return True
         view = self._make_view(known_service, now)
         if not view.endpoints:
-            return
+            return True
 
         def choose(waiter: wait_queue.Waiter) -> Reservation | None:
             return self._reserve(waiter, known_service, view, now)
@@ -343,6 +366,7 @@
         matched = queue.match(choose, now, lambda: not view.endpoints)
         for waiter, reservation in matched:
             waiter.handle.set(reservation)
+        return not view.endpoints
 
     def _make_view(
         self, service: models.Service, now: float
@@ -384,31 +408,6 @@
             ),
         )
 
-    def _estimate_first_event(self, work: models.Work, service: str) -> float:
-        """Return the expected time from send to first event, seconds."""
-        if not work.prompt_tokens:
-            return 0.0
-        profile = self._loads.profiles.get(service)
-        step = self._loads.get_typical_step_ms() * runs.SECONDS_PER_MS
-        return step * (
-            profile.base_steps + profile.steps_per_token * work.prompt_tokens
-        )
-
-    def _may_wait_for_fast_engine(
-        self, waiter: wait_queue.Waiter, service: models.Service, now: float
-    ) -> bool:
-        """Return whether a request need not use any engine yet.
-
-        Less urgent requests with short prompts use the slow engines in the
-        meantime. It must not be refused while these are served, so that half
-        of its longest wait remains for any engine.
-        """
-        work, since = waiter.work, waiter.waiting_since
-        expected = now + self._estimate_first_event(work, service.name)
-        if expected > work.arrived + work.route.objective:
-            return False
-        return now - since <= wait_queue.compute_max_wait(work, since) / 2
-
     def _get_role(self, now: float) -> roles.Role:
         if now >= self._role_until:
             instances = self._members.list_known(now)
@@ -435,7 +434,7 @@
         candidates = [e for e in fitting if e.name not in excluded]
         if not candidates and excluded >= view.list_names(waiter.work):
             candidates = [e for e in fitting if e.name not in paused]
-        if self._may_wait_for_fast_engine(waiter, service, now):
+        if self._expectations.may_wait_for_fast_engine(waiter, service, now):
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
             )
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from citronport.relay import request_events
+
 
 class Started(msgspec.Struct, frozen=True, kw_only=True):
     """The process started."""
@@ -441,55 +443,27 @@
     parts: list[str]
 
 
-class RequestEnded(msgspec.Struct, frozen=True, kw_only=True):
-    """A request got its final answer, or its caller disconnected.
+RequestEnded = request_events.RequestEnded
+
+
+class QueueWaiting(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests wait for slots that workspaces share fairly.
 
     Attributes:
-        request: id of the request.
-        route: name of the route.
-        repeat: repeat policy of the route.
-        objective: latency objective of the route, seconds.
-        max_gap: longest pause of a stream that still counts as in time,
-            seconds; 0 if the route sets none.
-        tier: tier of the request; tier 0 is served first.
-        workspace: workspace that was charged; empty if no keys are in use.
-        units: units charged to its limit; 0 for a forwarded request.
-        outcome: "answered", "refused", "cut" or "left".
-        status: HTTP status; 0 if none was sent.
-        code: numbered result code; 0 for an endpoint's own answer.
-        endpoint: name of the endpoint that answered; empty if none did.
-        attempts: number of sends to endpoints.
-        waited: seconds in the queue of this instance.
-        first: seconds to the first byte of the answer; -1 without one.
-        longest: longest pause between two events of a stream, seconds.
-        seconds: seconds from the head of the request to the end.
-        version: version of the configuration used.
-        end: "framed" if a length or chunks proved the end of the answer,
-            "closed" if only the end of its connection did; empty if it was
-            not read to its end.
-        rest: bytes after the last complete event of a stream.
+        service: the service.
+        waiting: waiting requests of all instances.
+        workspaces: workspaces that they belong to.
+        longest: workspace with the most waiting requests.
+        slot_rate: slots that become free per second.
+        refused: requests refused early since the last such line.
     """
 
-    request: str
-    route: str
-    repeat: str
-    objective: float
-    max_gap: float
-    tier: int
-    workspace: str
-    units: float
-    outcome: str
-    status: int
-    code: int
-    endpoint: str
-    attempts: int
-    waited: float
-    first: float
-    longest: float
-    seconds: float
-    version: int
-    end: str
-    rest: int
+    service: str
+    waiting: int
+    workspaces: int
+    longest: str
+    slot_rate: float
+    refused: int
 
 
 class LinesDropped(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -23,7 +23,7 @@
 """Time to wait for an answer. It covers two links of a millisecond each and an
 owner that is busy parsing a configuration of a thousand routes."""
 
-MIN_ASK_SECONDS = 0.05
+MIN_ASK_SECONDS = wait_queue.MIN_ASK_SECONDS
 """Time for the answer to a request that may not wait. Shorter than
 ``ANSWER_TIMEOUT_SECONDS``, so that it says nothing of the owner."""
 
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -46,6 +46,8 @@
         refusals: refusals by name of the result code.
         sends: sends to endpoints, by result.
         leased_sends: sends to an endpoint that its owner chose.
+        early_refusals: waiting requests of all instances that were refused
+            here before the end of their wait.
         repeats: sends of a request beyond the first one.
         cut_sends: sends during which the endpoint's connection broke.
         body_ends: answers by what proved their end.
@@ -64,6 +66,7 @@
         self.refusals: collections.Counter[str] = collections.Counter()
         self.sends: collections.Counter[str] = collections.Counter()
         self.leased_sends = 0
+        self.early_refusals = 0
         self.repeats = 0
         self.cut_sends = 0
         self.body_ends: collections.Counter[str] = collections.Counter()
@@ -272,6 +275,11 @@
         "Sends to endpoints that their owner chose.",
         [({}, counts.leased_sends)],
     )
+    counter(
+        "early_refusals_total",
+        "Waiting requests refused before the end of their wait.",
+        [({}, counts.early_refusals)],
+    )
     counter(
         "repeats_total",
         "Sends beyond the first of a request.",
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -150,21 +150,35 @@
             endpoints: the endpoints to choose from.
             typical_step_ms: as returned by ``find_typical_step_ms``.
         """
+        max_step = self.compute_max_step_ms(work, service, typical_step_ms)
+        if max_step == math.inf:
+            return list(endpoints)
+        return [
+            e for e in endpoints if self._loads.get_step_ms(e.name) <= max_step
+        ]
+
+    def compute_max_step_ms(
+        self,
+        work: models.Work,
+        service: models.Service,
+        typical_step_ms: float,
+    ) -> float:
+        """Return the step time up to which ``list_for_prompt`` takes engines.
+
+        Infinite if the request interrupts no stream on any engine.
+        """
         max_gap = work.route.max_gap
         if service.engine is None or max_gap is None:
-            return list(endpoints)
+            return math.inf
         profile = self._loads.profiles.get(service.name)
         steps = (
             service.engine.event_tokens
             + profile.steps_per_token * work.prompt_tokens
         )
-        max_step = max(
+        return max(
             FAST_ENGINE_FACTOR * typical_step_ms,
             max_gap / runs.SECONDS_PER_MS / steps,
         )
-        return [
-            e for e in endpoints if self._loads.get_step_ms(e.name) <= max_step
-        ]
 
     def has_capacity(
         self,
--- a/citronport/scheduler/direct/wait_queue.py
+++ b/citronport/scheduler/direct/wait_queue.py
@@ -1,9 +1,12 @@
 """Queue of requests that wait for an endpoint."""
 
+import bisect
+import collections
 import collections.abc
 import dataclasses
 from typing import Any
 
+from citronport.scheduler.direct import fair_shares
 from citronport.scheduler.direct import models
 
 MAX_WAIT_OBJECTIVES = 2.0
@@ -17,6 +20,21 @@
 MIN_RETRY_AFTER_SECONDS = 0.5
 """Shortest retry delay for a request that got no slot in time."""
 
+MIN_ASK_SECONDS = 0.05
+"""How long an instance asks an owner for a slot if the request may not
+wait."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoSlot:
+    """No slot is free for a request before its longest wait ends.
+
+    Attributes:
+        retry_seconds: time until a slot would be free for it.
+    """
+
+    retry_seconds: float
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Waiter:
@@ -31,6 +49,7 @@
         handle: object with which the runtime wakes it.
         leased: whether it belongs to another instance, which leases its
             slot from this one.
+        cost: expected time in a slot; set by a queue with shares.
     """
 
     work: models.Work
@@ -39,6 +58,7 @@
     paused: frozenset[str] = frozenset()
     handle: Any = None
     leased: bool = False
+    cost: float = 1.0
 
 
 def compute_max_wait(work: models.Work, now: float) -> float:
@@ -49,6 +69,12 @@
     return max(0.0, min(objective - spent, MAX_WAIT_DEADLINE_SHARE * left))
 
 
+def compute_wait_end(waiter: Waiter) -> float:
+    """Return the clock time at which a request is refused, seconds."""
+    wait = compute_max_wait(waiter.work, waiter.waiting_since)
+    return waiter.waiting_since + max(MIN_ASK_SECONDS, wait)
+
+
 def expect_no_delay(work: models.Work) -> float:
     """Return 0 as the time to the first event, for plain services."""
     del work
@@ -60,6 +86,11 @@
 
     Args:
         expect: returns the time from a send to the first event, seconds.
+        shares: shares of the workspaces; None to serve the requests of one
+            urgency in order of arrival.
+
+    Attributes:
+        shares: as passed in.
     """
 
     def __init__(
@@ -67,9 +98,13 @@
         expect: collections.abc.Callable[[models.Work], float] = (
             expect_no_delay
         ),
+        shares: fair_shares.FairShares | None = None,
     ) -> None:
         self._expect_first_event = expect
+        self.shares = shares
         self._waiters: list[Waiter] = []
+        # Order of the latest match; with shares, an estimate needs no sort.
+        self._order: list[Waiter] | None = None
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -77,7 +112,13 @@
 
     def add(self, waiter: Waiter) -> None:
         """Add a request."""
-        self._waiters.append(waiter)
+        if self.shares is None:
+            self._waiters.append(waiter)
+            return
+        waiter.cost = self.shares.compute_cost(waiter.work)
+        bisect.insort(self._waiters, waiter, key=lambda w: w.work.arrived)
+        self.shares.record_added(waiter.work)
+        self._order = None
 
     def contains(self, waiter: Waiter) -> bool:
         """Return whether a request is still waiting."""
@@ -86,7 +127,11 @@
     def remove(self, waiter: Waiter) -> None:
         """Remove a request, if it is still waiting."""
         if waiter in self._waiters:
-            self._waiters.remove(waiter)
+            self._remove(waiter)
+
+    def count_by_workspace(self) -> collections.Counter[str]:
+        """Return the number of waiting requests of each workspace."""
+        return collections.Counter(w.work.workspace for w in self._waiters)
 
     def list_by_urgency(self, now: float) -> list[Waiter]:
         """Return all waiting requests, most urgent first.
@@ -99,12 +144,31 @@
         again go first: they can use only the endpoints of one software
         version, and others would take each slot there as it becomes free.
         Then requests that can still meet their objective go before those
-        that are late.
+        that are late. With shares, the workspace with the least service for
+        its weight is next, and order of arrival decides within a workspace.
         """
+        if self.shares is not None:
+            return self.shares.arrange(self.group_by_urgency(now))
         return sorted(
             self._waiters, key=lambda w: self._compute_sort_key(w, now)
         )
 
+    def group_by_urgency(
+        self, now: float
+    ) -> dict[fair_shares.Urgency, list[Waiter]]:
+        """Return the requests of each urgency; with shares, by arrival."""
+        groups: dict[fair_shares.Urgency, list[Waiter]] = {}
+        for waiter in self._waiters:
+            urgency = self._compute_sort_key(waiter, now)[:4]
+            groups.setdefault(urgency, []).append(waiter)
+        return groups
+
+    def compute_late_at(self, waiter: Waiter) -> float:
+        """Return the time of the last send that meets the objective."""
+        work = waiter.work
+        expected = self._expect_first_event(work)
+        return work.arrived + work.route.objective - expected
+
     def estimate_wait(
         self, waiter: Waiter, slot_rate: float, now: float
     ) -> float:
@@ -120,18 +184,15 @@
         requests in two-second bursts, which end before these time out.
 
         Args:
-            waiter: the request; it may be in the queue already.
+            waiter: the request; it may be in the queue already, and must be
+                with shares.
             slot_rate: slots that become free per second.
             now: clock time, seconds.
 
         Returns:
             The time; infinite if no slot becomes free.
         """
-        own = self._compute_sort_key(waiter, now)
-        ahead = sum(
-            w is not waiter and self._compute_sort_key(w, now) <= own
-            for w in self._waiters
-        )
+        ahead = self._count_ahead(waiter, now)
         if not ahead:
             return 0.0
         return ahead / slot_rate if slot_rate > 0 else float("inf")
@@ -150,15 +211,41 @@
             is_full: returns whether no slot is left for any request.
         """
         matched = []
-        for waiter in self.list_by_urgency(now):
+        self._order = None
+        order = self.list_by_urgency(now)
+        for waiter in order:
             if is_full():
                 break
             slot = choose(waiter)
             if slot is not None:
-                self._waiters.remove(waiter)
+                if self.shares is not None:
+                    is_late = self._compute_sort_key(waiter, now)[3]
+                    self.shares.charge(waiter, is_late=is_late)
+                self._remove(waiter)
                 matched.append((waiter, slot))
+        if self.shares is not None:
+            granted = {id(waiter) for waiter, _ in matched}
+            self._order = [w for w in order if id(w) not in granted]
         return matched
 
+    def _remove(self, waiter: Waiter) -> None:
+        self._waiters.remove(waiter)
+        if self.shares is not None:
+            self.shares.record_removed(waiter.work)
+        if self._order is not None and waiter in self._order:
+            self._order.remove(waiter)
+
+    def _count_ahead(self, waiter: Waiter, now: float) -> int:
+        if self.shares is not None:
+            if self._order is None:
+                self._order = self.list_by_urgency(now)
+            return self._order.index(waiter)
+        own = self._compute_sort_key(waiter, now)
+        return sum(
+            w is not waiter and self._compute_sort_key(w, now) <= own
+            for w in self._waiters
+        )
+
     def _compute_sort_key(
         self, waiter: Waiter, now: float
     ) -> tuple[int, int, bool, bool, float]:
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -6,11 +6,13 @@
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
+from citronport.relay import fair_queues
 from citronport.relay import forwarding
 from citronport.relay import membership
 from citronport.relay import metrics
 from citronport.relay import owners
 from citronport.relay import paths
+from citronport.relay import settings
 from citronport.relay import stream_versions
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
@@ -18,6 +20,7 @@
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import pauses
+from citronport.scheduler.direct import selection
 
 ENGINES = "engines"
 BOOKINGS = "bookings"
@@ -121,9 +124,18 @@
         ticker: the clock; the real one by default.
         configuration: the configuration in force; the sample by default.
         own: name of the instance.
+        fair_shares: whether workspaces share slots fairly.
     """
 
-    def __init__(self, endpoints, ticker=None, configuration=None, own="own"):
+    def __init__(
+        self,
+        endpoints,
+        ticker=None,
+        configuration=None,
+        own="own",
+        fair_shares=False,
+    ):
+        self.counts = metrics.Counts()
         self.ticker = ticker or clock.RuntimeClock()
         self.board = load_tracker.LoadTracker()
         self.health = health_module.Health()
@@ -181,4 +193,16 @@
             self.limits,
             self.pauses,
             self.ticker,
+            fair_queues.make_fair_queues(
+                settings.Scheduling(fair_shares=fair_shares),
+                self.cluster_state,
+                selection.Selector(
+                    self.board, self.health, self.cold, self.limits
+                ),
+                self.board,
+                self.pauses,
+                self.ticker,
+                self.log,
+                self.counts,
+            ),
         )
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -26,14 +26,20 @@
         lost: types of messages to the instance that are dropped.
     """
 
-    def __init__(self, name, net, endpoints, configuration=None):
+    def __init__(
+        self, name, net, endpoints, configuration=None, fair_shares=False
+    ):
         self.name = name
         self.silent = False
         self.lost = ()
         self.received = []
         self._net = net
         room = self.room = samples.DispatcherFixture(
-            endpoints, clock.RuntimeClock(), configuration, name
+            endpoints,
+            clock.RuntimeClock(),
+            configuration,
+            name,
+            fair_shares,
         )
         self.leasing = leasing_module.Leasing(
             name,
