Merge fair shares of workspaces

Result: 185 tests of the parts passed and 11 of the fleet's start failed for a missing argument of their fixture; after its mend those pass.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -21,6 +21,7 @@
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
 from citronport.relay import events
+from citronport.relay import fair_queues
 from citronport.relay import follower as follower_module
 from citronport.relay import forward_server
 from citronport.relay import forwarding
@@ -50,6 +51,7 @@
 from citronport.scheduler.direct import pauses
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
+from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import suspects as suspects_module
 
 LOG = "relay:"
@@ -146,6 +148,18 @@
             self.pauses,
             settings.scheduling,
             ticker,
+            fair_queues.make_fair_queues(
+                settings.scheduling,
+                self.cluster_state,
+                selection.Selector(
+                    self.loads, self.health, self.cold, self.limits
+                ),
+                self.loads,
+                self.pauses,
+                ticker,
+                self.log,
+                self.counts,
+            ),
         )
         self.startup = startup.Startup(
             self.started_at,
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -10,6 +10,7 @@
 from citronport import errors
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import exclusions
+from citronport.relay import fair_queues as fair_queues_module
 from citronport.relay import lease_client as lease_client_module
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
@@ -18,6 +19,7 @@
 from citronport.relay import settings
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
+from citronport.scheduler.direct import expectations
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import long_answers
@@ -81,6 +83,8 @@
         pauses: pauses that endpoints ask this instance for.
         scheduling: optional rules.
         ticker: the clock.
+        fair_queues: shares slots fairly between workspaces; None to serve
+            requests of one urgency in order of arrival.
 
     Attributes:
         exclusions: endpoints that are not chosen for this instance.
@@ -100,6 +104,7 @@
         pauses: pauses_module.Pauses,
         scheduling: settings.Scheduling,
         ticker: clock.Clock,
+        fair_queues: fair_queues_module.FairQueues | None = None,
     ) -> None:
         self._own = own
         self._cluster_state = cluster_state
@@ -115,6 +120,8 @@
         self._ticker = ticker
         self._selector = selection.Selector(loads, health, cold, limits)
         self.update_scheduling(scheduling)
+        self._expectations = expectations.Expectations(loads)
+        self._fair_queues = fair_queues
         self._queues: dict[str, wait_queue.WaitQueue] = {}
         self._match_scheduled = False
         self._role: roles.Role = roles.Sender(own, (own,))
@@ -170,7 +177,11 @@
             assignment.wait(timeout=wait_queue.compute_max_wait(work, now))
         finally:
             self.cancel(waiter, service)
-        return assignment.value or self._refuse(work, service)
+        match assignment.value:
+            case wait_queue.NoSlot(retry_seconds=seconds):
+                return self._refuse(work, service, seconds)
+            case found:
+                return found or self._refuse(work, service)
 
     def enqueue(self, waiter: wait_queue.Waiter, service: str) -> float | None:
         """Queue a request and match it at once if there is capacity.
@@ -183,7 +194,8 @@
         queue = self._queues.get(service)
         if queue is None:
             queue = wait_queue.WaitQueue(
-                lambda w: self._selector.estimate_typical(w, service)
+                lambda w: self._expectations.estimate_first_event(w, service),
+                self._fair_queues and self._fair_queues.make_shares(service),
             )
             self._queues[service] = queue
         queue.add(waiter)
@@ -282,7 +294,17 @@
         """Match queued requests at a fixed interval, indefinitely."""
         while True:
             self._ticker.sleep(MATCH_INTERVAL_SECONDS)
-            self._match_queues()
+            self.match_regularly()
+
+    def match_regularly(self) -> None:
+        """Match all queues, and refuse requests that get no slot in time."""
+        self._match_scheduled = False
+        for service, queue in self._queues.items():
+            if not len(queue):
+                continue
+            is_full = self._match_queue(service, queue)
+            if self._fair_queues is not None:
+                self._fair_queues.check(service, queue, is_full=is_full)
 
     def count_waiting(self) -> int:
         """Return the number of waiting requests."""
@@ -354,15 +376,16 @@
             leased=True,
         )
 
-    def _match_queue(self, service: str, queue: wait_queue.WaitQueue) -> None:
+    def _match_queue(self, service: str, queue: wait_queue.WaitQueue) -> bool:
+        """Match a queue; return whether no endpoint has capacity left."""
         now = self._ticker.now()
         configuration = self._cluster_state.configuration
         known_service = configuration and configuration.services.get(service)
         if not known_service:
-            return
+            return True
         view = self._make_view(known_service, now)
         if not view.endpoints:
-            return
+            return True
 
         def choose(waiter: wait_queue.Waiter) -> Reservation | None:
             return self._reserve(waiter, known_service, view, now)
@@ -370,6 +393,7 @@
         matched = queue.match(choose, now, lambda: not view.endpoints)
         for waiter, reservation in matched:
             waiter.handle.set(reservation)
+        return not view.endpoints
 
     def _make_view(
         self, service: models.Service, now: float
@@ -411,21 +435,6 @@
             ),
         )
 
-    def _may_wait_for_fast_engine(
-        self, waiter: wait_queue.Waiter, service: models.Service, now: float
-    ) -> bool:
-        """Return whether a request need not use any engine yet.
-
-        Less urgent requests with short prompts use the slow engines in the
-        meantime. It must not be refused while these are served, so that half
-        of its longest wait remains for any engine.
-        """
-        work, since = waiter.work, waiter.waiting_since
-        expected = now + self._selector.estimate_typical(work, service.name)
-        if expected > work.arrived + work.route.objective:
-            return False
-        return now - since <= wait_queue.compute_max_wait(work, since) / 2
-
     def _list_for_answer(
         self,
         work: models.Work,
@@ -468,7 +477,7 @@
         candidates = [e for e in fitting if e.name not in excluded]
         if not candidates and excluded >= view.list_names(waiter.work):
             candidates = [e for e in fitting if e.name not in paused]
-        if self._may_wait_for_fast_engine(waiter, service, now):
+        if self._expectations.may_wait_for_fast_engine(waiter, service, now):
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
             )
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -6,6 +6,7 @@
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import dispatcher as dispatcher_module
 from citronport.relay import eventlog
+from citronport.relay import fair_queues
 from citronport.relay import forwarding
 from citronport.relay import membership
 from citronport.relay import metrics
@@ -19,6 +20,7 @@
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import pauses
+from citronport.scheduler.direct import selection
 
 ENGINES = "engines"
 BOOKINGS = "bookings"
@@ -133,6 +135,8 @@
         own="own",
         scheduling=None,
     ):
+        scheduling = scheduling or settings.Scheduling()
+        self.counts = metrics.Counts()
         self.ticker = ticker or clock.RuntimeClock()
         self.board = load_tracker.LoadTracker()
         self.health = health_module.Health()
@@ -189,6 +193,18 @@
             self.cold,
             self.limits,
             self.pauses,
-            scheduling or settings.Scheduling(),
+            scheduling,
             self.ticker,
+            fair_queues.make_fair_queues(
+                scheduling,
+                self.cluster_state,
+                selection.Selector(
+                    self.board, self.health, self.cold, self.limits
+                ),
+                self.board,
+                self.pauses,
+                self.ticker,
+                self.log,
+                self.counts,
+            ),
         )
--- a/tests/relay/test_fleet_start.py
+++ b/tests/relay/test_fleet_start.py
@@ -93,6 +93,7 @@
             room.cold,
             room.limits,
             room.pauses,
+            networks.settings_module.Scheduling(),
             ticker,
         )
         self.dispatcher.owners = self.owners
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -26,14 +26,26 @@
         lost: types of messages to the instance that are dropped.
     """
 
-    def __init__(self, name, net, endpoints, configuration=None, early=None):
+    def __init__(
+        self,
+        name,
+        net,
+        endpoints,
+        configuration=None,
+        early=None,
+        scheduling=None,
+    ):
         self.name = name
         self.silent = False
         self.lost = ()
         self.received = []
         self._net = net
         room = self.room = samples.DispatcherFixture(
-            endpoints, clock.RuntimeClock(), configuration, name
+            endpoints,
+            clock.RuntimeClock(),
+            configuration,
+            name,
+            scheduling,
         )
         self.leasing = leasing_module.Leasing(
             name,
