Skip endpoints that begin no request, and repeat their requests

Cause: an endpoint that accepts connections and begins nothing looks idle and attracts requests, which are lost when callers leave. Change: owners and instances track requests without a first event. With overdue_factor above 0, an endpoint with two overdue requests and no first event since is paused like an unreachable one, and a request that may run again is sent once more after its connection is closed. Off by default.

--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -129,6 +129,18 @@
         """Return whether unread data has been received."""
         return bool(_poll(self._sock, select.POLLIN))
 
+    def wait_for_input(self, seconds: float) -> bool:
+        """Return True once data has been received, False after a timeout.
+
+        The end of the connection counts as data. What arrives in the last
+        moment does too.
+        """
+        try:
+            socket.wait_read(self._sock.fileno(), timeout=max(0.0, seconds))
+        except TimeoutError:
+            return self.has_input()
+        return True
+
     def read_head(self) -> Answer:
         """Wait for status and headers of the response.
 
--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -133,6 +133,10 @@
             if e.data_centre not in self.evacuated
         ]
 
+    def is_cold(self, endpoint: str, now: float) -> bool:
+        """Return whether an endpoint is cold."""
+        return self._cold.is_cold(endpoint, now)
+
     def may_use(self, endpoint: models.Endpoint) -> bool:
         """Return whether an endpoint may still get new work."""
         known = self.endpoints.get(endpoint.name)
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -38,6 +38,7 @@
 from citronport.relay import reports
 from citronport.relay import settings as settings_module
 from citronport.relay import settings_watch
+from citronport.relay import silence
 from citronport.relay import state
 from citronport.relay import stream_versions
 from citronport.relay import summaries
@@ -95,6 +96,7 @@
         self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
         self.loads = load_tracker.LoadTracker()
+        self.loads.overdue.factor = settings.scheduling.overdue_factor
         self.health = health_module.Health()
         self.cold = cold_starts.ColdStarts()
         self.limits = endpoint_limits.EndpointLimits()
@@ -148,6 +150,16 @@
             self.pauses,
             ticker,
         )
+        self._silence = silence.SilenceCheck(
+            self.cluster_state,
+            self.loads,
+            self.health,
+            self.cold,
+            self.limits,
+            lambda: self.paths.is_lost,
+            ticker,
+            self.log,
+        )
         self.reports = reports.Reports(
             settings,
             self._incarnation,
@@ -302,6 +314,8 @@
                 )
             case result.Ok(settings):
                 self._settings = settings
+                factor = settings.scheduling.overdue_factor
+                self.loads.overdue.factor = factor
                 self.gossip.update_settings(settings)
                 self.reports.update_settings(settings)
                 self._budgets.clear()
@@ -411,6 +425,7 @@
             self._ticker.sleep(SWEEP_INTERVAL_SECONDS)
             self.cluster_state.sweep(self._ticker.now())
             self.leasing.lease_server.sweep()
+            self._silence.check()
             self.suspects.remove_expired(self._ticker.now())
             self.limits.remove_expired(self._ticker.now())
             self.stream_versions.update()
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -206,6 +206,16 @@
         name = reservation.endpoint.name
         now = self._ticker.now()
         self._leases.grant(ask.request, name, ask.instance, now)
+        assert applicant.waiter is not None
+        self._loads.overdue.record_send(
+            name,
+            ask.request,
+            now,
+            expected=reservation.placement.seconds,
+            objective=applicant.waiter.work.route.objective,
+            has_prompt=bool(ask.prompt),
+            is_leased_out=True,
+        )
         granted = messages.Granted(
             protocol=messages.PROTOCOL,
             instance=self._own,
@@ -242,7 +252,11 @@
             self._loads.apply_step_ms(ended.instance, name, ended.pace / 1e6)
         if ended.seconds:
             self._loads.record_answer_seconds(name, ended.seconds)
+        self._record_begun(ended, now)
         match ended.verdict:
+            case runs.Verdict.OVERDUE:
+                self._loads.overdue.record_end(name, ended.request, now)
+                self._health.record_no_result(name)
             case runs.Verdict.GOOD:
                 self._health.record_answer(name, True, now)
             case runs.Verdict.FAILED:
@@ -261,6 +275,18 @@
             case _:
                 self._health.record_no_result(name)
 
+    def _record_begun(self, ended: messages.Ended, now: float) -> None:
+        """Record an answer whose beginning was not reported before."""
+        match ended.verdict:
+            case runs.Verdict.GOOD | runs.Verdict.REJECTED:
+                has_begun = True
+            case _:
+                has_begun = ended.seconds > 0
+        if has_begun and self._loads.overdue.record_begun(
+            ended.endpoint, ended.request, now
+        ):
+            self._health.record_reached(ended.endpoint, now)
+
     def _decline(self, ask: messages.Ask) -> None:
         logging.warning(
             "%s declined lease request of %s for route %s: the route is"
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -47,6 +47,8 @@
         sends: sends to endpoints, by result.
         leased_sends: sends to an endpoint that its owner chose.
         repeats: sends of a request beyond the first one.
+        overdue_repeats: sends of a request whose first event was overdue at
+            another endpoint.
         cut_sends: sends during which the endpoint's connection broke.
         body_ends: answers by what proved their end.
         resumptions: streams that callers took up, by how the version that
@@ -65,6 +67,7 @@
         self.sends: collections.Counter[str] = collections.Counter()
         self.leased_sends = 0
         self.repeats = 0
+        self.overdue_repeats = 0
         self.cut_sends = 0
         self.body_ends: collections.Counter[str] = collections.Counter()
         self.resumptions: collections.Counter[str] = collections.Counter()
@@ -277,6 +280,11 @@
         "Sends beyond the first of a request.",
         [({}, counts.repeats)],
     )
+    counter(
+        "overdue_repeats_total",
+        "Sends away from an endpoint where the first event was overdue.",
+        [({}, counts.overdue_repeats)],
+    )
     counter(
         "cut_sends_total",
         "Sends under which the endpoint's connection broke.",
--- a/citronport/relay/outcomes.py
+++ b/citronport/relay/outcomes.py
@@ -45,6 +45,8 @@
         endpoint_headers.record_headers(
             self._context, reservation.endpoint, answer
         )
+        if not answer.is_success:
+            self._record_begun(reservation)
         self._context.suspects.record_alive(
             reservation.endpoint,
             reservation.run.sent_at,
@@ -56,6 +58,8 @@
     ) -> None:
         """Record whether an answer is a good one."""
         now = self._context.ticker.now()
+        if good:
+            self._record_begun(reservation)
         self._context.health.record_answer(
             reservation.endpoint.name, good, now
         )
@@ -195,6 +199,26 @@
                 reservation, "silence", "maybe", cut=is_unlisted
             )
 
+    def record_overdue(self, reservation: dispatcher.Reservation) -> None:
+        """Record a request that is sent elsewhere as it is overdue."""
+        self._progress.possible_runs += 1
+        self._log_failure(reservation, "overdue", "maybe")
+        self._context.counts.overdue_repeats += 1
+        reservation.run.verdict = runs.Verdict.OVERDUE
+        self._context.loads.overdue.record_end(
+            reservation.endpoint.name,
+            self._job.work.request_id,
+            self._context.ticker.now(),
+        )
+
+    def _record_begun(self, reservation: dispatcher.Reservation) -> None:
+        name = reservation.endpoint.name
+        now = self._context.ticker.now()
+        if self._context.loads.overdue.record_begun(
+            name, self._job.work.request_id, now
+        ):
+            self._context.health.record_reached(name, now)
+
     def _record_crash(self, endpoint: models.Endpoint) -> None:
         cause = self._context.suspects.record_crash(
             self._job.content,
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -61,7 +61,7 @@
     reservation: dispatcher_module.Reservation,
     last_event_id: str | None,
 ) -> None:
-    """Log and count a send, with the data that the endpoint was chosen by.
+    """Record, log and count a send, with the data that led to its endpoint.
 
     Args:
         context: components shared by all requests.
@@ -72,6 +72,14 @@
             answer; None if there is none.
     """
     resumption = job.resumption
+    context.loads.overdue.record_send(
+        reservation.endpoint.name,
+        job.work.request_id,
+        context.ticker.now(),
+        expected=reservation.placement.seconds,
+        objective=job.work.route.objective,
+        has_prompt=bool(job.work.prompt_tokens),
+    )
     context.counts.sends["sent"] += 1
     context.counts.leased_sends += reservation.leased
     context.log.write(
--- a/citronport/relay/repeats.py
+++ b/citronport/relay/repeats.py
@@ -1,5 +1,6 @@
 """Decides whether a request may be sent once more."""
 
+from citronport.relay import head_timeouts
 from citronport.relay import jobs
 from citronport.relay import progress as progress_module
 from citronport.scheduler.direct import models
@@ -15,6 +16,9 @@
         context: components shared by all requests.
         job: the request.
         progress: state of the request.
+
+    Attributes:
+        head_timeouts: how long it waits for responses.
     """
 
     def __init__(
@@ -26,6 +30,7 @@
         self._context = context
         self._job = job
         self._progress = progress
+        self.head_timeouts = head_timeouts.HeadTimeouts(context, job, progress)
 
     def may_run_again(
         self, *, is_started: bool, last_event_id: str | None
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -170,6 +170,8 @@
                 self._outcomes.record_not_run(self._get_reservation(), answer)
                 if not self._repeats.may_send_again():
                     return self._refuse_overloaded()
+            case upstream.Overdue():
+                self._outcomes.record_overdue(self._get_reservation())
             case upstream.Broken(reason=reason, cut=cut):
                 self.progress.possible_runs += 1
                 self._outcomes.record_failure(
@@ -274,7 +276,10 @@
                 else self._job.workspace.name,
                 self._work.deadline - now,
                 self._last_event_id,
-            )
+            ),
+            self._repeats.head_timeouts.make(
+                reservation, self._tried, self._may_run_again
+            ),
         )
 
     def _forward(
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -75,11 +75,17 @@
             treats all data centres alike.
         early_owners: whether an instance that still discovers the others
             already leases out slots.
+        overdue_factor: multiple of the expected time to a request's first
+            event, or to its plain answer, after which it is overdue, unless
+            that is within its objective; 0 if no request ever is. Engines
+            that are slow for a time need 3 or more, plain services whose
+            answer times vary by 5 times need 6.
     """
 
     fair_shares: bool = False
     remote_penalty: Share = 0.0
     early_owners: bool = False
+    overdue_factor: Number = 0.0
 
 
 class Settings(
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -1,5 +1,6 @@
 """One request to an endpoint over a dedicated connection."""
 
+import collections.abc
 import dataclasses
 
 from geventhttpclient import response as http_response
@@ -66,7 +67,28 @@
     """The endpoint asked for a pause while a connection was established."""
 
 
-Failure = Unreachable | Broken | NotRun | Replaced | Barred | Paused
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Overdue:
+    """Nothing arrived in time, and the connection is closed.
+
+    The request may have run.
+    """
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeadTimeout:
+    """How long to wait for the first byte of a response.
+
+    Attributes:
+        seconds: time after which ``give_up`` is called once.
+        give_up: returns whether to stop waiting; must not wait itself.
+    """
+
+    seconds: float
+    give_up: collections.abc.Callable[[], bool]
+
+
+Failure = Unreachable | Broken | NotRun | Replaced | Barred | Paused | Overdue
 Outcome = Answered | Failure
 
 
@@ -93,12 +115,26 @@
             return Unreachable(reason=type(error).__name__)
         return None
 
-    def send(self, request: bytes) -> Outcome:
-        """Send the request and wait for the head of its response."""
+    def send(
+        self, request: bytes, head_timeout: HeadTimeout | None = None
+    ) -> Outcome:
+        """Send the request and wait for the head of its response.
+
+        Args:
+            request: the encoded request.
+            head_timeout: how long to wait; None to wait indefinitely.
+        """
         conn = self._connection
         assert conn is not None
         try:
             self._write(conn, request)
+            if (
+                head_timeout is not None
+                and not conn.wait_for_input(head_timeout.seconds)
+                and head_timeout.give_up()
+            ):
+                self.close()
+                return Overdue()
             head = conn.read_head()
         except (OSError, http_response.HTTPParseError) as error:
             return Broken(reason=type(error).__name__, cut=True)
--- a/citronport/scheduler/direct/health.py
+++ b/citronport/scheduler/direct/health.py
@@ -24,6 +24,7 @@
     pause: float = 0.0
     paused_until: float = 0.0
     probing: bool = False
+    silent: bool = False
     reached_at: float = float("-inf")
 
     def end_pause(self) -> None:
@@ -31,6 +32,7 @@
         self.pause = 0.0
         self.paused_until = 0.0
         self.probing = False
+        self.silent = False
 
 
 class Health:
@@ -67,6 +69,15 @@
         record.paused_until = now + record.pause
         return True
 
+    def record_silent(self, endpoint: str, now: float) -> None:
+        """Record that an endpoint begins no request, which starts a pause.
+
+        Failed requests do not end it, as these may be requests that waited
+        there until their deadlines.
+        """
+        self.record_unreachable(endpoint, now)
+        self._records[endpoint].silent = True
+
     def record_reached(self, endpoint: str, now: float) -> None:
         """Record that an endpoint has begun to answer, which ends a pause."""
         record = self._records.setdefault(endpoint, _Record())
@@ -81,6 +92,9 @@
         record.failure_share += FAILURE_WEIGHT * (
             target - record.failure_share
         )
+        if record.silent and not success:
+            record.probing = False
+            return False
         recovered = record.pause > 0
         if success:
             record.reached_at = now
--- a/citronport/scheduler/direct/leases.py
+++ b/citronport/scheduler/direct/leases.py
@@ -92,6 +92,7 @@
         self, request_id: str, endpoint: str, now: float
     ) -> None:
         """Record the first event of a leased request."""
+        self._loads.overdue.record_begun(endpoint, request_id, now)
         self._loads.record_first_event(endpoint, request_id, now)
 
     def renew(
@@ -121,8 +122,18 @@
                     reported_lease.prefill_tokens,
                 )
                 self._leases[key] = _Lease(holder, now, now)
+                if reported_lease.prefill_tokens:
+                    self._loads.overdue.record_takeover(
+                        reported_lease.endpoint, reported_lease.request_id, now
+                    )
                 continue
             lease.renewed_at = now
+            self._loads.overdue.record_renewal(
+                reported_lease.endpoint,
+                reported_lease.request_id,
+                now,
+                has_prompt=bool(reported_lease.prefill_tokens),
+            )
             if not reported_lease.prefill_tokens:
                 self._loads.record_first_event(
                     reported_lease.endpoint, reported_lease.request_id, now
--- a/citronport/scheduler/direct/load_tracker.py
+++ b/citronport/scheduler/direct/load_tracker.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import overdue
 from citronport.scheduler.direct import profiles
 from citronport.scheduler.direct import runs
 
@@ -66,10 +67,12 @@
 
     Attributes:
         profiles: steps that requests of each service take.
+        overdue: requests without a first event.
     """
 
     def __init__(self) -> None:
         self.profiles = profiles.Profiles()
+        self.overdue = overdue.OverdueTracker()
         self._own: dict[str, dict[str, runs.Run]] = {}
         # Requests of this instance whose slots another one leased out:
         # the lessor counts them, so reporting them here would count twice.
@@ -188,10 +191,12 @@
         ):
             step = self.get_step_ms(endpoint) * runs.SECONDS_PER_MS
             self.profiles.record_end(run.service, (now - run.sent_at) / step)
+        self.overdue.record_end(endpoint, request_id)
         _remove(self._own, endpoint, request_id)
 
     def record_leased_end(self, endpoint: str, request_id: str) -> None:
         """Record that a leased request has ended or left an endpoint."""
+        self.overdue.record_end(endpoint, request_id)
         _remove(self._leased, endpoint, request_id)
 
     def list_leased(self) -> list[tuple[str, runs.Run]]:
@@ -346,6 +351,7 @@
 
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that is gone."""
+        self.overdue.forget(endpoint)
         self._step_ms.pop(endpoint, None)
         self._answer_seconds.pop(endpoint, None)
         self._median_step_ms.pop(endpoint, None)
--- a/citronport/scheduler/direct/runs.py
+++ b/citronport/scheduler/direct/runs.py
@@ -25,6 +25,7 @@
     FAILED = 2
     UNREACHABLE = 3
     REJECTED = 4
+    OVERDUE = 5
 
 
 @dataclasses.dataclass(slots=True)
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -231,15 +231,30 @@
         endpoint: models.Endpoint,
     ) -> float:
         """Return the expected time to the first event or answer, seconds."""
+        return self._estimate(1, work.prompt_tokens, service, endpoint)
+
+    def estimate_waiting(
+        self, service: models.Service, endpoint: models.Endpoint
+    ) -> float:
+        """Return the expected time until waiting requests begin, seconds."""
+        return self._estimate(0, 0, service, endpoint)
+
+    def _estimate(
+        self,
+        requests: int,
+        prompt_tokens: int,
+        service: models.Service,
+        endpoint: models.Endpoint,
+    ) -> float:
         load = self._loads.get_load(endpoint.name)
-        queued = max(0, load.requests + 1 - endpoint.slots)
+        queued = max(0, load.requests + requests - endpoint.slots)
         if service.engine is None:
             answer_seconds = self._loads.get_answer_seconds(endpoint.name)
             return answer_seconds * (1 + queued / endpoint.slots)
         profile = self._loads.profiles.get(service.name)
         step = self._get_step_seconds(endpoint)
         wait = step * queued * profile.total_steps / endpoint.slots
-        tokens = load.prefill_backlog + work.prompt_tokens
+        tokens = load.prefill_backlog + prompt_tokens
         return wait + step * (
             profile.base_steps + profile.steps_per_token * tokens
         )
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -9,6 +9,7 @@
 from citronport.relay import eventlog
 from citronport.relay import events
 from citronport.relay import metrics
+from citronport.relay import silence_events
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
@@ -62,7 +63,8 @@
         """Each event has a row, and each row is an event."""
         kinds = [
             value
-            for value in vars(events).values()
+            for module in (events, silence_events)
+            for value in vars(module).values()
             if isinstance(value, type) and issubclass(value, msgspec.Struct)
         ]
         self.assertNotEqual([], kinds)
