--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -55,6 +55,8 @@
         early_refusals: waiting requests of all instances that were refused
             here before the end of their wait.
         repeats: sends of a request beyond the first one.
+        overdue_repeats: sends of a request whose first event was overdue at
+            another endpoint.
         cut_sends: sends during which the endpoint's connection broke.
         body_ends: answers by what proved their end.
         resumptions: streams that callers took up, by how the version that
@@ -79,6 +81,7 @@
         self.unowned_start_sends = 0
         self.early_refusals = 0
         self.repeats = 0
+        self.overdue_repeats = 0
         self.cut_sends = 0
         self.body_ends: collections.Counter[str] = collections.Counter()
         self.resumptions: collections.Counter[str] = collections.Counter()
@@ -330,6 +333,11 @@
         "Sends beyond the first of a request.",
         [({}, counts.repeats)],
     )
+    counter(
+        "overdue_repeats_total",
+        "Sends away from an endpoint where the first event was overdue.",
+        [({}, counts.overdue_repeats)],
+    )
     counter(
         "cut_sends_total",
         "Sends under which the endpoint's connection broke.",
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -80,6 +80,11 @@
         early_step_times: whether the first events of a stream give a step
             time to an endpoint that has none yet, which its owner learns at
             once.
+        overdue_factor: multiple of the expected time to a request's first
+            event, or to its plain answer, after which it is overdue, unless
+            that is within its objective; 0 if no request ever is. Engines
+            that are slow for a time need 3 or more, plain services whose
+            answer times vary by 5 times need 6.
     """
 
     fair_shares: bool = False
@@ -87,6 +92,7 @@
     early_owners: bool = False
     fit_long_answers: bool = False
     early_step_times: bool = False
+    overdue_factor: Number = 0.0
 
 
 class Settings(
--- a/citronport/scheduler/direct/load_tracker.py
+++ b/citronport/scheduler/direct/load_tracker.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import overdue
 from citronport.scheduler.direct import profiles
 from citronport.scheduler.direct import runs
 
@@ -66,6 +67,7 @@
 
     Attributes:
         profiles: steps that requests of each service take.
+        overdue: requests without a first event.
 
     Args:
         early_step_times: whether an endpoint without a step time gets one
@@ -77,6 +79,7 @@
         # Endpoints whose step time comes from an incomplete sample.
         self._early: set[str] = set()
         self.profiles = profiles.Profiles()
+        self.overdue = overdue.OverdueTracker()
         self._own: dict[str, dict[str, runs.Run]] = {}
         # Requests of this instance whose slots another one leased out:
         # the lessor counts them, so reporting them here would count twice.
@@ -208,10 +211,12 @@
         ):
             step = self.get_step_ms(endpoint) * runs.SECONDS_PER_MS
             self.profiles.record_end(run.service, (now - run.sent_at) / step)
+        self.overdue.record_end(endpoint, request_id)
         _remove(self._own, endpoint, request_id)
 
     def record_leased_end(self, endpoint: str, request_id: str) -> None:
         """Record that a leased request has ended or left an endpoint."""
+        self.overdue.record_end(endpoint, request_id)
         _remove(self._leased, endpoint, request_id)
 
     def list_leased(self) -> list[tuple[str, runs.Run]]:
@@ -366,6 +371,7 @@
 
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that is gone."""
+        self.overdue.forget(endpoint)
         self._step_ms.pop(endpoint, None)
         self._early.discard(endpoint)
         self._answer_seconds.pop(endpoint, None)
