Let workspaces within their limit pass after a restart of all instances

A new instance now starts with the level of a burst, charges what others have admitted, and uses its share of it until reports arrive, among twice as many instances as it knows. The flag for an instance without reports and its own share of rate and burst go.

--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -36,6 +36,10 @@
 MIN_STARTUP_INSTANCES = 8
 """Smallest number of instances among which a new one divides limits."""
 
+STARTUP_GROWTH_FACTOR = 2
+"""Number of instances that a new one assumes, as a multiple of those that it
+knows: if all have started at once, it does not know most of them yet."""
+
 STARTUP_LAG_SECONDS = 0.5
 """Shortest delay of reports that a new instance assumes. It knows only a part
 of a large fleet at first, whose reports to all take longer than to these."""
@@ -107,17 +111,14 @@
         is_new = age < STARTUP_SECONDS
         if is_new:
             lag = max(lag, STARTUP_LAG_SECONDS)
-        if is_new and self._usage.has_no_reports:
-            rate, burst = compute_startup_share(workspace, instances)
-        else:
-            rate, burst = self._compute_share(workspace, reach, lag)
+            instances = max(
+                STARTUP_GROWTH_FACTOR * instances, MIN_STARTUP_INSTANCES
+            )
+        rate, burst = self._compute_share(workspace, reach, lag)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            # If all instances were killed during a flood, the burst has been
-            # used up and none of them knows. With a part of the burst for
-            # each, a large fleet would admit it several times over.
             used = self._early_usage.pop(workspace.name, 0.0)
-            bucket = bucket_module.Bucket(min(burst, age * rate) - used, now)
+            bucket = bucket_module.Bucket(workspace.burst - used, now)
             self._buckets[workspace.name] = bucket
         bucket.refill(rate, burst, lag, now)
         # A request is admitted if any units are left, and later requests pay
@@ -243,18 +244,3 @@
         else:
             factor, slack = reach * MINORITY_SHARE, 0.0
         return workspace.rate * factor, workspace.burst * factor + slack
-
-
-def compute_startup_share(
-    workspace: models.Workspace, instances: int
-) -> tuple[float, float]:
-    """Return the rate and burst of an instance that has just started.
-
-    If all instances are killed and restart while a workspace is far over its
-    limit, they have lost their totals, and each would admit a full burst
-    before the first report of the others arrives. An instance therefore
-    starts with an empty bucket and uses its share of the rate until it gets a
-    report.
-    """
-    share = 1.0 / max(MIN_STARTUP_INSTANCES, instances)
-    return workspace.rate * share, workspace.burst * share
--- a/citronport/scheduler/direct/usage.py
+++ b/citronport/scheduler/direct/usage.py
@@ -46,11 +46,6 @@
         self._envoys: dict[tuple[str, str], _Reporter] = {}
         self._active_envoys: dict[str, tuple[str, float]] = {}
 
-    @property
-    def has_no_reports(self) -> bool:
-        """Whether no other instance has reported yet."""
-        return not self._instances and not self._envoys
-
     def get_own_totals(self) -> Units:
         """Return the units admitted by this instance since its start."""
         return self._own_totals
