Drop loads of instances that no longer report them

Counters in a scratch copy show why: the owner held 96 loads of one instance of another data centre, from the one report that it got before it knew enough instances to exchange summaries instead. No later report replaced them, and summaries kept that instance in reach. Answers to seeds' contacts could always leave such loads; the reports at a start made it usual.

Loads are kept of instances that report them, step times of all in reach.

--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -25,8 +25,6 @@
 from citronport.scheduler.direct import long_answers
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import pauses as pauses_module
-from citronport.scheduler.direct import quota
-from citronport.scheduler.direct import roles
 from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import wait_queue
@@ -35,11 +33,6 @@
 """Interval at which queued requests are matched without another trigger. No
 event signals that a suspect or cold endpoint may be used again."""
 
-ROLE_CACHE_SECONDS = 0.05
-"""How long the list of instances is cached. Reports that change it arrive at
-intervals of 0.1 s or more, and choosing an endpoint takes less time than
-building the list of ninety instances."""
-
 MAX_RETRY_SHARE = 0.3
 """Longest retry time, as a share of the caller's remaining time. Callers wait
 for at most a third of that time before a retry."""
@@ -108,7 +101,6 @@
     ) -> None:
         self._own = own
         self._cluster_state = cluster_state
-        self._members = members
         self._loads = loads
         self._health = health
         self._cold = cold
@@ -124,11 +116,15 @@
         self._fair_queues = fair_queues
         self._queues: dict[str, wait_queue.WaitQueue] = {}
         self._match_scheduled = False
-        self._role: roles.Role = roles.Sender(own, (own,))
-        self._role_until = float("-inf")
-        self._instance_count = 1
-        self._is_majority = False
         self.owners: owners_module.Owners | None = None
+        self._views = service_view.ServiceViews(
+            own,
+            cluster_state,
+            members,
+            self._selector,
+            pauses,
+            lambda: self.owners,
+        )
         self.lease_client: lease_client_module.LeaseClient | None = None
 
     def update_scheduling(self, scheduling: settings.Scheduling) -> None:
@@ -383,7 +379,7 @@
         known_service = configuration and configuration.services.get(service)
         if not known_service:
             return True
-        view = self._make_view(known_service, now)
+        view = self._views.make(known_service, now)
         if not view.endpoints:
             return True
 
@@ -395,46 +391,6 @@
             waiter.handle.set(reservation)
         return not view.endpoints
 
-    def _make_view(
-        self, service: models.Service, now: float
-    ) -> service_view.ServiceView:
-        """Return the endpoints that waiting requests may use now."""
-        endpoints = self._cluster_state.list_endpoints(service.name)
-        sample_size = selection.compute_sample_size(
-            len(endpoints), self._instance_count
-        )
-        role = self._get_role(now)
-        owned_seconds = (
-            self.owners.get_owned_seconds(service.name, now)
-            if self.owners
-            else None
-        )
-        if owned_seconds is not None:
-            sample_size = len(endpoints)
-            # A new owner does not know how many requests its predecessor sent
-            # to cold endpoints within the current window, and an owner that
-            # does not reach a majority may not be the only one.
-            if (
-                owned_seconds > cold_starts.WINDOW_SECONDS
-                and self._is_majority
-            ):
-                role = roles.Owner()
-        usable = [
-            e
-            for e in endpoints
-            if self._selector.has_capacity(e, service, role, now)
-        ]
-        return service_view.ServiceView(
-            endpoints=usable,
-            listed=endpoints,
-            paused=self._pauses.list_names(endpoints, now),
-            role=role,
-            sample_size=sample_size,
-            typical_step_ms=self._selector.find_typical_step_ms(
-                endpoints, now
-            ),
-        )
-
     def _list_for_answer(
         self,
         work: models.Work,
@@ -451,17 +407,6 @@
             self._ticker.now(),
         )
 
-    def _get_role(self, now: float) -> roles.Role:
-        if now >= self._role_until:
-            instances = self._members.list_known(now)
-            self._role = roles.Sender(self._own, instances)
-            self._role_until = now + ROLE_CACHE_SECONDS
-            self._instance_count = len(instances)
-            self._is_majority = (
-                self._members.compute_reach(now) > quota.MAJORITY
-            )
-        return self._role
-
     def _reserve(
         self,
         waiter: wait_queue.Waiter,
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -348,10 +348,6 @@
     """Notifies the owner that a request got its first event.
 
     Attributes:
-        protocol: version of the protocol.
-        request: id of the request.
-        endpoint: endpoint that it runs at.
-        instance: name of the sender.
         pace: pace of the endpoint, nanoseconds a step, if the first events
             of the request are the first to show it to the sender; else 0.
     """
--- a/citronport/relay/reports.py
+++ b/citronport/relay/reports.py
@@ -85,7 +85,14 @@
         settings = self._settings
         self._number += 1
         fresh = self._members.list_fresh(now)
-        self._board.drop_stale({r.instance for r in fresh})
+        self._board.drop_stale(
+            {r.instance for r in fresh},
+            {
+                r.instance
+                for r in fresh
+                if not self._members.is_remote(r.data_centre)
+            },
+        )
         idle_rows = (
             load_tracker.LEASING_IDLE_ROWS_PER_REPORT
             if self._members.is_large()
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -135,8 +135,7 @@
                         return self._refuse_resumed(answer)
                     return answer
                 case failure:
-                    refusal = self._handle_failure(failure)
-                    if refusal is not None:
+                    if (refusal := self._handle_failure(failure)) is not None:
                         return refusal
 
     def _handle_failure(
@@ -290,8 +289,8 @@
         is_stream = self._work.route.repeat == models.RepeatPolicy.STREAM
         if is_stream and answer.is_success and answer.may_hold_events:
             yield from self._forward_stream(start_response, answer)
-            return
-        yield from self._forward_plain(start_response, answer)
+        else:
+            yield from self._forward_plain(start_response, answer)
 
     def _forward_plain(
         self,
@@ -388,18 +387,16 @@
                     reservation.endpoint,
                 )
         configuration = self._context.cluster_state.configuration
-        service = configuration and configuration.services.get(
-            self._job.service
-        )
+        services = configuration.services if configuration else {}
+        service = services.get(self._job.service)
         engine = service.engine if service else None
-        is_first_step_time = self._context.loads.record_events(
+        if self._context.loads.record_events(
             reservation.endpoint.name,
             reservation.run,
             eventstream.count_events(events),
             engine.event_tokens if engine else 1,
             now,
-        )
-        if is_first_step_time:
+        ):
             self._context.dispatcher.record_early_step_time(reservation)
         self._outcomes.record_events(reservation)
 
--- a/citronport/scheduler/direct/load_tracker.py
+++ b/citronport/scheduler/direct/load_tracker.py
@@ -262,16 +262,30 @@
                 self._median_step_ms.pop(name, None)
         self._add_remote(report.loads, 1)
 
-    def drop_stale(self, fresh: collections.abc.Container[str]) -> None:
+    def drop_stale(
+        self,
+        fresh: collections.abc.Container[str],
+        reporting: collections.abc.Container[str],
+    ) -> None:
         """Forget the reports of unreachable instances.
 
+        An instance of another data centre may have reported its loads while
+        this one knew too few instances to exchange summaries instead. No
+        later report would replace them, and these loads would occupy slots
+        for as long as that instance is in reach.
+
         Args:
-            fresh: names of the instances to keep.
+            fresh: names of the instances in reach, whose step times are
+                kept.
+            reporting: names of those that report their loads.
         """
-        for sender in [s for s in self._remote if s not in fresh]:
-            report = self._remote.pop(sender)
-            self._add_remote(report.loads, -1)
-            self._median_step_ms.clear()
+        for sender, report in list(self._remote.items()):
+            if sender not in reporting:
+                self._add_remote(report.loads, -1)
+                report.loads = {}
+            if sender not in fresh:
+                del self._remote[sender]
+                self._median_step_ms.clear()
 
     def make_report_rows(
         self, idle_rows: int = MAX_IDLE_ROWS_PER_REPORT
