--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -217,7 +217,7 @@
         bucket = self._buckets.get(workspace.name)
         if bucket is None or workspace.rate <= 0:
             return
-        bucket.level += units
+        bucket.give_back(units)
         self._usage.add(workspace.name, -units)
 
     def _compute_share(
