Mend what the review of silent endpoints and long answers found

An owner kept an endpoint out of use for good when the lease of its probe ended without a report. A request was given up where only engines of another software version were free, or where it could no longer wait. Long answers waited for engines that they could not use, and requests were refused at once while others declined free slots. The path of an instance could be at fault for what hangs after it is back. A caller that leaves just as it gets a slot left that slot occupied.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -49,6 +49,7 @@
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
+from citronport.scheduler.direct import overdue
 from citronport.scheduler.direct import pauses
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
@@ -184,7 +185,10 @@
             self.health,
             self.cold,
             self.limits,
-            lambda: self.paths.is_lost,
+            # What was sent over a path that was lost may still hang.
+            lambda: self.paths.was_lost_since(
+                ticker.now() - overdue.EVIDENCE_SECONDS
+            ),
             ticker,
             self.log,
         )
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -111,9 +111,9 @@
         )
         self._ticker = ticker
         self._selector = selection.Selector(loads, health, cold, limits)
-        self.update_scheduling(scheduling)
         self._expectations = expectations.Expectations(loads)
         self._fair_queues = fair_queues
+        self.update_scheduling(scheduling)
         self._queues: dict[str, wait_queue.WaitQueue] = {}
         self._match_scheduled = False
         self.owners: owners_module.Owners | None = None
@@ -131,6 +131,8 @@
         """Use other optional rules from now on."""
         self._scheduling = scheduling
         self._selector.remote_penalty = scheduling.remote_penalty
+        if self._fair_queues is not None:
+            self._fair_queues.scheduling = scheduling
 
     def acquire(
         self,
@@ -171,6 +173,12 @@
             # Not "get": its timeout is indistinguishable from the deadline
             # timeout of the whole request, which must end the request.
             assignment.wait(timeout=wait_queue.compute_max_wait(work, now))
+        except BaseException:
+            # The caller may have left just as the request got a slot, which
+            # would stay occupied.
+            if isinstance(assignment.value, Reservation):
+                self.release(assignment.value, work.request_id)
+            raise
         finally:
             self.cancel(waiter, service)
         match assignment.value:
@@ -195,9 +203,13 @@
             )
             self._queues[service] = queue
         queue.add(waiter)
-        self._match_queue(service, queue)
+        is_full = self._match_queue(service, queue)
         if not queue.contains(waiter):
             return None
+        if self._scheduling.fit_long_answers and not is_full:
+            # It declined a free slot, or those ahead did; the forecast takes
+            # for granted that each of them uses the next one.
+            return None
         wait = self._forecast_wait(waiter, service, queue)
         if wait <= wait_queue.compute_max_wait(
             waiter.work, waiter.waiting_since
@@ -396,15 +408,21 @@
         work: models.Work,
         endpoints: list[models.Endpoint],
         view: service_view.ServiceView,
+        excluded: frozenset[str],
+        now: float,
     ) -> list[models.Endpoint]:
         if not self._scheduling.fit_long_answers:
             return endpoints
         return long_answers.list_fast_enough(
             work,
             endpoints,
-            view.listed,
+            (
+                e
+                for e in work.list_fitting(view.listed)
+                if e.name not in excluded and self._health.may_use(e.name, now)
+            ),
             self._loads.get_step_ms,
-            self._ticker.now(),
+            now,
         )
 
     def _reserve(
@@ -426,7 +444,9 @@
             candidates = self._selector.list_for_prompt(
                 waiter.work, service, candidates, view.typical_step_ms
             )
-            candidates = self._list_for_answer(waiter.work, candidates, view)
+            candidates = self._list_for_answer(
+                waiter.work, candidates, view, excluded, now
+            )
         if not waiter.leased and view.sample_size < len(candidates):
             candidates = self._selector.draw_sample(
                 waiter.work, candidates, view.sample_size
--- a/citronport/relay/fair_queues.py
+++ b/citronport/relay/fair_queues.py
@@ -13,6 +13,7 @@
 from citronport.scheduler.direct import expectations
 from citronport.scheduler.direct import fair_shares
 from citronport.scheduler.direct import load_tracker
+from citronport.scheduler.direct import long_answers
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import pauses as pauses_module
 from citronport.scheduler.direct import selection
@@ -25,7 +26,11 @@
 class FairQueues:
     """Makes the shares of queues and refuses requests early.
 
+    Attributes:
+        scheduling: optional rules of scheduling.
+
     Args:
+        scheduling: as in the attribute.
         cluster_state: current configuration and endpoints.
         selector: computes slot rates and limits of step times.
         loads: loads and step times of endpoints.
@@ -37,6 +42,7 @@
 
     def __init__(
         self,
+        scheduling: settings_module.Scheduling,
         cluster_state: cluster_state_module.ClusterState,
         selector: selection.Selector,
         loads: load_tracker.LoadTracker,
@@ -45,6 +51,7 @@
         log: eventlog.Log,
         counts: metrics.Counts,
     ) -> None:
+        self.scheduling = scheduling
         self._cluster_state = cluster_state
         self._selector = selector
         self._loads = loads
@@ -136,14 +143,17 @@
                 return float("inf")
             if is_paused and not waiter.leased:
                 return float("inf")
+            since = waiter.waiting_since
+            half = wait_queue.compute_max_wait(work, since) / 2
+            until = min(queue.compute_late_at(waiter), since + half)
             max_step = self._selector.compute_max_step_ms(
                 work, service, typical
             )
-            if slowest <= max_step:
-                return float("-inf")
-            since = waiter.waiting_since
-            half = wait_queue.compute_max_wait(work, since) / 2
-            return min(queue.compute_late_at(waiter), since + half)
+            if self.scheduling.fit_long_answers:
+                max_step = min(
+                    max_step, long_answers.compute_max_step_ms(work, until)
+                )
+            return until if slowest > max_step else float("-inf")
 
         return get_picky_until
 
@@ -200,5 +210,12 @@
     if not scheduling.fair_shares:
         return None
     return FairQueues(
-        cluster_state, selector, loads, pauses, ticker, log, counts
+        scheduling,
+        cluster_state,
+        selector,
+        loads,
+        pauses,
+        ticker,
+        log,
+        counts,
     )
--- a/citronport/relay/head_timeouts.py
+++ b/citronport/relay/head_timeouts.py
@@ -9,6 +9,7 @@
 from citronport.relay import upstream
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import overdue
+from citronport.scheduler.direct import wait_queue
 
 
 class HeadTimeouts:
@@ -32,6 +33,7 @@
 
     def make(
         self,
+        work: models.Work,
         reservation: dispatcher_module.Reservation,
         tried: frozenset[str],
         may_run_again: collections.abc.Callable[[], bool],
@@ -39,6 +41,8 @@
         """Return how long to wait for a response that is about to be sent.
 
         Args:
+            work: the request, bound to the software version that began its
+                stream.
             reservation: the reservation of the endpoint.
             tried: names of the endpoints that the request was sent to.
             may_run_again: returns whether the request may run once more, and
@@ -65,7 +69,7 @@
             return (
                 possible_runs < route.max_endpoints
                 and self._is_at_fault(reservation)
-                and self._has_alternative(tried)
+                and self._has_alternative(work, tried)
                 and may_run_again()
             )
 
@@ -94,15 +98,21 @@
             endpoint.name, [e.name for e in listed], since
         )
 
-    def _has_alternative(self, tried: frozenset[str]) -> bool:
-        """Return whether another endpoint has a free slot.
+    def _has_alternative(
+        self, work: models.Work, tried: frozenset[str]
+    ) -> bool:
+        """Return whether another endpoint may have a free slot.
 
-        Without one, a request that has waited for so long would be refused.
+        Without one, a request that may not wait any more would be refused. An
+        instance does not know the loads that an owner in another data centre
+        knows, so that the request has to be able to wait all the same.
         """
+        if not wait_queue.compute_max_wait(work, self._context.ticker.now()):
+            return False
         listed = self._context.cluster_state.list_endpoints(self._job.service)
         return any(
             e.name not in tried and self._has_free_slot(e)
-            for e in self._job.work.list_fitting(listed)
+            for e in work.list_fitting(listed)
         )
 
     def _has_free_slot(self, endpoint: models.Endpoint) -> bool:
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -183,6 +183,9 @@
         for request, granted in list(self._granted.items()):
             if not self._leases.has(request, granted.endpoint):
                 del self._granted[request]
+                # Its end was not reported. If it was the probe of an
+                # endpoint, another request has to take its place.
+                self._health.record_no_result(granted.endpoint)
 
     def _enqueue(
         self, applicant: _Applicant, work: models.Work, now: float
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -277,7 +277,7 @@
                 self._last_event_id,
             ),
             self._repeats.head_timeouts.make(
-                reservation, self._tried, self._may_run_again
+                self._work, reservation, self._tried, self._may_run_again
             ),
         )
 
--- a/citronport/relay/silence.py
+++ b/citronport/relay/silence.py
@@ -12,6 +12,7 @@
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import overdue
+from citronport.scheduler.direct import ownership
 from citronport.scheduler.direct import selection
 
 MAX_CHECK_GAP_SECONDS = 0.6
@@ -28,7 +29,8 @@
         health: health of endpoints.
         cold: endpoints that are cold.
         limits: rate limits announced by endpoints.
-        is_path_lost: returns whether this instance reaches no endpoint.
+        was_path_lost: returns whether this instance reached no endpoint
+            recently.
         ticker: the clock.
         log: the event log.
     """
@@ -40,7 +42,7 @@
         health: health_module.Health,
         cold: cold_starts.ColdStarts,
         limits: endpoint_limits.EndpointLimits,
-        is_path_lost: collections.abc.Callable[[], bool],
+        was_path_lost: collections.abc.Callable[[], bool],
         ticker: clock.Clock,
         log: eventlog.Log,
     ) -> None:
@@ -48,7 +50,7 @@
         self._loads = loads
         self._health = health
         self._cold = cold
-        self._is_path_lost = is_path_lost
+        self._was_path_lost = was_path_lost
         self._ticker = ticker
         self._log = log
         self._selector = selection.Selector(loads, health, cold, limits)
@@ -58,7 +60,7 @@
         """Pause the endpoints that turn out to be silent."""
         now = self._ticker.now()
         gap, self._checked_at = now - self._checked_at, now
-        if not self._loads.overdue.factor or self._is_path_lost():
+        if not self._loads.overdue.factor or self._was_path_lost():
             return
         if gap > MAX_CHECK_GAP_SECONDS:
             return
@@ -94,7 +96,10 @@
             if endpoint.name in waiting
         ]
         listed = [endpoint.name for endpoint in endpoints]
-        for silent in self._loads.overdue.find_silent(targets, listed, now):
+        owners = ownership.count_pools(len(listed))
+        for silent in self._loads.overdue.find_silent(
+            targets, listed, now, owners
+        ):
             self._health.record_silent(silent.endpoint, now)
             self._log.write(
                 silence_events.EndpointSilent(
--- a/citronport/scheduler/direct/long_answers.py
+++ b/citronport/scheduler/direct/long_answers.py
@@ -43,13 +43,13 @@
     Args:
         work: the request.
         endpoints: endpoints that may take it now.
-        listed: all endpoints of the service, including full ones.
+        listed: all endpoints that may take it later, including full ones.
         get_step_ms: returns the step time of an endpoint by its name.
         now: clock time, seconds.
 
     Returns:
-        All of ``endpoints`` if no endpoint of the service is fast enough, as
-        no wait would help.
+        All of ``endpoints`` if none of ``listed`` is fast enough, as no wait
+        would help.
     """
     max_step_ms = compute_max_step_ms(work, now)
     found = [e for e in endpoints if get_step_ms(e.name) <= max_step_ms]
--- a/citronport/scheduler/direct/overdue.py
+++ b/citronport/scheduler/direct/overdue.py
@@ -239,6 +239,7 @@
         targets: collections.abc.Iterable[Target],
         listed: collections.abc.Sequence[str],
         now: float,
+        owners: int = 1,
     ) -> list[Silent]:
         """Return the endpoints of a service to skip from now on.
 
@@ -249,9 +250,10 @@
             targets: those of ``list_endpoints`` that are of the service.
             listed: names of all endpoints of the service.
             now: clock time, seconds.
+            owners: number of owners among which the endpoints are divided.
         """
         found = [s for t in targets if (s := self._check(t, listed, now))]
-        room = int(MAX_SILENT_SHARE * len(listed)) - len(
+        room = int(MAX_SILENT_SHARE * len(listed) / owners) - len(
             self._silent.intersection(listed)
         )
         skipped = []
--- a/tests/relay/test_fair_queues.py
+++ b/tests/relay/test_fair_queues.py
@@ -27,11 +27,13 @@
 class FairQueuesTest(testtools.TestCase):
     """One endpoint with two slots, whose slots become free every 0.5 s."""
 
-    def make_full_room(self, *, fair_shares):
+    def make_full_room(self, *, fair_shares, fit_long_answers=False):
         """Return a fixture whose endpoint is full, and a waiting request."""
         room = samples.DispatcherFixture(
             [samples.make_endpoint()],
-            scheduling=settings.Scheduling(fair_shares=fair_shares),
+            scheduling=settings.Scheduling(
+                fair_shares=fair_shares, fit_long_answers=fit_long_answers
+            ),
         )
         fill(room, 3, 1.0, "t")
         gevent.sleep(0)
@@ -59,6 +61,17 @@
         self.assertEqual(0, room.counts.early_refusals)
         gevent.killall(waiting)
 
+    def test_long_answer_ahead_may_decline_its_slot(self):
+        """Guards against a refusal behind a request that takes no slot.
+
+        The first request may wait for a faster engine than the only one.
+        """
+        room, waiting = self.make_full_room(
+            fair_shares=True, fit_long_answers=True
+        )
+        self.assertEqual([False, False], [w.ready() for w in waiting])
+        gevent.killall(waiting)
+
     def test_request_of_another_instance(self):
         """Guards against an applicant that is not sent its refusal."""
         sent = []
