Name early refusals, owners at the start and lookups in usual terms

Cause: names such as picky, burst and met were figurative, some texts gave a measurement in place of the rule, and two names were aliases of others. Change: names and doc comments of early refusals, owners at the start, step time limits, seed contacts, lookups, paces and waits; RequestEnded and MIN_ASK_SECONDS have one name; one match_queues in place of two methods; no decision changes.

--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -130,10 +130,15 @@
         return bool(_poll(self._sock, select.POLLIN))
 
     def wait_for_input(self, seconds: float) -> bool:
-        """Return True once data has been received, False after a timeout.
+        """Wait until data is received or the connection ends.
 
-        The end of the connection counts as data. What arrives in the last
-        moment does too.
+        Data that arrives as the timeout ends counts as well.
+
+        Args:
+            seconds: longest time to wait, seconds.
+
+        Returns:
+            Whether there is data to read, or the connection has ended.
         """
         try:
             socket.wait_read(self._sock.fileno(), timeout=max(0.0, seconds))
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -292,7 +292,7 @@
             self.startup.is_discovering,
             ticker,
         )
-        self.directory = lookups.Directory(
+        self.lookup_addresses = lookups.LookupAddresses(
             str(settings.callers),
             settings.capacity,
             self.members,
@@ -365,11 +365,11 @@
         """Return whether callers should use this instance."""
         return self.startup.is_ready()
 
-    def _make_early_owners(self) -> owners_module.EarlyOwners | None:
+    def _make_early_owners(self) -> owners_module.StartupOwnership | None:
         settings = self._settings
         if not settings.scheduling.early_owners:
             return None
-        return owners_module.EarlyOwners(
+        return owners_module.StartupOwnership(
             started_at=self.started_at,
             peer_address=str(settings.peers),
             seeds=frozenset(map(str, settings.seeds)),
@@ -382,7 +382,7 @@
             self._forwards,
             *listeners.make_other_servers(
                 self._settings,
-                application.Lookups(self.directory.list_addresses),
+                application.Lookups(self.lookup_addresses.list_addresses),
                 application.Readiness(self.is_ready),
                 application.Metrics(
                     lambda: state.read_state(self, self._ticker.now()),
--- a/citronport/relay/dispatcher.py
+++ b/citronport/relay/dispatcher.py
@@ -278,28 +278,27 @@
         """
         if not self._match_scheduled and any(map(len, self._queues.values())):
             self._match_scheduled = True
-            gevent.spawn(self._match_queues)
-
-    def _match_queues(self) -> None:
-        self._match_scheduled = False
-        for service, queue in self._queues.items():
-            if len(queue):
-                self._match_queue(service, queue)
+            gevent.spawn(self.match_queues)
 
     def run_match_loop(self) -> None:
         """Match queued requests at a fixed interval, indefinitely."""
         while True:
             self._ticker.sleep(MATCH_INTERVAL_SECONDS)
-            self.match_regularly()
+            self.match_queues(refuse_early=True)
 
-    def match_regularly(self) -> None:
-        """Match all queues, and refuse requests that get no slot in time."""
+    def match_queues(self, *, refuse_early: bool = False) -> None:
+        """Match all queues with free capacity.
+
+        Args:
+            refuse_early: whether to refuse requests that get no slot in time
+                as well.
+        """
         self._match_scheduled = False
         for service, queue in self._queues.items():
             if not len(queue):
                 continue
             is_full = self._match_queue(service, queue)
-            if self._fair_queues is not None:
+            if refuse_early and self._fair_queues is not None:
                 self._fair_queues.check(service, queue, is_full=is_full)
 
     def count_waiting(self) -> int:
@@ -368,7 +367,7 @@
             placement=placement,
             run=run,
             load=granted.load,
-            step_ms=granted.pace / 1e6,
+            step_ms=granted.pace / runs.NANOSECONDS_PER_MS,
             leased=True,
         )
 
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from citronport.relay import request_events
-
 
 class Started(msgspec.Struct, frozen=True, kw_only=True):
     """The process started."""
@@ -444,9 +442,6 @@
     parts: list[str]
 
 
-RequestEnded = request_events.RequestEnded
-
-
 class QueueWaiting(msgspec.Struct, frozen=True, kw_only=True):
     """Requests wait for slots that workspaces share fairly.
 
--- a/citronport/relay/explanation.py
+++ b/citronport/relay/explanation.py
@@ -11,6 +11,7 @@
 from citronport import errors
 from citronport.relay import eventlog
 from citronport.relay import events
+from citronport.relay import request_events
 
 CONTEXT_SECONDS = 5.0
 """Time before a request's first line from which other events are shown as
@@ -26,7 +27,7 @@
         events.ForwardFailed,
         events.SendFailed,
         events.RequestBarred,
-        events.RequestEnded,
+        request_events.RequestEnded,
     )
 )
 
--- a/citronport/relay/fair_queues.py
+++ b/citronport/relay/fair_queues.py
@@ -101,16 +101,16 @@
             self._count_idle_slots(endpoints),
             now,
             queue.compute_late_at,
-            self._make_picky_until(service, queue, endpoints, now),
+            self._make_may_decline_until(service, queue, endpoints, now),
         )
-        unreachable = forecast.find_unreachable(queue.group_by_urgency(now))
-        for found in unreachable:
+        unservable = forecast.find_unservable(queue.group_by_urgency(now))
+        for found in unservable:
             queue.remove(found.waiter)
             found.waiter.handle.set(
                 wait_queue.NoSlot(retry_seconds=found.seconds)
             )
-        self._counts.early_refusals += len(unreachable)
-        self._refused[service.name] += len(unreachable)
+        self._counts.early_refusals += len(unservable)
+        self._refused[service.name] += len(unservable)
 
     def _count_idle_slots(self, endpoints: list[models.Endpoint]) -> int:
         return sum(
@@ -118,7 +118,7 @@
             for e in endpoints
         )
 
-    def _make_picky_until(
+    def _make_may_decline_until(
         self,
         service: models.Service,
         queue: wait_queue.WaitQueue,
@@ -130,13 +130,13 @@
         slowest = max(self._loads.get_step_ms(e.name) for e in endpoints)
         is_paused = bool(self._pauses.list_names(endpoints, now))
 
-        def get_picky_until(waiter: wait_queue.Waiter) -> float:
+        def get_may_decline_until(waiter: wait_queue.Waiter) -> float:
             work = waiter.work
             if work.software is not None or waiter.tried or waiter.paused:
                 return float("inf")
             if is_paused and not waiter.leased:
                 return float("inf")
-            max_step = self._selector.compute_max_step_ms(
+            max_step = self._selector.compute_max_prompt_step_ms(
                 work, service, typical
             )
             if slowest <= max_step:
@@ -145,7 +145,7 @@
             half = wait_queue.compute_max_wait(work, since) / 2
             return min(queue.compute_late_at(waiter), since + half)
 
-        return get_picky_until
+        return get_may_decline_until
 
     def _log_queue(
         self,
--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -47,9 +47,9 @@
 fleet of 60, each reader then sends 15 reports. If both announcements are lost,
 the next report of any instance that has the change shows its revision."""
 
-MEET_SECONDS = 1.0
-"""How long an instance that has contacted this one as a seed gets a report of
-each change of this one's state; by then it gets summaries."""
+SEED_CONTACT_SECONDS = 1.0
+"""How long after contacting this instance as a seed another one gets each
+change of state at once. Summaries reach it after that."""
 
 GROUP_SIZE = 12
 """Reports sent without a pause: 24 KB take 20 ms on the slowest link."""
@@ -97,7 +97,7 @@
         self._seed_backoff_seconds = FIRST_SEED_SECONDS / 2
         self._reachable: set[str] = set()
         # Time of the latest contact, by address.
-        self._met: dict[str, float] = {}
+        self._seed_contacts: dict[str, float] = {}
 
     def update_settings(self, settings: settings_module.Settings) -> None:
         """Use new settings; the addresses of this instance don't change."""
@@ -180,12 +180,12 @@
         other data centres, and the next summary may be 0.3 s away.
         """
         now = self._ticker.now()
-        self._met = {
+        self._seed_contacts = {
             address: at
-            for address, at in self._met.items()
-            if now - at <= MEET_SECONDS
+            for address, at in self._seed_contacts.items()
+            if now - at <= SEED_CONTACT_SECONDS
         }
-        targets = {*self._members.list_addresses(now), *self._met}
+        targets = {*self._members.list_addresses(now), *self._seed_contacts}
         targets.discard(str(self._settings.peers))
         data = messages.CODEC.encode(self._make_report())
         for group in split_targets(targets):
@@ -279,7 +279,7 @@
         # An instance of another data centre gets summaries of this one, not
         # reports. The answer names instances of its own data centre, which
         # forward these summaries to it.
-        self._met[meet.peer_address] = self._ticker.now()
+        self._seed_contacts[meet.peer_address] = self._ticker.now()
         if self._members.is_remote(meet.data_centre):
             report = self._make_report(meet.data_centre)
             self._send_datagram(
--- a/citronport/relay/lease_client.py
+++ b/citronport/relay/lease_client.py
@@ -23,10 +23,6 @@
 """Time to wait for an answer. It covers two links of a millisecond each and an
 owner that is busy parsing a configuration of a thousand routes."""
 
-MIN_ASK_SECONDS = wait_queue.MIN_ASK_SECONDS
-"""Time for the answer to a request that may not wait. Shorter than
-``ANSWER_TIMEOUT_SECONDS``, so that it says nothing of the owner."""
-
 QUEUED_ASK_INTERVAL_SECONDS = 0.4
 """Interval at which the lease request of a queued request is repeated. A
 request waits for at most twice its route's objective, which is 0.3 to 0.8 s.
@@ -122,12 +118,12 @@
         # A request may have used up its wait on a connection that failed. An
         # endpoint with a free slot still serves it; it only may not queue.
         end = now + max(
-            MIN_ASK_SECONDS, wait_queue.compute_max_wait(work, now)
+            wait_queue.MIN_ASK_SECONDS, wait_queue.compute_max_wait(work, now)
         )
         while True:
             found = self._ask_owner(work, service, tried, paused, owner, end)
             now = self._ticker.now()
-            if found is not None or not self._owners.is_early(now):
+            if found is not None or not self._owners.has_just_started(now):
                 return found
             # This instance has just started and knows no loads: the next
             # owner decides better, unless this one declined.
@@ -198,7 +194,7 @@
             request=request_id,
             endpoint=endpoint,
             instance=self._own,
-            pace=int(step_ms * 1e6),
+            pace=int(step_ms * runs.NANOSECONDS_PER_MS),
         )
         for owner in self._list_owners(endpoint, *grant):
             self._send(owner, begun)
@@ -376,7 +372,7 @@
             request=request_id,
             endpoint=endpoint,
             verdict=int(run.verdict if run else runs.Verdict.NOTHING),
-            pace=int(step_ms * 1e6)
+            pace=int(step_ms * runs.NANOSECONDS_PER_MS)
             if run and run.first_event_at is not None
             else 0,
             seconds=run.answer_seconds if run else 0.0,
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -139,7 +139,9 @@
         self._health.record_reached(begun.endpoint, self._ticker.now())
         if begun.pace and begun.endpoint in self._cluster_state.endpoints:
             self._loads.apply_step_ms(
-                begun.instance, begun.endpoint, begun.pace / 1e6
+                begun.instance,
+                begun.endpoint,
+                begun.pace / runs.NANOSECONDS_PER_MS,
             )
         self._leases.record_first_event(
             begun.request, begun.endpoint, self._ticker.now()
@@ -235,7 +237,7 @@
             endpoint=name,
             seconds=reservation.placement.seconds,
             load=self._loads.get_load(name).requests,
-            pace=int(self._loads.get_step_ms(name) * 1e6),
+            pace=int(self._loads.get_step_ms(name) * runs.NANOSECONDS_PER_MS),
         )
         self._granted[ask.request] = granted
         self._send(ask.instance, granted)
@@ -261,7 +263,9 @@
                 now - ended.brittle_age,
             )
         if ended.pace:
-            self._loads.apply_step_ms(ended.instance, name, ended.pace / 1e6)
+            self._loads.apply_step_ms(
+                ended.instance, name, ended.pace / runs.NANOSECONDS_PER_MS
+            )
         if ended.seconds:
             self._loads.record_answer_seconds(name, ended.seconds)
         self._record_begun(ended, now)
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -59,7 +59,7 @@
         send: messages.SendMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
-        early: owners_module.EarlyOwners | None = None,
+        early: owners_module.StartupOwnership | None = None,
     ) -> None:
         self._ticker = ticker
         self.owners = owners_module.Owners(
--- a/citronport/relay/lookups.py
+++ b/citronport/relay/lookups.py
@@ -8,7 +8,7 @@
 from citronport.scheduler.direct import rendezvous
 
 
-class Directory:
+class LookupAddresses:
     """Chooses the addresses in the answers to lookups.
 
     Args:
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -110,7 +110,7 @@
         self._last_added_at = float("-inf")
         self._new_addresses: list[str] = []
         self._first_report_at: float | None = None
-        self._first_states: list[bool] = []
+        self._first_ready_states: list[bool] = []
 
     def get_report_interval(self) -> float:
         """Return the minimum interval between two reports, seconds."""
@@ -138,13 +138,15 @@
         """Return whether no other instance is known yet."""
         return not self._members
 
-    def found_running_fleet(self) -> bool:
+    def was_fleet_running_at_start(self) -> bool:
         """Return whether most instances were ready before this one started.
 
         Only the first reports that arrive just after the start count. Later
         ones may be of instances that have become ready since.
         """
-        return 2 * sum(self._first_states) > len(self._first_states)
+        return 2 * sum(self._first_ready_states) > len(
+            self._first_ready_states
+        )
 
     def is_growing(self, now: float) -> bool:
         """Return whether this instance is still discovering others."""
@@ -387,7 +389,7 @@
         if self._first_report_at is None:
             self._first_report_at = now
         if now - self._first_report_at <= GROWING_SECONDS:
-            self._first_states.append(report.ready)
+            self._first_ready_states.append(report.ready)
 
     def _is_newer(
         self, member: Member, report: messages.Report, now: float
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -348,8 +348,8 @@
     """Notifies the owner that a request got its first event.
 
     Attributes:
-        pace: pace of the endpoint, nanoseconds a step, if the first events
-            of the request are the first to show it to the sender; else 0.
+        instance: name of the sender.
+        pace: nanoseconds a step, if not known to the sender before; else 0.
     """
 
     protocol: int
--- a/citronport/relay/owners.py
+++ b/citronport/relay/owners.py
@@ -22,12 +22,12 @@
 dead, all instances see it as unreachable after about the same time."""
 
 STARTING_CACHE_SECONDS = 0.02
-"""The same time just after the start of this instance, when reports of new
-candidates arrive within milliseconds."""
+"""Like ``CANDIDATES_CACHE_SECONDS``, but while this instance has just started
+and reports of new candidates arrive in quick succession."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EarlyOwners:
+class StartupOwnership:
     """How instances that still discover the others own endpoints.
 
     Attributes:
@@ -67,7 +67,7 @@
         is_ready: collections.abc.Callable[[], bool],
         log: eventlog.Log,
         on_change: collections.abc.Callable[[], None],
-        early: EarlyOwners | None = None,
+        early: StartupOwnership | None = None,
     ) -> None:
         self._own = own
         self._capacity = capacity
@@ -80,7 +80,7 @@
         self._unresponsive: dict[str, float] = {}
         self._candidates: tuple[ownership.Candidate, ...] = ()
         self._owners: dict[ownership.Pool, str | None] = {}
-        self._is_burst = False
+        self._is_fleet_start = False
         self._refreshed_at = float("-inf")
         self._logged: dict[ownership.Pool, str | None] = {}
         self._owner_since: dict[ownership.Pool, float] = {}
@@ -133,19 +133,23 @@
                 longest = max(longest or 0.0, now - self._owner_since[pool])
         return longest
 
-    def is_early(self, now: float) -> bool:
-        """Return whether this instance started too recently to know loads.
+    def has_just_started(self, now: float) -> bool:
+        """Return whether this instance has just started.
 
-        It is False unless instances own endpoints while they start.
+        Returns:
+            Whether it started less than ``ownership.LOADS_UNKNOWN_SECONDS``
+            ago; always False unless ``early_owners`` is on.
         """
         return (
             self._early is not None
-            and now - self._early.started_at < ownership.START_SECONDS
+            and now - self._early.started_at < ownership.LOADS_UNKNOWN_SECONDS
         )
 
     def is_unowned_at_start(self, service: str, now: float) -> bool:
         """Return whether endpoints have no owner just after the start."""
-        return self.is_early(now) and not self.list_owners(service, now)
+        return self.has_just_started(now) and not self.list_owners(
+            service, now
+        )
 
     def knows_owners(self, now: float) -> bool:
         """Return whether the other instances that own endpoints are known.
@@ -156,7 +160,7 @@
         fresh = self._members.list_fresh(now)
         if not any(map(self._may_own, fresh)):
             return False
-        return self._members.found_running_fleet() or all(
+        return self._members.was_fleet_running_at_start() or all(
             r.leaving or self._may_own(r)
             for r in fresh
             if self._is_seed(r.peer_address)
@@ -168,9 +172,11 @@
         self._refreshed_at = float("-inf")
 
     def _refresh_candidates(self, now: float) -> None:
-        is_early = self.is_early(now)
+        has_just_started = self.has_just_started(now)
         cache_seconds = (
-            STARTING_CACHE_SECONDS if is_early else CANDIDATES_CACHE_SECONDS
+            STARTING_CACHE_SECONDS
+            if has_just_started
+            else CANDIDATES_CACHE_SECONDS
         )
         if now - self._refreshed_at < cache_seconds:
             return
@@ -181,10 +187,15 @@
             if now < until
         }
         candidates = self._list_candidates(now)
-        is_burst = is_early and not self._members.found_running_fleet()
-        if candidates != self._candidates or is_burst != self._is_burst:
+        is_fleet_start = (
+            has_just_started and not self._members.was_fleet_running_at_start()
+        )
+        if (
+            candidates != self._candidates
+            or is_fleet_start != self._is_fleet_start
+        ):
             self._candidates = candidates
-            self._is_burst = is_burst
+            self._is_fleet_start = is_fleet_start
             self._owners.clear()
 
     def _list_candidates(self, now: float) -> tuple[ownership.Candidate, ...]:
@@ -203,7 +214,7 @@
             for r in self._members.list_fresh(now)
             if self._may_own(r) and r.instance not in self._unresponsive
         ]
-        if not found and self.is_early(now):
+        if not found and self.has_just_started(now):
             # The others are starting too. If each instance took itself for
             # the owner, each would grant all slots.
             return ()
@@ -233,8 +244,8 @@
     ) -> tuple[ownership.Candidate, ...]:
         # A service of several pools has more requests than the seeds of a
         # fleet could lease slots to.
-        if self._is_burst and self.count_pools(pool.service) == 1:
-            return ownership.list_starters(self._candidates)
+        if self._is_fleet_start and self.count_pools(pool.service) == 1:
+            return ownership.list_fleet_start_owners(self._candidates)
         return self._candidates
 
     def _record_owner(
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -7,6 +7,7 @@
 from citronport.relay import events
 from citronport.relay import jobs
 from citronport.relay import metrics
+from citronport.relay import request_events
 from citronport.relay import upstream
 from citronport.scheduler.direct import data_centres
 
@@ -221,7 +222,7 @@
     _count_end(context, job, progress)
     work = job.work
     context.log.write(
-        events.RequestEnded(
+        request_events.RequestEnded(
             request=work.request_id,
             route=work.route.name,
             repeat=str(work.route.repeat),
--- a/citronport/relay/request_events.py
+++ b/citronport/relay/request_events.py
@@ -1,4 +1,4 @@
-"""Events of requests that are written at their end."""
+"""The log event of a request's end; see ``events``."""
 
 import msgspec
 
--- a/citronport/relay/service_view.py
+++ b/citronport/relay/service_view.py
@@ -14,9 +14,8 @@
 from citronport.scheduler.direct import selection
 
 ROLE_CACHE_SECONDS = 0.05
-"""How long the list of instances is cached. Reports that change it arrive at
-intervals of 0.1 s or more, and choosing an endpoint takes less time than
-building the list of ninety instances."""
+"""How long the list of instances is cached. Building it takes longer than a
+choice of endpoint, and reports that change it are less frequent."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -82,9 +82,9 @@
             once.
         overdue_factor: multiple of the expected time to a request's first
             event, or to its plain answer, after which it is overdue, unless
-            that is within its objective; 0 if no request ever is. Engines
-            that are slow for a time need 3 or more, plain services whose
-            answer times vary by 5 times need 6.
+            that is within its objective; 0 if no request ever is. Set it
+            above the usual spread of the service's times to the first event
+            or answer; a smaller value counts slow endpoints as silent.
     """
 
     fair_shares: bool = False
--- a/citronport/relay/startup.py
+++ b/citronport/relay/startup.py
@@ -68,16 +68,16 @@
             self._log.write(events.Ready(ready=ready))
         self._ready, self._starting = ready, starting
         if self._knows_owners is not None:
-            # A report asks for this state, so that a report from here would
-            # recur.
+            # Making a report calls is_ready, so report from another greenlet
+            # to avoid recursion.
             gevent.spawn(self._report_change)
         return ready
 
     def is_starting(self) -> bool:
         """Return whether it has a configuration and discovers the others.
 
-        It is the state at the last call of ``is_ready``, so that a report
-        does not state that an instance is neither ready nor starting.
+        It is the state at the last call of ``is_ready``, so that one report
+        has consistent values.
         """
         return self._starting
 
--- a/citronport/scheduler/direct/data_centres.py
+++ b/citronport/scheduler/direct/data_centres.py
@@ -1,4 +1,4 @@
-"""Tells endpoints of the own data centre from those of other ones."""
+"""Distinguishes local from remote endpoints."""
 
 import random
 
--- a/citronport/scheduler/direct/early_refusal.py
+++ b/citronport/scheduler/direct/early_refusal.py
@@ -11,7 +11,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Unreachable:
+class Unservable:
     """A request that can't get a slot in time.
 
     Attributes:
@@ -30,12 +30,10 @@
     the queue. A request that becomes late, or whose wait ends before its
     turn, leaves its place to the next one.
 
-    The forecast never overestimates the wait of a request. It is uncertain
-    whether a request takes its turn if it may decline a slot, or may become
-    late or expire before it, because of other uncertain ones. What follows of
-    its workspace in the same level is uncertain then, too. Uncertain requests
-    are not counted before others, and each is examined for the earliest turn
-    that it can get.
+    A request is certain if it takes a slot at its turn. It is uncertain if it
+    may decline the slot, become late or expire first; then all later requests
+    of its workspace and level are uncertain too. Only certain requests count
+    as ahead of others, so that a wait is never overestimated.
 
     Args:
         shares: tags of the workspaces.
@@ -45,7 +43,7 @@
         now: clock time, seconds.
         get_late_at: returns the clock time after which a request can't meet
             its objective, seconds.
-        get_picky_until: returns the clock time until which a request may
+        get_may_decline_until: returns the clock time until which a request may
             decline a free slot, seconds.
     """
 
@@ -56,30 +54,30 @@
         idle_slots: int,
         now: float,
         get_late_at: collections.abc.Callable[[wait_queue.Waiter], float],
-        get_picky_until: collections.abc.Callable[[wait_queue.Waiter], float],
+        get_may_decline_until: collections.abc.Callable[
+            [wait_queue.Waiter], float
+        ],
     ) -> None:
         self._shares = shares
         self._slot_rate = slot_rate
         self._now = now
         self._get_late_at = get_late_at
-        self._get_picky_until = get_picky_until
+        self._get_may_decline_until = get_may_decline_until
         self._idle_slots = idle_slots
-        # Requests that surely take a slot before the next one, and those
-        # that may.
-        self._ahead = 0
-        self._maybe_ahead = 0
+        self._certain_ahead = 0
+        self._uncertain_ahead = 0
         self._key: fair_shares.TagKey = (0, 0, False)
         self._weights: collections.abc.Mapping[str, float] = {}
         self._uncertain: set[tuple[fair_shares.Level, str]] = set()
         self._tags: dict[tuple[fair_shares.TagKey, str], float] = {}
-        self._found: list[Unreachable] = []
+        self._found: list[Unservable] = []
 
-    def find_unreachable(
+    def find_unservable(
         self,
         groups: collections.abc.Mapping[
             fair_shares.Urgency, list[wait_queue.Waiter]
         ],
-    ) -> list[Unreachable]:
+    ) -> list[Unservable]:
         """Return the requests that get no slot in time.
 
         Args:
@@ -135,11 +133,11 @@
             self._uncertain |= {(level, name) for name in flows}
         for name, flow in flows.items():
             if (level, name) in self._uncertain:
-                self._maybe_ahead += len(flow)
+                self._uncertain_ahead += len(flow)
 
     @property
     def _wait_seconds(self) -> float:
-        return max(0, self._ahead - self._idle_slots) / self._slot_rate
+        return max(0, self._certain_ahead - self._idle_slots) / self._slot_rate
 
     @property
     def _turn_at(self) -> float:
@@ -147,7 +145,7 @@
 
     @property
     def _latest_turn_at(self) -> float:
-        requests = self._ahead + self._maybe_ahead
+        requests = self._certain_ahead + self._uncertain_ahead
         return self._now + requests / self._slot_rate
 
     def _make_entry(
@@ -177,16 +175,16 @@
         seconds = self._wait_seconds
         wait_end = wait_queue.compute_wait_end(waiter)
         if seconds and self._turn_at > wait_end:
-            self._found.append(Unreachable(waiter=waiter, seconds=seconds))
+            self._found.append(Unservable(waiter=waiter, seconds=seconds))
             return
         if flow in self._uncertain:
             return
-        is_picky = self._turn_at < self._get_picky_until(waiter)
-        if is_picky or self._latest_turn_at > min(wait_end, late_at):
+        may_decline = self._turn_at < self._get_may_decline_until(waiter)
+        if may_decline or self._latest_turn_at > min(wait_end, late_at):
             self._uncertain.add(flow)
-            self._maybe_ahead += 1 + following
+            self._uncertain_ahead += 1 + following
             return
         weight = self._weights.get(work.workspace, 1.0)
         tag = self._get_tag(work.workspace)
         self._tags[self._key, work.workspace] = tag + waiter.cost / weight
-        self._ahead += 1
+        self._certain_ahead += 1
--- a/citronport/scheduler/direct/fair_shares.py
+++ b/citronport/scheduler/direct/fair_shares.py
@@ -19,9 +19,9 @@
 
 
 TagKey = tuple[int, int, bool]
-"""Tier, route tier, and whether requests are late. Late requests have tags of
-their own: what a workspace with late requests only did not get, while timely
-ones went first, is no credit towards its timely requests."""
+"""Tier, route tier, and whether requests are late. Late requests have separate
+tags, so that a workspace whose requests are all late gains no advantage for
+its timely ones."""
 
 
 def get_level(work: models.Work) -> Level:
@@ -57,8 +57,8 @@
     cancelled or expires costs its workspace nothing.
 
     Args:
-        compute_cost: returns the expected time in a slot; its unit is the
-            same for all requests of the service.
+        compute_cost: returns the expected time in a slot, in steps of an
+            engine; 1 for a plain service.
         get_weights: returns the weights of workspaces with a limit.
     """
 
@@ -113,8 +113,8 @@
         tags = self._tags[*level, is_late]
         weight = self._arranged_weights[level].get(work.workspace, 1.0)
         start = tags.charge(work.workspace, waiter.cost, weight)
-        # Bound streams are granted before lower tags. Their tags would
-        # move workspaces that return from idleness behind all others.
+        # Resumed streams bypass the order of tags; advancing to their tags
+        # would put workspaces that return from idleness behind all others.
         if work.software is None:
             tags.advance(start)
             tags.prune()
--- a/citronport/scheduler/direct/long_answers.py
+++ b/citronport/scheduler/direct/long_answers.py
@@ -10,12 +10,11 @@
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import runs
 
-LENGTH_MARGIN = 1.5
-"""Factor on the expected length, as half of the callers' estimates are too
-low."""
+LENGTH_FACTOR = 1.5
+"""Factor on the expected length, since callers may underestimate it."""
 
 
-def compute_max_step_ms(work: models.Work, now: float) -> float:
+def compute_max_answer_step_ms(work: models.Work, now: float) -> float:
     """Return the longest step time with which an answer ends in time.
 
     Args:
@@ -25,7 +24,7 @@
     Returns:
         Milliseconds per step; infinite if the request generates no tokens.
     """
-    tokens = min(LENGTH_MARGIN * work.expected_tokens, work.output_tokens)
+    tokens = min(LENGTH_FACTOR * work.expected_tokens, work.output_tokens)
     if tokens <= 0:
         return float("inf")
     return (work.deadline - now) / (tokens * runs.SECONDS_PER_MS)
@@ -51,7 +50,7 @@
         All of ``endpoints`` if no endpoint of the service is fast enough, as
         no wait would help.
     """
-    max_step_ms = compute_max_step_ms(work, now)
+    max_step_ms = compute_max_answer_step_ms(work, now)
     found = [e for e in endpoints if get_step_ms(e.name) <= max_step_ms]
     if len(found) == len(endpoints):
         return endpoints
--- a/citronport/scheduler/direct/ownership.py
+++ b/citronport/scheduler/direct/ownership.py
@@ -20,9 +20,9 @@
 instances are busy with their own callers."""
 
 
-START_SECONDS = 2.0
-"""Time after the start of an instance in which it knows too little of the
-loads to choose endpoints by itself while an owner may answer."""
+LOADS_UNKNOWN_SECONDS = 2.0
+"""Time after its start in which an instance has too few load reports to choose
+endpoints by itself if an owner may answer."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,15 +67,15 @@
     )
 
 
-def list_starters(
+def list_fleet_start_owners(
     candidates: tuple[Candidate, ...],
 ) -> tuple[Candidate, ...]:
     """Return the candidates that own endpoints while a whole fleet starts.
 
-    All instances know the seeds within milliseconds, and the others of other
-    data centres a third of a second later. If all candidates counted, each
-    data centre would choose an owner of its own, and each owner would grant
-    all slots.
+    All instances contact the seeds first and therefore know the same seeds.
+    Other candidates of other data centres become known only with summaries;
+    if they counted, each data centre would choose its own owner, and each
+    owner would grant all slots.
 
     Returns:
         The seeds; all candidates if no seed is one.
--- a/citronport/scheduler/direct/runs.py
+++ b/citronport/scheduler/direct/runs.py
@@ -7,6 +7,9 @@
 """Converts step times, which are in milliseconds. In one step an engine
 generates a token for each running request."""
 
+NANOSECONDS_PER_MS = 1_000_000
+"""Converts paces in messages, which are step times in nanoseconds."""
+
 SPAN_EVENTS = 4
 """Events in one measured span. Shorter spans are too coarse, as several
 events may arrive at the same time."""
--- a/citronport/scheduler/direct/selection.py
+++ b/citronport/scheduler/direct/selection.py
@@ -179,14 +179,16 @@
             endpoints: the endpoints to choose from.
             typical_step_ms: as returned by ``find_typical_step_ms``.
         """
-        max_step = self.compute_max_step_ms(work, service, typical_step_ms)
+        max_step = self.compute_max_prompt_step_ms(
+            work, service, typical_step_ms
+        )
         if max_step == math.inf:
             return list(endpoints)
         return [
             e for e in endpoints if self._loads.get_step_ms(e.name) <= max_step
         ]
 
-    def compute_max_step_ms(
+    def compute_max_prompt_step_ms(
         self,
         work: models.Work,
         service: models.Service,
--- a/citronport/scheduler/direct/wait_queue.py
+++ b/citronport/scheduler/direct/wait_queue.py
@@ -21,8 +21,9 @@
 """Shortest retry delay for a request that got no slot in time."""
 
 MIN_ASK_SECONDS = 0.05
-"""How long an instance asks an owner for a slot if the request may not
-wait."""
+"""Time to wait for an owner's answer to a request that may not wait. Shorter
+than ``lease_client.ANSWER_TIMEOUT_SECONDS``, so that a missing answer does not
+mark the owner as unresponsive."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,7 +50,8 @@
         handle: object with which the runtime wakes it.
         leased: whether it belongs to another instance, which leases its
             slot from this one.
-        cost: expected time in a slot; set by a queue with shares.
+        cost: expected time in a slot, in steps of an engine; 1 for a plain
+            service. It is set by a queue with shares.
     """
 
     work: models.Work
@@ -164,7 +166,10 @@
         return groups
 
     def compute_late_at(self, waiter: Waiter) -> float:
-        """Return the time of the last send that meets the objective."""
+        """Return the clock time of the last send in time, seconds.
+
+        A request that is sent later can't meet its objective.
+        """
         work = waiter.work
         expected = self._expect_first_event(work)
         return work.arrived + work.route.objective - expected
--- a/tests/relay/test_fair_queues.py
+++ b/tests/relay/test_fair_queues.py
@@ -39,7 +39,7 @@
         gevent.sleep(0)
         # The endpoint turns slow, so that the second one has no chance.
         room.board.apply_step_ms("other", "e1", 300.0)
-        room.dispatcher.match_regularly()
+        room.dispatcher.match_queues(refuse_early=True)
         gevent.sleep(0)
         return room, waiting
 
@@ -73,7 +73,7 @@
         for number in range(5):
             server.handle_ask(self.make_ask(f"r{number}"))
         node.room.board.apply_step_ms("other", "e1", 300.0)
-        node.room.dispatcher.match_regularly()
+        node.room.dispatcher.match_queues(refuse_early=True)
         full = [m.request for m in sent if isinstance(m, messages.Full)]
         self.assertEqual(["r4"], full)
         self.assertNotIn("r4", server._applicants)
--- a/tests/relay/test_fleet_start.py
+++ b/tests/relay/test_fleet_start.py
@@ -75,7 +75,7 @@
             self.startup.is_ready,
             room.log,
             lambda: None,
-            owners.EarlyOwners(
+            owners.StartupOwnership(
                 started_at=self.started_at,
                 peer_address=self.address,
                 seeds=frozenset(map(str, seeds)),
--- a/tests/relay/test_leasing.py
+++ b/tests/relay/test_leasing.py
@@ -237,7 +237,7 @@
     def acquire_just_started(self, age):
         """Return what an instance of an age gets from a dead owner's fleet."""
         now = self.one.room.ticker.now()
-        early = owners_module.EarlyOwners(
+        early = owners_module.StartupOwnership(
             started_at=now - age,
             peer_address="10.0.0.9:9",
             seeds=frozenset(),
@@ -260,7 +260,7 @@
 
     def test_older_instance_chooses_by_itself(self):
         """Guards against a request that asks one dead owner after another."""
-        age = ownership.START_SECONDS
+        age = ownership.LOADS_UNKNOWN_SECONDS
         self.assertFalse(self.acquire_just_started(age).leased)
 
     def test_successor_of_a_leaving_owner_learns_the_leases(self):
--- a/tests/relay/test_pages.py
+++ b/tests/relay/test_pages.py
@@ -9,6 +9,7 @@
 from citronport.relay import eventlog
 from citronport.relay import events
 from citronport.relay import metrics
+from citronport.relay import request_events
 from citronport.relay import silence_events
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -63,7 +64,7 @@
         """Each event has a row, and each row is an event."""
         kinds = [
             value
-            for module in (events, silence_events)
+            for module in (events, request_events, silence_events)
             for value in vars(module).values()
             if isinstance(value, type) and issubclass(value, msgspec.Struct)
         ]
--- a/tests/relay/test_remote_penalty.py
+++ b/tests/relay/test_remote_penalty.py
@@ -20,7 +20,7 @@
 )
 """Endpoints that were chosen before data centres were taken into account."""
 
-PLACES = ("a", "b", "c")
+DATA_CENTRES = ("a", "b", "c")
 
 
 class Handle:
@@ -34,7 +34,7 @@
         self.reservation = reservation
 
 
-class Room(samples.DispatcherFixture):
+class DispatcherCase(samples.DispatcherFixture):
     """An instance among many, which has no owner to ask.
 
     Args:
@@ -46,7 +46,7 @@
     def __init__(self, number, instances, service=None):
         super().__init__(
             [
-                samples.make_endpoint(f"e{n}", data_centre=PLACES[n % 3])
+                samples.make_endpoint(f"e{n}", data_centre=DATA_CENTRES[n % 3])
                 for n in range(number)
             ],
             clock.ManualClock(),
@@ -77,14 +77,14 @@
     """Return the numbers of the endpoints that recorded requests get."""
     random.seed(7)
     draw = random.Random(11)
-    room = Room(12, 30)
+    room = DispatcherCase(12, 30)
     for number in range(12):
         room.board.apply_step_ms("other", f"e{number}", draw.uniform(1, 8))
     chosen = []
     for number in range(60):
         endpoint = room.choose(
             f"r{number}",
-            draw.choice((*PLACES, "")),
+            draw.choice((*DATA_CENTRES, "")),
             leased=draw.random() < 0.5,
             prompt_tokens=draw.randrange(100, 4000),
         )
@@ -103,11 +103,11 @@
 
     def test_data_centre_of_the_sender_counts(self):
         """Guards against a lease near the owner instead of the sender."""
-        room = Room(3, 2)
+        room = DispatcherCase(3, 2)
         room.dispatcher.update_scheduling(
             settings_module.Scheduling(remote_penalty=0.3)
         )
-        for place in (*PLACES, *PLACES):
+        for place in (*DATA_CENTRES, *DATA_CENTRES):
             found = room.choose(f"r {place}", place, leased=True)
             self.assertEqual(place, found.data_centre)
 
@@ -117,7 +117,7 @@
         Three endpoints and 63 instances give a sample of one endpoint.
         """
         service = samples.make_service(engine=None, cold_rate=0.0)
-        room = Room(3, 63, service)
+        room = DispatcherCase(3, 63, service)
         room.dispatcher.update_scheduling(
             settings_module.Scheduling(remote_penalty=0.3)
         )
@@ -132,7 +132,7 @@
         """Guards against a local queue beside free slots elsewhere."""
         service = samples.make_service(engine=None, cold_rate=0.0)
         for _ in range(20):
-            room = Room(3, 63, service)
+            room = DispatcherCase(3, 63, service)
             room.dispatcher.update_scheduling(
                 settings_module.Scheduling(remote_penalty=1.0)
             )
--- a/tests/scheduler/direct/test_data_centres.py
+++ b/tests/scheduler/direct/test_data_centres.py
@@ -18,14 +18,16 @@
 from tests.relay import samples
 
 NOW = 100.0
-PLACES = ("a", "b", "c")
+DATA_CENTRES = ("a", "b", "c")
 SENDER = roles.Sender("own", ("own",))
 
 
 def make_endpoints(number, slots=4):
     """Return endpoints in the data centres by turns."""
     return [
-        samples.make_endpoint(f"e{n}", data_centre=PLACES[n % 3], slots=slots)
+        samples.make_endpoint(
+            f"e{n}", data_centre=DATA_CENTRES[n % 3], slots=slots
+        )
         for n in range(number)
     ]
 
@@ -157,7 +159,7 @@
         numbers = itertools.count()
         draw = random.Random(4)
         events = []
-        for turn, place in enumerate(PLACES):
+        for turn, place in enumerate(DATA_CENTRES):
             now = 0.0
             while (now := now + draw.expovariate(19.0)) < self.SECONDS:
                 wave = math.sin(2 * math.pi * (now / 8.0 + turn / 3))
--- a/tests/scheduler/direct/test_fair_shares.py
+++ b/tests/scheduler/direct/test_fair_shares.py
@@ -139,7 +139,7 @@
         return len(self.ends)
 
 
-def is_picky(waiter):
+def may_decline(waiter):
     """Return whether a request may decline a slot."""
     return bool(waiter.work.software or waiter.tried)
 
@@ -152,8 +152,8 @@
         idle_slots,
         now,
         queue.compute_late_at,
-        lambda w: float("inf") if is_picky(w) else float("-inf"),
-    ).find_unreachable(queue.group_by_urgency(now))
+        lambda w: float("inf") if may_decline(w) else float("-inf"),
+    ).find_unservable(queue.group_by_urgency(now))
 
 
 class FairSharesTest(testtools.TestCase):
@@ -305,7 +305,7 @@
 class EarlyRefusalTest(testtools.TestCase):
     """Random queues, played to their end without further arrivals."""
 
-    def make(self, seed, picky_share):
+    def make(self, seed, declining_share):
         """Return a queue of a hundred requests, and its slot rate."""
         draw = random.Random(seed)
         queue = make_queue(
@@ -318,7 +318,7 @@
         ]
         for number in range(100):
             route = draw.choice(routes)
-            is_picky = draw.random() < picky_share
+            may_decline = draw.random() < declining_share
             waiter = add(
                 queue,
                 f"{number}",
@@ -327,10 +327,10 @@
                 route=route,
                 prompt_tokens=draw.randrange(4000),
                 expected_tokens=draw.randrange(10, 500),
-                software="v1" if is_picky and draw.random() < 0.5 else None,
+                software="v1" if may_decline and draw.random() < 0.5 else None,
                 deadline=draw.uniform(0.3, 4.0),
             )
-            if is_picky and draw.random() < 0.7:
+            if may_decline and draw.random() < 0.7:
                 waiter.tried = frozenset(("e1",))
         return queue, draw.uniform(20.0, 120.0), draw
 
@@ -346,7 +346,7 @@
             slots = [1]
 
             def choose(waiter, slots=slots):
-                if is_picky(waiter) and draw.random() < 0.7:
+                if may_decline(waiter) and draw.random() < 0.7:
                     return None
                 return slots.pop()
 
