Describe silent endpoints and quotas in plain terms

Cause: silent endpoints were called paused, as those are that ask for a pause, and names such as room and excused did not say what they hold.

--- a/citronport/relay/head_timeouts.py
+++ b/citronport/relay/head_timeouts.py
@@ -1,4 +1,4 @@
-"""Decides how long a request waits for the first byte of its response."""
+"""Decides when an overdue request is sent to another endpoint."""
 
 import collections.abc
 
@@ -12,7 +12,7 @@
 
 
 class HeadTimeouts:
-    """Gives an overdue request up where another endpoint may begin it.
+    """Decides when an overdue request is sent to another endpoint.
 
     Args:
         context: components shared by all requests.
@@ -59,7 +59,7 @@
         if self._context.cluster_state.is_cold(endpoint.name, now):
             return None
 
-        def give_up() -> bool:
+        def should_stop() -> bool:
             # The run at this endpoint is not counted yet.
             possible_runs = self._progress.possible_runs + 1
             return (
@@ -73,11 +73,14 @@
             seconds=overdue.compute_limit(
                 factor, reservation.placement.seconds, route.objective
             ),
-            give_up=give_up,
+            should_stop=should_stop,
         )
 
     def _is_at_fault(self, reservation: dispatcher_module.Reservation) -> bool:
-        """Return whether the endpoint is at fault, and no path or load."""
+        """Return whether the delay is due to the endpoint.
+
+        It may also be due to the path or to the load of the endpoint.
+        """
         context = self._context
         endpoint = reservation.endpoint
         since = reservation.run.sent_at
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -255,7 +255,7 @@
     gauge("endpoints_leaving", "Those about to stop.", state.leaving)
     gauge("endpoints_paused", "Those that asked for a pause.", state.paused)
     gauge("path_lost", "1 while no endpoint is reached.", int(state.path_lost))
-    gauge("leases", "Places handed out to others now.", state.leases)
+    gauge("leases", "Leases held by others now.", state.leases)
     gauge(
         "requests_barred",
         "Requests not sent, as endpoints ended under them.",
--- a/citronport/relay/silence.py
+++ b/citronport/relay/silence.py
@@ -1,4 +1,4 @@
-"""Skips endpoints that begin no request."""
+"""Finds endpoints that begin no request and skips them."""
 
 import collections.abc
 
@@ -20,7 +20,7 @@
 
 
 class SilenceCheck:
-    """Pauses endpoints that begin no request, as far as is known here.
+    """Finds endpoints that begin no request, as far as is known here.
 
     Args:
         cluster_state: current configuration and endpoints.
@@ -55,7 +55,7 @@
         self._checked_at = ticker.now()
 
     def check(self) -> None:
-        """Pause the endpoints that turn out to be silent."""
+        """Skip the endpoints that turn out to be silent."""
         now = self._ticker.now()
         gap, self._checked_at = now - self._checked_at, now
         if not self._loads.overdue.factor or self._is_path_lost():
@@ -116,7 +116,7 @@
             name=endpoint.name,
             seconds=self._selector.estimate_waiting(service, endpoint),
             objective=objective,
-            is_excused=self._cold.is_cold(endpoint.name, now)
+            may_delay=self._cold.is_cold(endpoint.name, now)
             or has_begun_on_all_slots(self._loads, endpoint, service),
         )
 
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -80,12 +80,12 @@
     """How long to wait for the first byte of a response.
 
     Attributes:
-        seconds: time after which ``give_up`` is called once.
-        give_up: returns whether to stop waiting; must not wait itself.
+        seconds: time after which ``should_stop`` is called once.
+        should_stop: returns whether to close the connection; does not block.
     """
 
     seconds: float
-    give_up: collections.abc.Callable[[], bool]
+    should_stop: collections.abc.Callable[[], bool]
 
 
 Failure = Unreachable | Broken | NotRun | Replaced | Barred | Paused | Overdue
@@ -135,7 +135,7 @@
             if (
                 head_timeout is not None
                 and not conn.wait_for_input(head_timeout.seconds)
-                and head_timeout.give_up()
+                and head_timeout.should_stop()
             ):
                 self.close()
                 return Overdue()
--- a/citronport/scheduler/direct/buckets.py
+++ b/citronport/scheduler/direct/buckets.py
@@ -73,7 +73,7 @@
         self.level -= units
         self.reserved = max(0.0, self.reserved - units)
 
-    def give_back(self, units: float) -> None:
+    def refund(self, units: float) -> None:
         """Return units that were taken for a request that did not run."""
         self.level += units
         self.unreported = max(0.0, self.unreported - units)
--- a/citronport/scheduler/direct/health.py
+++ b/citronport/scheduler/direct/health.py
@@ -70,10 +70,10 @@
         return True
 
     def record_silent(self, endpoint: str, now: float) -> None:
-        """Record that an endpoint begins no request, which starts a pause.
+        """Record that an endpoint begins no request.
 
-        Failed requests do not end it, as these may be requests that waited
-        there until their deadlines.
+        It is skipped for a while. Failed requests do not end that, as these
+        may be requests that waited there until their deadlines.
         """
         self.record_unreachable(endpoint, now)
         self._records[endpoint].silent = True
--- a/citronport/scheduler/direct/overdue.py
+++ b/citronport/scheduler/direct/overdue.py
@@ -11,8 +11,9 @@
 MAX_SILENT_SHARE = 0.25
 """Largest share of a service's endpoints that is skipped as silent."""
 
-EVIDENCE_SECONDS = 10.0
-"""How long a request that was given up as overdue counts."""
+GIVEN_UP_RETENTION_SECONDS = 10.0
+"""How long a request that was sent elsewhere counts as overdue at its first
+endpoint."""
 
 MAX_GIVEN_UP = 8
 """Requests that were given up and are kept, for each endpoint."""
@@ -26,15 +27,14 @@
         name: name of the endpoint.
         seconds: expected time until the waiting requests begin, seconds.
         objective: longest objective of a route to its service, seconds.
-        is_excused: whether its requests may wait without a fault of it, as
-            it is cold or all its slots are taken. Their age counts from the
-            end of that.
+        may_delay: whether waiting there is no fault, as the endpoint is cold
+            or all its slots are taken; ages restart meanwhile.
     """
 
     name: str
     seconds: float
     objective: float
-    is_excused: bool = False
+    may_delay: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -251,15 +251,15 @@
             now: clock time, seconds.
         """
         found = [s for t in targets if (s := self._check(t, listed, now))]
-        room = int(MAX_SILENT_SHARE * len(listed)) - len(
+        max_new = int(MAX_SILENT_SHARE * len(listed)) - len(
             self._silent.intersection(listed)
         )
         skipped = []
         for silent in sorted(found, key=lambda s: s.age, reverse=True):
             if silent.endpoint not in self._silent:
-                if room <= 0:
+                if max_new <= 0:
                     continue
-                room -= 1
+                max_new -= 1
                 self._silent.add(silent.endpoint)
             self._records[silent.endpoint].skipped_at = now
             skipped.append(silent)
@@ -274,14 +274,14 @@
         record = self._records.get(target.name)
         if record is None:
             return None
-        if target.is_excused:
+        if target.may_delay:
             for waiting in record.waiting.values():
                 waiting.sent_at = now
             return None
         late = self._list_late(record, target, now)
         is_silent = target.name in self._silent
         if is_silent:
-            # Only probes count; the earlier requests led to the first pause.
+            # Only probes count; it is skipped for the earlier requests.
             late = [w for w in late if w.sent_at > record.skipped_at]
         if len(late) < (1 if is_silent else MIN_OVERDUE):
             return None
@@ -301,7 +301,7 @@
         self, record: _Record, target: Target, now: float
     ) -> list[_Waiting]:
         given_up = record.given_up
-        while given_up and now - given_up[0][0] > EVIDENCE_SECONDS:
+        while given_up and now - given_up[0][0] > GIVEN_UP_RETENTION_SECONDS:
             given_up.popleft()
         late = [waiting for _, waiting in given_up]
         for waiting in record.waiting.values():
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -41,8 +41,8 @@
 knows: if all have started at once, it does not know most of them yet."""
 
 STARTUP_LAG_SECONDS = 0.5
-"""Shortest delay of reports that a new instance assumes. It knows only a part
-of a large fleet at first, whose reports to all take longer than to these."""
+"""Smallest report delay that a new instance assumes, since it knows only a
+part of a large fleet."""
 
 MAJORITY = 0.5
 """Share of the instances above which a partition is the majority; there is
@@ -77,9 +77,9 @@
         self._over = over
         self._slack = slack
         self._buckets: dict[str, bucket_module.Bucket] = {}
-        # Units that others admitted before this instance, while it is new,
-        # had a bucket to charge them to.
-        self._early_usage: usage.Units = {}
+        # Units that other instances admitted, by workspace, until this new
+        # instance creates the workspace's bucket.
+        self._usage_without_bucket: usage.Units = {}
         self._usage = usage.Usage()
         self._started = started
 
@@ -117,7 +117,7 @@
         rate, burst = self._compute_share(workspace, reach, lag)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            used = self._early_usage.pop(workspace.name, 0.0)
+            used = self._usage_without_bucket.pop(workspace.name, 0.0)
             bucket = bucket_module.Bucket(workspace.burst - used, now)
             self._buckets[workspace.name] = bucket
         bucket.refill(rate, burst, lag, now)
@@ -205,8 +205,8 @@
                 bucket.level -= units
                 bucket.record_usage(max(0.0, units), now)
             elif now - self._started < STARTUP_SECONDS:
-                early = self._early_usage.get(name, 0.0)
-                self._early_usage[name] = early + units
+                early = self._usage_without_bucket.get(name, 0.0)
+                self._usage_without_bucket[name] = early + units
 
     def refund(self, workspace: models.Workspace, units: float) -> None:
         """Undo the admission of a request that was refused and has not run.
@@ -217,7 +217,7 @@
         bucket = self._buckets.get(workspace.name)
         if bucket is None or workspace.rate <= 0:
             return
-        bucket.give_back(units)
+        bucket.refund(units)
         self._usage.add(workspace.name, -units)
 
     def _compute_share(
--- a/citronport/scheduler/direct/usage.py
+++ b/citronport/scheduler/direct/usage.py
@@ -74,8 +74,8 @@
         The first report of an instance only sets the baseline. Otherwise an
         instance that has just started would charge all past usage of the
         others, and refuse all workspaces until their bursts are refilled.
-        What an instance that is new itself has admitted is charged: if all
-        have started at once, that is the whole usage so far.
+        If the sender has just started, its first totals are charged as well:
+        after a start of the whole fleet they are all usage so far.
 
         Args:
             sender: name of the other instance.
--- a/tests/scheduler/direct/test_overdue.py
+++ b/tests/scheduler/direct/test_overdue.py
@@ -37,14 +37,14 @@
         """Let another endpoint begin a request."""
         self.tracker.record_begun("e7", "other", now)
 
-    def find(self, now=1.0, listed=LISTED, seconds=0.0, is_excused=False):
+    def find(self, now=1.0, listed=LISTED, seconds=0.0, may_delay=False):
         """Return the endpoints found silent."""
         targets = [
             overdue.Target(
                 name=name,
                 seconds=seconds,
                 objective=OBJECTIVE,
-                is_excused=is_excused,
+                may_delay=may_delay,
             )
             for name in sorted(self.tracker.list_endpoints())
         ]
@@ -98,7 +98,7 @@
         self.hang()
         self.assertEqual([], self.find(2.8 * EXPECTED))
         self.assertEqual([], self.find(5.0, seconds=3.0))
-        self.assertEqual([], self.find(5.0, is_excused=True))
+        self.assertEqual([], self.find(5.0, may_delay=True))
         self.assertEqual([], self.find(5.7))
         self.hang("e1")
         for request in ("e1-1", "e1-2"):
