--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -49,7 +49,6 @@
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
-from citronport.scheduler.direct import overdue
 from citronport.scheduler.direct import pauses
 from citronport.scheduler.direct import quota
 from citronport.scheduler.direct import retries
@@ -174,10 +173,7 @@
             self.health,
             self.cold,
             self.limits,
-            # What was sent over a path that was lost may still hang.
-            lambda: self.paths.was_lost_since(
-                ticker.now() - overdue.EVIDENCE_SECONDS
-            ),
+            self.paths.was_lost_since,
             ticker,
             self.log,
         )
@@ -285,7 +281,7 @@
             self.startup.is_discovering,
             ticker,
         )
-        self.directory = lookups.Directory(
+        self.lookup_addresses = lookups.LookupAddresses(
             str(settings.callers),
             settings.capacity,
             self.members,
@@ -371,11 +367,11 @@
             self.log,
         )
 
-    def _make_early_owners(self) -> owners_module.EarlyOwners | None:
+    def _make_early_owners(self) -> owners_module.StartupOwnership | None:
         settings = self._settings
         if not settings.scheduling.early_owners:
             return None
-        return owners_module.EarlyOwners(
+        return owners_module.StartupOwnership(
             started_at=self.started_at,
             peer_address=str(settings.peers),
             seeds=frozenset(map(str, settings.seeds)),
@@ -388,7 +384,7 @@
             self._forwards,
             *listeners.make_other_servers(
                 self._settings,
-                application.Lookups(self.directory.list_addresses),
+                application.Lookups(self.lookup_addresses.list_addresses),
                 application.Readiness(self.is_ready),
                 application.Metrics(
                     lambda: state.read_state(self, self._ticker.now()),
--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -47,9 +47,9 @@
 fleet of 60, each reader then sends 15 reports. If both announcements are lost,
 the next report of any instance that has the change shows its revision."""
 
-MEET_SECONDS = 1.0
-"""How long an instance that has contacted this one as a seed gets a report of
-each change of this one's state; by then it gets summaries."""
+SEED_CONTACT_SECONDS = 1.0
+"""How long after contacting this instance as a seed another one gets each
+change of state at once. Summaries reach it after that."""
 
 GROUP_SIZE = 12
 """Reports sent without a pause: 24 KB take 20 ms on the slowest link."""
@@ -97,7 +97,7 @@
         self._seed_backoff_seconds = FIRST_SEED_SECONDS / 2
         self._reachable: set[str] = set()
         # Time of the latest contact, by address.
-        self._met: dict[str, float] = {}
+        self._seed_contacts: dict[str, float] = {}
 
     def update_settings(self, settings: settings_module.Settings) -> None:
         """Use new settings; the addresses of this instance don't change."""
@@ -181,17 +181,17 @@
         """
         now = self._ticker.now()
         self._drop_past_contacts(now)
-        targets = {*self._members.list_addresses(now), *self._met}
+        targets = {*self._members.list_addresses(now), *self._seed_contacts}
         targets.discard(str(self._settings.peers))
         data = messages.CODEC.encode(self._make_report())
         for target in targets:
             self._send_datagram(data, target)
 
     def _drop_past_contacts(self, now: float) -> None:
-        self._met = {
+        self._seed_contacts = {
             address: at
-            for address, at in self._met.items()
-            if now - at <= MEET_SECONDS
+            for address, at in self._seed_contacts.items()
+            if now - at <= SEED_CONTACT_SECONDS
         }
 
     def _choose_seed_interval(self, now: float) -> float:
@@ -283,7 +283,7 @@
         # forward these summaries to it.
         now = self._ticker.now()
         self._drop_past_contacts(now)
-        self._met[meet.peer_address] = now
+        self._seed_contacts[meet.peer_address] = now
         if self._members.is_remote(meet.data_centre):
             report = self._make_report(meet.data_centre)
             self._send_datagram(
--- a/citronport/relay/silence.py
+++ b/citronport/relay/silence.py
@@ -1,4 +1,4 @@
-"""Skips endpoints that begin no request."""
+"""Finds endpoints that begin no request and skips them."""
 
 import collections.abc
 
@@ -21,7 +21,7 @@
 
 
 class SilenceCheck:
-    """Pauses endpoints that begin no request, as far as is known here.
+    """Finds endpoints that begin no request, as far as is known here.
 
     Args:
         cluster_state: current configuration and endpoints.
@@ -29,8 +29,8 @@
         health: health of endpoints.
         cold: endpoints that are cold.
         limits: rate limits announced by endpoints.
-        was_path_lost: returns whether this instance reached no endpoint
-            recently.
+        was_path_lost_since: returns whether this instance reached no endpoint
+            at some time since a clock time.
         ticker: the clock.
         log: the event log.
     """
@@ -42,7 +42,7 @@
         health: health_module.Health,
         cold: cold_starts.ColdStarts,
         limits: endpoint_limits.EndpointLimits,
-        was_path_lost: collections.abc.Callable[[], bool],
+        was_path_lost_since: collections.abc.Callable[[float], bool],
         ticker: clock.Clock,
         log: eventlog.Log,
     ) -> None:
@@ -50,17 +50,20 @@
         self._loads = loads
         self._health = health
         self._cold = cold
-        self._was_path_lost = was_path_lost
+        self._was_path_lost_since = was_path_lost_since
         self._ticker = ticker
         self._log = log
         self._selector = selection.Selector(loads, health, cold, limits)
         self._checked_at = ticker.now()
 
     def check(self) -> None:
-        """Pause the endpoints that turn out to be silent."""
+        """Skip the endpoints that turn out to be silent."""
         now = self._ticker.now()
         gap, self._checked_at = now - self._checked_at, now
-        if not self._loads.overdue.factor or self._was_path_lost():
+        if not self._loads.overdue.factor:
+            return
+        # What was sent over a path that was lost may still hang.
+        if self._was_path_lost_since(now - overdue.GIVEN_UP_RETENTION_SECONDS):
             return
         if gap > MAX_CHECK_GAP_SECONDS:
             return
@@ -121,7 +124,7 @@
             name=endpoint.name,
             seconds=self._selector.estimate_waiting(service, endpoint),
             objective=objective,
-            is_excused=self._cold.is_cold(endpoint.name, now)
+            may_delay=self._cold.is_cold(endpoint.name, now)
             or has_begun_on_all_slots(self._loads, endpoint, service),
         )
 
--- a/citronport/scheduler/direct/wait_queue.py
+++ b/citronport/scheduler/direct/wait_queue.py
@@ -21,8 +21,9 @@
 """Shortest retry delay for a request that got no slot in time."""
 
 MIN_ASK_SECONDS = 0.05
-"""How long an instance asks an owner for a slot if the request may not
-wait."""
+"""Time to wait for an owner's answer to a request that may not wait. Shorter
+than ``lease_client.ANSWER_TIMEOUT_SECONDS``, so that a missing answer does not
+mark the owner as unresponsive."""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -38,7 +39,8 @@
         handle: object with which the runtime wakes it.
         leased: whether it belongs to another instance, which leases its
             slot from this one.
-        cost: expected time in a slot; set by a queue with shares.
+        cost: expected time in a slot, in steps of an engine; 1 for a plain
+            service. It is set by a queue with shares.
     """
 
     work: models.Work
