--- a/tests/relay/instances.py
+++ b/tests/relay/instances.py
@@ -28,7 +28,13 @@
 
 
 class InstanceCase(testtools.TestCase):
-    """Test case with a store that holds a configuration, and an endpoint."""
+    """Test case with a store that holds a configuration, and an endpoint.
+
+    Attributes:
+        scheduling: optional rules of scheduling in the settings, as YAML.
+    """
+
+    scheduling = ""
 
     def setUp(self):
         """Start a store with a configuration, and an endpoint."""
@@ -92,6 +98,7 @@
                 f"reports: {REPORTS}",
                 f"metrics: {METRICS}",
                 "bounds: {grace_seconds: 8, retry_ratio: 0.2}",
+                f"scheduling: {{{self.scheduling}}}",
                 *lines,
             )
         )
--- a/tests/relay/test_soak.py
+++ b/tests/relay/test_soak.py
@@ -16,6 +16,11 @@
 class SoakTest(instances.InstanceCase):
     """A fleet keeps its promises under random faults; one test a seed."""
 
+    scheduling = (
+        "fair_shares: true, remote_penalty: 0.2, early_owners: true,"
+        " fit_long_answers: true, early_step_times: true, overdue_factor: 6"
+    )
+
     def check_seed(self, seed):
         """Run a fleet under the faults of one seed."""
         self.store.delete("servers/i-1")
