--- a/citronport/scheduler/direct/fair_shares.py
+++ b/citronport/scheduler/direct/fair_shares.py
@@ -132,12 +132,6 @@
             return weights
         return {}
 
-    def has_mixed_weights(self, level: Level) -> bool:
-        """Return whether only some waiting workspaces have a limit."""
-        weights = self._get_weights()
-        limited = sum(name in weights for name in self._waiting[level])
-        return 0 < limited < len(self._waiting[level])
-
     def arrange(
         self,
         groups: collections.abc.Mapping[Urgency, list["wait_queue.Waiter"]],
