Log what each repeat is allowed on, and how long it waits

The lines did not tell whether repeats were sent on a budget that had been emptied, on a fixed part divided by too few instances, or long after they were allowed. repeat_decided names the counts, the share, the number of instances and the age of the budget; request_sent the time since the repeat was allowed. No decision changes.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -490,6 +490,7 @@
                 bounds.retry_ratio,
                 bounds.retry_extra,
                 bounds.retry_window_seconds,
+                self._ticker.now(),
             )
         return budget
 
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -348,6 +348,8 @@
         leased: whether the owner of the endpoint chose it.
         fingerprint: identical for requests with identical content.
         parts: ids of the first parts of its prompt, in order.
+        repeat_delay: seconds since the budget of repeats allowed this send;
+            -1 if it needed none.
     """
 
     request: str
@@ -367,6 +369,31 @@
     leased: bool
     fingerprint: str
     parts: list[str]
+    repeat_delay: float
+
+
+class RepeatDecided(msgspec.Struct, frozen=True, kw_only=True):
+    """The budget of repeats allowed or refused a further send.
+
+    Attributes:
+        request: id of the request.
+        service: service that it goes to.
+        allowed: whether it may be sent once more.
+        first_sends: first sends here that the budget rests on.
+        repeats: repeats that count against it, without this one.
+        share: what this instance may use beyond the ratio.
+        instances: number of instances that the fixed part is divided by.
+        known_seconds: time since which the budget knows all sends here.
+    """
+
+    request: str
+    service: str
+    allowed: bool
+    first_sends: int
+    repeats: int
+    share: float
+    instances: float
+    known_seconds: float
 
 
 class RequestForwarded(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/relay/explanation.py
+++ b/citronport/relay/explanation.py
@@ -23,6 +23,7 @@
     for kind in (
         events.RequestRefused,
         events.RequestSent,
+        events.RepeatDecided,
         events.RequestForwarded,
         events.ForwardFailed,
         events.SendFailed,
--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -34,6 +34,8 @@
         end: what proved the end of the endpoint's answer, see
             ``connection.BodyEnd``; empty before.
         rest: bytes of a stream after its last complete event.
+        repeat_allowed_at: clock time at which the budget of repeats allowed
+            the next send, seconds; None if it needs none.
     """
 
     attempts: int = 0
@@ -48,6 +50,7 @@
     outcome: str = "left"
     end: str = ""
     rest: int = 0
+    repeat_allowed_at: float | None = None
 
     @property
     def is_known_not_run(self) -> bool:
@@ -112,8 +115,14 @@
             leased=reservation.leased,
             fingerprint=job.fingerprint,
             parts=list(job.work.parts[:MAX_LOGGED_PARTS]),
+            repeat_delay=(
+                -1.0
+                if progress.repeat_allowed_at is None
+                else context.ticker.now() - progress.repeat_allowed_at
+            ),
         )
     )
+    progress.repeat_allowed_at = None
 
 
 def record_answer_bytes(
--- a/citronport/relay/repeats.py
+++ b/citronport/relay/repeats.py
@@ -1,5 +1,6 @@
 """Decides whether a request may be sent once more."""
 
+from citronport.relay import events
 from citronport.relay import head_timeouts
 from citronport.relay import jobs
 from citronport.relay import progress as progress_module
@@ -65,7 +66,24 @@
         if now >= self._job.work.deadline:
             return False
         budget = self._context.get_retry_budget(self._job.service)
-        return budget.take(self._context.count_instances(), now)
+        instances = self._context.count_instances()
+        state = budget.describe(instances, now)
+        allowed = budget.take(instances, now)
+        if allowed:
+            self._progress.repeat_allowed_at = now
+        self._context.log.write(
+            events.RepeatDecided(
+                request=self._job.work.request_id,
+                service=self._job.service,
+                allowed=allowed,
+                first_sends=state.first_sends,
+                repeats=state.retries,
+                share=state.share,
+                instances=state.instances,
+                known_seconds=state.known_seconds,
+            )
+        )
+        return allowed
 
     def is_barred(self) -> bool:
         """Return whether the request is suspected of crashing endpoints."""
--- a/citronport/scheduler/direct/retries.py
+++ b/citronport/scheduler/direct/retries.py
@@ -1,6 +1,7 @@
 """Retry budgets: limits on sending requests to further endpoints."""
 
 import collections
+import dataclasses
 
 WINDOW_SECONDS = 10.0
 """Default window in which sends are counted."""
@@ -20,6 +21,25 @@
 """
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class State:
+    """What a decision on a retry rests on.
+
+    Attributes:
+        first_sends: first sends in the window.
+        retries: retries in the window.
+        share: retries allowed beyond the ratio.
+        instances: number of instances that the fixed budget is divided by.
+        known_seconds: time since which all sends are known.
+    """
+
+    first_sends: int
+    retries: int
+    share: float
+    instances: float
+    known_seconds: float
+
+
 class RetryBudget:
     """Retry budget of one service on this instance.
 
@@ -31,11 +51,17 @@
         ratio: retries per first send.
         extra: additional retries per window, over all instances.
         window: length of the window, seconds.
+        started: clock time from which on all sends are counted, seconds.
     """
 
     def __init__(
-        self, ratio: float, extra: float, window: float = WINDOW_SECONDS
+        self,
+        ratio: float,
+        extra: float,
+        window: float = WINDOW_SECONDS,
+        started: float = 0.0,
     ) -> None:
+        self._started = started
         self._ratio = ratio * SAFETY_FACTOR
         self._extra = extra * SAFETY_FACTOR
         self._window = window
@@ -63,6 +89,18 @@
         self._retries.append(now)
         return True
 
+    def describe(self, instances: int, now: float) -> State:
+        """Return what a decision rests on; arguments as in ``take``."""
+        self._trim(now)
+        number = max(MIN_INSTANCES, instances)
+        return State(
+            first_sends=len(self._first_sends),
+            retries=len(self._retries),
+            share=self._extra / number,
+            instances=number,
+            known_seconds=now - self._started,
+        )
+
     def _trim(self, now: float) -> None:
         for times in (self._first_sends, self._retries):
             while times and times[0] <= now - self._window:
