--- a/tests/relay/instances.py
+++ b/tests/relay/instances.py
@@ -32,9 +32,11 @@
 
     Attributes:
         scheduling: optional rules of scheduling in the settings, as YAML.
+        bounds: bounds in the settings, as YAML.
     """
 
     scheduling = ""
+    bounds = "grace_seconds: 8, retry_ratio: 0.2"
 
     def setUp(self):
         """Start a store with a configuration, and an endpoint."""
@@ -87,6 +89,12 @@
 
     def start(self, number, store=None):
         """Start an instance and wait until it listens."""
+        host = self.launch(number, store)
+        processes.wait_for_port(host, METRICS)
+        return host
+
+    def launch(self, number, store=None):
+        """Start an instance without waiting for it."""
         host = f"127.{self.subnet}.{number}"
         lines = [f"{k}: {host}:{port}" for k, port in PORTS.items()]
         text = "\n".join(
@@ -97,7 +105,7 @@
                 f"seeds: 127.{self.subnet}.1:{PORTS['peers']}",
                 f"reports: {REPORTS}",
                 f"metrics: {METRICS}",
-                "bounds: {grace_seconds: 8, retry_ratio: 0.2}",
+                f"bounds: {{{self.bounds}}}",
                 f"scheduling: {{{self.scheduling}}}",
                 *lines,
             )
@@ -105,7 +113,6 @@
         path = self.folder / f"entry-{number}.yaml"
         path.write_text(text + "\n")
         self.running.start(f"entry-{number}", "citronport", "relay", str(path))
-        processes.wait_for_port(host, METRICS)
         return host
 
     def start_all(self, number):
