--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -382,7 +382,12 @@
         endpoint = fakes.Endpoint(self, fakes.never_answer)
         self.prepare(endpoint, timeout=0.1)
         self.crash_others(causes.REQUEST_THRESHOLD - 1)
-        gevent.spawn_later(0.05, self.room.cluster_state.endpoints.clear)
+
+        def clear():
+            gevent.sleep(0.05)
+            self.room.cluster_state.endpoints.clear()
+
+        gevent.spawn(clear)
         self.assertEqual(504, self.ask())
         self.assertTrue(self.is_barred())
 
