Keep what was sent when the settings are reloaded

What callers saw: after a reload of all instances, requests were repeated at a service beyond the budget of its operators, which adds load to endpoints that already fail. Cause: a reload dropped all retry budgets, and with them the repeats of the last window. Budgets now take the new ratio, fixed part and window and keep their sends; after a longer window they count as new, as earlier sends are gone.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -38,6 +38,7 @@
 from citronport.relay import paths
 from citronport.relay import replication as replication_module
 from citronport.relay import reports
+from citronport.relay import retry_budgets
 from citronport.relay import settings as settings_module
 from citronport.relay import settings_watch
 from citronport.relay import silence
@@ -51,7 +52,6 @@
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import pauses
 from citronport.scheduler.direct import quota
-from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import suspects as suspects_module
 
@@ -248,7 +248,7 @@
             self.counts,
             ticker,
         )
-        self._budgets: dict[str, retries.RetryBudget] = {}
+        self.retry_budgets = retry_budgets.RetryBudgets(settings, ticker)
         context = jobs.RelayContext(
             self.cluster_state,
             self.dispatcher,
@@ -263,7 +263,7 @@
             ticker,
             self.log,
             self.counts,
-            self._get_budget,
+            self.retry_budgets,
             lambda: len(self.members.list_known(ticker.now())),
             settings.data_centre,
         )
@@ -344,7 +344,7 @@
                 self.loads.overdue.factor = factor
                 self.gossip.update_settings(settings)
                 self.reports.update_settings(settings)
-                self._budgets.clear()
+                self.retry_budgets.update_settings(settings)
                 self.dispatcher.update_scheduling(settings.scheduling)
                 self.log.write(
                     events.SettingsReloaded(accepted=True, detail="")
@@ -482,17 +482,5 @@
         self.cold.forget(name)
         self.limits.forget(name)
 
-    def _get_budget(self, service: str) -> retries.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            budget = self._budgets[service] = retries.RetryBudget(
-                bounds.retry_ratio,
-                bounds.retry_extra,
-                bounds.retry_window_seconds,
-                self._ticker.now(),
-            )
-        return budget
-
     def _log_task_death(self, name: str) -> None:
         logging.error("%s task %s died.", LOG, name)
--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -11,13 +11,13 @@
 from citronport.relay import eventlog
 from citronport.relay import metrics
 from citronport.relay import paths as paths_module
+from citronport.relay import retry_budgets as retry_budgets_module
 from citronport.relay import stream_versions as stream_versions_module
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import pauses as pauses_module
-from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import suspects as suspects_module
 
 if typing.TYPE_CHECKING:
@@ -109,7 +109,7 @@
         ticker: the clock.
         log: the event log.
         counts: counters for the metrics.
-        get_retry_budget: returns the retry budget of a service.
+        retry_budgets: retry budgets of services.
         count_instances: returns the number of known instances.
         data_centre: data centre of this instance.
     """
@@ -129,7 +129,7 @@
         ticker: clock.Clock,
         log: eventlog.Log,
         counts: metrics.Counts,
-        get_retry_budget: collections.abc.Callable[[str], retries.RetryBudget],
+        retry_budgets: retry_budgets_module.RetryBudgets,
         count_instances: collections.abc.Callable[[], int],
         data_centre: str,
     ) -> None:
@@ -146,6 +146,6 @@
         self.ticker = ticker
         self.log = log
         self.counts = counts
-        self.get_retry_budget = get_retry_budget
+        self.retry_budgets = retry_budgets
         self.count_instances = count_instances
         self.data_centre = data_centre
--- a/citronport/relay/repeats.py
+++ b/citronport/relay/repeats.py
@@ -65,7 +65,7 @@
         now = self._context.ticker.now()
         if now >= self._job.work.deadline:
             return False
-        budget = self._context.get_retry_budget(self._job.service)
+        budget = self._context.retry_budgets.get(self._job.service)
         instances = self._context.count_instances()
         state = budget.describe(instances, now)
         allowed = budget.take(instances, now)
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -255,7 +255,9 @@
             return upstream.Barred()
         if not self._is_counted:
             self._is_counted = True
-            self._context.get_retry_budget(self._job.service).record_first(now)
+            self._context.retry_budgets.get(self._job.service).record_first(
+                now
+            )
         progress_module.record_sent(
             self._context,
             self._job,
--- a/citronport/scheduler/direct/retries.py
+++ b/citronport/scheduler/direct/retries.py
@@ -68,6 +68,24 @@
         self._first_sends: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
+    def update(
+        self, ratio: float, extra: float, window: float, now: float
+    ) -> None:
+        """Use a new configuration; what was sent still counts.
+
+        Args:
+            ratio: retries per first send.
+            extra: additional retries per window, over all instances.
+            window: length of the window, seconds.
+            now: clock time, seconds.
+        """
+        if window > self._window:
+            # Earlier sends are no longer known.
+            self._started = max(self._started, now - self._window)
+        self._ratio = ratio * SAFETY_FACTOR
+        self._extra = extra * SAFETY_FACTOR
+        self._window = window
+
     def record_first(self, now: float) -> None:
         """Count the first send of a request."""
         self._first_sends.append(now)
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -31,6 +31,22 @@
         super().record_first(now)
 
 
+class SoleBudget:
+    """Retry budgets of an instance without others: the same for all services.
+
+    Args:
+        budget: the budget.
+    """
+
+    def __init__(self, budget):
+        self._budget = budget
+
+    def get(self, service):
+        """Return the budget of a service."""
+        del service
+        return self._budget
+
+
 class SenderCase(testtools.TestCase):
     """Test case with a route to some endpoints and a sender."""
 
@@ -55,7 +71,7 @@
                 (self.route,), (service,)
             ),
         )
-        self.budget = budget = CountingBudget()
+        self.budget = CountingBudget()
         self.suspects = suspects.Suspects()
         room = self.room
         self.context = jobs.RelayContext(
@@ -72,7 +88,7 @@
             room.ticker,
             room.log,
             metrics.Counts(),
-            lambda service: budget,
+            SoleBudget(self.budget),
             lambda: 1,
             "a",
         )
--- a/tests/relay/test_application.py
+++ b/tests/relay/test_application.py
@@ -14,6 +14,7 @@
 from citronport.scheduler.direct import retries
 from citronport.scheduler.direct import suspects
 from tests.relay import samples
+from tests.relay import senders
 
 
 class Body:
@@ -53,7 +54,7 @@
             self.clock,
             self.room.log,
             metrics.Counts(),
-            lambda service: retries.RetryBudget(1.0, 100.0),
+            senders.SoleBudget(retries.RetryBudget(1.0, 100.0)),
             lambda: 1,
             "a",
         )
--- a/tests/relay/test_sender_statements.py
+++ b/tests/relay/test_sender_statements.py
@@ -59,7 +59,7 @@
                 self.prepare(
                     endpoint, repeat=models.RepeatPolicy.NON_IDEMPOTENT
                 )
-                self.context.get_retry_budget = lambda service: (
+                self.context.retry_budgets = senders.SoleBudget(
                     retries.RetryBudget(0.0, 0.0)
                 )
                 self.ask()
