Keep to the budget of repeats over starts and unknown instances

What callers saw: instances that were killed and started, or that started together, repeated requests beyond the budget; in steady trouble three instances used an eighth of it. Causes, one for both since they share the number that the fixed part is divided by: a start gave out the whole share once more, though the repeats of the killed process still count; and the share was divided by the instances known at the time, sixteen at least, which is too few for 36 that start together and too many for three.

Change: an instance counts as new for a window and five seconds. New ones together get a quarter of the budget on top, divided by their share of the instances in reach, and the fixed part grows from zero; so the sum of a window holds whatever the killed processes sent. The fixed part is divided by all that were heard of in five minutes; an instance that knows a part of the seeds takes its part of the fleet to be as large. Nothing is sent for it.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -248,7 +248,9 @@
             self.counts,
             ticker,
         )
-        self.retry_budgets = retry_budgets.RetryBudgets(settings, ticker)
+        self.retry_budgets = retry_budgets.RetryBudgets(
+            settings, self.members, ticker
+        )
         context = jobs.RelayContext(
             self.cluster_state,
             self.dispatcher,
--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -381,8 +381,9 @@
         allowed: whether it may be sent once more.
         first_sends: first sends here that the budget rests on.
         repeats: repeats that count against it, without this one.
-        share: what this instance may use beyond the ratio.
+        limit: repeats that this instance may make in a window.
         instances: number of instances that the fixed part is divided by.
+        new_share: share of the instances in reach that have just started.
         known_seconds: time since which the budget knows all sends here.
     """
 
@@ -391,8 +392,9 @@
     allowed: bool
     first_sends: int
     repeats: int
-    share: float
+    limit: float
     instances: float
+    new_share: float
     known_seconds: float
 
 
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -294,6 +294,43 @@
             if not self.is_remote(m.data_centre) and _is_retained(m, now)
         ]
 
+    def list_retained_addresses(
+        self, now: float, leaving_seconds: float
+    ) -> set[str]:
+        """Return the addresses of all others that may have sent requests.
+
+        Unlike ``list_known``, they include instances that are only named by
+        others, and those that sent no report for ``FORGET_SECONDS``.
+
+        Args:
+            now: clock time, seconds.
+            leaving_seconds: how long to include an instance that announced
+                its shutdown and sends no more reports.
+        """
+        return {
+            m.peer_address
+            for m in self._members.values()
+            if _is_retained(m, now)
+            and not (
+                m.report is not None
+                and m.report.leaving
+                and now - m.reported_at > leaving_seconds
+            )
+        }
+
+    def list_local_ages(self, now: float) -> list[float]:
+        """Return the times since the starts of the others in reach, seconds.
+
+        In a large fleet, only those of this data centre are known.
+        """
+        return [
+            m.report.up_seconds + now - m.reported_at
+            for m in self._members.values()
+            if m.report is not None
+            and not self.is_remote(m.data_centre)
+            and now - m.reported_at <= self._get_local_fresh_seconds()
+        ]
+
     def list_members(
         self, now: float, data_centre: str = ""
     ) -> list[tuple[str, str, str, str]]:
--- a/citronport/relay/repeats.py
+++ b/citronport/relay/repeats.py
@@ -65,25 +65,25 @@
         now = self._context.ticker.now()
         if now >= self._job.work.deadline:
             return False
-        budget = self._context.retry_budgets.get(self._job.service)
-        instances = self._context.count_instances()
-        state = budget.describe(instances, now)
-        allowed = budget.take(instances, now)
-        if allowed:
+        budgets = self._context.retry_budgets
+        fleet = budgets.describe_fleet()
+        decision = budgets.get(self._job.service).take(fleet, now)
+        if decision.allowed:
             self._progress.repeat_allowed_at = now
         self._context.log.write(
             events.RepeatDecided(
                 request=self._job.work.request_id,
                 service=self._job.service,
-                allowed=allowed,
-                first_sends=state.first_sends,
-                repeats=state.retries,
-                share=state.share,
-                instances=state.instances,
-                known_seconds=state.known_seconds,
+                allowed=decision.allowed,
+                first_sends=decision.first_sends,
+                repeats=decision.retries,
+                limit=decision.limit,
+                instances=fleet.instances,
+                new_share=fleet.new_share,
+                known_seconds=decision.known_seconds,
             )
         )
-        return allowed
+        return decision.allowed
 
     def is_barred(self) -> bool:
         """Return whether the request is suspected of crashing endpoints."""
--- a/citronport/relay/retry_budgets.py
+++ b/citronport/relay/retry_budgets.py
@@ -1,24 +1,28 @@
 """Retry budgets of all services on this instance."""
 
 from citronport import clock
+from citronport.relay import membership as membership_module
 from citronport.relay import settings as settings_module
 from citronport.scheduler.direct import retries
 
 
 class RetryBudgets:
-    """Retry budgets by service.
+    """Retry budgets by service, shared with the other instances.
 
     Args:
         settings: settings of this instance.
+        members: the other instances.
         ticker: the clock.
     """
 
     def __init__(
         self,
         settings: settings_module.Settings,
+        members: membership_module.Membership,
         ticker: clock.Clock,
     ) -> None:
         self._settings = settings
+        self._members = members
         self._ticker = ticker
         self._started_at = ticker.now()
         self._budgets: dict[str, retries.RetryBudget] = {}
@@ -47,3 +51,32 @@
                 self._started_at,
             )
         return budget
+
+    def describe_fleet(self) -> retries.Fleet:
+        """Return the instances that share the budgets.
+
+        Just after a start, and if a partition lasts until the other
+        instances are forgotten, this one knows a part of them only. Its part
+        of the fleet is taken to be as large as its part of the seeds, so that
+        all parts together do not exceed the budget.
+        """
+        now = self._ticker.now()
+        window = self._settings.bounds.retry_window_seconds
+        seeds = {str(seed) for seed in self._settings.seeds}
+        known = self._members.list_retained_addresses(
+            now, window + retries.SETTLING_SECONDS
+        )
+        known.add(str(self._settings.peers))
+        known_seeds = len(seeds & known)
+        if not seeds:
+            instances = float(len(known))
+        elif known_seeds:
+            instances = len(known) * len(seeds) / known_seeds
+        else:
+            instances = float("inf")
+        ages = [
+            now - self._started_at,
+            *self._members.list_local_ages(now),
+        ]
+        new = sum(retries.is_new(age, window) for age in ages)
+        return retries.Fleet(instances=instances, new_share=new / len(ages))
--- a/citronport/scheduler/direct/retries.py
+++ b/citronport/scheduler/direct/retries.py
@@ -6,12 +6,9 @@
 WINDOW_SECONDS = 10.0
 """Default window in which sends are counted."""
 
-MIN_INSTANCES = 16
-"""Smallest number of instances among which the fixed budget is divided.
-
-Above the usual seven instances and four additional ones, so that the sum
-stays within the bound even if an instance does not know of the others.
-"""
+SETTLING_SECONDS = 5.0
+"""Time beyond the window for which an instance counts as new. Until then some
+of the others may still divide the fixed budget among fewer instances."""
 
 SAFETY_FACTOR = 0.75
 """Share of the configured budget that is used.
@@ -20,23 +17,43 @@
 are off by a few hundred milliseconds from the windows here.
 """
 
+NEW_INSTANCES_SHARE = 0.25
+"""Share of the used budget that is added for new instances, all together.
+
+The retries of a process that was killed still count, but no instance knows
+their number: it may have used up its whole share just before.
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Fleet:
+    """The instances that share a budget, as one of them knows them.
+
+    Attributes:
+        instances: upper bound of their number; infinite if unknown.
+        new_share: share of the instances in reach that are new, 0 to 1.
+    """
+
+    instances: float
+    new_share: float
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class State:
-    """What a decision on a retry rests on.
+class Decision:
+    """Whether a retry is allowed, and what that rests on.
 
     Attributes:
+        allowed: whether the retry is allowed.
         first_sends: first sends in the window.
-        retries: retries in the window.
-        share: retries allowed beyond the ratio.
-        instances: number of instances that the fixed budget is divided by.
+        retries: other retries that were allowed in the window.
+        limit: number of retries that are allowed in the window.
         known_seconds: time since which all sends are known.
     """
 
+    allowed: bool
     first_sends: int
     retries: int
-    share: float
-    instances: float
+    limit: float
     known_seconds: float
 
 
@@ -51,7 +68,8 @@
         ratio: retries per first send.
         extra: additional retries per window, over all instances.
         window: length of the window, seconds.
-        started: clock time from which on all sends are counted, seconds.
+        started: clock time from which on all sends are counted, seconds; in
+            the distant past by default.
     """
 
     def __init__(
@@ -59,12 +77,12 @@
         ratio: float,
         extra: float,
         window: float = WINDOW_SECONDS,
-        started: float = 0.0,
+        started: float = float("-inf"),
     ) -> None:
-        self._started = started
         self._ratio = ratio * SAFETY_FACTOR
         self._extra = extra * SAFETY_FACTOR
         self._window = window
+        self._started = started
         self._first_sends: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
@@ -91,35 +109,50 @@
         self._first_sends.append(now)
         self._trim(now)
 
-    def take(self, instances: int, now: float) -> bool:
-        """Take a retry from the budget; return whether one was left.
+    def take(self, fleet: Fleet, now: float) -> Decision:
+        """Take a retry from the budget if one is left.
 
         Args:
-            instances: upper bound of the number of instances.
+            fleet: the instances that share the budget.
             now: clock time, seconds.
         """
         self._trim(now)
-        share = self._extra / max(MIN_INSTANCES, instances)
-        if len(self._retries) + 1 > share + self._ratio * len(
-            self._first_sends
-        ):
-            return False
-        self._retries.append(now)
-        return True
-
-    def describe(self, instances: int, now: float) -> State:
-        """Return what a decision rests on; arguments as in ``take``."""
-        self._trim(now)
-        number = max(MIN_INSTANCES, instances)
-        return State(
+        retries = len(self._retries)
+        limit = self._compute_limit(fleet, now)
+        allowed = retries + 1 <= limit
+        if allowed:
+            self._retries.append(now)
+        return Decision(
+            allowed=allowed,
             first_sends=len(self._first_sends),
-            retries=len(self._retries),
-            share=self._extra / number,
-            instances=number,
+            retries=retries,
+            limit=limit,
             known_seconds=now - self._started,
         )
 
+    def _compute_limit(self, fleet: Fleet, now: float) -> float:
+        share = self._extra / fleet.instances
+        earned = self._ratio * len(self._first_sends)
+        age = now - self._started
+        settled_age = self._window + SETTLING_SECONDS
+        if age >= settled_age:
+            return share + earned
+        # The fixed part grows from zero, so that an instance that is killed
+        # again and again does not get a full one at each start.
+        factor = min(1.0, NEW_INSTANCES_SHARE / fleet.new_share)
+        return factor * (share * age / settled_age + earned)
+
     def _trim(self, now: float) -> None:
         for times in (self._first_sends, self._retries):
             while times and times[0] <= now - self._window:
                 times.popleft()
+
+
+def is_new(age: float, window: float) -> bool:
+    """Return whether an instance counts as new.
+
+    Args:
+        age: time since its start, seconds.
+        window: length of the window, seconds.
+    """
+    return age < window + SETTLING_SECONDS
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -46,6 +46,10 @@
         del service
         return self._budget
 
+    def describe_fleet(self):
+        """Return a fleet of one instance."""
+        return retries.Fleet(instances=1, new_share=0.0)
+
 
 class SenderCase(testtools.TestCase):
     """Test case with a route to some endpoints and a sender."""
