Count a repeat from its permission until a window after its send

What callers saw: none of its own; endpoints got repeats that were allowed seconds apart at the same time. Cause: a repeat took from the budget when its predecessor failed and then waited for a slot, or for another instance that has a path, for up to its deadline; it arrived beside those allowed then. One that found no endpoint used up the budget all the same.

Change: it counts from the decision until a window after the send, and is given back if it is not sent. One that another instance makes counts until that one answers. A declined one stays a repeat for the next instance.

--- a/citronport/relay/progress.py
+++ b/citronport/relay/progress.py
@@ -35,7 +35,7 @@
             ``connection.BodyEnd``; empty before.
         rest: bytes of a stream after its last complete event.
         repeat_allowed_at: clock time at which the budget of repeats allowed
-            the next send, seconds; None if it needs none.
+            a send that has not been made yet, seconds; None if there is none.
     """
 
     attempts: int = 0
@@ -122,7 +122,6 @@
             ),
         )
     )
-    progress.repeat_allowed_at = None
 
 
 def record_answer_bytes(
--- a/citronport/relay/repeats.py
+++ b/citronport/relay/repeats.py
@@ -20,6 +20,8 @@
 
     Attributes:
         head_timeouts: how long it waits for responses.
+        is_counted: whether its first send is counted, here or by the
+            instance that forwarded it.
     """
 
     def __init__(
@@ -31,6 +33,8 @@
         self._context = context
         self._job = job
         self._progress = progress
+        origin = job.origin
+        self.is_counted = origin is not None and origin.is_counted
         self.head_timeouts = head_timeouts.HeadTimeouts(context, job, progress)
 
     def may_run_again(
@@ -85,6 +89,29 @@
         )
         return decision.allowed
 
+    def record_send(self) -> None:
+        """Count a send that is about to be made here."""
+        budget = self._context.retry_budgets.get(self._job.service)
+        now = self._context.ticker.now()
+        if self._progress.repeat_allowed_at is not None:
+            self._progress.repeat_allowed_at = None
+            budget.record_sent(now)
+        elif not self.is_counted:
+            budget.record_first(now)
+        self.is_counted = True
+
+    def release(self) -> None:
+        """Settle a further send that was allowed and not made here."""
+        if self._progress.repeat_allowed_at is None:
+            return
+        self._progress.repeat_allowed_at = None
+        budget = self._context.retry_budgets.get(self._job.service)
+        if self._progress.peer:
+            # Another instance may have made it at any time since.
+            budget.record_sent(self._context.ticker.now())
+        else:
+            budget.give_back()
+
     def is_barred(self) -> bool:
         """Return whether the request is suspected of crashing endpoints."""
         return self._context.suspects.is_barred(
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -47,7 +47,6 @@
         self._reservation: dispatcher_module.Reservation | None = None
         self._exchange: upstream.Exchange | None = None
         self._is_started = False
-        self._is_counted = origin is not None and origin.is_counted
         self._connecting_since = 0.0
         self._doubts_path = False
         self._last_event_id = origin.last_event_id if origin else None
@@ -84,6 +83,7 @@
             raise
         finally:
             self._release()
+            self._repeats.release()
             progress_module.record_end(self._context, self._job, self.progress)
 
     def _answer(
@@ -200,11 +200,13 @@
             return self._refuse_barred()
         found = self._peer_send.send(
             self._tried,
-            self._is_counted,
+            self._repeats.is_counted,
             self._last_event_id,
             self._work.software,
         )
         self._exchange = self._peer_send.exchange
+        if found is not None:
+            self._repeats.release()
         if isinstance(found, errors.Refusal) or found is None:
             return found
         if self._is_started and not found.is_success:
@@ -253,11 +255,6 @@
             return upstream.Paused()
         if self._repeats.is_barred():
             return upstream.Barred()
-        if not self._is_counted:
-            self._is_counted = True
-            self._context.retry_budgets.get(self._job.service).record_first(
-                now
-            )
         progress_module.record_sent(
             self._context,
             self._job,
@@ -265,6 +262,7 @@
             reservation,
             self._last_event_id,
         )
+        self._repeats.record_send()
         return exchange.send(
             requests.make_request(
                 self._job.method,
--- a/citronport/scheduler/direct/retries.py
+++ b/citronport/scheduler/direct/retries.py
@@ -45,7 +45,7 @@
     Attributes:
         allowed: whether the retry is allowed.
         first_sends: first sends in the window.
-        retries: other retries that were allowed in the window.
+        retries: other retries that are allowed or were sent in the window.
         limit: number of retries that are allowed in the window.
         known_seconds: time since which all sends are known.
     """
@@ -64,6 +64,10 @@
     requests. Their number per window is limited to a ratio of the first sends
     plus a fixed budget that is divided among the instances.
 
+    A retry counts from the decision until a window after its send, however
+    long it waits in between, so that those allowed earlier do not arrive
+    beside those allowed at the time.
+
     Args:
         ratio: retries per first send.
         extra: additional retries per window, over all instances.
@@ -85,6 +89,7 @@
         self._started = started
         self._first_sends: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
+        self._unsent = 0
 
     def update(
         self, ratio: float, extra: float, window: float, now: float
@@ -112,16 +117,18 @@
     def take(self, fleet: Fleet, now: float) -> Decision:
         """Take a retry from the budget if one is left.
 
+        Each one that is allowed must be passed to ``record_sent`` or to
+        ``give_back``.
+
         Args:
             fleet: the instances that share the budget.
             now: clock time, seconds.
         """
         self._trim(now)
-        retries = len(self._retries)
+        retries = len(self._retries) + self._unsent
         limit = self._compute_limit(fleet, now)
         allowed = retries + 1 <= limit
-        if allowed:
-            self._retries.append(now)
+        self._unsent += allowed
         return Decision(
             allowed=allowed,
             first_sends=len(self._first_sends),
@@ -130,6 +137,16 @@
             known_seconds=now - self._started,
         )
 
+    def record_sent(self, now: float) -> None:
+        """Record that an allowed retry is sent now, or has been sent."""
+        self._unsent -= 1
+        self._retries.append(now)
+        self._trim(now)
+
+    def give_back(self) -> None:
+        """Return an allowed retry that is not sent."""
+        self._unsent -= 1
+
     def _compute_limit(self, fleet: Fleet, now: float) -> float:
         share = self._extra / fleet.instances
         earned = self._ratio * len(self._first_sends)
--- a/tests/scheduler/direct/test_retries.py
+++ b/tests/scheduler/direct/test_retries.py
@@ -26,18 +26,21 @@
         extra: retries allowed beyond the ratio.
         rate: first sends of the fleet in a second.
         seed: of the times at which things happen.
+        max_wait: longest time between decision and send, seconds.
     """
 
-    def __init__(self, number, window, extra, rate, seed):
+    def __init__(self, number, window, extra, rate, seed, max_wait=0.0):
         self.number = number
         self.window = window
         self.extra = extra
         self.rate = rate
+        self.max_wait = max_wait
         self.chance = random.Random(seed)
         self.now = 0.0
         # All have run for a while.
         self.started = [-100.0] * number
         self.budgets = [self.make_budget(-100.0) for _ in range(number)]
+        self.unsent = []
         self.first_sends = []
         self.retries = []
 
@@ -48,6 +51,7 @@
     def kill(self, indices):
         """Kill instances; they start again at once."""
         indices = set(indices)
+        self.unsent = [u for u in self.unsent if u[1] not in indices]
         for index in indices:
             self.started[index] = self.now
             self.budgets[index] = self.make_budget(self.now)
@@ -68,6 +72,11 @@
     def run_step(self, *, in_trouble):
         """Advance the time; send what callers ask for."""
         self.now += STEP_SECONDS
+        due = [u for u in self.unsent if u[0] <= self.now]
+        self.unsent = [u for u in self.unsent if u[0] > self.now]
+        for _, index in due:
+            self.budgets[index].record_sent(self.now)
+            self.retries.append(self.now)
         asked = self.rate * STEP_SECONDS
         for _ in range(int(asked) + (self.chance.random() < asked % 1)):
             index = self.chance.randrange(self.number)
@@ -78,7 +87,8 @@
         for index, budget in enumerate(self.budgets):
             fleet = self.describe(index)
             while budget.take(fleet, self.now).allowed:
-                self.retries.append(self.now)
+                at = self.now + self.chance.random() * self.max_wait
+                self.unsent.append((at, index))
 
     def find_excess(self):
         """Return the most retries beyond what is allowed in any window."""
@@ -136,12 +146,13 @@
             max_size=12,
         ),
         trouble_at=strategies.floats(0.0, 30.0),
+        max_wait=strategies.sampled_from((0.0, 0.3, 5.0)),
     )
     def test_sum_over_instances_and_their_starts(
-        self, number, window, extra, rate, kills, trouble_at
+        self, number, window, extra, rate, kills, trouble_at, max_wait
     ):
-        """Guards against starts that exceed the budget together."""
-        fleet = SimulatedFleet(number, window, extra, rate, 1)
+        """Guards against starts, or waits, that exceed the budget together."""
+        fleet = SimulatedFleet(number, window, extra, rate, 1, max_wait)
         self.assertLessEqual(self.play(fleet, kills, trouble_at, 40.0), 0.0)
 
     def test_kill_after_the_savings_are_spent(self):
@@ -176,6 +187,17 @@
             allowed = RATIO * 50.0 * 10.0 + 160.0
             self.assertGreaterEqual(excess, -0.35 * allowed, number)
 
+    def test_retry_that_is_not_sent(self):
+        """Guards against budgets that are used up by what is not sent."""
+        budget = retries.RetryBudget(0.0, 4.0)
+        fleet = retries.Fleet(instances=1, new_share=0.0)
+        for _ in range(5):
+            self.assertTrue(budget.take(fleet, 0.0).allowed)
+            budget.give_back()
+        for _ in range(3):
+            self.assertTrue(budget.take(fleet, 0.0).allowed)
+        self.assertFalse(budget.take(fleet, 30.0).allowed)
+
     def test_longer_window(self):
         """Guards against a longer window that forgets the one before."""
         budget = retries.RetryBudget(0.0, 40.0, 7.0)
@@ -186,6 +208,7 @@
             if step == 75:
                 budget.update(0.0, 40.0, 14.0, now)
             while budget.take(fleet, now).allowed:
+                budget.record_sent(now)
                 times.append(now)
         self.assertLessEqual(sum(t > 0.5 for t in times), 40)
 
