Bound answers in bytes, and let others run while they are read

What callers saw: one endpoint that sent header lines, a header value or trailers without end kept an instance from answering anybody for over 8 s and took it from 39 to 1,400 MB; a reason phrase, empty lines or a chunk extension were read on for 600 MB. Cause: the HTTP parser keeps what it reads and has no limit, and a read whose data is there never yields to the event loop. The same in an event without end, which is held back until it is complete, and in answers of the store.

Change: 64 KB in a row that hold no body end an answer (heads, interim responses, chunk sizes, trailers), as do 64 MB in all (16 MB of the store) and an event of 1 MB; every 256 KB other tasks get a turn. The connection is closed and the endpoint counts as failed, not as crashed. The request may have run, so it is repeated only where its route allows it, else the caller gets 502, or a cut answer if it has begun.

--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -4,6 +4,7 @@
 import select
 import time
 
+import gevent
 from gevent import monkey
 from gevent import select as gevent_select
 from gevent import socket
@@ -12,6 +13,17 @@
 
 from citronport.endpoints import const
 
+MAX_FRAMING_BYTES = 65536
+"""Most bytes in a row that hold no part of a body: heads of responses, interim
+ones included, chunk sizes and trailers."""
+
+MAX_ANSWER_BYTES = 64_000_000
+"""Most bytes of one response, by default."""
+
+YIELD_BYTES = 262_144
+"""Bytes after which other tasks get a turn. Reading from a peer that sends
+faster than its data is used never waits, and so never yields by itself."""
+
 # A poll with timeout 0 never blocks, so the original is used: the gevent
 # version would only add the cost of going through the event loop.
 _make_poll = monkey.get_original("select", "poll")
@@ -30,29 +42,64 @@
     """A further response begins after a complete one."""
 
 
+class OversizedAnswerError(http_response.HTTPParseError):
+    """A response, or what frames it, is too long; it may have no end."""
+
+
 class Answer(http_response.HTTPResponse):
     """The library's response parser, fed by the owner of the socket.
 
     The library's own reader blocks until it has the requested number of
     bytes, which would deliver a stream only at its end.
 
+    Args:
+        method: HTTP method of the request.
+        max_bytes: most bytes of the response.
+
     Attributes:
         status: HTTP status, 0 until the headers are complete.
     """
 
     status = 0
 
+    def __init__(
+        self, method: str = "GET", max_bytes: int = MAX_ANSWER_BYTES
+    ) -> None:
+        super().__init__(method)
+        self._max_bytes = max_bytes
+        self._received_bytes = 0
+        self._framing_bytes = 0
+
     def feed(self, data: str | bytes) -> None:
-        """Parse received data; drop what follows a complete response."""
+        """Parse received data; drop what follows a complete response.
+
+        Raises:
+            OversizedAnswerError: the response is too long.
+            HTTPParseError: the data is not valid HTTP.
+        """
         # A faulty endpoint may send a second, unsolicited response. The
         # parser would start over and append its body to the first one.
         if self.message_complete and self._is_final():
             self._trailing_data_dropped = True
             return
+        body_bytes = len(self._body_buffer)
         try:
             super().feed(data)
         except _UnsolicitedAnswerError:
             self._trailing_data_dropped = True
+        self._check_size(
+            len(data), has_body=len(self._body_buffer) > body_bytes
+        )
+
+    def _check_size(self, size: int, *, has_body: bool) -> None:
+        # The parser keeps header lines, and reads on without end through
+        # what it does not keep.
+        self._received_bytes += size
+        self._framing_bytes = 0 if has_body else self._framing_bytes + size
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            raise OversizedAnswerError("too many bytes without a body")
+        if self._received_bytes > self._max_bytes:
+            raise OversizedAnswerError("response is too long")
 
     def _on_message_begin(self) -> None:
         if self.message_complete and self._is_final():
@@ -84,12 +131,20 @@
     Args:
         sock: a connected socket.
         start: number of the endpoint's process start that it belongs to.
+        max_bytes: most bytes of a response.
     """
 
-    def __init__(self, sock: socket.socket, start: int) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        start: int,
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
         self._sock = sock
-        self._answer = Answer()
+        self._max_bytes = max_bytes
+        self._answer = Answer(max_bytes=max_bytes)
         self._was_closed_in_body = False
+        self._bytes_without_yield = 0
         self.start = start
         self.idle_since = time.monotonic()
 
@@ -103,7 +158,7 @@
         Raises:
             OSError: the connection failed; the request may have arrived.
         """
-        self._answer = Answer(method)
+        self._answer = Answer(method, self._max_bytes)
         self._sock.sendall(request)
 
     def send_until_answered(self, request: bytes) -> None:
@@ -115,7 +170,7 @@
         Raises:
             OSError: the connection failed and no response has arrived.
         """
-        self._answer = Answer()
+        self._answer = Answer(max_bytes=self._max_bytes)
         remaining = memoryview(request)
         while remaining:
             ready, _, _ = gevent_select.select([self._sock], [self._sock], [])
@@ -151,7 +206,8 @@
 
         Raises:
             OSError: the connection failed.
-            geventhttpclient.response.HTTPParseError: not valid HTTP.
+            geventhttpclient.response.HTTPParseError: not valid HTTP, or too
+                long.
         """
         answer = self._answer
         while not answer.headers_complete or answer.status_code < 200:
@@ -224,6 +280,10 @@
         data = self._sock.recv(const.READ_BYTES)
         self._was_closed_in_body = not data
         self._answer.feed(data)
+        self._bytes_without_yield += len(data)
+        if self._bytes_without_yield >= YIELD_BYTES:
+            self._bytes_without_yield = 0
+            gevent.sleep(0)
         return bool(data)
 
 
@@ -231,6 +291,7 @@
     address: str,
     start: int = 0,
     timeout: float = const.CONNECT_TIMEOUT_SECONDS,
+    max_bytes: int = MAX_ANSWER_BYTES,
 ) -> Connection:
     """Open a connection to an endpoint.
 
@@ -238,6 +299,7 @@
         address: "ip:port" of the endpoint.
         start: number of the endpoint's process start.
         timeout: seconds.
+        max_bytes: most bytes of a response.
 
     Raises:
         OSError: the endpoint cannot be reached.
@@ -248,7 +310,7 @@
     # Otherwise a small write waits for the acknowledgement of the previous
     # one, which the peer may delay by 40 ms.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return Connection(sock, start)
+    return Connection(sock, start, max_bytes)
 
 
 def _poll(sock: socket.socket, events: int) -> bool:
--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -17,6 +17,10 @@
 """Time limit of a response that keeps arriving; a page of 1 MB takes 4 s on
 half of a 5 Mbit/s link."""
 
+MAX_ANSWER_BYTES = 16_000_000
+"""Most bytes of one response. A page holds about 1 MB, and changes of the
+largest values in a row fit into a watch's response."""
+
 
 class Compacted:
     """The store does not have the history since the requested revision.
@@ -126,7 +130,9 @@
         with gevent.Timeout(wait + self._idle_seconds, TimeoutError):
             if self._connection is None or not self._connection.is_idle():
                 self.close()
-                self._connection = connection.connect(self._address)
+                self._connection = connection.connect(
+                    self._address, max_bytes=MAX_ANSWER_BYTES
+                )
             current = self._connection
             current.send(
                 connection.encode_request(self._address, "GET", target)
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -44,6 +44,9 @@
 """Size from which a value is fetched separately from the others. Ten copies of
 a smaller one occupy a link of 10 Mbit/s for an eighth of a second at most."""
 
+FETCH_ERRORS = (OSError, ValueError, msgpack.UnpackException)
+"""Errors of a connection, or of what an instance sends over it."""
+
 READ_BYTES = 65536
 
 SEND_BYTES = 16384
@@ -230,7 +233,7 @@
         )
         try:
             held = self._request(source.peer_address, want, reader)
-        except (OSError, ValueError, msgpack.UnpackException) as error:
+        except FETCH_ERRORS as error:
             self.failed += 1
             self._log.write(
                 events.NewsFailed(
@@ -299,7 +302,7 @@
                     _send_in_pieces(
                         sock, messages.pack(self._make_answer(want))
                     )
-        except (OSError, ValueError, msgpack.UnpackException) as error:
+        except FETCH_ERRORS as error:
             logging.warning(
                 "%s failed to serve a fetch of %s: %s.",
                 LOG,
--- a/citronport/relay/sender.py
+++ b/citronport/relay/sender.py
@@ -105,7 +105,7 @@
                     self._reservation,
                     type(error).__name__,
                     "maybe",
-                    cut=True,
+                    cut=not isinstance(error, connection.OversizedAnswerError),
                 )
                 if self._may_run_again():
                     continue
--- a/citronport/relay/streams.py
+++ b/citronport/relay/streams.py
@@ -4,6 +4,9 @@
 from citronport.endpoints import connection
 from citronport.relay import upstream
 
+MAX_EVENT_BYTES = 1_000_000
+"""Longest event of a stream, which is held back until it is complete."""
+
 
 class BrokenStreamError(OSError):
     """A stream ended inside an event, or unproved without any event."""
@@ -44,6 +47,8 @@
             if events:
                 self._has_events = True
                 return events
+            if len(self.rest) > MAX_EVENT_BYTES:
+                raise connection.OversizedAnswerError("event is too long")
         if not self._is_complete():
             raise BrokenStreamError
         return b""
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -140,6 +140,8 @@
                 self.close()
                 return Overdue()
             head = conn.read_head()
+        except connection.OversizedAnswerError as error:
+            return Broken(reason=type(error).__name__)
         except (OSError, http_response.HTTPParseError) as error:
             return Broken(reason=type(error).__name__, cut=True)
         answer = requests.parse_answer(head)
