Bound what the platform's answers take in citronport serve

The same fault as in answers of endpoints, elsewhere: published values were read by a client without a limit on heads and bodies. They are read by the connection that has one now; errors are reported and retried as before. Checked by test_endless_answers.EndlessPlatformTest, tests.catalogue.

--- a/citronport/catalogue/client.py
+++ b/citronport/catalogue/client.py
@@ -1,21 +1,31 @@
 """Read-only client of the values that the platform publishes."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import random
 from typing import Any
 
 from absl import logging
-import geventhttpclient
+import gevent
+from geventhttpclient import response as http_response
 import msgpack
 import result
 
 from citronport import clock
 from citronport import settings
 from citronport.catalogue import const
+from citronport.endpoints import connection
 
 LOG = "platform:"
 
+_CONNECTION_ERRORS = (OSError, http_response.HTTPParseError)
+_VALUE_ERRORS = (ValueError, KeyError, TypeError)
+"""Errors of a body that is no published value."""
+
+_MAX_ANSWER_BYTES = const.MAX_VALUE_BYTES + connection.MAX_FRAMING_BYTES
+"""Most bytes of an answer, of which a part frames the value."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Published:
@@ -111,28 +121,33 @@
         The newer value, None if there was none in time, or the reason of a
         failure.
     """
-    client = geventhttpclient.HTTPClient(
-        str(address.address),
-        address.port,
-        connection_timeout=const.CONNECT_TIMEOUT_SECONDS,
-        network_timeout=wait + const.CONNECT_TIMEOUT_SECONDS,
-    )
+    timeout = wait + const.CONNECT_TIMEOUT_SECONDS
+    target = f"{path}?after={version}&wait={wait if version else 0}"
     try:
-        answer = client.get(
-            f"{path}?after={version}&wait={wait if version else 0}"
-        )
-        body = answer.read()
-        if answer.status_code == 304:
+        with gevent.Timeout(timeout, TimeoutError):
+            status, body = _get(str(address), target)
+        if status == 304:
             return result.Ok(None)
-        if answer.status_code != 200:
-            return result.Err(f"status {answer.status_code}")
+        if status != 200:
+            return result.Err(f"status {status}")
         return _read_published(path, body)
-    except Exception as error:
-        # The HTTP client raises socket, parser and time-out errors without
-        # a common base class; all of them are handled by a retry.
+    except (*_CONNECTION_ERRORS, *_VALUE_ERRORS) as error:
         return result.Err(type(error).__name__)
-    finally:
-        client.close()
+
+
+def _get(address: str, target: str) -> tuple[int, bytes]:
+    """Return status and body of the answer to a request.
+
+    Raises:
+        OSError: the connection failed.
+        HTTPParseError: the answer is not valid HTTP, or too long.
+    """
+    with contextlib.closing(
+        connection.connect(address, max_bytes=_MAX_ANSWER_BYTES)
+    ) as opened:
+        opened.send(connection.encode_request(address, "GET", target))
+        status = opened.read_head().status_code
+        return status, b"".join(iter(opened.read, b""))
 
 
 def _read_published(
