--- a/citronport/relay/events.py
+++ b/citronport/relay/events.py
@@ -382,7 +382,8 @@
         first_sends: first sends here that the budget rests on.
         repeats: repeats that count against it, without this one.
         limit: repeats that this instance may make in a window.
-        instances: number of instances that the fixed part is divided by.
+        instances: number of instances that the fixed part is divided by;
+            -1 if it is unknown, so that none of it is used.
         new_share: share of the instances in reach that have just started.
         known_seconds: time since which the budget knows all sends here.
     """
--- a/citronport/relay/repeats.py
+++ b/citronport/relay/repeats.py
@@ -1,5 +1,7 @@
 """Decides whether a request may be sent once more."""
 
+import math
+
 from citronport.relay import events
 from citronport.relay import head_timeouts
 from citronport.relay import jobs
@@ -82,7 +84,9 @@
                 first_sends=decision.first_sends,
                 repeats=decision.retries,
                 limit=decision.limit,
-                instances=fleet.instances,
+                instances=(
+                    fleet.instances if math.isfinite(fleet.instances) else -1
+                ),
                 new_share=fleet.new_share,
                 known_seconds=decision.known_seconds,
             )
--- a/citronport/relay/retry_budgets.py
+++ b/citronport/relay/retry_budgets.py
@@ -5,6 +5,10 @@
 from citronport.relay import settings as settings_module
 from citronport.scheduler.direct import retries
 
+FLEET_SECONDS = 0.25
+"""How long a view of the fleet is used; it costs 0.5 ms in a large one, and
+in trouble most requests ask for a repeat."""
+
 
 class RetryBudgets:
     """Retry budgets by service, shared with the other instances.
@@ -26,10 +30,13 @@
         self._ticker = ticker
         self._started_at = ticker.now()
         self._budgets: dict[str, retries.RetryBudget] = {}
+        self._fleet: retries.Fleet | None = None
+        self._fleet_until = float("-inf")
 
     def update_settings(self, settings: settings_module.Settings) -> None:
         """Use new settings; sends before still count."""
         self._settings = settings
+        self._fleet = None
         bounds = settings.bounds
         for budget in self._budgets.values():
             budget.update(
@@ -53,14 +60,21 @@
         return budget
 
     def describe_fleet(self) -> retries.Fleet:
-        """Return the instances that share the budgets.
+        """Return the instances that share the budgets."""
+        now = self._ticker.now()
+        if self._fleet is None or now >= self._fleet_until:
+            self._fleet = self._make_fleet(now)
+            self._fleet_until = now + FLEET_SECONDS
+        return self._fleet
+
+    def _make_fleet(self, now: float) -> retries.Fleet:
+        """Return the instances that share the budgets, as known now.
 
         Just after a start, and if a partition lasts until the other
         instances are forgotten, this one knows a part of them only. Its part
         of the fleet is taken to be as large as its part of the seeds, so that
         all parts together do not exceed the budget.
         """
-        now = self._ticker.now()
         window = self._settings.bounds.retry_window_seconds
         seeds = {str(seed) for seed in self._settings.seeds}
         known = self._members.list_retained_addresses(
--- a/tests/relay/test_retry_budgets.py
+++ b/tests/relay/test_retry_budgets.py
@@ -60,6 +60,7 @@
                 ),
                 self.clock.now(),
             )
+        self.clock.advance(retry_budgets.FLEET_SECONDS)
 
     def test_start_without_others(self):
         """Guards against the whole fixed part at an instance cut off."""
