Leave most of each shared limit to others while none is known

The same class as in the budget of repeats: a total that is divided by the instances known at the time. An instance that is killed and starts behind a partition knows nobody for as long as that lasts; it took itself for the whole fleet, so that each such one used the whole limit of each workspace, the whole rate of cold and of limited endpoints and all slots of brittle ones, and leased out slots as an owner with a majority. For 30 s after its start (as long as an instance that is out of reach counts), one that knows nobody although its settings name other seeds now takes itself for an eighth of the fleet, as a minority does.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -110,6 +110,8 @@
         self.members = membership.Membership(
             settings.instance, settings.data_centre
         )
+        if any(str(seed) != str(settings.peers) for seed in settings.seeds):
+            self.members.expect_others(ticker.now())
         self.mirror = mirror_module.Mirror()
         self.cluster_state = cluster_state_module.ClusterState(
             self.cold, self._forget_endpoint, self.log
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -23,6 +23,10 @@
 each limit. Limits have to hold during partitions of up to half a minute.
 """
 
+UNKNOWN_SHARE = 1 / 8
+"""Part of the fleet that an instance takes itself for while it knows no other
+one and should; about that of one of the usual seven."""
+
 FORGET_SECONDS = 300.0
 """How long reports are still sent to an instance that sends none, so that the
 parts of a fleet discover each other again after a partition."""
@@ -111,6 +115,15 @@
         self._new_addresses: list[str] = []
         self._first_report_at: float | None = None
         self._first_ready_states: list[bool] = []
+        self._others_expected_until = float("-inf")
+
+    def expect_others(self, now: float) -> None:
+        """Assume others for ``KNOWN_SECONDS``, even if none is known.
+
+        An instance that starts behind a partition knows nobody. All such
+        instances together must keep to the shared limits as well.
+        """
+        self._others_expected_until = now + KNOWN_SECONDS
 
     def get_report_interval(self) -> float:
         """Return the minimum interval between two reports, seconds."""
@@ -277,9 +290,16 @@
         return max((a for a in ages if a <= fresh), default=0.0)
 
     def compute_reach(self, now: float) -> float:
-        """Return the share of the known instances that are in reach."""
+        """Return the share of the instances that are in reach."""
         known = len(self.list_known(now))
-        return min(1.0, (1 + len(self.list_fresh(now))) / known)
+        in_reach = min(1.0, (1 + len(self.list_fresh(now))) / known)
+        return self.get_known_share(now) * in_reach
+
+    def get_known_share(self, now: float) -> float:
+        """Return the share of the fleet that this instance knows."""
+        if self.is_alone() and now < self._others_expected_until:
+            return UNKNOWN_SHARE
+        return 1.0
 
     def get_address(self, instance: str) -> str | None:
         """Return the address of an instance for other instances."""
--- a/citronport/relay/service_view.py
+++ b/citronport/relay/service_view.py
@@ -123,7 +123,9 @@
     def _get_role(self, now: float) -> roles.Role:
         if now >= self._role_until:
             instances = self._members.list_known(now)
-            self._role = roles.Sender(self._own, instances)
+            self._role = roles.Sender(
+                self._own, instances, self._members.get_known_share(now)
+            )
             self._role_until = now + ROLE_CACHE_SECONDS
             self._instance_count = len(instances)
             self._is_majority = (
--- a/citronport/scheduler/direct/brittleness.py
+++ b/citronport/scheduler/direct/brittleness.py
@@ -112,6 +112,8 @@
             case roles.Owner():
                 return self._count_rejections(known, now) < max(1, tolerated)
             case roles.Sender(own=own, instances=instances):
+                slots = max(1, int(slots * role.known_share))
+                tolerated *= role.known_share
                 chosen = rendezvous.choose(endpoint, instances, slots)
                 if own not in chosen:
                     return False
--- a/citronport/scheduler/direct/cold_starts.py
+++ b/citronport/scheduler/direct/cold_starts.py
@@ -64,6 +64,7 @@
             case roles.Owner():
                 return sent < max(1, int(rate * OWNER_SHARE))
             case roles.Sender(own=own, instances=instances):
+                rate *= role.known_share
                 # With more instances than requests per second, even one
                 # request per second from each would be too much.
                 senders = max(1, int(rate * SENDER_SHARE))
--- a/citronport/scheduler/direct/endpoint_limits.py
+++ b/citronport/scheduler/direct/endpoint_limits.py
@@ -191,6 +191,7 @@
         case roles.Owner():
             return rate
         case roles.Sender(own=own, instances=instances):
+            rate *= role.known_share
             # With hundreds of instances, even one request from each would be
             # too much: only some of them may send.
             senders = max(1, int(rate * SENDER_SHARE))
--- a/citronport/scheduler/direct/roles.py
+++ b/citronport/scheduler/direct/roles.py
@@ -10,10 +10,13 @@
     Attributes:
         own: name of this instance.
         instances: names of all these instances.
+        known_share: part of the fleet that these are; the others have the
+            rest of each bound.
     """
 
     own: str
     instances: tuple[str, ...]
+    known_share: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/relay/test_membership.py
+++ b/tests/relay/test_membership.py
@@ -4,6 +4,7 @@
 
 from citronport.relay import membership
 from citronport.relay import messages
+from citronport.scheduler.direct import quota
 
 
 def make_report(name, number=1, **changes):
@@ -45,6 +46,16 @@
         self.members.apply_report(make_report("x"), 0.0)
         self.members.apply_report(make_report("yy"), 0.0)
 
+    def test_start_behind_a_partition(self):
+        """Guards against limits that each instance uses as a whole."""
+        alone = membership.Membership("own", "a")
+        self.assertEqual(1.0, alone.compute_reach(0.0))
+        alone.expect_others(0.0)
+        self.assertLess(alone.compute_reach(10.0), quota.MAJORITY)
+        self.assertEqual(1.0, alone.compute_reach(31.0))
+        alone.apply_report(make_report("x"), 10.0)
+        self.assertEqual(1.0, alone.compute_reach(10.0))
+
     def list_usable(self, now):
         """Return the names of the instances that callers may use."""
         return sorted(r.instance for r in self.members.list_usable(now))
--- a/tests/scheduler/direct/test_cold_starts.py
+++ b/tests/scheduler/direct/test_cold_starts.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import testtools
 
+from citronport.relay import membership
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import rendezvous
 from citronport.scheduler.direct import roles
@@ -63,6 +64,21 @@
         )
         self.assertLessEqual(old + new, MAX_REQUESTS_PER_SECOND)
 
+    def test_instances_that_start_alone(self):
+        """Guards against a whole rate for each instance that knows nobody."""
+        sends = 0
+        for number in range(12):
+            own = cold_starts.ColdStarts()
+            own.set_cold("e", 10.0)
+            name = f"i{number}"
+            role = roles.Sender(
+                name, (name,), known_share=membership.UNKNOWN_SHARE
+            )
+            while own.may_send("e", role, RATE, 0.0):
+                own.record_send("e", 0.0)
+                sends += 1
+        self.assertLessEqual(sends, MAX_REQUESTS_PER_SECOND)
+
     def test_warm_endpoint_is_not_limited(self):
         """There is no bound after the end of the cold time."""
         own = cold_starts.ColdStarts()
--- a/tests/scheduler/direct/test_endpoint_limits.py
+++ b/tests/scheduler/direct/test_endpoint_limits.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import testtools
 
+from citronport.relay import membership
 from citronport.scheduler.direct import cold_starts
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import roles
@@ -176,3 +177,20 @@
             two.apply_updates(one.list_updates(now), now)
             one.apply_updates(two.list_updates(now), now)
         self.assertEqual((0, 0), (one.count_limited(), two.count_limited()))
+
+    def test_instances_that_start_alone(self):
+        """Guards against a whole limit for each instance that knows nobody."""
+        fleet = FleetSimulation(
+            10.0,
+            [
+                roles.Sender(
+                    f"i{n}", (f"i{n}",), known_share=membership.UNKNOWN_SHARE
+                )
+                for n in range(10)
+            ],
+        )
+        fleet.run(WINDOW_SECONDS)
+        self.assertLessEqual(
+            count_busiest(fleet.sends),
+            MAX_RATIO * 10.0 * WINDOW_SECONDS + EXTRA_REQUESTS,
+        )
