--- a/citronport/relay/jobs.py
+++ b/citronport/relay/jobs.py
@@ -92,10 +92,11 @@
         )
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
 class RelayContext:
     """Components shared by all requests of an instance.
 
-    Args:
+    Attributes:
         cluster_state: current configuration and endpoints.
         dispatcher: reserves endpoint capacity.
         loads: loads and step times of endpoints.
@@ -114,38 +115,19 @@
         data_centre: data centre of this instance.
     """
 
-    def __init__(
-        self,
-        cluster_state: cluster_state_module.ClusterState,
-        dispatcher: dispatcher_module.Dispatcher,
-        loads: load_tracker.LoadTracker,
-        health: health_module.Health,
-        limits: endpoint_limits.EndpointLimits,
-        pauses: pauses_module.Pauses,
-        paths: paths_module.Paths,
-        suspects: suspects_module.Suspects,
-        forwarder: "forwarding.Forwarder",
-        stream_versions: stream_versions_module.StreamVersions,
-        ticker: clock.Clock,
-        log: eventlog.Log,
-        counts: metrics.Counts,
-        retry_budgets: retry_budgets_module.RetryBudgets,
-        count_instances: collections.abc.Callable[[], int],
-        data_centre: str,
-    ) -> None:
-        self.cluster_state = cluster_state
-        self.dispatcher = dispatcher
-        self.loads = loads
-        self.health = health
-        self.limits = limits
-        self.pauses = pauses
-        self.paths = paths
-        self.suspects = suspects
-        self.forwarder = forwarder
-        self.stream_versions = stream_versions
-        self.ticker = ticker
-        self.log = log
-        self.counts = counts
-        self.retry_budgets = retry_budgets
-        self.count_instances = count_instances
-        self.data_centre = data_centre
+    cluster_state: cluster_state_module.ClusterState
+    dispatcher: dispatcher_module.Dispatcher
+    loads: load_tracker.LoadTracker
+    health: health_module.Health
+    limits: endpoint_limits.EndpointLimits
+    pauses: pauses_module.Pauses
+    paths: paths_module.Paths
+    suspects: suspects_module.Suspects
+    forwarder: "forwarding.Forwarder"
+    stream_versions: stream_versions_module.StreamVersions
+    ticker: clock.Clock
+    log: eventlog.Log
+    counts: metrics.Counts
+    retry_budgets: retry_budgets_module.RetryBudgets
+    count_instances: collections.abc.Callable[[], int]
+    data_centre: str
--- a/tests/relay/senders.py
+++ b/tests/relay/senders.py
@@ -79,22 +79,22 @@
         self.suspects = suspects.Suspects()
         room = self.room
         self.context = jobs.RelayContext(
-            room.cluster_state,
-            room.dispatcher,
-            room.board,
-            room.health,
-            room.limits,
-            room.pauses,
-            room.paths,
-            self.suspects,
-            room.forwarder,
-            room.stream_versions,
-            room.ticker,
-            room.log,
-            metrics.Counts(),
-            SoleBudget(self.budget),
-            lambda: 1,
-            "a",
+            cluster_state=room.cluster_state,
+            dispatcher=room.dispatcher,
+            loads=room.board,
+            health=room.health,
+            limits=room.limits,
+            pauses=room.pauses,
+            paths=room.paths,
+            suspects=self.suspects,
+            forwarder=room.forwarder,
+            stream_versions=room.stream_versions,
+            ticker=room.ticker,
+            log=room.log,
+            counts=metrics.Counts(),
+            retry_budgets=SoleBudget(self.budget),
+            count_instances=lambda: 1,
+            data_centre="a",
         )
 
     def ask(self, fingerprint="f1", origin=None, parts=(), **fields):
