Test what parts of a fleet take for their share of the budget

Fleets of 7, 16 and 40 instances that start behind a partition, in two to all parts: what all instances together take for theirs stays within one; after it has healed it is one.

--- a/tests/relay/test_retry_budgets.py
+++ b/tests/relay/test_retry_budgets.py
@@ -6,6 +6,7 @@
 from citronport.relay import membership
 from citronport.relay import retry_budgets
 from citronport.relay import settings as settings_module
+from tests.relay import networks
 from tests.relay import test_membership
 
 PORT = 8229
@@ -111,6 +112,67 @@
         return self.budgets.describe_fleet()
 
 
+class Node(networks.Node):
+    """An instance that shares the budget of repeats with others."""
+
+    def start(self, seeds):
+        """Start with empty state, as a new incarnation."""
+        super().start(seeds)
+        self.budgets = retry_budgets.RetryBudgets(
+            self.gossip._settings, self.members, self.network.ticker
+        )
+
+
+class PartitionTest(testtools.TestCase):
+    """Fleets of which each instance knows a part."""
+
+    def start(self, instances, data_centres, part):
+        """Start a fleet behind a partition.
+
+        Args:
+            instances: number of instances.
+            data_centres: number of data centres.
+            part: returns the part that a number belongs to.
+        """
+        network = networks.Network(instances, data_centres, Node)
+        parts = {
+            node.name: part(int(node.name[1:]))
+            for node in network.nodes.values()
+        }
+        network.is_blocked = lambda one, other: (
+            parts[one.name] != parts[other.name]
+        )
+        network.run(2.0)
+        return network
+
+    def sum_shares(self, network):
+        """Return the sum of the parts that instances take for theirs."""
+        return sum(
+            1 / node.budgets.describe_fleet().instances
+            for node in network.nodes.values()
+        )
+
+    def test_start_behind_a_partition(self):
+        """Guards against parts of a fleet that each use the whole budget."""
+        for instances, data_centres in ((7, 4), (16, 4), (40, 3)):
+            for part in (
+                lambda n: n % 2,
+                lambda n: n < 2,
+                lambda n: n < 3,
+                lambda n: n % 5,
+                lambda n: n,
+            ):
+                network = self.start(instances, data_centres, part)
+                self.assertLess(self.sum_shares(network), 1.001)
+
+    def test_partition_that_heals(self):
+        """Guards against parts that go on with the share of a part."""
+        network = self.start(16, 4, lambda n: n % 2)
+        network.is_blocked = lambda one, other: False
+        network.run(12.0)
+        self.assertAlmostEqual(1.0, self.sum_shares(network), places=3)
+
+
 def make_address(number):
     """Return the address of an instance for other instances."""
     return f"10.0.0.{number + 1}:{PORT}"
