Count all instances as new after a reload to a longer window

What callers would have seen: after a reload that lengthens the window of the budget, an error (5xx) instead of a repeat, for a window and 5 s. Cause: the budget counted itself as new, as earlier sends are gone, while no instance had just started; the limit was divided by that share, 0. All instances get the settings, so that all count as new then; and the division can no longer be by 0 (the same value otherwise).

--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -120,7 +120,7 @@
     def expect_others(self, now: float) -> None:
         """Assume others for ``KNOWN_SECONDS``, even if none is known.
 
-        An instance that starts behind a partition knows nobody. All such
+        An instance that starts behind a partition knows no other. All such
         instances together must keep to the shared limits as well.
         """
         self._others_expected_until = now + KNOWN_SECONDS
--- a/citronport/relay/retry_budgets.py
+++ b/citronport/relay/retry_budgets.py
@@ -29,15 +29,22 @@
         self._members = members
         self._ticker = ticker
         self._started_at = ticker.now()
+        self._window_grown_at = float("-inf")
         self._budgets: dict[str, retries.RetryBudget] = {}
         self._fleet: retries.Fleet | None = None
         self._fleet_until = float("-inf")
 
     def update_settings(self, settings: settings_module.Settings) -> None:
         """Use new settings; sends before still count."""
+        bounds = settings.bounds
+        if (
+            bounds.retry_window_seconds
+            > self._settings.bounds.retry_window_seconds
+        ):
+            # All instances get the settings, and lack earlier sends.
+            self._window_grown_at = self._ticker.now()
         self._settings = settings
         self._fleet = None
-        bounds = settings.bounds
         for budget in self._budgets.values():
             budget.update(
                 bounds.retry_ratio,
@@ -88,6 +95,8 @@
             instances = len(known) * len(seeds) / known_seeds
         else:
             instances = float("inf")
+        if retries.is_new(now - self._window_grown_at, window):
+            return retries.Fleet(instances=instances, new_share=1.0)
         ages = [
             now - self._started_at,
             *self._members.list_local_ages(now),
--- a/citronport/scheduler/direct/retries.py
+++ b/citronport/scheduler/direct/retries.py
@@ -156,7 +156,9 @@
             return share + earned
         # The fixed part grows from zero, so that an instance that is killed
         # again and again does not get a full one at each start.
-        factor = min(1.0, NEW_INSTANCES_SHARE / fleet.new_share)
+        factor = NEW_INSTANCES_SHARE / max(
+            NEW_INSTANCES_SHARE, fleet.new_share
+        )
         return factor * (share * age / settled_age + earned)
 
     def _trim(self, now: float) -> None:
--- a/tests/relay/test_retry_budgets.py
+++ b/tests/relay/test_retry_budgets.py
@@ -1,5 +1,6 @@
 """What an instance takes the fleet to be that shares its retry budgets."""
 
+import msgspec
 import testtools
 
 from citronport import clock
@@ -107,6 +108,22 @@
         self.discover(4, up_seconds=100.0)
         self.assertEqual(0.75, self.describe().new_share)
 
+    def test_longer_window_in_an_old_fleet(self):
+        """Guards against a reload after which a repeat is an error."""
+        self.discover(*range(2, NUMBER), 0)
+        self.clock.advance(100.0)
+        budget = self.budgets.get("llm")
+        settings = self.budgets._settings
+        bounds = msgspec.structs.replace(
+            settings.bounds, retry_window_seconds=20.0
+        )
+        self.budgets.update_settings(
+            msgspec.structs.replace(settings, bounds=bounds)
+        )
+        fleet = self.describe()
+        self.assertEqual(1.0, fleet.new_share)
+        self.assertFalse(budget.take(fleet, self.clock.now()).allowed)
+
     def describe(self):
         """Return what the instance takes the fleet to be."""
         return self.budgets.describe_fleet()
