Show streams of two versions after a worker leaves and all are killed

Cause: an instance that has just started takes the listed versions for all that can have begun a stream if no listed endpoint is new. The last endpoint of a version that leaves without being replaced isn't thought of.

--- a/review/standins.py
+++ b/review/standins.py
@@ -657,6 +657,7 @@
     body: bytes = b""
     headers: dict = dataclasses.field(default_factory=dict)
     events: int = 0
+    received: bytes = b""
 
     @property
     def served(self):
@@ -775,6 +776,7 @@
 
             def count(data):
                 attempt.events += data.count(b"\n\n")
+                attempt.received += data
 
             attempt.body = await read_body(reader, attempt.headers, count)
             attempt.status = status
