--- a/tests/relay/instances.py
+++ b/tests/relay/instances.py
@@ -34,11 +34,13 @@
         program: module that runs an instance.
         scheduling: optional rules of scheduling in the settings, as YAML.
         bounds: bounds in the settings, as YAML.
+        resources: memory and descriptors in the settings, as lines of YAML.
     """
 
     program = "citronport"
     scheduling = ""
     bounds = "grace_seconds: 8, retry_ratio: 0.2"
+    resources = ()
 
     def setUp(self):
         """Start a store with a configuration, and an endpoint."""
@@ -56,12 +58,13 @@
         self.put_configuration(7)
         self.put_endpoint()
 
-    def put_configuration(self, version, tenant=None, **changes):
+    def put_configuration(self, version, tenant=None, limits=None, **changes):
         """Publish a version of the sample configuration.
 
         Args:
             version: its number.
             tenant: fields of the workspace that differ.
+            limits: limits on callers that differ.
             changes: fields of the route that differ.
         """
         route = {
@@ -73,6 +76,10 @@
             **wire_samples.CONFIGURATION,
             "version": version,
             "routes": [route],
+            "limits": {
+                **wire_samples.CONFIGURATION["limits"],
+                **(limits or {}),
+            },
             "tenants": [
                 {**wire_samples.CONFIGURATION["tenants"][0], **(tenant or {})}
             ],
@@ -110,6 +117,7 @@
                 f"bounds: {{{self.bounds}}}",
                 f"scheduling: {{{self.scheduling}}}",
                 *lines,
+                *self.resources,
             )
         )
         path = self.folder / f"entry-{number}.yaml"
