Decode messages between instances by the types of their fields

What was seen: one datagram of 8 KB, which holds a compressed message of empty lists, took 626 MB of an instance; two messages of empty lists at the port of peers 613 MB, two such forwarded requests 330 MB; 24 connections that announce one long value to the port of peers 260 MB.

Cause: a byte of msgpack may stand for an object of 64 bytes, and the objects were made before anybody looked at the fields. A request for changes of the store, of some fifty bytes, might be as long as any message (8 MB), on each connection.

Change: the codec decodes a complete message by the declared types of its kind, so that what a field doesn't allow is rejected before an object is made of it. A stream is scanned for the end of its message without making objects. A request for changes has at most 256 bytes, a message that was compressed into a datagram at most 1 MB, and a list of the store's items at most 50,000. The wire format is unchanged.

--- a/citronport/codec.py
+++ b/citronport/codec.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import typing
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -13,6 +14,10 @@
 
 Message = TypeVar("Message")
 
+_FIXARRAY = 0x90
+"""First byte of a msgpack list of up to 15 values, less their number; a longer
+list begins with 0xDC and two bytes for it."""
+
 
 class Codec(Generic[Message]):
     """Packs and unpacks the messages of one protocol.
@@ -28,6 +33,7 @@
         self._max_bytes = max_bytes
         self._numbers = {kind: number for number, kind in enumerate(kinds)}
         self._fields = {kind: _list_fields(kind) for kind in kinds}
+        self._decoders = [self._make_decoder(kind) for kind in kinds]
 
     def encode(self, message: Message) -> bytes:
         """Return the wire format of a message."""
@@ -51,16 +57,29 @@
             raise ValueError(f"wrong number of fields for {kind.__name__}")
         return kind(**dict(zip(names, raw[1:], strict=True)))
 
-    def unpack(self, data: bytes) -> Message:
-        """Decode one datagram.
+    def unpack(self, data: bytes | bytearray) -> Message:
+        """Decode one complete message, whose fields have the declared types.
+
+        A byte of msgpack may stand for an object of 64 bytes. What the type
+        of a field doesn't allow is rejected before an object is made of it.
 
         Raises:
-            ValueError: the datagram is not a message of this protocol.
+            ValueError: the data is not a message of this protocol.
         """
+        number = _read_number(data)
+        if not 0 <= number < len(self._kinds):
+            raise ValueError(f"unknown message number {number}")
         try:
-            return self.decode(msgpack.unpackb(data, strict_map_key=False))
-        except (msgpack.exceptions.UnpackException, TypeError) as error:
-            raise ValueError("invalid msgpack") from error
+            _, *values = self._decoders[number].decode(data)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise ValueError(f"invalid message: {error}") from error
+        kind = self._kinds[number]
+        return kind(**dict(zip(self._fields[kind], values, strict=True)))
+
+    def _make_decoder(self, kind: type) -> msgspec.msgpack.Decoder:
+        hints = typing.get_type_hints(kind, include_extras=True)
+        types = [hints[name] for name in self._fields[kind]]
+        return msgspec.msgpack.Decoder(tuple[(int, *types)])
 
     def make_unpacker(self) -> msgpack.Unpacker:
         """Return an unpacker whose buffer a peer cannot grow past a limit."""
@@ -73,3 +92,13 @@
     if issubclass(kind, msgspec.Struct):
         return kind.__struct_fields__
     return tuple(field.name for field in dataclasses.fields(kind))
+
+
+def _read_number(data: bytes | bytearray) -> int:
+    """Return the number of a message's kind; -1 if it is no message."""
+    match list(data[:4]):
+        case [first, number, *_] if first & 0xF0 == _FIXARRAY:
+            return number
+        case [0xDC, _, _, number]:
+            return number
+    return -1
--- a/citronport/relay/forward_server.py
+++ b/citronport/relay/forward_server.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 
-import msgspec
 import result
 
 from citronport import clock
@@ -142,4 +141,4 @@
         raise ValueError(f"expected Forward, got {type(message).__name__}")
     if message.protocol != messages.PROTOCOL:
         raise ValueError(f"protocol {message.protocol}")
-    return msgspec.convert(msgspec.structs.asdict(message), messages.Forward)
+    return message
--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -244,7 +244,9 @@
                 )
 
     def _handle_datagram(self, data: bytes) -> None:
-        message = messages.unpack(messages.CODEC.unpack(data))
+        message = messages.unpack(
+            messages.CODEC.unpack(data), messages.MAX_DATAGRAM_BYTES
+        )
         if getattr(message, "protocol", None) == messages.PROTOCOL:
             self._handle(message)
 
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+from typing import Annotated
 import zlib
 
 import msgspec
@@ -21,6 +22,17 @@
 """Maximum size of a message. It allows for a store with values of 1 MB and
 some thousand endpoints."""
 
+MAX_DATAGRAM_BYTES = 1_000_000
+"""Maximum size of a message that was compressed into a datagram."""
+
+MAX_WANT_BYTES = 256
+"""Maximum size of a request for changes of the store."""
+
+MAX_ITEMS = 50_000
+"""Maximum number of the store's items in a message."""
+
+_FEW = msgspec.Meta(max_length=MAX_ITEMS)
+
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
     """State of an instance, sent to the others several times a second.
@@ -237,10 +249,10 @@
 
     revision: int
     recovered_seconds: float
-    keys: list[str]
-    items: list[tuple[str, bytes, int]]
+    keys: Annotated[list[str], _FEW]
+    items: Annotated[list[tuple[str, bytes, int]], _FEW]
     is_complete: bool
-    lost: list[tuple[str, bytes | None, int]]
+    lost: Annotated[list[tuple[str, bytes | None, int]], _FEW]
 
 
 class Packed(msgspec.Struct, frozen=True, kw_only=True):
@@ -481,9 +493,13 @@
     return CODEC.encode(Packed(data=data))
 
 
-def unpack(message: Message) -> Message:
+def unpack(message: Message, max_bytes: int = MAX_MESSAGE_BYTES) -> Message:
     """Return the message in a ``Packed`` one, or any other unchanged.
 
+    Args:
+        message: the message received.
+        max_bytes: most bytes of the message in it.
+
     Raises:
         ValueError: the content is invalid or too long.
     """
@@ -491,10 +507,10 @@
         return message
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(message.data, MAX_MESSAGE_BYTES)
+        data = decompressor.decompress(message.data, max_bytes)
     except zlib.error as error:
         raise ValueError("invalid zlib data in Packed message") from error
     if not decompressor.eof:
-        limit = f"{MAX_MESSAGE_BYTES} bytes"
+        limit = f"{max_bytes} bytes"
         raise ValueError(f"Packed message truncated or longer than {limit}")
     return CODEC.unpack(data)
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import contextlib
 import random
 
 from absl import logging
@@ -11,7 +12,6 @@
 from gevent import server as gevent_server
 from gevent import socket
 import msgpack
-import msgspec
 
 from citronport import clock
 from citronport import errors
@@ -241,7 +241,7 @@
         include_lost: bool = False,
     ) -> messages.Held | None:
         started_at = self._ticker.now()
-        reader = _MessageReader()
+        reader = _MessageReader(messages.MAX_MESSAGE_BYTES)
         want = messages.Want(
             protocol=messages.PROTOCOL,
             revision=self._mirror.revision,
@@ -315,13 +315,13 @@
             held = messages.unpack(reader.read(sock))
         if not isinstance(held, messages.Held):
             raise ValueError(f"expected Held, got {type(held).__name__}")
-        return msgspec.convert(msgspec.structs.asdict(held), messages.Held)
+        return held
 
     def _serve(self, sock: socket.socket, sender: tuple[str, int]) -> None:
         try:
             with gevent.Timeout(FETCH_TIMEOUT_SECONDS, TimeoutError), sock:
                 sock.settimeout(IDLE_TIMEOUT_SECONDS)
-                want = _MessageReader().read(sock)
+                want = _MessageReader(messages.MAX_WANT_BYTES).read(sock)
                 if isinstance(want, messages.Want):
                     _send_in_pieces(
                         sock, messages.pack(self._make_answer(want))
@@ -370,11 +370,15 @@
 class _MessageReader:
     """Reads one message from a stream.
 
+    Args:
+        max_bytes: most bytes of the message.
+
     Attributes:
         received: bytes received so far.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
         self.received = 0
 
     def read(self, sock: socket.socket) -> messages.Message:
@@ -384,12 +388,18 @@
             OSError: the connection failed or timed out.
             ValueError: the bytes received are not a valid message.
         """
-        unpacker = messages.CODEC.make_unpacker()
-        while data := sock.recv(READ_BYTES):
+        found = bytearray()
+        # Finds the end of the message, and makes no objects of its content.
+        scanner = msgpack.Unpacker()
+        while data := sock.recv(min(READ_BYTES, self._max_bytes)):
             self.received += len(data)
-            unpacker.feed(data)
-            for raw in unpacker:
-                return messages.CODEC.decode(raw)
+            if self.received > self._max_bytes:
+                raise ValueError(f"message over {self._max_bytes} bytes")
+            found += data
+            scanner.feed(data)
+            with contextlib.suppress(msgpack.OutOfData):
+                scanner.skip()
+                return messages.CODEC.unpack(found)
         raise ValueError(
             f"connection closed after {self.received} bytes of a message"
         )
--- a/tests/relay/test_crowds.py
+++ b/tests/relay/test_crowds.py
@@ -96,8 +96,7 @@
     def check(self):
         """Check that the process holds its bounds and serves a caller."""
         status = self.ask_until_served()
-        print(
-        )
+        print()
         self.assertTrue(self.running.is_running("entry-1"))
         self.assertEqual(200, status)
         self.assertLess(self.meter.memory, self.memory_mb * 1e6)
