Limit the bytes that may lie unread in a socket

Cause: the platform counts bytes received and not yet read as memory. The kernel lets 128 KB lie unread in a socket, and lets its buffer grow to megabytes once some were read; nothing limited it.

Change: every listener sets a receive buffer of 16 KB before it accepts, so that at most 24 KB lie unread (tried on loopback with pieces of 1, 100 and 65,536 bytes), also of connections that nobody has accepted yet. Connections to endpoints have the same, the store and fetches from instances wider ones, as there are few.

--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -12,6 +12,7 @@
 import result
 
 from citronport import errors
+from citronport import resources
 from citronport.callers import bodies
 from citronport.callers import connections
 from citronport.callers import const
@@ -262,6 +263,7 @@
     # for the acknowledgement of the previous one, which a caller may delay
     # by 40 ms, so each token would be that late.
     server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    resources.limit_unread(server.socket, resources.RECEIVE_BUFFER_BYTES)
     return server
 
 
--- a/citronport/catalogue/client.py
+++ b/citronport/catalogue/client.py
@@ -13,6 +13,7 @@
 import result
 
 from citronport import clock
+from citronport import resources
 from citronport import settings
 from citronport.catalogue import const
 from citronport.endpoints import connection
@@ -143,7 +144,11 @@
         HTTPParseError: the answer is not valid HTTP, or too long.
     """
     with contextlib.closing(
-        connection.connect(address, max_bytes=_MAX_ANSWER_BYTES)
+        connection.connect(
+            address,
+            max_bytes=_MAX_ANSWER_BYTES,
+            unread_bytes=resources.STORE_BUFFER_BYTES,
+        )
     ) as opened:
         opened.send(connection.encode_request(address, "GET", target))
         status = opened.read_head().status_code
--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -11,6 +11,7 @@
 import geventhttpclient
 from geventhttpclient import response as http_response
 
+from citronport import resources
 from citronport.endpoints import const
 
 MAX_FRAMING_BYTES = 65536
@@ -316,6 +317,7 @@
     start: int = 0,
     timeout: float = const.CONNECT_TIMEOUT_SECONDS,
     max_bytes: int = MAX_ANSWER_BYTES,
+    unread_bytes: int = resources.RECEIVE_BUFFER_BYTES,
 ) -> Connection:
     """Open a connection to an endpoint.
 
@@ -324,6 +326,7 @@
         start: number of the endpoint's process start.
         timeout: seconds.
         max_bytes: most bytes of a response.
+        unread_bytes: size of the receive buffer.
 
     Raises:
         OSError: the endpoint cannot be reached.
@@ -334,6 +337,7 @@
     # Otherwise a small write waits for the acknowledgement of the previous
     # one, which the peer may delay by 40 ms.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    resources.limit_unread(sock, unread_bytes)
     return Connection(sock, start, max_bytes)
 
 
--- a/citronport/instances/peers.py
+++ b/citronport/instances/peers.py
@@ -13,6 +13,7 @@
 
 from citronport import clock
 from citronport import errors
+from citronport import resources
 from citronport import runs
 from citronport.callers import tickets
 from citronport.endpoints import client as endpoint_client
@@ -75,6 +76,8 @@
     def serve(self, address: str, port: int) -> gevent_server.StreamServer:
         """Listen for other instances; return the started server."""
         server = gevent_server.StreamServer((address, port), self._accept)
+        server.init_socket()
+        resources.limit_unread(server.socket, resources.FETCH_BUFFER_BYTES)
         server.start()
         return server
 
@@ -206,6 +209,7 @@
         finally:
             self._connecting.discard(instance.name)
         sock.settimeout(None)
+        resources.limit_unread(sock, resources.FETCH_BUFFER_BYTES)
         if instance.name in self._links:
             sock.close()
             return
--- a/citronport/operators/server.py
+++ b/citronport/operators/server.py
@@ -9,6 +9,7 @@
 from gevent import pool
 from gevent import pywsgi
 
+from citronport import resources
 from citronport import settings
 from citronport import telemetry
 from citronport.operators import const
@@ -88,12 +89,15 @@
     listener: settings.Listener, application: Application
 ) -> pywsgi.WSGIServer:
     """Return a server for operators; call ``start`` to listen."""
-    return pywsgi.WSGIServer(
+    server = pywsgi.WSGIServer(
         (str(listener.address), listener.port),
         application,
         log=None,
         spawn=pool.Pool(const.MAX_CONNECTIONS),
     )
+    server.init_socket()
+    resources.limit_unread(server.socket, resources.RECEIVE_BUFFER_BYTES)
+    return server
 
 
 def _respond_json(
--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -7,6 +7,7 @@
 from geventhttpclient import response as http_response
 import result
 
+from citronport import resources
 from citronport import revisions
 from citronport.endpoints import connection
 from citronport.platform import const
@@ -58,9 +59,7 @@
             prefix: prefix of the keys.
             after: last key of the previous page, or empty.
         """
-        query = {"prefix": prefix}
-        if after:
-            query["after"] = after
+        query = {"prefix": prefix} | ({"after": after} if after else {})
         return self._request(const.PATH_RANGE, query, 0.0, models.parse_range)
 
     def watch(self, prefix: str, revision: int, wait: float) -> ReadResult:
@@ -136,12 +135,13 @@
             if self._connection is None or not self._connection.is_idle():
                 self.close()
                 self._connection = connection.connect(
-                    self._address, max_bytes=MAX_ANSWER_BYTES
+                    self._address,
+                    max_bytes=MAX_ANSWER_BYTES,
+                    unread_bytes=resources.STORE_BUFFER_BYTES,
                 )
             current = self._connection
-            current.send(
-                connection.encode_request(self._address, "GET", target)
-            )
+            request = connection.encode_request(self._address, "GET", target)
+            current.send(request)
             head = current.read_head()
         chunks = []
         # The idle time-out applies to each chunk. A large response takes
--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -15,6 +15,7 @@
 from citronport.relay import events
 from citronport.relay import follower as follower_module
 from citronport.relay import membership as membership_module
+from citronport.relay import message_limits
 from citronport.relay import messages
 from citronport.relay import sender_clocks
 from citronport.relay import settings as settings_module
@@ -79,7 +80,7 @@
         settings: settings_module.Settings,
         members: membership_module.Membership,
         ticker: clock.Clock,
-        make_report: messages.MakeReport,
+        make_report: summaries_module.MakeReport,
         handle_report: collections.abc.Callable[[messages.Report], None],
         handle_message: collections.abc.Callable[
             [messages.InstanceMessage], None
@@ -245,7 +246,7 @@
 
     def _handle_datagram(self, data: bytes) -> None:
         message = messages.unpack(
-            messages.CODEC.unpack(data), messages.MAX_DATAGRAM_BYTES
+            messages.CODEC.unpack(data), message_limits.MAX_DATAGRAM_BYTES
         )
         if getattr(message, "protocol", None) == messages.PROTOCOL:
             self._handle(message)
--- a/citronport/relay/listeners.py
+++ b/citronport/relay/listeners.py
@@ -5,7 +5,7 @@
 from citronport.platform import const as wire
 from citronport.relay import application as application_module
 from citronport.relay import forward_server
-from citronport.relay import messages
+from citronport.relay import message_limits
 from citronport.relay import settings as settings_module
 from citronport.scheduler.direct import models
 
@@ -42,7 +42,7 @@
     )
     limits = connections.Limits(
         connections=max(1, settings.files // FORWARD_DESCRIPTORS_SHARE),
-        body_bytes=messages.MAX_MESSAGE_BYTES,
+        body_bytes=message_limits.MAX_MESSAGE_BYTES,
         total_body_bytes=int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE),
     )
     return _make_server(address, application, limits)
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from citronport import codec
+from citronport.relay import message_limits
 from citronport.relay import stream_messages
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import suspects
@@ -18,21 +19,6 @@
 PROTOCOL = 14
 """Version of this protocol; messages of other versions are dropped."""
 
-MAX_MESSAGE_BYTES = 8_000_000
-"""Maximum size of a message. It allows for a store with values of 1 MB and
-some thousand endpoints."""
-
-MAX_DATAGRAM_BYTES = 1_000_000
-"""Maximum size of a message that was compressed into a datagram."""
-
-MAX_WANT_BYTES = 256
-"""Maximum size of a request for changes of the store."""
-
-MAX_ITEMS = 50_000
-"""Maximum number of the store's items in a message."""
-
-_FEW = msgspec.Meta(max_length=MAX_ITEMS)
-
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
     """State of an instance, sent to the others several times a second.
@@ -249,10 +235,10 @@
 
     revision: int
     recovered_seconds: float
-    keys: Annotated[list[str], _FEW]
-    items: Annotated[list[tuple[str, bytes, int]], _FEW]
+    keys: Annotated[list[str], message_limits.ITEMS]
+    items: Annotated[list[tuple[str, bytes, int]], message_limits.ITEMS]
     is_complete: bool
-    lost: Annotated[list[tuple[str, bytes | None, int]], _FEW]
+    lost: Annotated[list[tuple[str, bytes | None, int]], message_limits.ITEMS]
 
 
 class Packed(msgspec.Struct, frozen=True, kw_only=True):
@@ -442,10 +428,6 @@
     | Holding
 )
 
-MakeReport = collections.abc.Callable[..., Report]
-"""Returns the report of this instance; given a data centre, one that names
-members of it only."""
-
 InstanceMessage = LeaseMessage | stream_messages.StreamMessage
 """A message to one instance, as a datagram."""
 
@@ -478,7 +460,7 @@
         stream_messages.FindStream,
         stream_messages.StreamFound,
     ),
-    MAX_MESSAGE_BYTES,
+    message_limits.MAX_MESSAGE_BYTES,
 )
 
 
@@ -493,7 +475,9 @@
     return CODEC.encode(Packed(data=data))
 
 
-def unpack(message: Message, max_bytes: int = MAX_MESSAGE_BYTES) -> Message:
+def unpack(
+    message: Message, max_bytes: int = message_limits.MAX_MESSAGE_BYTES
+) -> Message:
     """Return the message in a ``Packed`` one, or any other unchanged.
 
     Args:
@@ -511,6 +495,5 @@
     except zlib.error as error:
         raise ValueError("invalid zlib data in Packed message") from error
     if not decompressor.eof:
-        limit = f"{max_bytes} bytes"
-        raise ValueError(f"Packed message truncated or longer than {limit}")
+        raise ValueError(f"Packed message truncated or over {max_bytes} bytes")
     return CODEC.unpack(data)
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -15,6 +15,7 @@
 
 from citronport import clock
 from citronport import errors
+from citronport import resources
 from citronport import revisions
 from citronport import tasks
 from citronport.platform import models
@@ -22,6 +23,7 @@
 from citronport.relay import events
 from citronport.relay import follower as follower_module
 from citronport.relay import membership as membership_module
+from citronport.relay import message_limits
 from citronport.relay import messages
 from citronport.relay import mirror as mirror_module
 from citronport.relay import settings as settings_module
@@ -122,6 +124,10 @@
         self._server = gevent_server.StreamServer(
             (str(peers.address), peers.port), self._serve
         )
+        self._server.init_socket()
+        resources.limit_unread(
+            self._server.socket, resources.RECEIVE_BUFFER_BYTES
+        )
         self._server.start()
 
     def close(self) -> None:
@@ -241,7 +247,7 @@
         include_lost: bool = False,
     ) -> messages.Held | None:
         started_at = self._ticker.now()
-        reader = _MessageReader(messages.MAX_MESSAGE_BYTES)
+        reader = _MessageReader()
         want = messages.Want(
             protocol=messages.PROTOCOL,
             revision=self._mirror.revision,
@@ -311,6 +317,7 @@
                 (host, int(port)), timeout=IDLE_TIMEOUT_SECONDS
             ) as sock,
         ):
+            resources.limit_unread(sock, resources.FETCH_BUFFER_BYTES)
             sock.sendall(messages.CODEC.encode(want))
             held = messages.unpack(reader.read(sock))
         if not isinstance(held, messages.Held):
@@ -321,7 +328,7 @@
         try:
             with gevent.Timeout(FETCH_TIMEOUT_SECONDS, TimeoutError), sock:
                 sock.settimeout(IDLE_TIMEOUT_SECONDS)
-                want = _MessageReader(messages.MAX_WANT_BYTES).read(sock)
+                want = _MessageReader(message_limits.MAX_WANT_BYTES).read(sock)
                 if isinstance(want, messages.Want):
                     _send_in_pieces(
                         sock, messages.pack(self._make_answer(want))
@@ -377,7 +384,9 @@
         received: bytes received so far.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(
+        self, max_bytes: int = message_limits.MAX_MESSAGE_BYTES
+    ) -> None:
         self._max_bytes = max_bytes
         self.received = 0
 
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -1,5 +1,7 @@
 """Summaries that the data centres of a large fleet exchange."""
 
+import collections.abc
+
 from citronport.relay import membership as membership_module
 from citronport.relay import messages
 from citronport.scheduler.direct import endpoint_limits
@@ -10,6 +12,10 @@
 MAX_CHANGES = 64
 """Maximum number of suspects, and of endpoint limits, in one summary."""
 
+MakeReport = collections.abc.Callable[..., messages.Report]
+"""Returns the report of this instance; given a data centre, one that names
+members of it only."""
+
 
 class Summaries:
     """Makes the summaries of one data centre and applies those of others.
@@ -40,7 +46,7 @@
         profiles: profiles_module.Profiles,
         suspects: suspects_module.Suspects,
         limits: endpoint_limits.EndpointLimits,
-        make_report: messages.MakeReport,
+        make_report: MakeReport,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
--- /dev/null
+++ b/citronport/resources.py
@@ -0,0 +1,131 @@
+"""Shares of a process's memory and file descriptors, for all its ports.
+
+What clients can make a process hold is one sum over all ports: a fixed
+amount for each connection, with the bytes that lie unread in its socket, and
+the bytes of requests. ``docs/CAPACITY.md`` adds it up.
+"""
+
+import dataclasses
+import socket
+
+PROCESS_BYTES = 48_000_000
+"""Memory of a process that holds nothing of clients."""
+
+MIN_FREE_SHARE = 0.25
+"""Share of a very small memory that clients may nevertheless use."""
+
+CONNECTION_BYTES = 48_000
+"""Memory of one connection: task, buffers, the first 4 KB of a head, and up to
+24 KB that lie unread in the socket."""
+
+RECEIVE_BUFFER_BYTES = 16_384
+"""Receive buffer of a client's and of an endpoint's connection. The kernel
+doubles it and lets 24 KB lie unread; by default it would let megabytes."""
+
+STORE_BUFFER_BYTES = 262_144
+"""Receive buffer of a connection to the store, of which there are two."""
+
+FETCH_BUFFER_BYTES = 65_536
+"""Receive buffer of a fetch from another instance; few run at once."""
+
+CONNECTIONS_SHARE = 0.4
+"""Share of the free memory for connections."""
+
+REQUESTS_SHARE = 0.28
+"""Share of the free memory for the bytes of large requests. They may take a
+third more, as some are held twice for a moment."""
+
+SMALL_REQUESTS_SHARE = 0.07
+"""Share of the free memory that large requests can't take from small ones."""
+
+LARGEST_REQUEST_SHARE = 0.4
+"""Share of the free memory that one request may take while no other large one
+is held."""
+
+ANSWERS_SHARE = 0.05
+"""Share of the free memory for answers that other instances fetch."""
+
+RESERVED_DESCRIPTORS = 200
+"""File descriptors that the platform keeps for files."""
+
+PORTS_SHARE = 0.75
+"""Share of the sockets that clients may take at all ports. The others are for
+endpoints, other instances, the store, and connections being refused."""
+
+REFUSALS_DIVISOR = 8
+"""Connections that a port refuses at the same time, as a divisor of those
+that it serves."""
+
+_CALLERS = 20 / 32
+_FORWARDS = 4 / 32
+_LOOKUPS = 3 / 32
+_FETCHES = 3 / 32
+_OPERATIONS = 1 / 32
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Shares:
+    """What the clients of each port may use.
+
+    Attributes:
+        callers: connections of callers.
+        forwards: connections over which instances forward requests.
+        lookups: connections for lookups.
+        fetches: connections over which instances fetch changes.
+        readiness: connections for readiness checks.
+        metrics: connections for metrics.
+        request_bytes: bytes of all large requests together.
+        small_request_bytes: bytes kept for the beginnings of requests.
+        largest_request_bytes: bytes of one request.
+        answer_bytes: bytes of answers to other instances.
+    """
+
+    callers: int
+    forwards: int
+    lookups: int
+    fetches: int
+    readiness: int
+    metrics: int
+    request_bytes: int
+    small_request_bytes: int
+    largest_request_bytes: int
+    answer_bytes: int
+
+
+def limit_unread(sock: socket.socket, size: int) -> None:
+    """Limit the bytes that may lie unread in a socket.
+
+    The platform counts them as memory of the process. Sockets that a listener
+    accepts have its limit.
+
+    Args:
+        sock: a listener or a connection.
+        size: size of the receive buffer, bytes; the kernel doubles it.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def make_shares(memory_bytes: float, files: int) -> Shares:
+    """Return the shares of a process.
+
+    Args:
+        memory_bytes: memory beyond which the process is killed.
+        files: maximum number of its file descriptors.
+    """
+    free = max(memory_bytes - PROCESS_BYTES, memory_bytes * MIN_FREE_SHARE)
+    sockets = max(files - RESERVED_DESCRIPTORS, files // 2)
+    connections = min(
+        sockets * PORTS_SHARE, free * CONNECTIONS_SHARE / CONNECTION_BYTES
+    )
+    return Shares(
+        callers=max(1, int(connections * _CALLERS)),
+        forwards=max(1, int(connections * _FORWARDS)),
+        lookups=max(1, int(connections * _LOOKUPS)),
+        fetches=max(1, int(connections * _FETCHES)),
+        readiness=max(1, int(connections * _OPERATIONS)),
+        metrics=max(1, int(connections * _OPERATIONS)),
+        request_bytes=int(free * REQUESTS_SHARE),
+        small_request_bytes=int(free * SMALL_REQUESTS_SHARE),
+        largest_request_bytes=int(free * LARGEST_REQUEST_SHARE),
+        answer_bytes=int(free * ANSWERS_SHARE),
+    )
--- a/tests/relay/test_endless_answers.py
+++ b/tests/relay/test_endless_answers.py
@@ -16,7 +16,7 @@
 from citronport.catalogue import client as catalogue_client
 from citronport.endpoints import connection
 from citronport.platform import client
-from citronport.relay import messages
+from citronport.relay import message_limits
 from citronport.relay import refusals
 from citronport.relay import replication
 from citronport.scheduler.direct import models
@@ -255,7 +255,9 @@
                 error = caught
             sock.close()
         self.assertIsNotNone(error)
-        self.assertLessEqual(reader.received, 2 * messages.MAX_MESSAGE_BYTES)
+        self.assertLessEqual(
+            reader.received, 2 * message_limits.MAX_MESSAGE_BYTES
+        )
 
 
 class EndlessCallerTest(EndlessCase):
--- a/tests/relay/test_messages.py
+++ b/tests/relay/test_messages.py
@@ -5,6 +5,7 @@
 import testtools
 
 from citronport import inputs
+from citronport.relay import message_limits
 from citronport.relay import messages
 from citronport.relay import stream_messages
 from citronport.relay import stream_versions
@@ -42,7 +43,7 @@
     def test_invalid_or_oversized_data(self):
         """Invalid data is rejected, and oversized data not expanded."""
         whole = zlib.compress(messages.CODEC.encode(HELD))
-        oversized = zlib.compress(bytes(messages.MAX_MESSAGE_BYTES + 1))
+        oversized = zlib.compress(bytes(message_limits.MAX_MESSAGE_BYTES + 1))
         for data in (b"x", whole[:-10], oversized, zlib.compress(b"\xc1")):
             self.assertRaises(
                 ValueError, messages.unpack, messages.Packed(data=data)
