Count the bytes of all requests in one sum, and hold each byte once

What was seen: 300 clients with bodies of just the limit took an instance of 80 MB to 86 MB, 12 forwarded requests beside 12 of callers to 96 MB. One body of 32 MB, the limit of the configuration, was refused for good with 503 and Retry-After at 128 MB of memory, and so was one that no memory could hold.

Cause: the ports for callers and for forwarded requests had a budget of a fifth of the memory each. A body was held 2.4 times: its parts and their join, the encoded request for as long as the endpoint runs it, and for another instance the message and the request around it. Nothing made a client that stops let go of its part.

Change: one byte budget for both ports, from memory_mb (resources.py): 0.28 of what is left beside the process for large requests, 0.07 for the beginnings of all requests, which large ones can't take, 0.4 for one large request while there is no other. Beyond 4 KB heads count too. Without progress for 2 s an incomplete request makes room for any other; else the address that holds most gives way to one that holds less; its bytes count until its task has let go of them. It gets 503 with Retry-After, as before. What no memory can hold is refused with 413, which nobody repeats. A body grows in place and is sent without being copied into a request. The C library returns the memory of long bodies as it is freed.

Ruled out: freeing the room at the eviction (143 to 177 MB in the same tests, as the evicted tasks had not run yet), and reads of 64 KB (80 to 83 MB, a buffer for each connection that waits).

--- a/citronport/callers/bodies.py
+++ b/citronport/callers/bodies.py
@@ -8,11 +8,18 @@
 from gevent import socket
 import result
 
+from citronport import byte_budget
 from citronport import errors
 from citronport.callers import connections
 from citronport.callers import const
 
-_READ_BYTES = 65536
+_READ_BYTES = 8192
+"""Bytes read at a time; each connection that waits for more has a buffer of
+that size."""
+
+_COPIED_BYTES = 65536
+"""Bodies up to this size are returned as immutable bytes."""
+
 _READS_PER_YIELD = 4096
 
 
@@ -50,7 +57,8 @@
         length: value of Content-Length, None without the header.
         chunked: whether the transfer encoding is chunked.
         continue_socket: socket for "100 Continue", None if not expected.
-        tracker: holds the limits and the body budget of all callers.
+        limits: the limits on size and time.
+        holding: the part of the byte budget that the request holds.
         on_complete: called once the body has been read.
     """
 
@@ -61,7 +69,8 @@
         *,
         chunked: bool,
         continue_socket: socket.socket | None,
-        tracker: connections.ConnectionTracker,
+        limits: connections.Limits,
+        holding: byte_budget.Holding,
         on_complete: collections.abc.Callable[[], None],
     ) -> None:
         self._length = length
@@ -71,54 +80,48 @@
             socket=continue_socket,
             chunked_input=chunked,
         )
-        self._tracker = tracker
+        self._limits = limits
+        self._max_bytes = min(limits.body_bytes, holding.largest)
+        self._holding = holding
         self._on_complete = on_complete
-        self._reserved = 0
         self.complete = not chunked and not length
 
-    def read_all(self) -> result.Result[bytes, errors.Refusal]:
+    def read_all(self) -> result.Result[bytes | bytearray, errors.Refusal]:
         """Return the body, or the reason to refuse it."""
-        limits = self._tracker.limits
-        if (self._length or 0) > limits.body_bytes:
+        if (self._length or 0) > self._max_bytes:
             return _refuse(errors.Code.BODY_TOO_LARGE)
-        timeout = gevent.Timeout(limits.body_seconds)
+        timeout = gevent.Timeout(self._limits.body_seconds)
         try:
             with timeout:
-                return self._read()
+                found = self._read()
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
-            return _refuse(errors.Code.BODY_TOO_SLOW)
+            found = _refuse(errors.Code.BODY_TOO_SLOW)
         except TimeoutError:
-            return _refuse(errors.Code.BODY_TOO_SLOW)
+            found = _refuse(errors.Code.BODY_TOO_SLOW)
         except (OSError, ValueError):
             # Malformed chunks, or an end before the announced length.
-            return _refuse(errors.Code.MALFORMED, "framing of the body")
-
-    def release(self) -> None:
-        """Return the bytes of the body to the budget."""
-        self._tracker.release_body_bytes(self._reserved)
-        self._reserved = 0
-
-    def _read(self) -> result.Result[bytes, errors.Refusal]:
-        parts: list[bytes] = []
-        size = 0
+            found = _refuse(errors.Code.MALFORMED, "framing of the body")
+        if isinstance(found, result.Err):
+            self._holding.release()
+        # Its connection is no longer read from once it was evicted.
+        return _refuse_full() if self._holding.evicted else found
+
+    def _read(self) -> result.Result[bytes | bytearray, errors.Refusal]:
+        # Grows in place: joined parts would be held twice.
+        body = bytearray()
         while data := self._input.read(_READ_BYTES):
-            size += len(data)
-            if size > self._tracker.limits.body_bytes:
+            if len(body) + len(data) > self._max_bytes:
                 return _refuse(errors.Code.BODY_TOO_LARGE)
-            if not self._tracker.reserve_body_bytes(len(data)):
-                return result.Err(
-                    errors.Refusal(
-                        code=errors.Code.TOO_MANY_CALLERS,
-                        retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
-                    )
-                )
-            self._reserved += len(data)
-            parts.append(data)
+            if not self._holding.reserve(len(data)):
+                return _refuse_full()
+            body += data
+        if not self._holding.keep():
+            return _refuse_full()
         self.complete = True
         self._on_complete()
-        return result.Ok(b"".join(parts))
+        return result.Ok(bytes(body) if len(body) <= _COPIED_BYTES else body)
 
     def _discard(self) -> None:
         # Overrides a method of pywsgi, which would read an unread body of
@@ -130,3 +133,12 @@
     code: errors.Code, detail: str = ""
 ) -> result.Result[bytes, errors.Refusal]:
     return result.Err(errors.Refusal(code=code, detail=detail))
+
+
+def _refuse_full() -> result.Result[bytes, errors.Refusal]:
+    return result.Err(
+        errors.Refusal(
+            code=errors.Code.TOO_MANY_CALLERS,
+            retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
+        )
+    )
--- a/citronport/callers/connections.py
+++ b/citronport/callers/connections.py
@@ -50,7 +50,6 @@
         self._idle: dict[
             str, collections.OrderedDict[socket.socket, None]
         ] = {}
-        self._body_bytes = 0
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -106,17 +105,6 @@
         if not idle:
             del self._idle[address]
 
-    def reserve_body_bytes(self, size: int) -> bool:
-        """Reserve bytes of the body budget; return False if it is used up."""
-        if self._body_bytes + size > self.limits.total_body_bytes:
-            return False
-        self._body_bytes += size
-        return True
-
-    def release_body_bytes(self, size: int) -> None:
-        """Return bytes to the body budget."""
-        self._body_bytes -= size
-
     def _get_address_limit(self) -> int:
         return max(1, self.limits.connections // 2)
 
--- a/citronport/callers/const.py
+++ b/citronport/callers/const.py
@@ -93,6 +93,10 @@
 """Maximum size of all header lines; the openai client sends about 700
 bytes."""
 
+UNCOUNTED_HEAD_BYTES: Final = 4096
+"""Part of a head that counts as part of its connection; what is longer counts
+as bytes of the request."""
+
 MAX_HEADERS: Final = 100
 """Maximum number of header lines; the openai client sends about 20."""
 
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -11,6 +11,7 @@
 from gevent import socket
 import result
 
+from citronport import byte_budget
 from citronport import errors
 from citronport import resources
 from citronport.callers import bodies
@@ -22,6 +23,10 @@
 
 LOG = "callers:"
 _HEAD_END = b"\r\n\r\n"
+_FULL = errors.Refusal(
+    code=errors.Code.TOO_MANY_CALLERS,
+    retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
+)
 _EXPECTED_ERRORS = (
     disconnects.CallerDisconnected,
     replies.StreamCutError,
@@ -40,6 +45,15 @@
 
     def handle_one_request(self) -> bool | None:
         """Serve a request; return None to close the connection."""
+        self._holding = self.server.budget.open(
+            self.client_address[0], self._stop_reading
+        )
+        try:
+            return self._serve_request()
+        finally:
+            self._holding.release()
+
+    def _serve_request(self) -> bool | None:
         try:
             if not self._wait_for_request():
                 return None
@@ -56,7 +70,6 @@
         self.environ = self.get_environ()
         self.application = self.server.application
         self.handle_one_response()
-        self.wsgi_input.release()
         if not self.wsgi_input.complete:
             self._discard_rest()
             return None
@@ -158,6 +171,10 @@
         while (line := self._read_line()) != b"\r\n":
             size += len(line)
             lines.append(line)
+            if size > const.UNCOUNTED_HEAD_BYTES and not (
+                self._holding.reserve(len(line))
+            ):
+                raise head_validation.HeadError(_FULL)
             if (
                 size > const.MAX_HEAD_BYTES
                 or len(lines) > const.MAX_HEADERS
@@ -172,6 +189,11 @@
             raise ConnectionResetError
         return line
 
+    def _stop_reading(self) -> None:
+        """Let the rest of a request that makes room for others be refused."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RD)
+
     def _make_body(self) -> bodies.Body:
         length = self._fields.get("content-length")
         waits = self._fields.get("expect", "").lower() == "100-continue"
@@ -180,7 +202,8 @@
             int(length) if length else None,
             chunked="transfer-encoding" in self._fields,
             continue_socket=self.socket if waits else None,
-            tracker=self.server.tracker,
+            limits=self.server.tracker.limits,
+            holding=self._holding,
             on_complete=self._watch_for_disconnect,
         )
 
@@ -206,6 +229,7 @@
 
     handler_class = Handler
     tracker: connections.ConnectionTracker
+    budget: byte_budget.ByteBudget
     singleton_headers = head_validation.SINGLETON_HEADERS
     _open_refusals = 0
 
@@ -236,13 +260,9 @@
         if self._open_refusals >= const.MAX_CONCURRENT_REFUSALS:
             return
         self._open_refusals += 1
-        refusal = errors.Refusal(
-            code=errors.Code.TOO_MANY_CALLERS,
-            retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
-        )
         with contextlib.suppress(OSError):
             sock.settimeout(const.DISCARD_TIMEOUT_SECONDS)
-            sock.sendall(_encode_refusal(refusal))
+            sock.sendall(_encode_refusal(_FULL))
         _discard(sock)
         self._open_refusals -= 1
 
@@ -252,11 +272,26 @@
     port: int,
     application: collections.abc.Callable,
     limits: connections.Limits | None = None,
+    budget: byte_budget.ByteBudget | None = None,
 ) -> Server:
-    """Return a server for callers; ``start`` makes it listen."""
+    """Return a server for callers; ``start`` makes it listen.
+
+    Args:
+        address: address to listen on.
+        port: port to listen on.
+        application: the WSGI application.
+        limits: limits on its connections.
+        budget: bytes of requests, shared with other servers; its own one by
+            default.
+    """
     server = Server((address, port), application, log=None, error_log=None)
-    server.tracker = connections.ConnectionTracker(
-        limits or connections.make_limits()
+    limits = limits or connections.make_limits()
+    server.tracker = connections.ConnectionTracker(limits)
+    server.budget = budget or byte_budget.ByteBudget(
+        limits.total_body_bytes,
+        small=0,
+        largest=limits.total_body_bytes,
+        beginning=0,
     )
     server.init_socket()
     # Accepted sockets inherit this option. Without it, a small write waits
--- a/citronport/codec.py
+++ b/citronport/codec.py
@@ -14,6 +14,9 @@
 
 Message = TypeVar("Message")
 
+_BYTES_HEADER = b"\xc6"
+"""First byte of bytes in msgpack, before their number in four bytes."""
+
 _FIXARRAY = 0x90
 """First byte of a msgpack list of up to 15 values, less their number; a longer
 list begins with 0xDC and two bytes for it."""
@@ -41,6 +44,29 @@
         values = [getattr(message, name) for name in self._fields[kind]]
         return msgpack.packb([self._numbers[kind], *values])
 
+    def encode_around(
+        self, message: Message, name: str
+    ) -> tuple[bytes, bytes]:
+        """Return the wire format of a message but for one field's bytes.
+
+        A long value can be sent between the two parts without a copy of it.
+
+        Args:
+            message: the message.
+            name: a field that holds bytes.
+        """
+        kind = type(message)
+        names = self._fields[kind]
+        place = names.index(name)
+        values = [getattr(message, each) for each in names]
+        packer = msgpack.Packer(autoreset=False)
+        packer.pack_array_header(len(names) + 1)
+        for value in (self._numbers[kind], *values[:place]):
+            packer.pack(value)
+        size = len(values[place]).to_bytes(4)
+        before = packer.bytes() + _BYTES_HEADER + size
+        return before, b"".join(map(msgpack.packb, values[place + 1 :]))
+
     def decode(self, raw: Any) -> Message:
         """Return the message of an unpacked list.
 
--- a/citronport/endpoints/connection.py
+++ b/citronport/endpoints/connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connection to an endpoint with incremental reads."""
 
+import dataclasses
 import enum
 import select
 import time
@@ -50,6 +51,29 @@
     """A response, or what frames it, is too long; it may have no end."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OutgoingRequest:
+    """An encoded request in parts, so that a long body is not copied.
+
+    Attributes:
+        head: its head, and what precedes the body.
+        body: its body.
+        tail: what follows the body.
+    """
+
+    head: bytes
+    body: bytes | bytearray = b""
+    tail: bytes = b""
+
+    def __len__(self) -> int:
+        """Return the number of its bytes."""
+        return len(self.head) + len(self.body) + len(self.tail)
+
+    def join(self) -> bytes:
+        """Return it as a whole."""
+        return b"".join((self.head, self.body, self.tail))
+
+
 class Answer(http_response.HTTPResponse):
     """The library's response parser, fed by the owner of the socket.
 
@@ -180,7 +204,7 @@
         self._answer = Answer(method, self._max_bytes)
         self._sock.sendall(request)
 
-    def send_until_answered(self, request: bytes) -> None:
+    def send_until_answered(self, request: OutgoingRequest) -> None:
         """Send a large request, but stop as soon as a response arrives.
 
         An endpoint may reject a request before it has read the body and
@@ -193,14 +217,21 @@
                 long.
         """
         self._answer = Answer(max_bytes=self._max_bytes)
-        remaining = memoryview(request)
+        for part in (request.head, request.body, request.tail):
+            if not self._send_part(part):
+                return
+
+    def _send_part(self, part: bytes | bytearray) -> bool:
+        """Send bytes; return False if a response arrived meanwhile."""
+        remaining = memoryview(part)
         while remaining:
             ready, _, _ = gevent_select.select([self._sock], [self._sock], [])
             if not ready:
                 size = self._sock.send(remaining[: const.READ_BYTES])
                 remaining = remaining[size:]
             elif not self._receive() or self._answer.is_final():
-                return
+                return False
+        return True
 
     def has_input(self) -> bool:
         """Return whether unread data has been received."""
@@ -360,9 +391,20 @@
         ValueError: the request contains characters that would allow request
             smuggling.
     """
+    return encode_head(address, method, path, body, headers) + body
+
+
+def encode_head(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> bytes:
+    """Return the encoded head of a request; see ``encode_request``."""
     fields = {"Host": address, **(headers or {})}
     head = _HEAD_BUILDER._build_request(method, path, body, fields)
-    return head.encode("latin-1") + body
+    return head.encode("latin-1")
 
 
 _HEAD_BUILDER = geventhttpclient.HTTPClient("endpoint")
--- a/citronport/orders.py
+++ b/citronport/orders.py
@@ -19,6 +19,7 @@
 from citronport import documents
 from citronport import errors
 from citronport import logs
+from citronport import resources
 
 EXIT_FAILED = 1
 EXIT_WRONG_USE = 2
@@ -132,6 +133,7 @@
         case result.Ok(checked):
             pass
     logs.configure(checked.log_level)
+    resources.return_freed_memory()
     try:
         core.Daemon(checked, clock.RuntimeClock()).serve()
     except OSError as error:
@@ -152,6 +154,7 @@
         case result.Ok(checked):
             pass
     logs.configure(checked.log_level)
+    resources.return_freed_memory()
     try:
         relay_core.Instance(path, checked, clock.RuntimeClock()).serve()
     except OSError as error:
--- a/citronport/platform/requests.py
+++ b/citronport/platform/requests.py
@@ -163,7 +163,7 @@
     workspace: str | None,
     timeout_seconds: float,
     resume_after: str | None = None,
-) -> bytes:
+) -> connection.OutgoingRequest:
     """Encode a request to an endpoint.
 
     Args:
@@ -197,7 +197,7 @@
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     head = "\r\n".join((*lines, "", "")).encode("latin-1")
-    return head + body
+    return connection.OutgoingRequest(head=head, body=body)
 
 
 def parse_answer(answer: connection.Answer) -> EndpointAnswer:
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -332,11 +332,9 @@
             self.is_ready,
             ticker,
         )
-        self._callers = listeners.make_caller_server(
-            settings, self.application
-        )
-        self._forwards = listeners.make_forward_server(
+        self._callers, self._forwards = listeners.make_request_servers(
             settings,
+            self.application,
             forward_server.ForwardServer(
                 self.application, context, lambda: self._closing, ticker
             ),
--- a/citronport/relay/forwarding.py
+++ b/citronport/relay/forwarding.py
@@ -75,7 +75,7 @@
         is_counted: bool,
         last_event_id: str | None,
         software: str | None,
-    ) -> bytes:
+    ) -> connection.OutgoingRequest:
         """Return the encoded request to another instance.
 
         Args:
@@ -113,8 +113,14 @@
             last_event_id=last_event_id,
             software=software,
         )
-        data = messages.CODEC.encode(forward)
-        return connection.encode_request(self._own, "POST", PATH, data)
+        before, after = messages.CODEC.encode_around(forward, "body")
+        size = len(before) + len(job.body) + len(after)
+        head = connection.encode_head(
+            self._own, "POST", PATH, headers={"Content-Length": str(size)}
+        )
+        return connection.OutgoingRequest(
+            head=head + before, body=job.body, tail=after
+        )
 
     def _list_fresh(self) -> list[messages.Report]:
         return self._members.list_fresh(self._ticker.now())
--- a/citronport/relay/listeners.py
+++ b/citronport/relay/listeners.py
@@ -1,5 +1,9 @@
 """Servers of an instance: for callers, lookups, readiness and metrics."""
 
+import dataclasses
+
+from citronport import byte_budget
+from citronport import resources
 from citronport.callers import connections
 from citronport.callers import server as caller_server
 from citronport.platform import const as wire
@@ -9,9 +13,6 @@
 from citronport.relay import settings as settings_module
 from citronport.scheduler.direct import models
 
-BODY_MEMORY_SHARE = 0.2
-"""Share of the memory that all request bodies together may take."""
-
 FORWARD_DESCRIPTORS_SHARE = 8
 """The part of the file descriptors, as divisor, that connections of other
 instances may take: callers and endpoints need most of them."""
@@ -21,31 +22,38 @@
 requires."""
 
 
-def make_caller_server(
+def make_request_servers(
     settings: settings_module.Settings,
-    application: application_module.Application,
-) -> caller_server.Server:
-    """Return the server for requests of callers."""
-    limits = make_limits(settings, None)
-    server = _make_server(settings.callers, application, limits)
-    server.singleton_headers = wire.SINGLETON_HEADERS
-    return server
-
+    callers: application_module.Application,
+    forwards: forward_server.ForwardServer,
+) -> tuple[caller_server.Server, caller_server.Server]:
+    """Return the servers for requests of callers and of other instances.
 
-def make_forward_server(
-    settings: settings_module.Settings,
-    application: forward_server.ForwardServer,
-) -> caller_server.Server:
-    """Return the server for requests that other instances forward."""
-    address = settings_module.Listener(
-        address=settings.peers.address, port=settings.reports
+    The bytes of all requests are one sum, whichever way they come.
+    """
+    shares = make_shares(settings)
+    budget = byte_budget.ByteBudget(
+        shares.request_bytes,
+        shares.small_request_bytes,
+        shares.largest_request_bytes,
+    )
+    caller_port = _make_server(
+        settings.callers, callers, make_limits(settings, None), budget
     )
+    caller_port.singleton_headers = wire.SINGLETON_HEADERS
     limits = connections.Limits(
         connections=max(1, settings.files // FORWARD_DESCRIPTORS_SHARE),
         body_bytes=message_limits.MAX_MESSAGE_BYTES,
-        total_body_bytes=int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE),
     )
-    return _make_server(address, application, limits)
+    address = settings_module.Listener(
+        address=settings.peers.address, port=settings.reports
+    )
+    return caller_port, _make_server(address, forwards, limits, budget)
+
+
+def make_shares(settings: settings_module.Settings) -> resources.Shares:
+    """Return what the clients of each port may use."""
+    return resources.make_shares(settings.memory_mb * 1e6, settings.files)
 
 
 def make_limits(
@@ -57,15 +65,13 @@
     The limits of the configuration are used once one is known.
     """
     limits = connections.Limits(
-        connections=(settings.files - RESERVED_DESCRIPTORS) // 2,
-        total_body_bytes=int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE),
+        connections=(settings.files - RESERVED_DESCRIPTORS) // 2
     )
     if configuration is None:
         return limits
     configured = configuration.limits
-    return connections.Limits(
-        connections=limits.connections,
-        total_body_bytes=limits.total_body_bytes,
+    return dataclasses.replace(
+        limits,
         idle_seconds=configured.idle_seconds,
         head_seconds=configured.head_seconds,
         body_bytes=configured.body_bytes,
@@ -93,7 +99,8 @@
     listener: settings_module.Listener,
     application: object,
     limits: connections.Limits | None = None,
+    budget: byte_budget.ByteBudget | None = None,
 ) -> caller_server.Server:
     return caller_server.make_server(
-        listener.address, listener.port, application, limits
+        listener.address, listener.port, application, limits, budget
     )
--- a/citronport/relay/peer_send.py
+++ b/citronport/relay/peer_send.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from citronport import errors
+from citronport.endpoints import connection
 from citronport.platform import requests
 from citronport.relay import forwarding
 from citronport.relay import jobs
@@ -116,7 +117,7 @@
         is_counted: bool,
         last_event_id: str | None,
         software: str | None,
-    ) -> bytes:
+    ) -> connection.OutgoingRequest:
         return self._context.forwarder.encode(
             self._job,
             tried,
--- a/citronport/relay/upstream.py
+++ b/citronport/relay/upstream.py
@@ -120,7 +120,9 @@
         return None
 
     def send(
-        self, request: bytes, head_timeout: HeadTimeout | None = None
+        self,
+        request: connection.OutgoingRequest,
+        head_timeout: HeadTimeout | None = None,
     ) -> Outcome:
         """Send the request and wait for the head of its response.
 
@@ -178,10 +180,12 @@
             self._connection.close()
             self._connection = None
 
-    def _write(self, conn: connection.Connection, request: bytes) -> None:
+    def _write(
+        self, conn: connection.Connection, request: connection.OutgoingRequest
+    ) -> None:
         if len(request) <= SINGLE_WRITE_BYTES:
             try:
-                conn.send(request)
+                conn.send(request.join())
             except OSError:
                 # The endpoint may have answered and closed the connection
                 # before it read the whole request. The response can still
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -5,6 +5,7 @@
 the bytes of requests. ``docs/CAPACITY.md`` adds it up.
 """
 
+import ctypes
 import dataclasses
 import socket
 
@@ -63,6 +64,13 @@
 _OPERATIONS = 1 / 32
 
 
+MAPPED_BLOCK_BYTES = 131_072
+"""Size from which a block of memory gets its own mapping."""
+
+_M_MMAP_THRESHOLD = -3
+"""Number of the C library's option for that size."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Shares:
     """What the clients of each port may use.
@@ -105,6 +113,19 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
+def return_freed_memory() -> None:
+    """Let the C library return the memory of long bodies as it is freed.
+
+    By default it keeps more and more of it, as it raises the size from which
+    a block gets its own mapping to that of the largest one freed so far. The
+    bodies of a crowd, which grow side by side, then leave gaps that hold
+    twice as much as the bodies themselves.
+    """
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt is not None:
+        mallopt(_M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES)
+
+
 def make_shares(memory_bytes: float, files: int) -> Shares:
     """Return the shares of a process.
 
--- a/tests/relay/test_barred_parts.py
+++ b/tests/relay/test_barred_parts.py
@@ -112,7 +112,7 @@
         server = forward_server.ForwardServer(
             None, self.context, lambda: False, self.room.ticker
         )
-        body = data.partition(b"\r\n\r\n")[2]
+        body = data.join().partition(b"\r\n\r\n")[2]
         job = server._make_job(body)
         self.crash_others(2)
         now = self.room.ticker.now()
--- a/tests/relay/test_early_heads.py
+++ b/tests/relay/test_early_heads.py
@@ -3,6 +3,7 @@
 import gevent
 import testtools
 
+from citronport.endpoints import connection
 from citronport.relay import upstream
 from tests.relay import fakes
 
@@ -11,7 +12,10 @@
     200, b"done", X_Attempt_Id="id-1", X_Response_Seal="seal"
 )
 BODY = b"x" * 8_000_000
-REQUEST = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(BODY) + BODY
+REQUEST = connection.OutgoingRequest(
+    head=b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(BODY),
+    body=BODY,
+)
 PAUSE_SECONDS = 0.05
 HEAD_SECONDS = 0.2
 END_SECONDS = 5.0
