Give each port its share of one number of connections

What was seen: 600 idle connections at all ports took 520 sockets, where the platform leaves 200 of 400 descriptors for sockets; the users' runs lost all of 1,024. 40 connections that ask for the changes of a store of 4 MB and don't read the answers took 217 MB of an instance of 80 MB.

Cause: each listener had a limit of its own, half of the descriptors for callers and for lookups, readiness and metrics each, 256 refusals at each on top, and none at the port of peers, where nothing limited the answers.

Change: resources.py makes one number from files and from memory_mb, three quarters of the sockets at most, and gives each port its part: callers 20 of 32, forwarded requests 4, lookups 3, fetches of instances 3, readiness and metrics 1 each. A port refuses an eighth of its number at the same time and closes what is beyond. A fetch that meets a full port evicts the oldest idle connection, as at the other ports, and answers wait for room in their share of the memory.

--- a/citronport/callers/const.py
+++ b/citronport/callers/const.py
@@ -181,8 +181,3 @@
 
 ALL_LEAVING_RETRY_SECONDS: Final = 2.0
 """Retry-After if all entries of the fleet are leaving."""
-
-MAX_CONCURRENT_REFUSALS: Final = 256
-"""Maximum number of connections that are being refused at the same time;
-further ones are closed without a response, since each of these holds a file
-descriptor too."""
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -231,6 +231,7 @@
     tracker: connections.ConnectionTracker
     budget: byte_budget.ByteBudget
     singleton_headers = head_validation.SINGLETON_HEADERS
+    max_accept = resources.MAX_ACCEPTED
     _open_refusals = 0
 
     def handle(self, sock: socket.socket, address: tuple[str, int]) -> None:
@@ -257,7 +258,9 @@
         return self.tracker.is_idle()
 
     def _refuse(self, sock: socket.socket) -> None:
-        if self._open_refusals >= const.MAX_CONCURRENT_REFUSALS:
+        limit = self.tracker.limits.connections
+        if self._open_refusals >= max(1, limit // resources.REFUSALS_DIVISOR):
+            # Closed without a response, as each refusal holds a descriptor.
             return
         self._open_refusals += 1
         with contextlib.suppress(OSError):
--- a/citronport/relay/listeners.py
+++ b/citronport/relay/listeners.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from citronport import byte_budget
-from citronport import resources
 from citronport.callers import connections
 from citronport.callers import server as caller_server
 from citronport.platform import const as wire
@@ -13,14 +12,6 @@
 from citronport.relay import settings as settings_module
 from citronport.scheduler.direct import models
 
-FORWARD_DESCRIPTORS_SHARE = 8
-"""The part of the file descriptors, as divisor, that connections of other
-instances may take: callers and endpoints need most of them."""
-
-RESERVED_DESCRIPTORS = 200
-"""Number of file descriptors that are reserved for files, as the platform
-requires."""
-
 
 def make_request_servers(
     settings: settings_module.Settings,
@@ -31,7 +22,7 @@
 
     The bytes of all requests are one sum, whichever way they come.
     """
-    shares = make_shares(settings)
+    shares = settings.shares
     budget = byte_budget.ByteBudget(
         shares.request_bytes,
         shares.small_request_bytes,
@@ -42,7 +33,7 @@
     )
     caller_port.singleton_headers = wire.SINGLETON_HEADERS
     limits = connections.Limits(
-        connections=max(1, settings.files // FORWARD_DESCRIPTORS_SHARE),
+        connections=shares.forwards,
         body_bytes=message_limits.MAX_MESSAGE_BYTES,
     )
     address = settings_module.Listener(
@@ -51,11 +42,6 @@
     return caller_port, _make_server(address, forwards, limits, budget)
 
 
-def make_shares(settings: settings_module.Settings) -> resources.Shares:
-    """Return what the clients of each port may use."""
-    return resources.make_shares(settings.memory_mb * 1e6, settings.files)
-
-
 def make_limits(
     settings: settings_module.Settings,
     configuration: models.Configuration | None,
@@ -64,9 +50,7 @@
 
     The limits of the configuration are used once one is known.
     """
-    limits = connections.Limits(
-        connections=(settings.files - RESERVED_DESCRIPTORS) // 2
-    )
+    limits = connections.Limits(connections=settings.shares.callers)
     if configuration is None:
         return limits
     configured = configuration.limits
@@ -88,17 +72,23 @@
     address = settings_module.Listener(
         address=settings.callers.address, port=settings.metrics
     )
+    shares = settings.shares
     return [
-        _make_server(settings.lookups, lookups),
-        _make_server(settings.readiness, readiness),
-        _make_server(address, metrics),
+        _make_server(
+            listener, application, connections.Limits(connections=number)
+        )
+        for listener, application, number in (
+            (settings.lookups, lookups, shares.lookups),
+            (settings.readiness, readiness, shares.readiness),
+            (address, metrics, shares.metrics),
+        )
     ]
 
 
 def _make_server(
     listener: settings_module.Listener,
     application: object,
-    limits: connections.Limits | None = None,
+    limits: connections.Limits,
     budget: byte_budget.ByteBudget | None = None,
 ) -> caller_server.Server:
     return caller_server.make_server(
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import random
+import sys
 
 from absl import logging
 import gevent
@@ -13,11 +14,13 @@
 from gevent import socket
 import msgpack
 
+from citronport import byte_budget
 from citronport import clock
 from citronport import errors
 from citronport import resources
 from citronport import revisions
 from citronport import tasks
+from citronport.callers import connections
 from citronport.platform import models
 from citronport.relay import eventlog
 from citronport.relay import events
@@ -108,6 +111,15 @@
         self._follower = follower
         self._log = log
         self._server: gevent_server.StreamServer | None = None
+        shares = settings.shares
+        self._connections = connections.ConnectionTracker(
+            connections.Limits(connections=shares.fetches)
+        )
+        self._answers = byte_budget.ByteBudget(
+            shares.answer_bytes, small=0, largest=sys.maxsize, beginning=0
+        )
+        # Size of the latest answer, as an estimate of the next one.
+        self._answer_bytes = SEND_BYTES
         self._behind_since: float | None = None
         # Latest time at which no instance that reads the store was ahead.
         self._level_at = ticker.now()
@@ -124,6 +136,7 @@
         self._server = gevent_server.StreamServer(
             (str(peers.address), peers.port), self._serve
         )
+        self._server.max_accept = resources.MAX_ACCEPTED
         self._server.init_socket()
         resources.limit_unread(
             self._server.socket, resources.RECEIVE_BUFFER_BYTES
@@ -325,14 +338,12 @@
         return held
 
     def _serve(self, sock: socket.socket, sender: tuple[str, int]) -> None:
+        """Answer a fetch, if there is room for another connection."""
+        if not self._connections.add(sock, sender[0]):
+            sock.close()
+            return
         try:
-            with gevent.Timeout(FETCH_TIMEOUT_SECONDS, TimeoutError), sock:
-                sock.settimeout(IDLE_TIMEOUT_SECONDS)
-                want = _MessageReader(message_limits.MAX_WANT_BYTES).read(sock)
-                if isinstance(want, messages.Want):
-                    _send_in_pieces(
-                        sock, messages.pack(self._make_answer(want))
-                    )
+            self._answer_fetch(sock, sender[0])
         except FETCH_ERRORS as error:
             logging.warning(
                 "%s failed to serve a fetch of %s: %s.",
@@ -346,6 +357,32 @@
                 sender[0],
                 tasks.describe_error(error),
             )
+        finally:
+            self._connections.remove(sock)
+
+    def _answer_fetch(self, sock: socket.socket, address: str) -> None:
+        with gevent.Timeout(FETCH_TIMEOUT_SECONDS, TimeoutError), sock:
+            sock.settimeout(IDLE_TIMEOUT_SECONDS)
+            self._connections.set_idle(sock, address)
+            want = _MessageReader(message_limits.MAX_WANT_BYTES).read(sock)
+            self._connections.set_busy(sock, address)
+            if isinstance(want, messages.Want):
+                self._send_answer(sock, address, want)
+
+    def _send_answer(
+        self, sock: socket.socket, address: str, want: messages.Want
+    ) -> None:
+        """Send an answer; wait while those being sent take all the room."""
+        holding = self._answers.open(address, sock.close)
+        try:
+            while not holding.reserve(self._answer_bytes):
+                self._ticker.sleep(POLL_SECONDS)
+            holding.keep()
+            data = messages.pack(self._make_answer(want))
+            self._answer_bytes = max(SEND_BYTES, len(data))
+            _send_in_pieces(sock, data)
+        finally:
+            holding.release()
 
     def _make_answer(self, want: messages.Want) -> messages.Held:
         changed = self._mirror.list_items(want.revision)
--- a/citronport/relay/settings.py
+++ b/citronport/relay/settings.py
@@ -12,6 +12,7 @@
 from citronport import const
 from citronport import documents
 from citronport import logs
+from citronport import resources
 
 MAX_NAME_BYTES = 64
 MAX_FILES = 2**31 - 1
@@ -149,6 +150,11 @@
         """Return the capacity of the process, in reference cores."""
         return self.cores * self.core_speed
 
+    @property
+    def shares(self) -> resources.Shares:
+        """Return what the clients of each port may use."""
+        return resources.make_shares(self.memory_mb * 1e6, self.files)
+
 
 def read_settings(path: pathlib.Path) -> result.Result[Settings, str]:
     """Read and check a settings file; see ``settings.read_settings``."""
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -57,6 +57,10 @@
 """Connections that a port refuses at the same time, as a divisor of those
 that it serves."""
 
+MAX_ACCEPTED = 16
+"""Connections that a port accepts before others get a turn: those beyond its
+limit hold descriptors until then."""
+
 _CALLERS = 20 / 32
 _FORWARDS = 4 / 32
 _LOOKUPS = 3 / 32
--- a/tests/relay/test_crowds.py
+++ b/tests/relay/test_crowds.py
@@ -1,5 +1,6 @@
 """Clients that keep to no limit end no instance and keep no caller out."""
 
+import random
 import signal
 import socket
 import zlib
@@ -158,6 +159,27 @@
         self.join(120, client, "peers")
         self.check()
 
+    def test_long_answers_that_peers_do_not_read(self):
+        """Guards against long answers that are kept for those who ask."""
+        for number in range(8):
+            self.store.put(f"other/{number}", random.randbytes(500_000))
+        self.wait_for(
+            "the values",
+            lambda: (
+                b"citronport_store_revision %d" % self.store.revision
+                in self.fetch(self.host, instances.METRICS, "/metrics")[2]
+            ),
+        )
+        want = messages.Want(
+            protocol=messages.PROTOCOL,
+            revision=0,
+            include_large=True,
+            include_lost=True,
+        )
+        client = crowds.Client(head=messages.CODEC.encode(want))
+        self.join(40, client, "peers")
+        self.check()
+
     def test_bytes_behind_a_request(self):
         """Guards against bytes that lie unread behind a request that waits."""
         self.endpoint.scripts = [fakes.never_answer]
