Let connections without progress make room for new ones

What was seen: 160 clients from four addresses that stop after one byte of a body of 1,000 kept all others out: each of 20 ordinary requests got 503, for as long as body_seconds (60) lasts.

Cause: only idle connections could be evicted. One whose head is complete counted as busy, though its request is not, and so did one whose refused rest is discarded.

Change: a connection is reading, idle or busy. A complete request is never evicted, nor is its connection. What counts for the stop of a leaving instance is unchanged: a complete head does.

--- a/citronport/callers/bodies.py
+++ b/citronport/callers/bodies.py
@@ -59,6 +59,7 @@
         continue_socket: socket for "100 Continue", None if not expected.
         limits: the limits on size and time.
         holding: the part of the byte budget that the request holds.
+        on_received: called with the size of each part that was read.
         on_complete: called once the body has been read.
     """
 
@@ -71,6 +72,7 @@
         continue_socket: socket.socket | None,
         limits: connections.Limits,
         holding: byte_budget.Holding,
+        on_received: collections.abc.Callable[[int], None],
         on_complete: collections.abc.Callable[[], None],
     ) -> None:
         self._length = length
@@ -83,6 +85,7 @@
         self._limits = limits
         self._max_bytes = min(limits.body_bytes, holding.largest)
         self._holding = holding
+        self._on_received = on_received
         self._on_complete = on_complete
         self.complete = not chunked and not length
 
@@ -116,6 +119,7 @@
                 return _refuse(errors.Code.BODY_TOO_LARGE)
             if not self._holding.reserve(len(data)):
                 return _refuse_full()
+            self._on_received(len(data))
             body += data
         if not self._holding.keep():
             return _refuse_full()
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -42,6 +42,7 @@
     """
 
     server: "Server"
+    _has_served = False
 
     def handle_one_request(self) -> bool | None:
         """Serve a request; return None to close the connection."""
@@ -58,18 +59,19 @@
             if not self._wait_for_request():
                 return None
             self._read_head()
-            # Busy only after the head is complete, so that heads sent byte
-            # by byte neither delay the shutdown of a leaving instance nor
-            # protect the connection from eviction.
-            self.server.tracker.set_busy(self.socket, self.client_address[0])
         except head_validation.HeadError as error:
             self._refuse(error.refusal)
             return None
         except OSError:
             return None
         self.environ = self.get_environ()
+        if self.wsgi_input.complete:
+            self.server.tracker.set_busy(self.socket)
+        else:
+            self.server.tracker.set_reading(self.socket, carries_request=True)
         self.application = self.server.application
         self.handle_one_response()
+        self._has_served = True
         if not self.wsgi_input.complete:
             self._discard_rest()
             return None
@@ -128,8 +130,12 @@
     def _wait_for_request(self) -> bool:
         tracker = self.server.tracker
         self.socket.settimeout(tracker.limits.idle_seconds)
-        tracker.set_idle(self.socket, self.client_address[0])
-        return bool(self.rfile.peek(1))
+        if self._has_served:
+            tracker.set_idle(self.socket)
+        if not self.rfile.peek(1):
+            return False
+        tracker.set_reading(self.socket, carries_request=False)
+        return True
 
     def _read_head(self) -> None:
         limits = self.server.tracker.limits
@@ -204,9 +210,17 @@
             continue_socket=self.socket if waits else None,
             limits=self.server.tracker.limits,
             holding=self._holding,
-            on_complete=self._watch_for_disconnect,
+            on_received=self._record_received,
+            on_complete=self._handle_complete,
         )
 
+    def _record_received(self, size: int) -> None:
+        self.server.tracker.record_received(self.socket, size)
+
+    def _handle_complete(self) -> None:
+        self.server.tracker.set_busy(self.socket)
+        self._watch_for_disconnect()
+
     def _watch_for_disconnect(self) -> None:
         serving = gevent.getcurrent()
 
@@ -221,6 +235,7 @@
         self._discard_rest()
 
     def _discard_rest(self) -> None:
+        self.server.tracker.set_discarding(self.socket)
         _discard(self.socket)
 
 
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -363,9 +363,8 @@
     def _answer_fetch(self, sock: socket.socket, address: str) -> None:
         with gevent.Timeout(FETCH_TIMEOUT_SECONDS, TimeoutError), sock:
             sock.settimeout(IDLE_TIMEOUT_SECONDS)
-            self._connections.set_idle(sock, address)
             want = _MessageReader(message_limits.MAX_WANT_BYTES).read(sock)
-            self._connections.set_busy(sock, address)
+            self._connections.set_busy(sock)
             if isinstance(want, messages.Want):
                 self._send_answer(sock, address, want)
 
