Read the limit on heads from the configuration

What was seen: a head of 17 KB was served where the configuration allows 16 KB, and a single header of 12 KB was refused with 431, though it lies inside that limit.

Cause: maxHeaderBytes was decoded and then used nowhere; heads had 32 KB and lines 8 KB, whatever the operators said.

Change: the relay's port for callers takes both from the configuration once it has one. A line is read in parts of 8 KB, each of which counts in the byte budget, so that a long limit doesn't let unfinished lines grow unseen.

The test of the long header is new; on the code before it got 431 (by reading, not run).

--- a/citronport/callers/connections.py
+++ b/citronport/callers/connections.py
@@ -22,6 +22,8 @@
     connections: int = const.MAX_CONNECTIONS
     idle_seconds: float = const.IDLE_TIMEOUT_SECONDS
     head_seconds: float = const.HEAD_TIMEOUT_SECONDS
+    head_bytes: int = const.MAX_HEAD_BYTES
+    line_bytes: int = const.MAX_LINE_BYTES
     body_bytes: int = const.MAX_BODY_BYTES
     body_seconds: float = const.BODY_TIMEOUT_SECONDS
     total_body_bytes: int = const.BODY_BUDGET_BYTES
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -154,6 +154,7 @@
             _raise_refusal(errors.Code.HEAD_TOO_SLOW)
 
     def _parse_head(self) -> None:
+        self._head_size = 0
         line = self._read_line()
         if line == b"\r\n":
             # RFC 9112 allows one empty line before a request.
@@ -172,29 +173,38 @@
         self.response_length = 0
 
     def _read_header_lines(self) -> list[bytes]:
+        limits = self.server.tracker.limits
         lines: list[bytes] = []
         size = 0
         while (line := self._read_line()) != b"\r\n":
             size += len(line)
             lines.append(line)
-            if size > const.UNCOUNTED_HEAD_BYTES and not (
-                self._holding.reserve(len(line))
-            ):
-                raise head_validation.HeadError(_FULL)
             if (
-                size > const.MAX_HEAD_BYTES
+                size > limits.head_bytes
                 or len(lines) > const.MAX_HEADERS
-                or len(line) >= const.MAX_LINE_BYTES
+                or len(line) >= limits.line_bytes
             ):
                 _raise_refusal(errors.Code.HEAD_TOO_LARGE)
         return lines
 
     def _read_line(self) -> bytes:
-        line = self.rfile.readline(const.MAX_LINE_BYTES)
-        if not line:
-            raise ConnectionResetError
+        limit = self.server.tracker.limits.line_bytes
+        line = self._read_line_part()
+        while not line.endswith(b"\n") and len(line) < limit:
+            line += self._read_line_part()
         return line
 
+    def _read_line_part(self) -> bytes:
+        part = self.rfile.readline(const.MAX_LINE_BYTES)
+        if not part:
+            raise ConnectionResetError
+        self._head_size += len(part)
+        if self._head_size > const.UNCOUNTED_HEAD_BYTES and not (
+            self._holding.reserve(len(part))
+        ):
+            raise head_validation.HeadError(_FULL)
+        return part
+
     def _stop_reading(self) -> None:
         """Let the rest of a request that makes room for others be refused."""
         with contextlib.suppress(OSError):
--- a/citronport/relay/listeners.py
+++ b/citronport/relay/listeners.py
@@ -58,6 +58,8 @@
         limits,
         idle_seconds=configured.idle_seconds,
         head_seconds=configured.head_seconds,
+        head_bytes=configured.head_bytes,
+        line_bytes=configured.head_bytes + 1,
         body_bytes=configured.body_bytes,
     )
 
--- a/tests/relay/test_crowds.py
+++ b/tests/relay/test_crowds.py
@@ -479,6 +479,17 @@
         self.assertEqual("not run", headers["X-Citronport-Ran"])
         self.check()
 
+    def test_one_long_header_inside_the_limit(self):
+        """Guards against a header that is refused for the length of a line."""
+        with socket.create_connection(
+            (self.host, instances.PORTS["callers"]), 10
+        ) as sock:
+            sock.sendall(
+                make_head(1, "X-Field: " + "v" * 12_000, "Content-Length: 0")
+            )
+            answer = sock.recv(65536)
+        self.assertEqual(b"200", answer.split()[1])
+
     def test_head_over_the_limit_of_the_configuration(self):
         """Guards against a limit on heads that is not read."""
         fields = [f"X-Field-{n}: {'v' * 1000}" for n in range(17)]
