Let entry instances of citronport serve share their memory and descriptors

What was seen: 24 connections at the port of peers that announce one long value took an entry instance to 262 MB; 450 idle connections all of its 300 descriptors, so that callers got no answer; 64 idle connections at the operators' port kept operators out.

Cause: a link kept up to 8 MB before anybody had said who it is, nothing counted links, and messages were unpacked before their kind was known. What waits to be sent to an instance that doesn't read had no bound either. The operators' server took 64 connections and then no more.

Change: the shares of resources.py hold here too, by the new setting memory_mb (150 by default) and the process's own limit on descriptors. A link has 4 KB and 5 s for its first message, makes room for others until then, and the bytes of its incomplete message count in the budget of requests. 16 MB that wait to be sent close it. Streams of both programs have one reader, which finds the end of a message without unpacking it. The operators' port is a server with limits like the others.

--- a/citronport/byte_budget.py
+++ b/citronport/byte_budget.py
@@ -6,6 +6,7 @@
 from gevent import event
 
 from citronport import clock
+from citronport import resources
 
 SMALL_BYTES = 32_768
 """Beginning of each request, for which a part of the budget is kept."""
@@ -221,3 +222,12 @@
         self._evicted.add(victim)
         victim.evict()
         return True
+
+
+def make_budget(shares: resources.Shares) -> ByteBudget:
+    """Return the budget of a process for the requests of all its ports."""
+    return ByteBudget(
+        shares.request_bytes,
+        shares.small_request_bytes,
+        shares.largest_request_bytes,
+    )
--- a/citronport/codec.py
+++ b/citronport/codec.py
@@ -3,6 +3,7 @@
 A message is a list: the number of its kind, then its fields in order.
 """
 
+import collections.abc
 import dataclasses
 import typing
 from typing import Any
@@ -102,6 +103,14 @@
         kind = self._kinds[number]
         return kind(**dict(zip(self._fields[kind], values, strict=True)))
 
+    def make_reader(self, max_bytes: int | None = None) -> "StreamReader":
+        """Return a reader of a stream of messages from a peer.
+
+        Args:
+            max_bytes: most bytes of one message; the protocol's by default.
+        """
+        return StreamReader(self, max_bytes or self._max_bytes)
+
     def _make_decoder(self, kind: type) -> msgspec.msgpack.Decoder:
         hints = typing.get_type_hints(kind, include_extras=True)
         types = [hints[name] for name in self._fields[kind]]
@@ -120,6 +129,53 @@
     return tuple(field.name for field in dataclasses.fields(kind))
 
 
+class StreamReader(Generic[Message]):
+    """Splits a stream of bytes into messages.
+
+    The end of each message is found without making objects of its content.
+
+    Args:
+        codec: decodes the messages.
+        max_bytes: most bytes of one message.
+    """
+
+    def __init__(self, codec: Codec[Message], max_bytes: int) -> None:
+        self._codec = codec
+        self._max_bytes = max_bytes
+        self._scanner = msgpack.Unpacker(max_buffer_size=max_bytes)
+        self._buffer = bytearray()
+        self._consumed = 0
+
+    @property
+    def pending(self) -> int:
+        """The bytes of a message that is not complete."""
+        return len(self._buffer)
+
+    def feed(self, data: bytes) -> collections.abc.Iterator[Message]:
+        """Take further bytes and yield the messages that are complete.
+
+        Raises:
+            ValueError: a message is too long or not of this protocol.
+        """
+        self._buffer += data
+        self._scanner.feed(data)
+        while self._skip():
+            size = self._scanner.tell() - self._consumed
+            self._consumed += size
+            message = self._codec.unpack(bytes(self._buffer[:size]))
+            del self._buffer[:size]
+            yield message
+        if self.pending > self._max_bytes:
+            raise ValueError(f"message over {self._max_bytes} bytes")
+
+    def _skip(self) -> bool:
+        try:
+            self._scanner.skip()
+        except msgpack.OutOfData:
+            return False
+        return True
+
+
 def _read_number(data: bytes | bytearray) -> int:
     """Return the number of a message's kind; -1 if it is no message."""
     match list(data[:4]):
--- a/citronport/core.py
+++ b/citronport/core.py
@@ -5,12 +5,13 @@
 from absl import logging
 import gevent
 from gevent import event as gevent_event
-from gevent import pywsgi
 
 from citronport import assignment
+from citronport import byte_budget
 from citronport import clock
 from citronport import errors
 from citronport import executor
+from citronport import resources
 from citronport import runs
 from citronport import settings as settings_module
 from citronport import spans
@@ -18,6 +19,7 @@
 from citronport import telemetry
 from citronport import trace
 from citronport.callers import application as caller_application
+from citronport.callers import connections
 from citronport.callers import const as caller_const
 from citronport.callers import deduplication
 from citronport.callers import idempotency
@@ -80,6 +82,8 @@
         self.tasks = tasks.Supervisor(
             ticker, self.telemetry.counts.record_task_death
         )
+        self._shares = resources.make_default_shares(settings.memory_mb)
+        self._budget = byte_budget.make_budget(self._shares)
         self.peers = self._make_peers()
         self.endpoint_monitors = watch.EndpointMonitors(
             ticker, self._handle_endpoint_event
@@ -170,6 +174,8 @@
             self.ticker,
             self._submit_from_peer,
             self._handle_message,
+            self._shares,
+            self._budget,
         )
 
     def _make_caller_server(self) -> caller_server.Server:
@@ -190,14 +196,17 @@
                 self._tracer,
                 caller_const.PATH_LOOKUP,
             ),
+            connections.Limits(connections=self._shares.callers),
+            self._budget,
         )
 
-    def _make_operator_server(self) -> pywsgi.WSGIServer:
+    def _make_operator_server(self) -> caller_server.Server:
         return operator_server.make_server(
             self.settings.operators,
             operator_server.Application(
                 self.status.read, self.telemetry.counts, self.stop
             ),
+            self._shares.operators,
         )
 
     def _make_status_reader(self) -> status.StatusReader:
--- a/citronport/instances/const.py
+++ b/citronport/instances/const.py
@@ -14,6 +14,16 @@
 
 MAX_MESSAGE_BYTES: Final = 8_000_000
 READ_BYTES: Final = 65536
+
+MAX_HELLO_BYTES: Final = 4096
+"""Bytes that a connection may hold before its first message is complete."""
+
+HELLO_TIMEOUT_SECONDS: Final = 5.0
+"""Time in which the first message has to arrive on a connection."""
+
+MAX_QUEUED_BYTES: Final = 2 * MAX_MESSAGE_BYTES
+"""Bytes that wait to be sent to an instance that does not read them."""
+
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 
 REPORT_INTERVAL_SECONDS: Final = 0.25
--- a/citronport/instances/link.py
+++ b/citronport/instances/link.py
@@ -9,6 +9,7 @@
 from gevent import socket
 import msgpack
 
+from citronport import byte_budget
 from citronport.instances import const
 from citronport.instances import messages
 
@@ -26,6 +27,12 @@
     Args:
         sock: a connected socket; the link closes it.
         deliver: receives each message, then ``Closed`` once.
+        holding: the part of a byte budget that received bytes count in until
+            their message is complete; None to count them nowhere.
+
+    Attributes:
+        sock: the socket.
+        peer: the first message of the other side; None before it.
     """
 
     def __init__(
@@ -34,19 +41,29 @@
         deliver: collections.abc.Callable[
             ["Link", messages.Message | Closed], None
         ],
+        holding: byte_budget.Holding | None = None,
     ) -> None:
         # Otherwise a small write waits for the acknowledgement of the
         # previous one, which the peer may delay by 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock = sock
+        self.sock = sock
         self._deliver = deliver
+        self._holding = holding
         self._outbox: queue.Queue[bytes | None] = queue.Queue()
+        self._queued_bytes = 0
         self.peer: messages.Hello | None = None
         self._tasks = [gevent.spawn(self._write), gevent.spawn(self._read)]
+        gevent.spawn_later(const.HELLO_TIMEOUT_SECONDS, self._close_unknown)
 
     def send(self, message: messages.Message) -> None:
         """Queue a message; it is lost if the connection is closed."""
-        self._outbox.put(messages.encode(message))
+        data = messages.encode(message)
+        self._queued_bytes += len(data)
+        if self._queued_bytes > const.MAX_QUEUED_BYTES:
+            # The peer doesn't read, and its messages would pile up here.
+            self._close_socket()
+            return
+        self._outbox.put(data)
 
     def close(self) -> None:
         """Close the connection after all queued messages are written."""
@@ -66,29 +83,44 @@
                 parts.append(self._outbox.get())
             data = b"".join(part for part in parts if part is not None)
             try:
-                self._sock.sendall(data)
+                self.sock.sendall(data)
             except OSError:
                 break
+            self._queued_bytes -= len(data)
             if None in parts:
                 break
         self._close_socket()
 
     def _read(self) -> None:
-        unpacker = messages.make_unpacker()
+        reader = messages.make_reader()
         try:
-            while True:
-                data = self._sock.recv(const.READ_BYTES)
-                if not data:
+            while data := self.sock.recv(const.READ_BYTES):
+                for message in reader.feed(data):
+                    self._handle_message(message)
+                if not self._may_hold(reader.pending):
                     break
-                unpacker.feed(data)
-                for raw in unpacker:
-                    self._handle_message(messages.decode(raw))
         except (OSError, ValueError, msgpack.exceptions.UnpackException):
             pass
         finally:
+            if self._holding is not None:
+                self._holding.release()
             self._close_socket()
             self._deliver(self, Closed())
 
+    def _may_hold(self, size: int) -> bool:
+        """Return whether the bytes of an incomplete message may be kept."""
+        if self.peer is None and size > const.MAX_HELLO_BYTES:
+            return False
+        if self._holding is None:
+            return True
+        self._holding.release()
+        return not size or self._holding.reserve(size)
+
+    def _close_unknown(self) -> None:
+        """Close the connection if the other side did not say who it is."""
+        if self.peer is None:
+            self._close_socket()
+
     def _handle_message(self, message: messages.Message) -> None:
         if isinstance(message, messages.Hello):
             if message.protocol != const.PROTOCOL:
@@ -100,5 +132,5 @@
 
     def _close_socket(self) -> None:
         with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
-        self._sock.close()
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
--- a/citronport/instances/messages.py
+++ b/citronport/instances/messages.py
@@ -205,3 +205,4 @@
 encode = _CODEC.encode
 decode = _CODEC.decode
 make_unpacker = _CODEC.make_unpacker
+make_reader = _CODEC.make_reader
--- a/citronport/instances/peers.py
+++ b/citronport/instances/peers.py
@@ -11,10 +11,12 @@
 from gevent import server as gevent_server
 from gevent import socket
 
+from citronport import byte_budget
 from citronport import clock
 from citronport import errors
 from citronport import resources
 from citronport import runs
+from citronport.callers import connections
 from citronport.callers import tickets
 from citronport.endpoints import client as endpoint_client
 from citronport.endpoints import messages as answers
@@ -45,6 +47,9 @@
             sent, given its role.
         handle_gossip: handles messages that belong to no exchange and
             returns the reply, if there is one.
+        shares: what the clients of each port may use.
+        budget: bytes of requests, shared with the port for callers; its own
+            one by default.
     """
 
     def __init__(
@@ -55,7 +60,14 @@
         handle_gossip: collections.abc.Callable[
             [str, messages.Message], messages.Message | None
         ],
+        shares: resources.Shares | None = None,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
+        shares = shares or resources.make_default_shares()
+        self._budget = budget or byte_budget.make_budget(shares)
+        self._connections = connections.ConnectionTracker(
+            connections.Limits(connections=shares.links)
+        )
         self.hello = hello
         self._ticker = ticker
         self._submit = submit
@@ -76,6 +88,7 @@
     def serve(self, address: str, port: int) -> gevent_server.StreamServer:
         """Listen for other instances; return the started server."""
         server = gevent_server.StreamServer((address, port), self._accept)
+        server.max_accept = resources.MAX_ACCEPTED
         server.init_socket()
         resources.limit_unread(server.socket, resources.FETCH_BUFFER_BYTES)
         server.start()
@@ -217,10 +230,27 @@
         opened.send(self.hello)
         self._links[instance.name] = opened
 
-    def _accept(self, sock: socket.socket, _address: Any) -> None:
-        opened = link.Link(sock, self._handle_message)
+    def _accept(self, sock: socket.socket, sender: tuple[str, int]) -> None:
+        if not self._connections.add(sock, sender[0]):
+            sock.close()
+            return
+        holding = self._budget.open(
+            sender[0], lambda: sock.shutdown(socket.SHUT_RD)
+        )
+        opened = link.Link(sock, self._handle_accepted, holding)
         opened.send(self.hello)
-        opened.wait()
+        try:
+            opened.wait()
+        finally:
+            self._connections.remove(sock)
+
+    def _handle_accepted(
+        self, source: link.Link, message: messages.Message | link.Closed
+    ) -> None:
+        if isinstance(message, messages.Hello):
+            # Until then it may make room for others.
+            self._connections.set_busy(source.sock)
+        self._handle_message(source, message)
 
     def _handle_message(
         self, source: link.Link, message: messages.Message | link.Closed
--- a/citronport/operators/const.py
+++ b/citronport/operators/const.py
@@ -7,13 +7,6 @@
 PATH_READY: Final = "/ready"
 PATH_DRAIN: Final = "/drain"
 
-MAX_CONNECTIONS: Final = 64
-"""Connections served concurrently.
-
-A metrics scraper and a few operators need fewer. The limit keeps a script
-that connects in a loop from using up the file descriptors of callers.
-"""
-
 REQUEST_TIMEOUT_SECONDS: Final = 3.0
 """Time-out of one request of the status and drain commands."""
 
--- a/citronport/operators/server.py
+++ b/citronport/operators/server.py
@@ -6,12 +6,11 @@
 from typing import Any
 
 from absl import logging
-from gevent import pool
-from gevent import pywsgi
 
-from citronport import resources
 from citronport import settings
 from citronport import telemetry
+from citronport.callers import connections
+from citronport.callers import server as caller_server
 from citronport.operators import const
 from citronport.operators import metrics
 from citronport.operators import models
@@ -86,18 +85,21 @@
 
 
 def make_server(
-    listener: settings.Listener, application: Application
-) -> pywsgi.WSGIServer:
-    """Return a server for operators; call ``start`` to listen."""
-    server = pywsgi.WSGIServer(
-        (str(listener.address), listener.port),
+    listener: settings.Listener, application: Application, max_connections: int
+) -> caller_server.Server:
+    """Return a server for operators; call ``start`` to listen.
+
+    Args:
+        listener: address to listen on.
+        application: the WSGI application.
+        max_connections: connections that may be open.
+    """
+    return caller_server.make_server(
+        str(listener.address),
+        listener.port,
         application,
-        log=None,
-        spawn=pool.Pool(const.MAX_CONNECTIONS),
+        connections.Limits(connections=max_connections),
     )
-    server.init_socket()
-    resources.limit_unread(server.socket, resources.RECEIVE_BUFFER_BYTES)
-    return server
 
 
 def _respond_json(
@@ -116,7 +118,6 @@
     headers = [
         ("Content-Type", content_type),
         ("Content-Length", str(len(body))),
-        # An idle connection would use up one of MAX_CONNECTIONS.
         ("Connection", "close"),
     ]
     start_response(status_line, headers)
--- a/citronport/relay/listeners.py
+++ b/citronport/relay/listeners.py
@@ -23,11 +23,7 @@
     The bytes of all requests are one sum, whichever way they come.
     """
     shares = settings.shares
-    budget = byte_budget.ByteBudget(
-        shares.request_bytes,
-        shares.small_request_bytes,
-        shares.largest_request_bytes,
-    )
+    budget = byte_budget.make_budget(shares)
     caller_port = _make_server(
         settings.callers, callers, make_limits(settings, None), budget
     )
--- a/citronport/relay/replication.py
+++ b/citronport/relay/replication.py
@@ -4,7 +4,6 @@
 """
 
 import collections.abc
-import contextlib
 import random
 import sys
 
@@ -433,18 +432,11 @@
             OSError: the connection failed or timed out.
             ValueError: the bytes received are not a valid message.
         """
-        found = bytearray()
-        # Finds the end of the message, and makes no objects of its content.
-        scanner = msgpack.Unpacker()
+        reader = messages.CODEC.make_reader(self._max_bytes)
         while data := sock.recv(min(READ_BYTES, self._max_bytes)):
             self.received += len(data)
-            if self.received > self._max_bytes:
-                raise ValueError(f"message over {self._max_bytes} bytes")
-            found += data
-            scanner.feed(data)
-            with contextlib.suppress(msgpack.OutOfData):
-                scanner.skip()
-                return messages.CODEC.unpack(found)
+            for message in reader.feed(data):
+                return message
         raise ValueError(
             f"connection closed after {self.received} bytes of a message"
         )
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -7,8 +7,15 @@
 
 import ctypes
 import dataclasses
+import resource
 import socket
 
+DEFAULT_MEMORY_MB = 150.0
+"""Memory of a process whose settings name none."""
+
+MAX_FILES = 65_536
+"""Descriptors that are made use of at most."""
+
 PROCESS_BYTES = 48_000_000
 """Memory of a process that holds nothing of clients."""
 
@@ -86,6 +93,9 @@
         fetches: connections over which instances fetch changes.
         readiness: connections for readiness checks.
         metrics: connections for metrics.
+        links: connections of instances where they exchange everything over
+            one port, and lookups come to that for callers.
+        operators: connections of operators, where they have one port.
         request_bytes: bytes of all large requests together.
         small_request_bytes: bytes kept for the beginnings of requests.
         largest_request_bytes: bytes of one request.
@@ -98,6 +108,8 @@
     fetches: int
     readiness: int
     metrics: int
+    links: int
+    operators: int
     request_bytes: int
     small_request_bytes: int
     largest_request_bytes: int
@@ -149,8 +161,16 @@
         fetches=max(1, int(connections * _FETCHES)),
         readiness=max(1, int(connections * _OPERATIONS)),
         metrics=max(1, int(connections * _OPERATIONS)),
+        operators=max(4, int(connections * 2 * _OPERATIONS)),
+        links=max(1, int(connections * (_FORWARDS + _LOOKUPS + _FETCHES))),
         request_bytes=int(free * REQUESTS_SHARE),
         small_request_bytes=int(free * SMALL_REQUESTS_SHARE),
         largest_request_bytes=int(free * LARGEST_REQUEST_SHARE),
         answer_bytes=int(free * ANSWERS_SHARE),
     )
+
+
+def make_default_shares(memory_mb: float = DEFAULT_MEMORY_MB) -> Shares:
+    """Return the shares by the process's own limit on descriptors."""
+    files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return make_shares(memory_mb * 1e6, min(files, MAX_FILES))
--- a/citronport/settings.py
+++ b/citronport/settings.py
@@ -9,6 +9,7 @@
 from citronport import const
 from citronport import documents
 from citronport import logs
+from citronport import resources
 from citronport import validation
 
 
@@ -45,6 +46,8 @@
         peers: where other instances connect.
         operators: where status, metrics and drain are served.
         platform: addresses of the platform's services, tried in order.
+        memory_mb: memory that the process may take, in MB; limits what
+            callers and other instances can make it hold.
         log_level: lowest level of the messages that are logged.
         trace_file: file for spans as JSON lines; None turns traces off.
         trace_share: share of requests that are traced, 0 to 1; a request
@@ -62,6 +65,9 @@
     peers: Listener
     operators: Listener
     platform: tuple[Listener, ...] = pydantic.Field(min_length=1)
+    memory_mb: float = pydantic.Field(
+        default=resources.DEFAULT_MEMORY_MB, gt=0, le=1e9
+    )
     log_level: logs.Level = logs.Level.INFO
     trace_file: str | None = pydantic.Field(default=None, min_length=1)
     trace_share: float = pydantic.Field(default=1.0, ge=0, le=1)
--- a/tests/relay/crowds.py
+++ b/tests/relay/crowds.py
@@ -22,11 +22,13 @@
         head: bytes sent once.
         rest: bytes sent again and again.
         size: bytes after the head, at most.
+        tail: bytes sent after those.
     """
 
     head: bytes
     rest: bytes = b""
     size: int = 0
+    tail: bytes = b""
 
 
 class Crowd:
@@ -72,6 +74,7 @@
             left = client.size
             while left > 0:
                 left -= sock.send(client.rest[: min(left, PIECE_BYTES)])
+            sock.sendall(client.tail)
 
 
 class Meter:
