Keep a bounded number of instances that reports name

What was seen: 400 datagrams, each of which names 1,000 instances that don't exist, took an instance of 80 MB to 109 MB, and it went on reporting to all of them.

Cause: whoever is named in a report became a member for 300 s, without a bound, and the latest report of each instance was kept with all the rows that it named. Clocks of senders and addresses of those that look for seeds had no bound either.

Change: at most 2,048 members, four times the aimed 510; one that is only named makes room for one that reports. The rows of a report are dropped once they are merged. 4,096 clocks, and 2,048 addresses within a second.

Ruled out: the members alone, with rows kept it still took 129 MB.

--- a/citronport/relay/gossip.py
+++ b/citronport/relay/gossip.py
@@ -307,7 +307,8 @@
         # forward these summaries to it.
         now = self._ticker.now()
         self._drop_past_contacts(now)
-        self._seed_contacts[meet.peer_address] = now
+        if len(self._seed_contacts) < membership_module.MAX_MEMBERS:
+            self._seed_contacts[meet.peer_address] = now
         if self._members.is_remote(meet.data_centre):
             report = self._make_report(meet.data_centre)
             self._send_datagram(
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 
+import msgspec
+
 from citronport.relay import messages
 from citronport.scheduler.direct import rendezvous
 
@@ -18,23 +20,23 @@
 
 KNOWN_SECONDS = 30.0
 """How long after its latest report an instance is assumed to serve callers.
-
-An instance that is partitioned from the others keeps serving its share of
-each limit. Limits have to hold during partitions of up to half a minute.
-"""
+One that is partitioned from the others keeps serving its share of each limit.
+Limits have to hold during partitions of up to half a minute."""
 
 UNKNOWN_SHARE = 1 / 8
 """Part of the fleet that an instance takes itself for while it knows no other
 one and should; about that of one of the usual seven."""
 
+MAX_MEMBERS = 2048
+"""Maximum number of other instances; anyone can name some in a datagram."""
+
 FORGET_SECONDS = 300.0
 """How long reports are still sent to an instance that sends none, so that the
 parts of a fleet discover each other again after a partition."""
 
 REPORTS_PER_SECOND = 80.0
 """Maximum rate of reports that an instance receives. In a large data centre
-each instance reports less often, so that reading reports costs 2% of a core
-at any size."""
+each reports less often; reading them costs 2% of a core at any size."""
 
 LARGE_FLEET = 13
 """Number of instances from which traffic between instances and calls to the
@@ -53,8 +55,8 @@
 """Number of members named in one report, chosen at random each time."""
 
 SETTLED_REPORTED_MEMBERS = 2
-"""Number of members named in one report of a settled fleet, where eight names
-would be half of the bytes of a report."""
+"""Number of members named in one report of a settled fleet. Eight names would
+be half of its bytes."""
 
 GROWING_SECONDS = 0.15
 """Time without a new instance after which an instance that has just started
@@ -184,17 +186,20 @@
         """
         if report.instance == self._own:
             return False
+        if report.instance not in self._members:
+            self._drop_unreported()
         member = self._get_or_add(
             report.instance, report.data_centre, report.peer_address, now
         )
-        if not self._is_newer(member, report, now):
+        if member is None or not self._is_newer(member, report, now):
             return False
         last = member.report
         if last is None:
             self._record_first_report(report, now)
         if last is None or last.incarnation != report.incarnation:
             self._new_addresses.append(report.peer_address)
-        member.report = report
+        # The rows are of no use once they are merged, and may be many.
+        member.report = msgspec.structs.replace(report, members=[])
         member.reported_at = now
         member.peer_address = report.peer_address
         self.add_members(report.members, now)
@@ -216,6 +221,8 @@
                 continue
             known = name in self._members
             member = self._get_or_add(name, data_centre, peer_address, now)
+            if member is None:
+                return
             if not known:
                 self._new_addresses.append(peer_address)
             elif member.report is None:
@@ -233,8 +240,7 @@
     def take_new_addresses(self) -> list[str]:
         """Return the addresses of instances that may not know this one yet.
 
-        Each start of another instance is returned once, whether it was
-        discovered by its own report or named by another instance.
+        Each start of an instance is returned once, whoever reported it.
         """
         addresses, self._new_addresses = self._new_addresses, []
         return addresses
@@ -448,9 +454,9 @@
 
     def _get_or_add(
         self, name: str, data_centre: str, peer_address: str, now: float
-    ) -> Member:
+    ) -> Member | None:
         member = self._members.get(name)
-        if member is None:
+        if member is None and len(self._members) < MAX_MEMBERS:
             member = Member(
                 None, float("-inf"), now, peer_address, data_centre
             )
@@ -459,6 +465,16 @@
             self._last_added_at = now
         return member
 
+    def _drop_unreported(self) -> None:
+        """Let one that is only named make room for one that reports."""
+        if len(self._members) < MAX_MEMBERS:
+            return
+        for name, member in self._members.items():
+            if member.report is None:
+                del self._members[name]
+                self._local_count -= member.data_centre == self._data_centre
+                return
+
     def _record_first_report(
         self, report: messages.Report, now: float
     ) -> None:
--- a/citronport/relay/sender_clocks.py
+++ b/citronport/relay/sender_clocks.py
@@ -11,6 +11,9 @@
 """Time after which a difference between two clocks may have changed. Messages
 that waited in the socket are read in much less."""
 
+MAX_SENDERS = 4096
+"""Maximum number of instances whose clocks are known."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Offsets:
@@ -63,6 +66,8 @@
         if not math.isfinite(up_seconds):
             return now
         known = self._offsets.get(instance)
+        if known is None and len(self._offsets) >= MAX_SENDERS:
+            del self._offsets[next(iter(self._offsets))]
         if known is None or known.incarnation != incarnation:
             known = _Offsets(incarnation, now)
             self._offsets[instance] = known
