Let the sums of memory and descriptors end within their limits

Cause: added up for all ports, with the unread bytes of endpoints' sockets and the encoded message of one forwarded request, the shares came to 155 of 150 MB; and 691 connections at 1,024 descriptors left 133 sockets for the endpoints of 460 requests.

Change: 0.38 of the free memory for connections (0.4 before), 0.25 and 0.06 for large requests and beginnings (0.28, 0.07), 0.04 for answers to other instances (0.05). Clients get 0.53 of the sockets at all ports (0.75), as each request may need a further socket to an endpoint.

--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -36,29 +36,30 @@
 FETCH_BUFFER_BYTES = 65_536
 """Receive buffer of a fetch from another instance; few run at once."""
 
-CONNECTIONS_SHARE = 0.4
+CONNECTIONS_SHARE = 0.38
 """Share of the free memory for connections."""
 
-REQUESTS_SHARE = 0.28
-"""Share of the free memory for the bytes of large requests. They may take a
-third more, as some are held twice for a moment."""
+REQUESTS_SHARE = 0.25
+"""Share of the free memory for the bytes of large requests. They may take an
+eighth more, the room in which a growing body is not copied."""
 
-SMALL_REQUESTS_SHARE = 0.07
+SMALL_REQUESTS_SHARE = 0.06
 """Share of the free memory that large requests can't take from small ones."""
 
 LARGEST_REQUEST_SHARE = 0.4
 """Share of the free memory that one request may take while no other large one
 is held."""
 
-ANSWERS_SHARE = 0.05
+ANSWERS_SHARE = 0.04
 """Share of the free memory for answers that other instances fetch."""
 
 RESERVED_DESCRIPTORS = 200
 """File descriptors that the platform keeps for files."""
 
-PORTS_SHARE = 0.75
-"""Share of the sockets that clients may take at all ports. The others are for
-endpoints, other instances, the store, and connections being refused."""
+PORTS_SHARE = 0.53
+"""Share of the sockets that clients may take at all ports. Each connection
+that carries a request may need a further one, to an endpoint; an eighth as
+many are being refused, and a few are for the store and other instances."""
 
 REFUSALS_DIVISOR = 8
 """Connections that a port refuses at the same time, as a divisor of those
