Give every field of an entry instance's messages its type

What was seen: two connections at citronport serve's port of peers that say Hello and send a map of empty lists took 1,201 MB (150 allowed).

Cause: a request, a call, an identity and a summary of load travelled as maps of any form, so that the types of the fields did not stop anything.

Change: these fields have the types of the data classes that they hold, and the wire format stays. Messages without the content of a request or of a published value have 1 MB at most; a longer difference of a catalogue is sent as the whole value. Two conversions at the border go.

--- a/citronport/codec.py
+++ b/citronport/codec.py
@@ -30,11 +30,18 @@
         kinds: data classes or structs of the messages; the index is the
             number.
         max_bytes: size limit of a message from a peer.
+        max_bytes_by_kind: lower limits of some kinds.
     """
 
-    def __init__(self, kinds: tuple[type, ...], max_bytes: int) -> None:
+    def __init__(
+        self,
+        kinds: tuple[type, ...],
+        max_bytes: int,
+        max_bytes_by_kind: dict[type, int] | None = None,
+    ) -> None:
         self._kinds = kinds
         self._max_bytes = max_bytes
+        self._max_bytes_by_kind = max_bytes_by_kind or {}
         self._numbers = {kind: number for number, kind in enumerate(kinds)}
         self._fields = {kind: _list_fields(kind) for kind in kinds}
         self._decoders = [self._make_decoder(kind) for kind in kinds]
@@ -43,7 +50,14 @@
         """Return the wire format of a message."""
         kind = type(message)
         values = [getattr(message, name) for name in self._fields[kind]]
-        return msgpack.packb([self._numbers[kind], *values])
+        return msgpack.packb(
+            [self._numbers[kind], *values], default=dataclasses.asdict
+        )
+
+    def is_within_limit(self, message: Message) -> bool:
+        """Return whether a message is short enough for its kind."""
+        limit = self._max_bytes_by_kind.get(type(message), self._max_bytes)
+        return len(self.encode(message)) <= limit
 
     def encode_around(
         self, message: Message, name: str
@@ -96,11 +110,14 @@
         number = _read_number(data)
         if not 0 <= number < len(self._kinds):
             raise ValueError(f"unknown message number {number}")
+        kind = self._kinds[number]
+        limit = self._max_bytes_by_kind.get(kind, self._max_bytes)
+        if len(data) > limit:
+            raise ValueError(f"{kind.__name__} over {limit} bytes")
         try:
             _, *values = self._decoders[number].decode(data)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise ValueError(f"invalid message: {error}") from error
-        kind = self._kinds[number]
         return kind(**dict(zip(self._fields[kind], values, strict=True)))
 
     def make_reader(self, max_bytes: int | None = None) -> "StreamReader":
--- a/citronport/endpoints/client.py
+++ b/citronport/endpoints/client.py
@@ -4,10 +4,12 @@
 import dataclasses
 import re
 import time
+from typing import Annotated
 from urllib import parse
 
 import gevent
 from geventhttpclient import response as http_response
+import msgspec
 import result
 
 from citronport import const as common
@@ -18,6 +20,9 @@
 from citronport.endpoints import messages
 from citronport.endpoints import pool
 
+MAX_HEADERS = 100
+"""Maximum number of headers of a call that another instance sends."""
+
 _OUTPUT_TOKENS = re.compile(rb'"completion_tokens": ?(\d+)')
 _CACHED_TOKENS = re.compile(rb'"cached_tokens": ?(\d+)')
 
@@ -42,7 +47,7 @@
     method: str
     path: str
     body: bytes
-    headers: dict[str, str]
+    headers: Annotated[dict[str, str], msgspec.Meta(max_length=MAX_HEADERS)]
     stream: bool
     timeout: float
 
--- a/citronport/instances/const.py
+++ b/citronport/instances/const.py
@@ -13,6 +13,10 @@
 forwards it again."""
 
 MAX_MESSAGE_BYTES: Final = 8_000_000
+MAX_STATE_BYTES: Final = 1_000_000
+"""Size of a message without the content of a request or a published value. A
+byte of its fields may stand for an object of 64 bytes."""
+
 READ_BYTES: Final = 65536
 
 MAX_HELLO_BYTES: Final = 4096
--- a/citronport/instances/gossip.py
+++ b/citronport/instances/gossip.py
@@ -86,7 +86,7 @@
         self._links.broadcast(
             messages.Report(
                 sent=now,
-                summary=dataclasses.asdict(self._summarize()),
+                summary=self._summarize(),
                 versions=self._published.get_versions(),
                 silent=silent,
             ),
@@ -127,7 +127,7 @@
         now = self._ticker.now()
         self._failure_detector.record_relayed_silence(message.silent, now)
         self._request_newer(sender, message.versions)
-        summary = models.InstanceSummary(**message.summary)
+        summary = message.summary
         self._owners.update_leaving(summary.instance, summary.leaving, now)
         self._post(models.InstanceReported(summary=summary))
         return messages.Echo(
@@ -159,15 +159,18 @@
         known = self._published.get(message.path)
         if known is None or known.version <= message.version:
             return
-        changes = self._published.find_deltas(message.path, message.version)
-        for change in changes:
-            fields = dataclasses.asdict(change)
-            self._links.send(
-                sender, messages.Difference(path=message.path, **fields)
+        differences = [
+            messages.Difference(path=message.path, **dataclasses.asdict(delta))
+            for delta in self._published.find_deltas(
+                message.path, message.version
             )
-        if not changes:
+        ]
+        if not differences or any(map(messages.is_too_long, differences)):
             value = messages.Value(**dataclasses.asdict(known))
             self._links.send(sender, value)
+            return
+        for difference in differences:
+            self._links.send(sender, difference)
 
     def _handle_difference(
         self, sender: str, message: messages.Difference
--- a/citronport/instances/messages.py
+++ b/citronport/instances/messages.py
@@ -9,7 +9,10 @@
 from typing import Any
 
 from citronport import codec
+from citronport.callers import tickets
+from citronport.endpoints import client as endpoint_client
 from citronport.instances import const
+from citronport.scheduler import models
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -34,18 +37,17 @@
     Attributes:
         stream: number of the exchange, unique on this connection.
         role: ``const.ROLE_HOME`` or ``const.ROLE_OWNER``.
-        request: fields of ``scheduler.models.Request``; its deadline is
-            in seconds from now, since the instances' clocks differ.
-        call: fields of ``endpoints.client.Call``.
-        identity: fields of ``callers.tickets.Identity``; None without an
-            idempotency key, and in the owner role.
+        request: the request; its deadline is in seconds from now, since the
+            instances' clocks differ.
+        call: the call to an endpoint.
+        identity: None without an idempotency key, and in the owner role.
     """
 
     stream: int
     role: str
-    request: dict[str, Any]
-    call: dict[str, Any]
-    identity: dict[str, Any] | None
+    request: models.Request
+    call: endpoint_client.Call
+    identity: tickets.Identity | None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -100,13 +102,13 @@
 
     Attributes:
         sent: time on the sender's clock, seconds; only the sender uses it.
-        summary: fields of ``scheduler.models.InstanceSummary``.
+        summary: load of the sender.
         versions: version of each published value, by its path.
         silent: unreachable instances; see ``membership``.
     """
 
     sent: float
-    summary: dict[str, Any]
+    summary: models.InstanceSummary
     versions: dict[str, int]
     silent: dict[str, float]
 
@@ -200,9 +202,22 @@
     Value,
     Difference,
 )
-_CODEC: codec.Codec[Message] = codec.Codec(_KINDS, const.MAX_MESSAGE_BYTES)
+_CODEC: codec.Codec[Message] = codec.Codec(
+    _KINDS,
+    const.MAX_MESSAGE_BYTES,
+    {
+        kind: const.MAX_STATE_BYTES
+        for kind in _KINDS
+        if kind not in (Submit, Piece, Value)
+    },
+)
 
 encode = _CODEC.encode
 decode = _CODEC.decode
 make_unpacker = _CODEC.make_unpacker
 make_reader = _CODEC.make_reader
+
+
+def is_too_long(message: Message) -> bool:
+    """Return whether the receiver would reject a message for its size."""
+    return not _CODEC.is_within_limit(message)
--- a/citronport/instances/peers.py
+++ b/citronport/instances/peers.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 import itertools
-from typing import Any
 
 from absl import logging
 import gevent
@@ -17,8 +16,6 @@
 from citronport import resources
 from citronport import runs
 from citronport.callers import connections
-from citronport.callers import tickets
-from citronport.endpoints import client as endpoint_client
 from citronport.endpoints import messages as answers
 from citronport.instances import const
 from citronport.instances import link
@@ -194,20 +191,15 @@
     def _make_submit(
         self, stream: int, role: str, work: runs.Work
     ) -> messages.Submit:
-        request = dataclasses.asdict(work.request)
         # The clocks of two instances differ, so times are sent as seconds
         # from now.
-        request["deadline"] -= self._ticker.now()
+        left = work.request.deadline - self._ticker.now()
         return messages.Submit(
             stream=stream,
             role=role,
-            request=request,
-            call=dataclasses.asdict(work.call),
-            identity=(
-                dataclasses.asdict(work.identity)
-                if work.identity and role == const.ROLE_HOME
-                else None
-            ),
+            request=dataclasses.replace(work.request, deadline=left),
+            call=work.call,
+            identity=work.identity if role == const.ROLE_HOME else None,
         )
 
     def _connect(self, instance: models.Instance) -> None:
@@ -302,14 +294,11 @@
     def _handle_submit(
         self, source: link.Link, message: messages.Submit
     ) -> None:
-        request = dict(message.request)
-        request["deadline"] += self._ticker.now()
-        request["prefix"] = tuple(request["prefix"])
-        request["kind"] = models.Kind(request["kind"])
+        deadline = self._ticker.now() + message.request.deadline
         work = runs.Work(
-            request=models.Request(**request),
-            call=endpoint_client.Call(**message.call),
-            identity=_decode_identity(message.identity),
+            request=dataclasses.replace(message.request, deadline=deadline),
+            call=message.call,
+            identity=message.identity,
         )
         run = self._submit(work, message.role)
         key = (source, message.stream)
@@ -348,14 +337,6 @@
     return errors.Refusal(code=errors.Code.NO_ENDPOINT, retry_after=0.5)
 
 
-def _decode_identity(fields: dict[str, Any] | None) -> tickets.Identity | None:
-    if fields is None:
-        return None
-    ticket = fields["ticket"]
-    decoded = tickets.Ticket(**ticket) if ticket else None
-    return tickets.Identity(**{**fields, "ticket": decoded})
-
-
 def _deliver_answer(
     inbox: queue.Queue[messages.Message | link.Closed], run: runs.Run
 ) -> errors.Refusal | None:
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -8,9 +8,15 @@
 
 import dataclasses
 import enum
+from typing import Annotated
+
+import msgspec
 
 from citronport import errors
 
+Prefix = Annotated[tuple[int, ...], msgspec.Meta(max_length=256)]
+"""Hashes of the leading blocks of a prompt."""
+
 
 class Kind(enum.StrEnum):
     """Type of an endpoint."""
@@ -177,7 +183,7 @@
     kind: Kind = Kind.ENGINE
     prompt_tokens: int = 0
     max_tokens: int = 0
-    prefix: tuple[int, ...] = ()
+    prefix: Prefix = ()
     deadline: float
     idempotent: bool = True
     streamed: bool = True
