--- a/citronport/codec.py
+++ b/citronport/codec.py
@@ -50,9 +50,7 @@
         """Return the wire format of a message."""
         kind = type(message)
         values = [getattr(message, name) for name in self._fields[kind]]
-        return msgpack.packb(
-            [self._numbers[kind], *values], default=dataclasses.asdict
-        )
+        return _pack([self._numbers[kind], *values])
 
     def is_within_limit(self, message: Message) -> bool:
         """Return whether a message is short enough for its kind."""
@@ -74,13 +72,11 @@
         names = self._fields[kind]
         place = names.index(name)
         values = [getattr(message, each) for each in names]
-        packer = msgpack.Packer(autoreset=False)
-        packer.pack_array_header(len(names) + 1)
-        for value in (self._numbers[kind], *values[:place]):
-            packer.pack(value)
+        header = msgpack.Packer().pack_array_header(len(names) + 1)
+        front = [self._numbers[kind], *values[:place]]
         size = len(values[place]).to_bytes(4)
-        before = packer.bytes() + _BYTES_HEADER + size
-        return before, b"".join(map(msgpack.packb, values[place + 1 :]))
+        before = b"".join((header, *map(_pack, front), _BYTES_HEADER, size))
+        return before, b"".join(map(_pack, values[place + 1 :]))
 
     def decode(self, raw: Any) -> Message:
         """Return the message of an unpacked list.
@@ -175,7 +171,12 @@
             ValueError: a message is too long or not of this protocol.
         """
         self._buffer += data
-        self._scanner.feed(data)
+        try:
+            self._scanner.feed(data)
+        except msgpack.BufferFull as error:
+            raise ValueError(
+                f"message over {self._max_bytes} bytes"
+            ) from error
         while self._skip():
             size = self._scanner.tell() - self._consumed
             self._consumed += size
@@ -193,6 +194,10 @@
         return True
 
 
+def _pack(value: Any) -> bytes:
+    return msgpack.packb(value, default=dataclasses.asdict)
+
+
 def _read_number(data: bytes | bytearray) -> int:
     """Return the number of a message's kind; -1 if it is no message."""
     match list(data[:4]):
