--- a/tests/relay/crowds.py
+++ b/tests/relay/crowds.py
@@ -1,4 +1,4 @@
-"""Crowds of clients that keep to no limit, and what a process holds."""
+"""Crowds of clients that keep to no limit, and what an instance holds."""
 
 import contextlib
 import dataclasses
@@ -7,12 +7,32 @@
 
 import gevent
 
+from tests.relay import fakes
+from tests.relay import instances
+
 CONNECT_SECONDS = 2.0
 PIECE_BYTES = 65536
 SAMPLE_SECONDS = 0.02
 _KIB = 1024
 _LISTENING = "0A"
 
+MEMORY_MB = 80
+"""Memory of the instance, of which a process in calm takes about 40 MB."""
+
+SETTLE_SECONDS = 6.0
+"""How long a crowd may send before the process is looked at."""
+
+ASKS = 20
+"""How often a caller that is refused comes back."""
+
+FILES = 1000
+
+RESERVED_FILES = 200
+"""Descriptors that the platform keeps for files; the others are sockets."""
+
+WIDE_LIMIT = {"ratePerS": 10**7, "burst": 10**7}
+"""Limit of the workspace, which no crowd meets."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Client:
@@ -132,3 +152,79 @@
             for fields in map(str.split, rows)
             if fields[1].startswith(self._host) and fields[3] != _LISTENING
         )
+
+
+def make_head(number, *fields, method="POST"):
+    """Return the head of a request inside the limits, with more fields."""
+    return "\r\n".join(
+        (
+            f"{method} /review/{number} HTTP/1.1",
+            "Host: shop.example",
+            f"X-Attempt-Id: crowd-{number}",
+            "X-Api-Key: key-1",
+            "X-Deadline-Ms: 15000",
+            "X-Token-Counts: 100,10",
+            *fields,
+            "",
+            "",
+        )
+    ).encode()
+
+
+class CrowdCase(instances.InstanceCase):
+    """One instance, a crowd, and callers that keep to the limits."""
+
+    memory_mb = MEMORY_MB
+    descriptors = FILES
+
+    def setUp(self):
+        """Start an instance and measure what it holds."""
+        super().setUp()
+        self.resources = (
+            f"memory_mb: {self.memory_mb}",
+            f"files: {self.descriptors}",
+        )
+        self.put_configuration(7, WIDE_LIMIT)
+        self.host = self.start(1)
+        self.wait_for("readiness", lambda: self.is_ready(self.host))
+        self.pid = self.running.get_pid("entry-1")
+        self.meter = Meter(self, self.pid, self.host)
+        self.crowd = Crowd(self, self.subnet)
+
+    def join(self, number, client, port="callers"):
+        """Let clients send to a port; wait until they have."""
+        self.crowd.join(
+            self.host, instances.PORTS.get(port, port), client, number
+        )
+        self.crowd.settle(SETTLE_SECONDS)
+
+    def check(self):
+        """Check that the process holds its bounds and serves a caller."""
+        status = self.ask_until_served()
+        print()
+        self.assertTrue(self.running.is_running("entry-1"))
+        self.assertEqual(200, status)
+        self.assertLess(self.meter.memory, self.memory_mb * 1e6)
+        self.assertLessEqual(
+            self.meter.sockets, self.descriptors - RESERVED_FILES
+        )
+        self.assertLessEqual(self.meter.files, self.descriptors)
+
+    def ask_until_served(self):
+        """Send a request, and come back when asked to; return the status."""
+        self.endpoint.scripts = [fakes.answer()]
+        for _ in range(ASKS):
+            number = next(self.numbers)
+            try:
+                status, headers, _ = self.ask(
+                    self.host, f"id-{number}", path=f"/review/{number}"
+                )
+            except OSError:
+                status = 0
+                gevent.sleep(0.5)
+                continue
+            if status != 503:
+                return status
+            self.assertEqual("not run", headers["X-Citronport-Ran"])
+            gevent.sleep(float(headers["Retry-After"]))
+        return status
--- a/tests/relay/test_crowds.py
+++ b/tests/relay/test_crowds.py
@@ -18,21 +18,8 @@
 CROWD = 300
 """Clients at the port for callers."""
 
-MEMORY_MB = 80
-"""Memory of the instance, of which a process in calm takes about 40 MB."""
-
 LARGE_MB = 128
-SETTLE_SECONDS = 6.0
-"""How long a crowd may send before the process is looked at."""
-
-ASKS = 20
-"""How often a caller that is refused comes back."""
-
-FILES = 1000
 FEW_FILES = 400
-RESERVED_FILES = 200
-"""Descriptors that the platform keeps for files; the others are sockets."""
-
 BODY_BYTES = 4_194_304
 """Largest body of the sample configuration."""
 
@@ -40,9 +27,6 @@
 EMPTY_LIST = b"\x90"
 """A message of one byte, of which many make one of many objects."""
 
-WIDE_LIMIT = {"ratePerS": 10**7, "burst": 10**7}
-"""Limit of the workspace, which no crowd meets."""
-
 REPORTS = 400
 NAMED_INSTANCES = 1000
 """Instances that one report names, as many as a datagram holds."""
@@ -51,83 +35,7 @@
 """The grace of the sample settings, and the start of a process's end."""
 
 
-def make_head(number, *fields, method="POST"):
-    """Return the head of a request inside the limits, with more fields."""
-    return "\r\n".join(
-        (
-            f"{method} /review/{number} HTTP/1.1",
-            "Host: shop.example",
-            f"X-Attempt-Id: crowd-{number}",
-            "X-Api-Key: key-1",
-            "X-Deadline-Ms: 15000",
-            "X-Token-Counts: 100,10",
-            *fields,
-            "",
-            "",
-        )
-    ).encode()
-
-
-class CrowdCase(instances.InstanceCase):
-    """One instance, a crowd, and callers that keep to the limits."""
-
-    memory_mb = MEMORY_MB
-    descriptors = FILES
-
-    def setUp(self):
-        """Start an instance and measure what it holds."""
-        super().setUp()
-        self.resources = (
-            f"memory_mb: {self.memory_mb}",
-            f"files: {self.descriptors}",
-        )
-        self.put_configuration(7, WIDE_LIMIT)
-        self.host = self.start(1)
-        self.wait_for("readiness", lambda: self.is_ready(self.host))
-        self.pid = self.running.get_pid("entry-1")
-        self.meter = crowds.Meter(self, self.pid, self.host)
-        self.crowd = crowds.Crowd(self, self.subnet)
-
-    def join(self, number, client, port="callers"):
-        """Let clients send to a port; wait until they have."""
-        self.crowd.join(
-            self.host, instances.PORTS.get(port, port), client, number
-        )
-        self.crowd.settle(SETTLE_SECONDS)
-
-    def check(self):
-        """Check that the process holds its bounds and serves a caller."""
-        status = self.ask_until_served()
-        print()
-        self.assertTrue(self.running.is_running("entry-1"))
-        self.assertEqual(200, status)
-        self.assertLess(self.meter.memory, self.memory_mb * 1e6)
-        self.assertLessEqual(
-            self.meter.sockets, self.descriptors - RESERVED_FILES
-        )
-        self.assertLessEqual(self.meter.files, self.descriptors)
-
-    def ask_until_served(self):
-        """Send a request, and come back when asked to; return the status."""
-        self.endpoint.scripts = [fakes.answer()]
-        for _ in range(ASKS):
-            number = next(self.numbers)
-            try:
-                status, headers, _ = self.ask(
-                    self.host, f"id-{number}", path=f"/review/{number}"
-                )
-            except OSError:
-                status = 0
-                gevent.sleep(0.5)
-                continue
-            if status != 503:
-                return status
-            self.assertEqual("not run", headers["X-Citronport-Ran"])
-            gevent.sleep(float(headers["Retry-After"]))
-        return status
-
-
-class MemoryTest(CrowdCase):
+class MemoryTest(crowds.CrowdCase):
     """Bytes that clients send, whoever has read them."""
 
     def test_long_messages_of_peers(self):
@@ -185,7 +93,9 @@
         """Guards against bytes that lie unread behind a request that waits."""
         self.endpoint.scripts = [fakes.never_answer]
         client = crowds.Client(
-            head=make_head(1, "Content-Length: 0"), rest=JUNK, size=4_000_000
+            head=crowds.make_head(1, "Content-Length: 0"),
+            rest=JUNK,
+            size=4_000_000,
         )
         self.join(CROWD, client)
         self.check()
@@ -193,7 +103,7 @@
     def test_bodies_without_end(self):
         """Guards against chunked bodies without end."""
         client = crowds.Client(
-            head=make_head(1, "Transfer-Encoding: chunked"),
+            head=crowds.make_head(1, "Transfer-Encoding: chunked"),
             rest=fakes.chunk(b"c" * (crowds.PIECE_BYTES - 9)),
             size=20_000_000,
         )
@@ -203,7 +113,7 @@
     def test_bodies_far_over_the_limit(self):
         """Guards against bodies that are announced far over the limit."""
         client = crowds.Client(
-            head=make_head(1, "Content-Length: 4000000000"),
+            head=crowds.make_head(1, "Content-Length: 4000000000"),
             rest=JUNK,
             size=20_000_000,
         )
@@ -213,7 +123,7 @@
     def test_bodies_of_the_limit(self):
         """Guards against many bodies of just the limit at once."""
         client = crowds.Client(
-            head=make_head(1, f"Content-Length: {BODY_BYTES}"),
+            head=crowds.make_head(1, f"Content-Length: {BODY_BYTES}"),
             rest=JUNK,
             size=BODY_BYTES,
         )
@@ -223,7 +133,7 @@
     def test_bodies_that_stop_before_their_end(self):
         """Guards against large bodies that never get their last byte."""
         client = crowds.Client(
-            head=make_head(1, f"Content-Length: {BODY_BYTES}"),
+            head=crowds.make_head(1, f"Content-Length: {BODY_BYTES}"),
             rest=JUNK,
             size=BODY_BYTES - 1,
         )
@@ -233,7 +143,7 @@
     def test_long_heads(self):
         """Guards against heads just inside the limit, of many clients."""
         fields = [f"X-Field-{n}: {'v' * 1000}" for n in range(14)]
-        head = make_head(1, *fields)[:-2]
+        head = crowds.make_head(1, *fields)[:-2]
         self.join(CROWD, crowds.Client(head=head))
         self.check()
 
@@ -294,7 +204,7 @@
             f"Content-Length: {len(body)}\r\n\r\n"
         ).encode()
         client = crowds.Client(
-            head=make_head(1, f"Content-Length: {BODY_BYTES}"),
+            head=crowds.make_head(1, f"Content-Length: {BODY_BYTES}"),
             rest=JUNK,
             size=BODY_BYTES,
         )
@@ -354,7 +264,7 @@
         self.check()
 
 
-class DescriptorTest(CrowdCase):
+class DescriptorTest(crowds.CrowdCase):
     """Connections that clients keep, at each port and at all of them."""
 
     descriptors = FEW_FILES
@@ -375,13 +285,13 @@
 
     def test_bodies_that_stop_after_one_byte(self):
         """Guards against stalled bodies that keep all callers out."""
-        head = make_head(1, "Content-Length: 1000") + b"x"
+        head = crowds.make_head(1, "Content-Length: 1000") + b"x"
         self.join(160, crowds.Client(head=head))
         self.check()
 
     def test_heads_that_stop(self):
         """Guards against unfinished heads that keep all callers out."""
-        self.join(160, crowds.Client(head=make_head(1)[:-4]))
+        self.join(160, crowds.Client(head=crowds.make_head(1)[:-4]))
         self.check()
 
     def test_peers_that_send_nothing(self):
@@ -411,19 +321,19 @@
 
     def test_stop_beside_a_crowd(self):
         """Guards against a stop that waits for clients without progress."""
-        head = make_head(1, "Content-Length: 1000") + b"x"
+        head = crowds.make_head(1, "Content-Length: 1000") + b"x"
         self.join(40, crowds.Client(head=head))
         self.running.signal("entry-1", signal.SIGTERM)
         self.assertEqual(0, self.running.wait("entry-1", STOP_SECONDS))
 
 
-class ChangeTest(CrowdCase):
+class ChangeTest(crowds.CrowdCase):
     """Crowds that send bodies while the instance changes."""
 
     def join_senders(self):
         """Let clients send chunked bodies without end; don't wait."""
         client = crowds.Client(
-            head=make_head(1, "Transfer-Encoding: chunked"),
+            head=crowds.make_head(1, "Transfer-Encoding: chunked"),
             rest=fakes.chunk(b"c" * (crowds.PIECE_BYTES - 9)),
             size=20_000_000,
         )
@@ -434,9 +344,9 @@
         self.join_senders()
         for version in range(8, 12):
             self.running.signal("entry-1", signal.SIGHUP)
-            self.put_configuration(version, WIDE_LIMIT)
+            self.put_configuration(version, crowds.WIDE_LIMIT)
             gevent.sleep(0.2)
-        self.crowd.settle(SETTLE_SECONDS)
+        self.crowd.settle(crowds.SETTLE_SECONDS)
         self.check()
 
     def test_start(self):
@@ -448,7 +358,7 @@
         pid = self.running.get_pid("entry-1")
         self.meter = crowds.Meter(self, pid, self.host)
         self.join_senders()
-        self.crowd.settle(SETTLE_SECONDS)
+        self.crowd.settle(crowds.SETTLE_SECONDS)
         self.check()
 
     def test_stop(self):
@@ -460,7 +370,7 @@
         self.assertLess(self.meter.memory, self.memory_mb * 1e6)
 
 
-class LargestBodyTest(CrowdCase):
+class LargestBodyTest(crowds.CrowdCase):
     """Bodies of the largest size that a configuration allows, in calm."""
 
     memory_mb = LARGE_MB
@@ -469,7 +379,7 @@
     def configure(self, body_bytes):
         """Publish a limit on bodies, and wait until it holds."""
         self.put_configuration(
-            8, WIDE_LIMIT, limits={"maxBodyBytes": body_bytes}
+            8, crowds.WIDE_LIMIT, limits={"maxBodyBytes": body_bytes}
         )
         self.wait_for(
             "the configuration",
@@ -484,7 +394,7 @@
         with socket.create_connection(
             (self.host, instances.PORTS["callers"]), 30
         ) as sock:
-            sock.sendall(make_head(1, f"Content-Length: {size}"))
+            sock.sendall(crowds.make_head(1, f"Content-Length: {size}"))
             try:
                 for _ in range(size // len(JUNK)):
                     sock.sendall(JUNK)
@@ -529,7 +439,9 @@
             (self.host, instances.PORTS["callers"]), 10
         ) as sock:
             sock.sendall(
-                make_head(1, "X-Field: " + "v" * 12_000, "Content-Length: 0")
+                crowds.make_head(
+                    1, "X-Field: " + "v" * 12_000, "Content-Length: 0"
+                )
             )
             answer = sock.recv(65536)
         self.assertEqual(b"200", answer.split()[1])
@@ -540,7 +452,7 @@
         with socket.create_connection(
             (self.host, instances.PORTS["callers"]), 10
         ) as sock:
-            sock.sendall(make_head(1, *fields))
+            sock.sendall(crowds.make_head(1, *fields))
             answer = sock.recv(65536)
         self.assertEqual(b"431", answer.split()[1])
         self.check()
