Close a link for what waits only if the other side reads nothing

Cause: 16 MB that wait to be sent closed a link at once. Five forwarded requests of the largest size are more, so that instances inside the limits could lose their link, and their requests' outcomes.

Change: it is closed when that much waits and nothing was sent for 5 s; bytes are sent in pieces, so that a slow link shows its progress.

--- a/citronport/callers/connections.py
+++ b/citronport/callers/connections.py
@@ -43,7 +43,7 @@
     """What a connection does."""
 
     READING = enum.auto()
-    """Its first request, or the rest of a further one, is awaited."""
+    """Its first request, or the rest of a request, is awaited."""
     IDLE = enum.auto()
     """A further request is awaited."""
     BUSY = enum.auto()
--- a/citronport/instances/const.py
+++ b/citronport/instances/const.py
@@ -26,7 +26,10 @@
 """Time in which the first message has to arrive on a connection."""
 
 MAX_QUEUED_BYTES: Final = 2 * MAX_MESSAGE_BYTES
-"""Bytes that wait to be sent to an instance that does not read them."""
+"""Bytes that may wait to be sent to an instance that does not read."""
+
+WRITE_STALL_SECONDS: Final = 5.0
+"""Time without a byte sent after which an instance counts as not reading."""
 
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 
--- a/citronport/instances/link.py
+++ b/citronport/instances/link.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from citronport import byte_budget
+from citronport import clock
 from citronport.instances import const
 from citronport.instances import messages
 
@@ -51,6 +52,8 @@
         self._holding = holding
         self._outbox: queue.Queue[bytes | None] = queue.Queue()
         self._queued_bytes = 0
+        self._ticker = clock.RuntimeClock()
+        self._written_at = self._ticker.now()
         self.peer: messages.Hello | None = None
         self._tasks = [gevent.spawn(self._write), gevent.spawn(self._read)]
         gevent.spawn_later(const.HELLO_TIMEOUT_SECONDS, self._close_unknown)
@@ -59,10 +62,12 @@
         """Queue a message; it is lost if the connection is closed."""
         data = messages.encode(message)
         self._queued_bytes += len(data)
-        if self._queued_bytes > const.MAX_QUEUED_BYTES:
+        if self._is_stalled():
             # The peer doesn't read, and its messages would pile up here.
             self._close_socket()
             return
+        if self._outbox.empty():
+            self._written_at = self._ticker.now()
         self._outbox.put(data)
 
     def close(self) -> None:
@@ -83,14 +88,29 @@
                 parts.append(self._outbox.get())
             data = b"".join(part for part in parts if part is not None)
             try:
-                self.sock.sendall(data)
+                self._send_in_pieces(data)
             except OSError:
                 break
-            self._queued_bytes -= len(data)
             if None in parts:
                 break
         self._close_socket()
 
+    def _send_in_pieces(self, data: bytes) -> None:
+        view = memoryview(data)
+        for start in range(0, len(data), const.READ_BYTES):
+            piece = view[start : start + const.READ_BYTES]
+            self.sock.sendall(piece)
+            self._queued_bytes -= len(piece)
+            self._written_at = self._ticker.now()
+
+    def _is_stalled(self) -> bool:
+        """Return whether much is queued and nothing was sent for a while."""
+        silence = self._ticker.now() - self._written_at
+        return (
+            self._queued_bytes > const.MAX_QUEUED_BYTES
+            and silence > const.WRITE_STALL_SECONDS
+        )
+
     def _read(self) -> None:
         reader = messages.make_reader()
         try:
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -77,7 +77,6 @@
 _FETCHES = 3 / 32
 _OPERATIONS = 1 / 32
 
-
 MAPPED_BLOCK_BYTES = 131_072
 """Size from which a block of memory gets its own mapping."""
 
@@ -96,8 +95,8 @@
         fetches: connections over which instances fetch changes.
         readiness: connections for readiness checks.
         metrics: connections for metrics.
-        links: connections of instances where they exchange everything over
-            one port, and lookups come to that for callers.
+        links: connections of instances where they have one port for all, and
+            lookups have none of their own.
         operators: connections of operators, where they have one port.
         request_bytes: bytes of all large requests together.
         small_request_bytes: bytes kept for the beginnings of requests.
