Refuse for want of room by one refusal

Cause: bodies.py and server.py each made the same refusal (1008 with its Retry-After) of a request or connection that there is no room for.

Change: bodies.FULL serves both; code, Retry-After and status are the same.

--- a/citronport/callers/bodies.py
+++ b/citronport/callers/bodies.py
@@ -22,6 +22,12 @@
 
 _READS_PER_YIELD = 4096
 
+FULL = errors.Refusal(
+    code=errors.Code.TOO_MANY_CALLERS,
+    retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
+)
+"""Refusal of what there is no room for at the moment."""
+
 
 class FramingError(OSError):
     """The chunks of a body are too small."""
@@ -109,7 +115,7 @@
         if isinstance(found, result.Err):
             self._holding.release()
         # Its connection is no longer read from once it was evicted.
-        return _refuse_full() if self._holding.evicted else found
+        return result.Err(FULL) if self._holding.evicted else found
 
     def _read(self) -> result.Result[bytes | bytearray, errors.Refusal]:
         # Grows in place: joined parts would be held twice.
@@ -118,11 +124,11 @@
             if len(body) + len(data) > self._max_bytes:
                 return _refuse(errors.Code.BODY_TOO_LARGE)
             if not self._holding.reserve(len(data)):
-                return _refuse_full()
+                return result.Err(FULL)
             self._on_received(len(data))
             body += data
         if not self._holding.keep():
-            return _refuse_full()
+            return result.Err(FULL)
         self.complete = True
         self._on_complete()
         return result.Ok(bytes(body) if len(body) <= _COPIED_BYTES else body)
@@ -137,12 +143,3 @@
     code: errors.Code, detail: str = ""
 ) -> result.Result[bytes, errors.Refusal]:
     return result.Err(errors.Refusal(code=code, detail=detail))
-
-
-def _refuse_full() -> result.Result[bytes, errors.Refusal]:
-    return result.Err(
-        errors.Refusal(
-            code=errors.Code.TOO_MANY_CALLERS,
-            retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
-        )
-    )
--- a/citronport/callers/server.py
+++ b/citronport/callers/server.py
@@ -23,10 +23,6 @@
 
 LOG = "callers:"
 _HEAD_END = b"\r\n\r\n"
-_FULL = errors.Refusal(
-    code=errors.Code.TOO_MANY_CALLERS,
-    retry_after=const.FULL_CONNECTIONS_RETRY_SECONDS,
-)
 _EXPECTED_ERRORS = (
     disconnects.CallerDisconnected,
     replies.StreamCutError,
@@ -202,7 +198,7 @@
         if self._head_size > const.UNCOUNTED_HEAD_BYTES and not (
             self._holding.reserve(len(part))
         ):
-            raise head_validation.HeadError(_FULL)
+            raise head_validation.HeadError(bodies.FULL)
         return part
 
     def _stop_reading(self) -> None:
@@ -290,7 +286,7 @@
         self._open_refusals += 1
         with contextlib.suppress(OSError):
             sock.settimeout(const.DISCARD_TIMEOUT_SECONDS)
-            sock.sendall(_encode_refusal(_FULL))
+            sock.sendall(_encode_refusal(bodies.FULL))
         _discard(sock)
         self._open_refusals -= 1
 
