--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -19,6 +19,7 @@
 from citronport.relay import cluster_state as cluster_state_module
 from citronport.relay import contacts
 from citronport.relay import dispatcher as dispatcher_module
+from citronport.relay import draining
 from citronport.relay import eventlog
 from citronport.relay import events
 from citronport.relay import fair_queues
@@ -62,13 +63,6 @@
 
 LOG = "relay:"
 
-DRAIN_ACCEPT_SECONDS = 2.5
-"""How long a stopping instance still accepts requests. Callers cache a lookup
-response for two seconds; new lookup responses omit the instance at once."""
-
-EXIT_MARGIN_SECONDS = 0.7
-"""Time left between the latest exit of the process and its forced kill."""
-
 SWEEP_INTERVAL_SECONDS = 0.25
 """Interval at which expired state is removed."""
 
@@ -348,10 +342,8 @@
         gevent.signal_handler(signal.SIGTERM, self.stop)
         gevent.signal_handler(signal.SIGHUP, self.reload)
         self._tasks.report_unhandled()
-        self.log.write(
-            events.Started(
-                incarnation=self._incarnation, version=const.VERSION
-            )
+        started = events.Started(
+            incarnation=self._incarnation, version=const.VERSION
         )
         self.gossip.open()
         self.replication.open()
@@ -362,6 +354,7 @@
         self._stopped.wait()
         self._drain()
         self.log.write(events.Stopped(requests=self.application.running))
+        self.log.write(started)
 
     def stop(self) -> None:
         """Start a graceful shutdown; further calls have no effect."""
@@ -389,9 +382,8 @@
                 self.reports.update_settings(settings)
                 self.retry_budgets.update_settings(settings)
                 self.dispatcher.update_scheduling(settings.scheduling)
-                self.log.write(
-                    events.SettingsReloaded(accepted=True, detail="")
-                )
+                reloaded = events.SettingsReloaded(accepted=True, detail="")
+                self.log.write(reloaded)
 
     def is_ready(self) -> bool:
         """Return whether callers should use this instance."""
@@ -432,17 +424,18 @@
         )
 
     def _drain(self) -> None:
-        max_seconds = self._settings.bounds.grace_seconds - EXIT_MARGIN_SECONDS
-        started = self._ticker.now()
-        self._ticker.sleep(min(DRAIN_ACCEPT_SECONDS, max_seconds))
+        draining.drain(
+            self._settings.bounds.grace_seconds,
+            self._stop_accepting,
+            lambda: not self.application.running and self._callers.is_idle(),
+            self._ticker,
+        )
+        self.replication.close()
+
+    def _stop_accepting(self) -> None:
         self._closing = True
         self._callers.close()
         self._forwards.close()
-        while self._ticker.now() - started < max_seconds:
-            if not self.application.running and self._callers.is_idle():
-                break
-            self._ticker.sleep(SWEEP_INTERVAL_SECONDS)
-        self.replication.close()
 
     def _run_sweeper(self) -> None:
         while True:
