Limit the names in messages of instances by their types

Cause: names of instances, starts, endpoints, services, versions and contents had any length, up to a datagram of 64 KB or an unpacked one of 1 MB.

Change: the types of the fields bound them, so that such a message is rejected before anything is made of it: 64 characters for instances and data centres, as in the settings, 256 for what an endpoint's entry may hold, 256 for ids of requests (callers' have 200), 64 for contents (fingerprints have 21). Requests for leases and questions for streams have 16 KB at most. Envoys whose latest summary is known, and clocks of senders, have a bounded number.

--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -13,8 +13,6 @@
 from citronport import codec
 from citronport.relay import message_limits
 from citronport.relay import stream_messages
-from citronport.scheduler.direct import endpoint_limits
-from citronport.scheduler.direct import suspects
 
 PROTOCOL = 14
 """Version of this protocol; messages of other versions are dropped."""
@@ -56,14 +54,14 @@
     """
 
     protocol: int
-    instance: str
-    incarnation: str
+    instance: message_limits.InstanceName
+    incarnation: message_limits.InstanceName
     number: int
     up_seconds: float
-    data_centre: str
+    data_centre: message_limits.InstanceName
     capacity: float
-    caller_address: str
-    peer_address: str
+    caller_address: message_limits.InstanceName
+    peer_address: message_limits.InstanceName
     ready: bool
     leaving: bool
     starting: bool
@@ -72,11 +70,11 @@
     knows_lost: bool
     path_lost: bool
     admitted_units: dict[str, float]
-    loads: list[tuple[str, int, int, int]]
-    profiles: list[tuple[str, float, float, float]]
-    members: list[tuple[str, str, str, str]]
-    suspects: list[suspects.Row]
-    limits: list[endpoint_limits.Row]
+    loads: list[message_limits.LoadRow]
+    profiles: list[message_limits.ProfileRow]
+    members: list[message_limits.MemberRow]
+    suspects: list[message_limits.SuspectRow]
+    limits: list[message_limits.LimitRow]
 
 
 class Meet(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,27 +87,8 @@
     """
 
     protocol: int
-    peer_address: str
-    data_centre: str
-
-
-Row = tuple[
-    str,
-    str,
-    int,
-    float,
-    float,
-    str,
-    str,
-    bool,
-    bool,
-    bool,
-    int,
-    float,
-    bool,
-    bool,
-]
-"""State of one instance in a summary; see ``Summary.rows``."""
+    peer_address: message_limits.InstanceName
+    data_centre: message_limits.InstanceName
 
 
 class Summary(msgspec.Struct, frozen=True, kw_only=True):
@@ -140,18 +119,18 @@
     """
 
     protocol: int
-    instance: str
-    incarnation: str
+    instance: message_limits.InstanceName
+    incarnation: message_limits.InstanceName
     number: int
     up_seconds: float
-    data_centre: str
+    data_centre: message_limits.InstanceName
     is_forwarded: bool
-    rows: list[Row]
+    rows: list[message_limits.StateRow]
     admitted_units: dict[str, float]
-    profiles: list[tuple[str, float, float, float]]
-    members: list[tuple[str, str, str, str]]
-    suspects: list[suspects.Row]
-    limits: list[endpoint_limits.Row]
+    profiles: list[message_limits.ProfileRow]
+    members: list[message_limits.MemberRow]
+    suspects: list[message_limits.SuspectRow]
+    limits: list[message_limits.LimitRow]
 
 
 class Forward(msgspec.Struct, frozen=True, kw_only=True):
@@ -183,9 +162,9 @@
     """
 
     protocol: int
-    instance: str
+    instance: message_limits.InstanceName
     route: str
-    service: str
+    service: message_limits.EntryName
     version: int
     method: str
     target: str
@@ -200,7 +179,7 @@
     possible_runs: int
     is_counted: bool
     last_event_id: str | None
-    software: str | None
+    software: message_limits.EntryName | None
 
 
 class Want(msgspec.Struct, frozen=True, kw_only=True):
@@ -274,9 +253,9 @@
     """
 
     protocol: int
-    instance: str
-    request: str
-    service: str
+    instance: message_limits.InstanceName
+    request: message_limits.RequestId
+    service: message_limits.EntryName
     route: str
     tier: int
     prompt: int
@@ -286,10 +265,10 @@
     remaining_seconds: float
     tried: list[str]
     paused: list[str]
-    software: str | None
+    software: message_limits.EntryName | None
     is_assigned: bool = False
     workspace: str
-    data_centre: str
+    data_centre: message_limits.InstanceName
 
 
 class Granted(msgspec.Struct, frozen=True, kw_only=True):
@@ -306,9 +285,9 @@
     """
 
     protocol: int
-    instance: str
-    request: str
-    endpoint: str
+    instance: message_limits.InstanceName
+    request: message_limits.RequestId
+    endpoint: message_limits.EntryName
     seconds: float
     load: int
     pace: int
@@ -318,8 +297,8 @@
     """Answers ``Ask``: the request waits for a slot of the sender."""
 
     protocol: int
-    instance: str
-    request: str
+    instance: message_limits.InstanceName
+    request: message_limits.RequestId
 
 
 class Full(msgspec.Struct, frozen=True, kw_only=True):
@@ -330,8 +309,8 @@
     """
 
     protocol: int
-    instance: str
-    request: str
+    instance: message_limits.InstanceName
+    request: message_limits.RequestId
     seconds: float
 
 
@@ -339,8 +318,8 @@
     """Answers ``Ask``: the sender can't decide on this request."""
 
     protocol: int
-    instance: str
-    request: str
+    instance: message_limits.InstanceName
+    request: message_limits.RequestId
 
 
 class Begun(msgspec.Struct, frozen=True, kw_only=True):
@@ -353,11 +332,11 @@
     """
 
     protocol: int
-    request: str
-    endpoint: str
-    instance: str
+    request: message_limits.RequestId
+    endpoint: message_limits.EntryName
+    instance: message_limits.InstanceName
     pace: int = 0
-    software: str
+    software: message_limits.EntryName
 
 
 class Ended(msgspec.Struct, frozen=True, kw_only=True):
@@ -377,9 +356,9 @@
     """
 
     protocol: int
-    instance: str
-    request: str
-    endpoint: str
+    instance: message_limits.InstanceName
+    request: message_limits.RequestId
+    endpoint: message_limits.EntryName
     verdict: int
     pace: int
     seconds: float
@@ -397,7 +376,7 @@
     """
 
     protocol: int
-    endpoint: str
+    endpoint: message_limits.EntryName
     started: int
 
 
@@ -412,8 +391,10 @@
     """
 
     protocol: int
-    instance: str
-    leases: list[tuple[str, str, int]]
+    instance: message_limits.InstanceName
+    leases: list[
+        tuple[message_limits.RequestId, message_limits.EntryName, int]
+    ]
 
 
 LeaseMessage = (
@@ -461,6 +442,10 @@
         stream_messages.StreamFound,
     ),
     message_limits.MAX_MESSAGE_BYTES,
+    dict.fromkeys(
+        (Ask, stream_messages.FindStream, stream_messages.StreamFound),
+        message_limits.MAX_LEASE_MESSAGE_BYTES,
+    ),
 )
 
 
--- a/citronport/relay/sender_clocks.py
+++ b/citronport/relay/sender_clocks.py
@@ -11,7 +11,7 @@
 """Time after which a difference between two clocks may have changed. Messages
 that waited in the socket are read in much less."""
 
-MAX_SENDERS = 4096
+MAX_SENDERS = 2048
 """Maximum number of instances whose clocks are known."""
 
 
--- a/citronport/relay/stream_messages.py
+++ b/citronport/relay/stream_messages.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-Row = tuple[int, str, str]
+from citronport.relay import message_limits
+
+Row = tuple[int, message_limits.EntryName, message_limits.EntryName]
 """Key of a stream, its service, and the software version that began it."""
 
 
@@ -31,9 +33,9 @@
     """
 
     protocol: int
-    instance: str
+    instance: message_limits.InstanceName
     key: int
-    service: str
+    service: message_limits.EntryName
     confirm: bool
 
 
@@ -55,14 +57,14 @@
     """
 
     protocol: int
-    instance: str
+    instance: message_limits.InstanceName
     key: int
-    service: str
-    software: str
-    versions: list[str]
+    service: message_limits.EntryName
+    software: message_limits.EntryName
+    versions: list[message_limits.EntryName]
     is_complete: bool
     is_current: bool
-    out_of_contact: list[str]
+    out_of_contact: list[message_limits.InstanceName]
 
 
 StreamMessage = StreamsBegun | FindStream | StreamFound
--- a/citronport/relay/summaries.py
+++ b/citronport/relay/summaries.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from citronport.relay import membership as membership_module
+from citronport.relay import message_limits
 from citronport.relay import messages
 from citronport.scheduler.direct import endpoint_limits
 from citronport.scheduler.direct import profiles as profiles_module
@@ -59,7 +60,8 @@
         self._make_report = make_report
         self.made = 0
         self.taken = 0
-        # Incarnation and latest summary number of each envoy.
+        # Incarnation and latest summary number of each envoy, the ones seen
+        # least recently first.
         self._last_seen: dict[str, tuple[str, int]] = {}
 
     def make(self, now: float) -> messages.Summary:
@@ -100,7 +102,10 @@
         incarnation = summary.incarnation
         if last and last[0] == incarnation and last[1] >= summary.number:
             return False
+        self._last_seen.pop(summary.instance, None)
         self._last_seen[summary.instance] = (incarnation, summary.number)
+        if len(self._last_seen) > membership_module.MAX_MEMBERS:
+            del self._last_seen[next(iter(self._last_seen))]
         self.taken += 1
         for row in summary.rows:
             report, age = _read_row(summary, row)
@@ -128,7 +133,7 @@
         return True
 
 
-def _make_row(report: messages.Report, age: float) -> messages.Row:
+def _make_row(report: messages.Report, age: float) -> message_limits.StateRow:
     return (
         report.instance,
         report.incarnation,
@@ -148,7 +153,7 @@
 
 
 def _read_row(
-    summary: messages.Summary, row: messages.Row
+    summary: messages.Summary, row: message_limits.StateRow
 ) -> tuple[messages.Report, float]:
     """Return the report of a row, and its age in seconds."""
     (
