Keep the rows of all other instances within one sum of bytes

Change: row_budget.RowBudget adds up the rows of all senders over all tables, a share of the memory of the settings (0.06 of what is free). One sender has a quarter of it at most; senders known for longer go first, so that a crowd of new ones displaces no instance that was there before. Kept reports have no rows but their profiles, which summaries pass on. Totals of workspaces are kept for 8,192 names, of data centres for 256, and no longer for instances that are gone; of services, the latest 1,024.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -58,6 +58,7 @@
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import pauses
 from citronport.scheduler.direct import quota
+from citronport.scheduler.direct import row_budget
 from citronport.scheduler.direct import selection
 from citronport.scheduler.direct import suspects as suspects_module
 
@@ -92,8 +93,10 @@
         self.started_at = ticker.now()
         self.counts = metrics.Counts()
         self._stopped = gevent_event.Event()
+        self.peer_rows = row_budget.RowBudget(settings.shares.peer_row_bytes)
         self.loads = load_tracker.LoadTracker(
-            early_step_times=settings.scheduling.early_step_times
+            early_step_times=settings.scheduling.early_step_times,
+            budget=self.peer_rows,
         )
         self.loads.overdue.factor = settings.scheduling.overdue_factor
         self.health = health_module.Health()
@@ -105,9 +108,10 @@
             settings.bounds.limit_over,
             settings.bounds.limit_slack,
             ticker.now(),
+            self.peer_rows,
         )
         self.members = membership.Membership(
-            settings.instance, settings.data_centre
+            settings.instance, settings.data_centre, self.peer_rows
         )
         if any(str(seed) != str(settings.peers) for seed in settings.seeds):
             self.members.expect_others(ticker.now())
@@ -345,6 +349,7 @@
         started = events.Started(
             incarnation=self._incarnation, version=const.VERSION
         )
+        self.log.write(started)
         self.gossip.open()
         self.replication.open()
         servers = self._make_servers()
@@ -354,7 +359,6 @@
         self._stopped.wait()
         self._drain()
         self.log.write(events.Stopped(requests=self.application.running))
-        self.log.write(started)
 
     def stop(self) -> None:
         """Start a graceful shutdown; further calls have no effect."""
--- a/citronport/relay/membership.py
+++ b/citronport/relay/membership.py
@@ -1,13 +1,12 @@
 """Membership of the fleet, derived from the reports of its instances."""
 
 import collections.abc
-import dataclasses
 import random
 
-import msgspec
-
+from citronport.relay import members as members_module
 from citronport.relay import messages
 from citronport.scheduler.direct import rendezvous
+from citronport.scheduler.direct import row_budget
 
 FRESH_SECONDS = 1.0
 """Maximum age of a report that counts for shared limits and loads. Several
@@ -75,26 +74,6 @@
 centre counts as out of reach."""
 
 
-@dataclasses.dataclass(slots=True)
-class Member:
-    """Another instance and its latest report.
-
-    Attributes:
-        report: its latest report; None if it is known from other
-            instances only.
-        reported_at: clock time of its latest report, seconds.
-        added_at: clock time at which it was first known, seconds.
-        peer_address: its address for other instances.
-        data_centre: its data centre.
-    """
-
-    report: messages.Report | None
-    reported_at: float
-    added_at: float
-    peer_address: str
-    data_centre: str
-
-
 class Membership:
     """The other instances, as one instance sees them.
 
@@ -106,12 +85,21 @@
     Args:
         own: name of this instance.
         data_centre: data centre of this instance.
+        budget: limits the rows of other instances.
     """
 
-    def __init__(self, own: str, data_centre: str) -> None:
+    def __init__(
+        self,
+        own: str,
+        data_centre: str,
+        budget: row_budget.RowBudget | None = None,
+    ) -> None:
         self._own = own
         self._data_centre = data_centre
-        self._members: dict[str, Member] = {}
+        self._members: dict[str, members_module.Member] = {}
+        self._rows = members_module.KeptRows(
+            self._members, budget or row_budget.RowBudget()
+        )
         self._local_count = 0
         self._last_added_at = float("-inf")
         self._new_addresses: list[str] = []
@@ -198,8 +186,7 @@
             self._record_first_report(report, now)
         if last is None or last.incarnation != report.incarnation:
             self._new_addresses.append(report.peer_address)
-        # The rows are of no use once they are merged, and may be many.
-        member.report = msgspec.structs.replace(report, members=[])
+        member.report = self._rows.strip(report)
         member.reported_at = now
         member.peer_address = report.peer_address
         self.add_members(report.members, now)
@@ -236,6 +223,7 @@
         for name in expired:
             member = self._members.pop(name)
             self._local_count -= member.data_centre == self._data_centre
+            self._rows.release(name)
 
     def take_new_addresses(self) -> list[str]:
         """Return the addresses of instances that may not know this one yet.
@@ -258,7 +246,7 @@
             <= (local_seconds if m.data_centre == own else remote_seconds)
         ]
 
-    def list_retained(self, now: float) -> dict[str, Member]:
+    def list_retained(self, now: float) -> dict[str, members_module.Member]:
         """Return all others that may still run, by name.
 
         Unlike in ``list_fresh``, there are those that sent no report for up
@@ -454,10 +442,10 @@
 
     def _get_or_add(
         self, name: str, data_centre: str, peer_address: str, now: float
-    ) -> Member | None:
+    ) -> members_module.Member | None:
         member = self._members.get(name)
         if member is None and len(self._members) < MAX_MEMBERS:
-            member = Member(
+            member = members_module.Member(
                 None, float("-inf"), now, peer_address, data_centre
             )
             self._members[name] = member
@@ -484,7 +472,10 @@
             self._first_ready_states.append(report.ready)
 
     def _is_newer(
-        self, member: Member, report: messages.Report, now: float
+        self,
+        member: members_module.Member,
+        report: messages.Report,
+        now: float,
     ) -> bool:
         last = member.report
         if last is None:
@@ -496,5 +487,5 @@
         return now >= member.reported_at
 
 
-def _is_retained(member: Member, now: float) -> bool:
+def _is_retained(member: members_module.Member, now: float) -> bool:
     return now - max(member.reported_at, member.added_at) <= FORGET_SECONDS
--- a/citronport/relay/reports.py
+++ b/citronport/relay/reports.py
@@ -85,6 +85,7 @@
         settings = self._settings
         self._number += 1
         fresh = self._members.list_fresh(now)
+        self._quotas.retain(self._members.list_retained(now))
         self._board.drop_stale(
             {r.instance for r in fresh},
             {
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -55,6 +55,10 @@
 ANSWERS_SHARE = 0.04
 """Share of the free memory for answers that other instances fetch."""
 
+PEER_ROWS_SHARE = 0.06
+"""Share of the free memory for what other instances report: loads, usage,
+leases and requests for these."""
+
 RESERVED_DESCRIPTORS = 200
 """File descriptors that the platform keeps for files."""
 
@@ -102,6 +106,7 @@
         small_request_bytes: bytes kept for the beginnings of requests.
         largest_request_bytes: bytes of one request.
         answer_bytes: bytes of answers to other instances.
+        peer_row_bytes: bytes of the rows that other instances report.
     """
 
     callers: int
@@ -116,6 +121,7 @@
     small_request_bytes: int
     largest_request_bytes: int
     answer_bytes: int
+    peer_row_bytes: int
 
 
 def limit_unread(sock: socket.socket, size: int) -> None:
@@ -197,6 +203,7 @@
         small_request_bytes=int(free * SMALL_REQUESTS_SHARE),
         largest_request_bytes=int(free * LARGEST_REQUEST_SHARE),
         answer_bytes=int(free * ANSWERS_SHARE),
+        peer_row_bytes=int(free * PEER_ROWS_SHARE),
     )
 
 
--- a/citronport/scheduler/direct/load_tracker.py
+++ b/citronport/scheduler/direct/load_tracker.py
@@ -6,6 +6,7 @@
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import overdue
 from citronport.scheduler.direct import profiles
+from citronport.scheduler.direct import row_budget
 from citronport.scheduler.direct import runs
 
 DEFAULT_STEP_MS = 5.0
@@ -37,6 +38,8 @@
 DEFAULT_ANSWER_SECONDS = 0.05
 """Time of a plain answer that is assumed until one has been measured."""
 
+_TABLE = "loads"
+
 UNTRIED_FACTOR = 0.9
 """Assumed answer time of an untried endpoint, relative to the fastest known
 one."""
@@ -72,10 +75,18 @@
     Args:
         early_step_times: whether an endpoint without a step time gets one
             from the first events of a stream.
+        budget: limits the rows of other instances.
     """
 
-    def __init__(self, *, early_step_times: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        early_step_times: bool = False,
+        budget: row_budget.RowBudget | None = None,
+    ) -> None:
         self._early_step_times = early_step_times
+        self._budget = budget or row_budget.RowBudget()
+        self._budget.add_table(_TABLE, self._drop_report)
         # Endpoints whose step time comes from an incomplete sample.
         self._early: set[str] = set()
         self.profiles = profiles.Profiles()
@@ -235,6 +246,10 @@
         self, sender: str, endpoint: str, step_ms: float
     ) -> None:
         """Apply the step time that another instance has measured."""
+        known = self._remote.get(sender)
+        loads = known.loads if known else ()
+        if not self._hold_rows(sender, loads, (endpoint,)):
+            return
         report = self._remote.setdefault(sender, _RemoteReport({}, {}))
         report.step_ms[endpoint] = step_ms
         self._median_step_ms.pop(endpoint, None)
@@ -251,16 +266,22 @@
             rows: rows of its ``make_report_rows``. An endpoint without a
                 row has no load from that instance, but keeps its step time.
         """
-        report = self._remote.setdefault(sender, _RemoteReport({}, {}))
-        self._add_remote(report.loads, -1)
-        report.loads = {}
+        loads = {}
+        step_ms = {}
         for name, requests, prefill_backlog, step_nanoseconds in rows:
             if requests:
-                report.loads[name] = (requests, prefill_backlog)
+                loads[name] = (requests, prefill_backlog)
             if step_nanoseconds:
-                report.step_ms[name] = step_nanoseconds / 1e6
-                self._median_step_ms.pop(name, None)
-        self._add_remote(report.loads, 1)
+                step_ms[name] = step_nanoseconds / 1e6
+        if not self._hold_rows(sender, loads, step_ms):
+            loads = step_ms = {}
+        report = self._remote.setdefault(sender, _RemoteReport({}, {}))
+        self._add_remote(report.loads, -1)
+        report.loads = loads
+        report.step_ms |= step_ms
+        for name in step_ms:
+            self._median_step_ms.pop(name, None)
+        self._add_remote(loads, 1)
 
     def drop_stale(
         self,
@@ -284,8 +305,8 @@
                 self._add_remote(report.loads, -1)
                 report.loads = {}
             if sender not in fresh:
-                del self._remote[sender]
-                self._median_step_ms.clear()
+                self._drop_report(sender)
+                self._budget.hold(_TABLE, sender, 0)
 
     def make_report_rows(
         self, idle_rows: int = MAX_IDLE_ROWS_PER_REPORT
@@ -393,6 +414,33 @@
         for report in self._remote.values():
             report.step_ms.pop(endpoint, None)
 
+    def _hold_rows(
+        self,
+        sender: str,
+        loads: collections.abc.Iterable[str],
+        step_times: collections.abc.Iterable[str],
+    ) -> bool:
+        """Return whether there is room for more rows of a sender.
+
+        Args:
+            sender: name of another instance.
+            loads: endpoints with its requests.
+            step_times: endpoints with a step time, besides the known ones.
+        """
+        known = self._remote.get(sender)
+        names = {*known.step_ms, *step_times} if known else step_times
+        size = row_budget.count_bytes(loads) + row_budget.count_bytes(names)
+        return self._budget.hold(
+            _TABLE, sender, row_budget.SENDER_BYTES + size
+        )
+
+    def _drop_report(self, sender: str) -> None:
+        """Forget what an instance has reported."""
+        report = self._remote.pop(sender, None)
+        if report is not None:
+            self._add_remote(report.loads, -1)
+            self._median_step_ms.clear()
+
     def _get_own_load(self, endpoint: str) -> Load:
         own = self._own.get(endpoint)
         if not own:
--- a/citronport/scheduler/direct/profiles.py
+++ b/citronport/scheduler/direct/profiles.py
@@ -17,6 +17,10 @@
 MIN_DEVIATION_TOKENS = 200.0
 """Smallest standard deviation of prompt lengths that determines a slope."""
 
+MAX_REMOTE_PROFILES = 1024
+"""Most services whose profiles of other instances are kept; those reported
+least recently are dropped."""
+
 OUTLIER_FACTOR = 4.0
 """Cap on the steps to a first event, as a multiple of the expected ones. A
 longer time is due to a paused or failed engine and not to the prompt."""
@@ -121,8 +125,13 @@
 
         It is used until this instance has enough samples of its own.
         """
+        self._remote.pop(service, None)
         self._remote[service] = profile
         self._cache.pop(service, None)
+        if len(self._remote) > MAX_REMOTE_PROFILES:
+            oldest = next(iter(self._remote))
+            del self._remote[oldest]
+            self._cache.pop(oldest, None)
 
     def get(self, service: str) -> Profile:
         """Return the profile of a service."""
--- a/citronport/scheduler/direct/quota.py
+++ b/citronport/scheduler/direct/quota.py
@@ -4,8 +4,11 @@
 to the others. Each charges its own buckets with the usage of all instances.
 """
 
+import collections.abc
+
 from citronport.scheduler.direct import buckets as bucket_module
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import row_budget
 from citronport.scheduler.direct import usage
 
 TOLERANCE_SHARE = 0.8
@@ -66,6 +69,7 @@
         slack: units that are tolerated in addition.
         started: clock time of this instance's start, seconds; in the
             distant past by default.
+        budget: limits the rows of other instances.
     """
 
     def __init__(
@@ -73,6 +77,7 @@
         over: float = 0.0,
         slack: float = 0.0,
         started: float = float("-inf"),
+        budget: row_budget.RowBudget | None = None,
     ) -> None:
         self._over = over
         self._slack = slack
@@ -80,7 +85,7 @@
         # Units that other instances admitted, by workspace, until this new
         # instance creates the workspace's bucket.
         self._usage_without_bucket: usage.Units = {}
-        self._usage = usage.Usage()
+        self._usage = usage.Usage(budget)
         self._started = started
         # Whether this instance started while the others ran on.
         self._joined_fleet = False
@@ -201,6 +206,10 @@
         """Return the units admitted in its data centre, by workspace."""
         return self._usage.get_data_centre_totals()
 
+    def retain(self, senders: collections.abc.Container[str]) -> None:
+        """Forget the totals of all other senders, which are gone."""
+        self._usage.retain(senders)
+
     def _make_bucket(
         self,
         workspace: models.Workspace,
@@ -237,7 +246,10 @@
             if bucket is not None:
                 bucket.level -= units
                 bucket.record_usage(max(0.0, units), now)
-            elif now - self._started < STARTUP_SECONDS:
+            elif (
+                now - self._started < STARTUP_SECONDS
+                and len(self._usage_without_bucket) < usage.MAX_WORKSPACES
+            ):
                 early = self._usage_without_bucket.get(name, 0.0)
                 self._usage_without_bucket[name] = early + units
 
--- a/citronport/scheduler/direct/usage.py
+++ b/citronport/scheduler/direct/usage.py
@@ -1,11 +1,27 @@
 """Usage totals of all instances, added up separately on each of them."""
 
+import collections.abc
 import dataclasses
+import sys
+
+from citronport.scheduler.direct import row_budget
 
 ENVOY_TIMEOUT_SECONDS = 0.7
 """How long the active envoy of another data centre may be silent before the
 next one takes over, which allows for two lost summaries."""
 
+MAX_WORKSPACES = 8192
+"""Most workspaces whose usage is added up; anyone can name some."""
+
+MAX_NAME_BYTES = 512
+"""Memory of the longest name of a workspace that another instance reports."""
+
+MAX_DATA_CENTRES = 256
+"""Most other data centres whose usage is known."""
+
+_INSTANCES_TABLE = "usage of instances"
+_ENVOYS_TABLE = "usage of data centres"
+
 Units = dict[str, float]
 """Units by workspace."""
 
@@ -28,7 +44,8 @@
             for name, total in totals.items()
         }
         self.incarnation = incarnation
-        self.totals = dict(totals)
+        # Most instances report the same workspaces.
+        self.totals = {sys.intern(n): total for n, total in totals.items()}
         return increase
 
 
@@ -37,9 +54,15 @@
 
     An envoy is an instance that reports the totals of its data centre to the
     others. A data centre has several of them, of which one is active.
+
+    Args:
+        budget: limits the rows of other instances.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: row_budget.RowBudget | None = None) -> None:
+        self._budget = budget or row_budget.RowBudget()
+        self._budget.add_table(_INSTANCES_TABLE, self._drop_instance)
+        self._budget.add_table(_ENVOYS_TABLE, self._drop_envoy)
         self._own_totals: Units = {}
         self._data_centre_totals: Units = {}
         self._instances: dict[str, _Reporter] = {}
@@ -86,6 +109,10 @@
         Returns:
             The units admitted there since its last report.
         """
+        if not self._budget.hold(
+            _INSTANCES_TABLE, sender, self._count_bytes(totals)
+        ):
+            return {}
         reporter = self._instances.get(sender)
         if reporter is None:
             baseline = {} if is_new else dict(totals)
@@ -93,7 +120,8 @@
             self._instances[sender] = reporter
         increase = reporter.update(incarnation, totals)
         for name, units in increase.items():
-            self._add_to_data_centre(name, units)
+            if self._has_room(name):
+                self._add_to_data_centre(sys.intern(name), units)
         return increase
 
     def apply_data_centre_totals(
@@ -126,6 +154,13 @@
             The units admitted there since the last report of the active
             envoy.
         """
+        is_known = data_centre in self._active_envoys
+        if not is_known and len(self._active_envoys) >= MAX_DATA_CENTRES:
+            return {}
+        if not self._budget.hold(
+            _ENVOYS_TABLE, envoy, self._count_bytes(totals)
+        ):
+            return {}
         active, reported_at = self._active_envoys.setdefault(
             data_centre, (envoy, now)
         )
@@ -150,6 +185,39 @@
             reporter.reported_at = now
         return {}
 
+    def retain(self, senders: collections.abc.Container[str]) -> None:
+        """Forget the totals of all other senders, which are gone."""
+        for sender in [s for s in self._instances if s not in senders]:
+            self._drop_instance(sender)
+            self._budget.hold(_INSTANCES_TABLE, sender, 0)
+        for envoy in {e for _, e in self._envoys if e not in senders}:
+            self._drop_envoy(envoy)
+            self._budget.hold(_ENVOYS_TABLE, envoy, 0)
+
+    def _drop_instance(self, sender: str) -> None:
+        self._instances.pop(sender, None)
+
+    def _drop_envoy(self, envoy: str) -> None:
+        for key in [key for key in self._envoys if key[1] == envoy]:
+            del self._envoys[key]
+            if self._active_envoys.get(key[0], ("", 0.0))[0] == envoy:
+                del self._active_envoys[key[0]]
+
+    def _count_bytes(self, totals: Units) -> int:
+        # The names of workspaces that are added up are shared.
+        new = totals.keys() - self._data_centre_totals.keys()
+        shared = (len(totals) - len(new)) * row_budget.ROW_BYTES
+        return row_budget.SENDER_BYTES + shared + row_budget.count_bytes(new)
+
+    def _has_room(self, workspace: str) -> bool:
+        """Return whether the usage of a workspace is added up."""
+        if workspace in self._data_centre_totals:
+            return True
+        return (
+            len(self._data_centre_totals) < MAX_WORKSPACES
+            and sys.getsizeof(workspace) <= MAX_NAME_BYTES
+        )
+
     def _add_to_data_centre(self, workspace: str, units: float) -> None:
         self._data_centre_totals[workspace] = (
             self._data_centre_totals.get(workspace, 0.0) + units
