Limit the leases and requests for leases of other instances

Change: leases that are reported, and requests that wait, are part of the rows of their sender; a request without room is declined, as one that the owner can't decide. Leases at endpoints that are not listed are not counted: none is granted there.

--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -271,6 +271,7 @@
             owners_module.make_startup_ownership(
                 settings, self.started_at, self.startup.is_starting
             ),
+            self.peer_rows,
         )
         self.stream_versions = stream_versions.StreamVersions(
             settings.instance,
--- a/citronport/relay/lease_server.py
+++ b/citronport/relay/lease_server.py
@@ -1,5 +1,6 @@
 """Grants leases of capacity at the endpoints that this instance owns."""
 
+import collections
 import collections.abc
 import dataclasses
 
@@ -16,6 +17,7 @@
 from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import load_tracker
 from citronport.scheduler.direct import models
+from citronport.scheduler.direct import row_budget
 from citronport.scheduler.direct import runs
 from citronport.scheduler.direct import wait_queue
 
@@ -26,6 +28,12 @@
 repeat every 0.4 s, and three messages in a row are hardly ever lost."""
 
 
+APPLICANT_BYTES = 2500
+"""Memory of a waiting lease request without the names in it."""
+
+_TABLE = "lease requests"
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class _Applicant:
     """A lease request of another instance, used as the handle of its waiter.
@@ -34,6 +42,7 @@
         ask: the lease request.
         last_asked: clock time of the newest lease request, seconds.
         grant: called with the reservation.
+        size: memory that it takes, bytes.
         waiter: the queue entry; None before the request is queued.
     """
 
@@ -42,6 +51,7 @@
     grant: collections.abc.Callable[
         ["_Applicant", dispatcher_module.Reservation], None
     ]
+    size: int
     waiter: wait_queue.Waiter | None = None
 
     def update(self, ask: messages.Ask, now: float) -> None:
@@ -69,6 +79,7 @@
         send: sends a message to the named instance.
         ticker: the clock.
         log: the event log.
+        budget: limits the waiting lease requests of other instances.
     """
 
     def __init__(
@@ -83,6 +94,7 @@
         send: messages.SendMessage,
         ticker: clock.Clock,
         log: eventlog.Log,
+        budget: row_budget.RowBudget,
     ) -> None:
         self._own = own
         self._dispatcher = dispatcher
@@ -94,7 +106,11 @@
         self._send = send
         self._ticker = ticker
         self._log = log
+        self._budget = budget
+        self._budget.add_table(_TABLE, self._drop_applicants)
         self._applicants: dict[str, _Applicant] = {}
+        # Bytes of the waiting requests of each instance.
+        self._waiting_bytes: collections.Counter[str] = collections.Counter()
         self._granted: dict[str, messages.Granted] = {}
 
     def handle_ask(self, ask: messages.Ask) -> None:
@@ -112,9 +128,15 @@
         if applicant is None:
             work = self._make_work(ask, now)
             if work is None:
-                self._decline(ask)
+                self._decline(
+                    ask,
+                    "the route is unknown or no endpoint of its service fits",
+                )
+                return
+            applicant = _Applicant(ask, now, self._grant, _count_bytes(ask))
+            if not self._hold(ask.instance, applicant.size):
+                self._decline(ask, "too many wait")
                 return
-            applicant = _Applicant(ask, now, self._grant)
             retry_seconds = self._enqueue(applicant, work, now)
             if retry_seconds is not None:
                 self._reject(ask, retry_seconds)
@@ -165,6 +187,7 @@
                 prefill_tokens=prefill_tokens,
             )
             for request, endpoint, prefill_tokens in holding.leases
+            if endpoint in self._cluster_state.endpoints
         ]
         self._leases.renew(holding.instance, held, self._ticker.now())
         self._dispatcher.schedule_match()
@@ -199,7 +222,7 @@
         return self._dispatcher.enqueue(waiter, applicant.ask.service)
 
     def _reject(self, ask: messages.Ask, retry_seconds: float) -> None:
-        del self._applicants[ask.request]
+        self._remove_applicant(ask.request)
         full = messages.Full(
             protocol=messages.PROTOCOL,
             instance=self._own,
@@ -214,7 +237,7 @@
         reservation: dispatcher_module.Reservation,
     ) -> None:
         ask = applicant.ask
-        self._applicants.pop(ask.request, None)
+        self._remove_applicant(ask.request)
         name = reservation.endpoint.name
         now = self._ticker.now()
         self._leases.grant(ask.request, name, ask.instance, now)
@@ -241,7 +264,7 @@
         self._send(ask.instance, granted)
 
     def _cancel(self, request: str) -> None:
-        applicant = self._applicants.pop(request, None)
+        applicant = self._remove_applicant(request)
         if applicant is not None and applicant.waiter is not None:
             self._dispatcher.cancel(applicant.waiter, applicant.ask.service)
         granted = self._granted.pop(request, None)
@@ -250,6 +273,34 @@
             self._leases.end(request, granted.endpoint)
             self._dispatcher.schedule_match()
 
+    def _remove_applicant(self, request: str) -> _Applicant | None:
+        applicant = self._applicants.pop(request, None)
+        if applicant is not None:
+            self._hold(applicant.ask.instance, -applicant.size)
+        return applicant
+
+    def _hold(self, instance: str, growth: int) -> bool:
+        """Return whether there is room for more requests of an instance."""
+        size = self._waiting_bytes[instance] + growth
+        if not self._budget.hold(_TABLE, instance, size):
+            return False
+        self._waiting_bytes[instance] = size
+        if not size:
+            del self._waiting_bytes[instance]
+        return True
+
+    def _drop_applicants(self, instance: str) -> None:
+        """Let the waiting requests of an instance make room."""
+        del self._waiting_bytes[instance]
+        for request, applicant in list(self._applicants.items()):
+            if applicant.ask.instance == instance:
+                del self._applicants[request]
+                if applicant.waiter is not None:
+                    self._dispatcher.cancel(
+                        applicant.waiter, applicant.ask.service
+                    )
+                self._decline(applicant.ask, "too many wait")
+
     def _record_outcome(self, ended: messages.Ended, now: float) -> None:
         name = ended.endpoint
         if name not in self._cluster_state.endpoints:
@@ -301,13 +352,13 @@
         ):
             self._health.record_reached(ended.endpoint, now)
 
-    def _decline(self, ask: messages.Ask) -> None:
+    def _decline(self, ask: messages.Ask, reason: str) -> None:
         logging.warning(
-            "%s declined lease request of %s for route %s: the route is"
-            " unknown or no endpoint of its service fits.",
+            "%s declined lease request of %s for route %s: %s.",
             LOG,
             ask.instance,
             ask.route,
+            reason,
         )
         declined = messages.Declined(
             protocol=messages.PROTOCOL,
@@ -338,3 +389,9 @@
         )
         endpoints = self._cluster_state.list_endpoints(ask.service)
         return work if work.list_fitting(endpoints) else None
+
+
+def _count_bytes(ask: messages.Ask) -> int:
+    """Return the memory of a waiting lease request."""
+    names = (ask.request, ask.route, ask.workspace, *ask.tried, *ask.paused)
+    return APPLICANT_BYTES + row_budget.count_bytes(names)
--- a/citronport/relay/leasing.py
+++ b/citronport/relay/leasing.py
@@ -17,6 +17,7 @@
 from citronport.scheduler.direct import health as health_module
 from citronport.scheduler.direct import leases as leases_module
 from citronport.scheduler.direct import load_tracker
+from citronport.scheduler.direct import row_budget
 
 
 class Leasing:
@@ -43,6 +44,7 @@
         log: the event log.
         early: rules for instances that still discover the others; None if
             only those that are ready for callers own endpoints.
+        budget: limits what other instances report.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         ticker: clock.Clock,
         log: eventlog.Log,
         early: owners_module.StartupOwnership | None = None,
+        budget: row_budget.RowBudget | None = None,
     ) -> None:
+        budget = budget or row_budget.RowBudget()
         self._ticker = ticker
         self.owners = owners_module.Owners(
             own,
@@ -82,7 +86,7 @@
             ticker,
             log,
         )
-        self.leases = leases_module.Leases(loads)
+        self.leases = leases_module.Leases(loads, budget)
         self.lease_server = lease_server_module.LeaseServer(
             own,
             dispatcher,
@@ -94,6 +98,7 @@
             send,
             ticker,
             log,
+            budget,
         )
         dispatcher.owners = self.owners
         dispatcher.lease_client = self.lease_client
--- a/citronport/scheduler/direct/leases.py
+++ b/citronport/scheduler/direct/leases.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from citronport.scheduler.direct import load_tracker
+from citronport.scheduler.direct import row_budget
 
 RENEW_INTERVAL_SECONDS = 0.5
 """Interval at which a holder renews all its leases."""
@@ -17,6 +18,12 @@
 have been granted after the renewal was sent."""
 
 
+LEASE_BYTES = 700
+"""Memory of a lease that its holder has reported."""
+
+_TABLE = "leases"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HeldLease:
     """A lease as reported by its holder.
@@ -50,10 +57,19 @@
 
     Args:
         loads: tracker in which leased requests are counted.
+        budget: limits the leases that other instances report.
     """
 
-    def __init__(self, loads: load_tracker.LoadTracker) -> None:
+    def __init__(
+        self,
+        loads: load_tracker.LoadTracker,
+        budget: row_budget.RowBudget | None = None,
+    ) -> None:
         self._loads = loads
+        self._budget = budget or row_budget.RowBudget()
+        self._budget.add_table(_TABLE, self._drop_holder)
+        # Instances that have reported leases.
+        self._holders: set[str] = set()
         self._leases: dict[tuple[str, str], _Lease] = {}
 
     def __len__(self) -> int:
@@ -113,6 +129,9 @@
             now: clock time, seconds.
         """
         reported = {(h.request_id, h.endpoint): h for h in held}
+        if not self._budget.hold(_TABLE, holder, LEASE_BYTES * len(reported)):
+            return
+        self._holders.add(holder)
         for key, reported_lease in reported.items():
             lease = self._leases.get(key)
             if lease is None:
@@ -149,3 +168,12 @@
         for key, lease in list(self._leases.items()):
             if now - lease.renewed_at > EXPIRE_SECONDS:
                 self.end(*key)
+        left = {lease.holder for lease in self._leases.values()}
+        for holder in self._holders - left:
+            self._budget.hold(_TABLE, holder, 0)
+        self._holders &= left
+
+    def _drop_holder(self, holder: str) -> None:
+        for key, lease in list(self._leases.items()):
+            if lease.holder == holder:
+                self.end(*key)
