--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -101,7 +101,9 @@
         self.loads.overdue.factor = settings.scheduling.overdue_factor
         self.health = health_module.Health()
         self.cold = cold_starts.ColdStarts()
-        self.limits = endpoint_limits.EndpointLimits()
+        self.limits = endpoint_limits.EndpointLimits(
+            lambda name: name in self.cluster_state.endpoints
+        )
         self.pauses = pauses.Pauses()
         self.suspects = suspects_module.Suspects()
         self.quotas = quota.Quotas(
--- a/citronport/scheduler/direct/endpoint_limits.py
+++ b/citronport/scheduler/direct/endpoint_limits.py
@@ -53,9 +53,17 @@
 
     Attributes:
         brittle: endpoints that must not have to turn requests away.
+
+    Args:
+        is_listed: returns whether an endpoint exists. Updates on others are
+            left out, since anyone can name some.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        is_listed: collections.abc.Callable[[str], bool] = lambda name: True,
+    ) -> None:
+        self._is_listed = is_listed
         self.brittle = brittleness.BrittleEndpoints()
         self._limits: dict[str, _Limit] = {}
         self._limited: dict[str, None] = {}
@@ -125,6 +133,8 @@
     ) -> None:
         """Apply updates of another instance; the latest answer wins."""
         for name, rate_per_1000, age in rows:
+            if not self._is_listed(name):
+                continue
             rate = None if rate_per_1000 == NO_LIMIT else rate_per_1000 / 1000
             reported_at = now - age / 1000
             if announcements.is_expired(reported_at, now):
