Remember a number of streams that fits into the memory

What other instances report has three quarters, so that it displaces nothing that this instance knows by itself. Names are shared.

--- a/citronport/relay/application.py
+++ b/citronport/relay/application.py
@@ -18,7 +18,7 @@
 from citronport.relay import metrics
 from citronport.relay import refusals
 from citronport.relay import sender
-from citronport.relay import stream_versions
+from citronport.relay import stream_records
 from citronport.scheduler.direct import fingerprints
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import quota
@@ -199,7 +199,7 @@
 
     def _choose_version(
         self, head: requests.CallerRequest, route: models.Route
-    ) -> stream_versions.StreamVersion | errors.Refusal:
+    ) -> stream_records.StreamVersion | errors.Refusal:
         """Return the service, and the only software version if need be."""
         is_stream = route.repeat == models.RepeatPolicy.STREAM
         if head.resumption is not None and is_stream:
@@ -208,7 +208,7 @@
             )
         if route.resumable and is_stream:
             return self._context.stream_versions.assign(head.request_id, route)
-        return stream_versions.StreamVersion(
+        return stream_records.StreamVersion(
             service=routing.choose_service(route, random.random()),
             software=None,
         )
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -49,6 +49,7 @@
 from citronport.relay import state
 from citronport.relay import store_changes
 from citronport.relay import store_check as store_check_module
+from citronport.relay import stream_records
 from citronport.relay import stream_versions
 from citronport.relay import summaries
 from citronport.relay import version_proofs
@@ -289,6 +290,7 @@
             ),
             self.counts,
             ticker,
+            stream_records.StreamRecords(ticker, settings.shares.streams),
         )
         self.retry_budgets = retry_budgets.RetryBudgets(
             settings, self.members, ticker
--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -6,10 +6,8 @@
 it began, before its caller gets the first event.
 """
 
-import collections
-import collections.abc
-import dataclasses
 import random
+import sys
 
 import gevent
 
@@ -25,6 +23,7 @@
 from citronport.relay import store_history
 from citronport.relay import stream_messages
 from citronport.relay import stream_questions
+from citronport.relay import stream_records
 from citronport.relay import version_proofs
 from citronport.scheduler.direct import models
 from citronport.scheduler.direct import rendezvous
@@ -40,9 +39,6 @@
 MAX_OWNER_POOLS = 2
 """Most pools of a service whose owners are asked too."""
 
-MAX_STREAMS = 100_000
-"""Most streams to remember; the oldest are dropped."""
-
 ANSWER_CONFIRM_SECONDS = 0.05
 """How long an answer may wait for the store. Those who ask wait for 0.06 s
 before they ask once more the ones that have not answered."""
@@ -61,32 +57,6 @@
 """Retry time where another instance may know the stream."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamVersion:
-    """Where a stream may go on.
-
-    Attributes:
-        service: the service that began it.
-        software: the software version that began it; None if any may go on.
-    """
-
-    service: str
-    software: str | None
-
-
-@dataclasses.dataclass(slots=True)
-class _Record:
-    """A known stream.
-
-    Attributes:
-        version: where it began.
-        until: clock time until which it is remembered, seconds.
-    """
-
-    version: StreamVersion
-    until: float
-
-
 class StreamVersions:
     """Knows where streams began, or asks the instances that keep it.
 
@@ -99,6 +69,7 @@
         proofs: whether the list of endpoints is as recent as a stream.
         counts: counters for the metrics.
         ticker: the clock.
+        records: the streams that are known.
     """
 
     def __init__(
@@ -111,6 +82,7 @@
         proofs: version_proofs.VersionProofs,
         counts: metrics.Counts,
         ticker: clock.Clock,
+        records: stream_records.StreamRecords | None = None,
     ) -> None:
         self._own = own
         self._members = members
@@ -121,9 +93,7 @@
         self._ticker = ticker
         self._history = software_history.SoftwareHistory()
         self._routes = route_history.RouteHistory(cluster_state, ticker)
-        self._records: collections.OrderedDict[int, _Record] = (
-            collections.OrderedDict()
-        )
+        self._records = records or stream_records.StreamRecords(ticker)
         self._shared_services: set[str] = set()
         self._questions = stream_questions.StreamQuestions(own, send, ticker)
         self._proofs = proofs
@@ -156,11 +126,7 @@
                 now,
                 self._cluster_state.take_weight_changes(),
             )
-        while self._records:
-            key, record = next(iter(self._records.items()))
-            if now < record.until and len(self._records) <= MAX_STREAMS:
-                break
-            del self._records[key]
+        self._records.drop_expired()
         shared = {
             service
             for service in self._history.list_services()
@@ -186,7 +152,9 @@
             past.versions, past.weights, self._ticker.now()
         )
 
-    def assign(self, request_id: str, route: models.Route) -> StreamVersion:
+    def assign(
+        self, request_id: str, route: models.Route
+    ) -> stream_records.StreamVersion:
         """Return where a new stream has to begin.
 
         Args:
@@ -195,7 +163,7 @@
         """
         key = _make_key(request_id, None)
         service = routing.choose_service(route, _draw(key))
-        return StreamVersion(
+        return stream_records.StreamVersion(
             service=service, software=self._history.assign(service, key)
         )
 
@@ -213,10 +181,10 @@
             endpoint: the endpoint that brings the event.
         """
         key = _make_key(request_id, resumption)
-        version = StreamVersion(
+        version = stream_records.StreamVersion(
             service=endpoint.service, software=endpoint.software
         )
-        self._store(key, version)
+        self._records.store(key, version, is_reported=False)
         if endpoint.service in self._shared_services:
             row = (key, endpoint.service, endpoint.software)
             for keeper in self._choose_keepers(key):
@@ -227,13 +195,13 @@
     ) -> None:
         """Forget a stream that is complete, unless others rely on it."""
         key = _make_key(request_id, resumption)
-        record = self._records.get(key)
-        if record and record.version.service not in self._shared_services:
-            del self._records[key]
+        version = self._records.get(key)
+        if version and version.service not in self._shared_services:
+            self._records.forget(key)
 
     def resolve(
         self, resumption: requests.Resumption, route: models.Route
-    ) -> StreamVersion | errors.Refusal:
+    ) -> stream_records.StreamVersion | errors.Refusal:
         """Return where a stream that a caller takes up may go on.
 
         Args:
@@ -247,10 +215,10 @@
         key = _make_key("", resumption)
         draw = _draw(key) if is_named else random.random()
         service = routing.choose_service(route, draw)
-        record = self._records.get(key)
-        if record is not None:
+        known = self._records.get(key)
+        if known is not None:
             self._counts.resumptions["own"] += 1
-            return _check_route(record.version, route)
+            return _check_route(known, route)
         is_current = self._proofs.confirm(asked_at)
         versions = self._get_versions(service)
         has_moved = self._routes.list_services(route, draw) != {service}
@@ -258,7 +226,7 @@
         if is_current and only is not None and len(route.shares) == 1:
             self._counts.resumptions["only version"] += 1
             self._counts.resumption_proofs[version_proofs.STORE] += 1
-            return StreamVersion(service=service, software=only)
+            return stream_records.StreamVersion(service=service, software=only)
         answers = self._questions.ask(
             key,
             service,
@@ -267,7 +235,7 @@
         )
         for answer in answers.values():
             if answer.service:
-                found = StreamVersion(
+                found = stream_records.StreamVersion(
                     service=answer.service, software=answer.software
                 )
                 self._counts.resumptions["asked"] += 1
@@ -286,7 +254,7 @@
         *,
         is_named: bool,
         is_current: bool,
-    ) -> StreamVersion | errors.Refusal:
+    ) -> stream_records.StreamVersion | errors.Refusal:
         """Return where a stream that no instance knows may go on.
 
         Args:
@@ -314,12 +282,16 @@
             if proof is not None:
                 self._counts.resumptions["only version"] += 1
                 self._counts.resumption_proofs[proof] += 1
-                return StreamVersion(service=service, software=only)
+                return stream_records.StreamVersion(
+                    service=service, software=only
+                )
         if is_named and is_current and names == versions.names:
             assigned = self._find_assigned(service, key)
             if assigned is not None:
                 self._counts.resumptions["assigned"] += 1
-                return StreamVersion(service=service, software=assigned)
+                return stream_records.StreamVersion(
+                    service=service, software=assigned
+                )
         return self._refuse(answers, is_current=is_current)
 
     def _refuse(
@@ -341,9 +313,11 @@
         match message:
             case stream_messages.StreamsBegun(rows=rows):
                 for key, service, software in rows:
-                    self._store(
-                        key, StreamVersion(service=service, software=software)
+                    version = stream_records.StreamVersion(
+                        service=sys.intern(service),
+                        software=sys.intern(software),
                     )
+                    self._records.store(key, version, is_reported=True)
             case stream_messages.FindStream():
                 self._answer(message)
             case stream_messages.StreamFound():
@@ -359,15 +333,10 @@
         # The list here may be older than that of the sender, and name the
         # version that the endpoint had before it started again.
         if known is not None and key not in self._records:
-            version = StreamVersion(
+            version = stream_records.StreamVersion(
                 service=known.service, software=begun.software
             )
-            self._store(key, version)
-
-    def _store(self, key: int, version: StreamVersion) -> None:
-        until = self._ticker.now() + software_history.KEEP_SECONDS
-        self._records[key] = _Record(version, until)
-        self._records.move_to_end(key)
+            self._records.store(key, version, is_reported=True)
 
     def _answer(self, question: stream_messages.FindStream) -> None:
         if question.key in self._records or not question.confirm:
@@ -386,14 +355,14 @@
     def _send_answer(
         self, question: stream_messages.FindStream, *, is_current: bool
     ) -> None:
-        record = self._records.get(question.key)
+        known = self._records.get(question.key)
         versions = self._get_versions(question.service)
         found = stream_messages.StreamFound(
             protocol=messages.PROTOCOL,
             instance=self._own,
             key=question.key,
-            service=record.version.service if record else "",
-            software=(record.version.software or "") if record else "",
+            service=known.service if known else "",
+            software=(known.software or "") if known else "",
             versions=sorted(versions.names),
             is_complete=versions.is_complete,
             is_current=is_current,
@@ -456,8 +425,7 @@
             keepers: the keepers to report to; all by default.
         """
         rows: dict[str, list[stream_messages.Row]] = {}
-        for key, record in self._records.items():
-            version = record.version
+        for key, version in self._records.list_items():
             if version.service in services:
                 row = (key, version.service, version.software or "")
                 chosen = self._choose_keepers(key)
@@ -492,8 +460,8 @@
 
 
 def _check_route(
-    version: StreamVersion, route: models.Route
-) -> StreamVersion | errors.Refusal:
+    version: stream_records.StreamVersion, route: models.Route
+) -> stream_records.StreamVersion | errors.Refusal:
     """Return a version if the route still allows its service."""
     if version.service in {share.service for share in route.shares}:
         return version
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -59,6 +59,12 @@
 """Share of the free memory for what other instances report: loads, usage,
 leases and requests for these."""
 
+STREAMS_SHARE = 0.04
+"""Share of the free memory for streams whose beginning is remembered."""
+
+STREAM_BYTES = 400
+"""Memory of one remembered stream."""
+
 RESERVED_DESCRIPTORS = 200
 """File descriptors that the platform keeps for files."""
 
@@ -107,6 +113,7 @@
         largest_request_bytes: bytes of one request.
         answer_bytes: bytes of answers to other instances.
         peer_row_bytes: bytes of the rows that other instances report.
+        streams: streams whose beginning is remembered.
     """
 
     callers: int
@@ -122,6 +129,7 @@
     largest_request_bytes: int
     answer_bytes: int
     peer_row_bytes: int
+    streams: int
 
 
 def limit_unread(sock: socket.socket, size: int) -> None:
@@ -204,6 +212,7 @@
         largest_request_bytes=int(free * LARGEST_REQUEST_SHARE),
         answer_bytes=int(free * ANSWERS_SHARE),
         peer_row_bytes=int(free * PEER_ROWS_SHARE),
+        streams=int(free * STREAMS_SHARE / STREAM_BYTES),
     )
 
 
