Let the sums hold what other instances report

Cause: the rows of other instances were not in the sum of memory, which was 146.6 of 150 MB already, and a message of 1 MB may hold 77,000 rows of a few bytes, each decoded to some 180 bytes.

Change: connections have 0.30 of the free memory in place of 0.38 (398 callers at 150 MB and 4,100 files in place of 504; 272 at 1,024 files as before, where the files bind), rows 0.05, streams 0.03. A message has 8,192 rows of a kind at most. The test of the sums adds rows, streams and the longest forwarded message.

--- a/citronport/relay/message_limits.py
+++ b/citronport/relay/message_limits.py
@@ -27,6 +27,13 @@
 ITEMS = msgspec.Meta(max_length=MAX_ITEMS)
 """Limits a list to ``MAX_ITEMS``."""
 
+MAX_ROWS = 8192
+"""Maximum number of rows of one kind in a message. A datagram has room for
+fewer, but a short compressed one may hold many equal ones."""
+
+ROWS = msgspec.Meta(max_length=MAX_ROWS)
+"""Limits a list to ``MAX_ROWS``."""
+
 MAX_INSTANCE_CHARS = 64
 """Longest name of an instance or data centre, as in the settings, and longest
 address."""
@@ -49,6 +56,7 @@
 LoadRow = tuple[EntryName, int, int, int]
 ProfileRow = tuple[EntryName, float, float, float]
 LimitRow = tuple[EntryName, int, int]
+LeaseRow = tuple[RequestId, EntryName, int]
 
 _CRASHES = msgspec.Meta(max_length=crash_records.MAX_CRASHES)
 
--- a/citronport/relay/messages.py
+++ b/citronport/relay/messages.py
@@ -69,12 +69,12 @@
     store_seconds: float
     knows_lost: bool
     path_lost: bool
-    admitted_units: dict[str, float]
-    loads: list[message_limits.LoadRow]
-    profiles: list[message_limits.ProfileRow]
-    members: list[message_limits.MemberRow]
-    suspects: list[message_limits.SuspectRow]
-    limits: list[message_limits.LimitRow]
+    admitted_units: Annotated[dict[str, float], message_limits.ROWS]
+    loads: Annotated[list[message_limits.LoadRow], message_limits.ROWS]
+    profiles: Annotated[list[message_limits.ProfileRow], message_limits.ROWS]
+    members: Annotated[list[message_limits.MemberRow], message_limits.ROWS]
+    suspects: Annotated[list[message_limits.SuspectRow], message_limits.ROWS]
+    limits: Annotated[list[message_limits.LimitRow], message_limits.ROWS]
 
 
 class Meet(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,12 +125,12 @@
     up_seconds: float
     data_centre: message_limits.InstanceName
     is_forwarded: bool
-    rows: list[message_limits.StateRow]
-    admitted_units: dict[str, float]
-    profiles: list[message_limits.ProfileRow]
-    members: list[message_limits.MemberRow]
-    suspects: list[message_limits.SuspectRow]
-    limits: list[message_limits.LimitRow]
+    rows: Annotated[list[message_limits.StateRow], message_limits.ROWS]
+    admitted_units: Annotated[dict[str, float], message_limits.ROWS]
+    profiles: Annotated[list[message_limits.ProfileRow], message_limits.ROWS]
+    members: Annotated[list[message_limits.MemberRow], message_limits.ROWS]
+    suspects: Annotated[list[message_limits.SuspectRow], message_limits.ROWS]
+    limits: Annotated[list[message_limits.LimitRow], message_limits.ROWS]
 
 
 class Forward(msgspec.Struct, frozen=True, kw_only=True):
@@ -392,9 +392,7 @@
 
     protocol: int
     instance: message_limits.InstanceName
-    leases: list[
-        tuple[message_limits.RequestId, message_limits.EntryName, int]
-    ]
+    leases: Annotated[list[message_limits.LeaseRow], message_limits.ROWS]
 
 
 LeaseMessage = (
--- a/citronport/relay/stream_messages.py
+++ b/citronport/relay/stream_messages.py
@@ -1,5 +1,7 @@
 """Messages on the software versions that began streams."""
 
+from typing import Annotated
+
 import msgspec
 
 from citronport.relay import message_limits
@@ -17,7 +19,7 @@
     """
 
     protocol: int
-    rows: list[Row]
+    rows: Annotated[list[Row], message_limits.ROWS]
 
 
 class FindStream(msgspec.Struct, frozen=True, kw_only=True):
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -38,7 +38,7 @@
 FETCH_BUFFER_BYTES = 65_536
 """Receive buffer of a fetch from another instance; few run at once."""
 
-CONNECTIONS_SHARE = 0.38
+CONNECTIONS_SHARE = 0.30
 """Share of the free memory for connections."""
 
 REQUESTS_SHARE = 0.25
@@ -55,11 +55,11 @@
 ANSWERS_SHARE = 0.04
 """Share of the free memory for answers that other instances fetch."""
 
-PEER_ROWS_SHARE = 0.06
+PEER_ROWS_SHARE = 0.05
 """Share of the free memory for what other instances report: loads, usage,
 leases and requests for these."""
 
-STREAMS_SHARE = 0.04
+STREAMS_SHARE = 0.03
 """Share of the free memory for streams whose beginning is remembered."""
 
 STREAM_BYTES = 400
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -6,6 +6,7 @@
 from citronport import byte_budget
 from citronport import clock
 from citronport import resources
+from citronport.relay import message_limits
 
 TOTAL, SMALL, LARGEST, BEGINNING = 1000, 300, 1600, 100
 
@@ -120,6 +121,9 @@
                 + connections * resources.CONNECTION_BYTES
                 + requests * 9 / 8
                 + shares.answer_bytes
+                + shares.peer_row_bytes
+                + shares.streams * resources.STREAM_BYTES
+                + message_limits.MAX_MESSAGE_BYTES
                 + shares.callers * 1.5 * resources.RECEIVE_BUFFER_BYTES
             )
             self.assertLess(memory, memory_mb * 1e6)
