Count a probe that is not refused against all that was sent before it

Cause: an instance that wakes probes the silent others, and reads meanwhile the reports that lay in its socket. As a later report came in during the probe, what the probe showed was discarded, though that report was sent long before it. One that was cut off, read a new version, and was killed after the cut then counted as in contact until its end: two or three instances that woke proved their old view ("all instances") while the store was away.

Change: the time of such a probe is kept, and compared with the time at which the latest report was sent.

Result: test_cut_off_while_an_old_report_is_read fails before and passes now.

--- a/citronport/relay/contacts.py
+++ b/citronport/relay/contacts.py
@@ -58,8 +58,8 @@
         returned_at: clock time of the report that ended it.
         probed_at: clock time of the latest probe, seconds.
         probe: the latest probe.
-        was_cut_off: whether a probe since that report was not refused, so
-            that it may have run on after it.
+        seen_at: clock time of the latest probe that was not refused while it
+            sent no reports: it may have run on after its latest one.
     """
 
     incarnation: str
@@ -72,7 +72,12 @@
     returned_at: float = float("-inf")
     probed_at: float = float("-inf")
     probe: gevent.Greenlet | None = None
-    was_cut_off: bool = False
+    seen_at: float = float("-inf")
+
+    @property
+    def was_cut_off(self) -> bool:
+        """Whether it may have run on after its latest report."""
+        return self.seen_at > self.reported_at
 
     def was_in_contact_until_end(self) -> bool:
         """Return whether it reported until shortly before its end."""
@@ -91,7 +96,6 @@
             self.returned_at = reported_at
         self.reported_at = reported_at
         self.ended_at = None
-        self.was_cut_off = False
 
     def get_silence(self, now: float) -> float:
         """Return its longest silence that matters, seconds."""
@@ -280,19 +284,18 @@
         return probes
 
     def _check_end(self, contact: _Contact) -> None:
-        reported_at = contact.reported_at
+        probed_at = self._ticker.now()
+        shown = self._probe_address(contact.address)
+        # Reports that were sent before the probe may be read during it, as
+        # after a time in which this process did not run.
         out_of_reach_at = (
-            reported_at + contact.close_seconds - DETECTION_SECONDS
+            contact.reported_at + contact.close_seconds - DETECTION_SECONDS
         )
-        is_silent = self._ticker.now() > out_of_reach_at
-        shown = self._probe_address(contact.address)
         if shown is Probe.REFUSED:
             _end(contact, self._ticker.now())
-        elif contact.reported_at == reported_at and (
-            is_silent or shown is Probe.UNREACHABLE
-        ):
+        elif probed_at > out_of_reach_at or shown is Probe.UNREACHABLE:
             # It may read the store, and be killed before its next report.
-            contact.was_cut_off = True
+            contact.seen_at = probed_at
 
 
 def probe(address: str) -> Probe:
--- a/tests/relay/test_contacts.py
+++ b/tests/relay/test_contacts.py
@@ -19,6 +19,7 @@
         self.members = membership.Membership("own", "a")
         self.refused = set()
         self.severed = set()
+        self.during_probe = lambda: None
         self.contacts = contacts.Contacts(
             self.members, self.ticker, self.probe
         )
@@ -27,24 +28,26 @@
 
     def probe(self, address):
         """Return what a connection to an instance shows."""
+        self.during_probe()
         if address in self.severed:
             return contacts.Probe.UNREACHABLE
         if address in self.refused:
             return contacts.Probe.REFUSED
         return contacts.Probe.ACCEPTED
 
-    def report(self, *names, **changes):
-        """Get a report of each of some instances."""
+    def report(self, *names, sent_at=None, **changes):
+        """Get a report of each of some instances, sent now or earlier."""
         self.number += 1
+        sent_at = self.ticker.now() if sent_at is None else sent_at
         for name in names:
             fields = {
-                "up_seconds": self.ticker.now(),
+                "up_seconds": sent_at,
                 "peer_address": name,
                 "revision": 5,
                 **changes,
             }
             report = test_membership.make_report(name, self.number, **fields)
-            self.members.apply_report(report, self.ticker.now())
+            self.members.apply_report(report, sent_at)
         self.contacts.update()
 
     def may_use_old_view(self):
@@ -109,6 +112,20 @@
         self.end("y")
         self.assertFalse(self.may_know_more("x"))
 
+    def test_cut_off_while_an_old_report_is_read(self):
+        """Guards against a probe that counts for nothing.
+
+        After a freeze, reports that lie in the socket are read while it runs.
+        """
+        self.severed.add("y")
+        self.during_probe = lambda: self.report("y", sent_at=1000.3)
+        self.ticker.advance(2.5)
+        self.assertTrue(self.may_know_more("x"))
+        self.severed.clear()
+        self.end("y")
+        self.ticker.advance(0.6)
+        self.assertTrue(self.may_know_more("x"))
+
     def test_killed_one_that_had_read_more(self):
         """Guards against reports whose revision is not looked at."""
         self.report("y", revision=6)
