Limit the probes of silent instances that run at once

Change: 64 probes run at once. One that is not probed counts as possibly alive, as before its probe, so that nothing is proved by it.

Result: test_many_silent_instances: 192 at once on the code before (with the constant added, run), at most 64 now.

--- a/citronport/relay/contacts.py
+++ b/citronport/relay/contacts.py
@@ -25,6 +25,10 @@
 PROBE_INTERVAL_SECONDS = 0.5
 """Time between two probes of an instance."""
 
+MAX_PROBES = 64
+"""Most probes at once, each with a socket; anyone can name instances that do
+not answer. One that is not probed counts as possibly alive."""
+
 OBSERVE_INTERVAL_SECONDS = 0.1
 """Age of what is known of the reports from which they are looked at again."""
 
@@ -133,6 +137,7 @@
         self._earlier: list[_Contact] = []
         # Latest time at which one of them was silent and may have run.
         self._cut_off_at = float("-inf")
+        self._running_probes = 0
         self._observed_at = float("-inf")
 
     def update(self) -> None:
@@ -276,7 +281,9 @@
             contact = self._contacts[name]
             if contact.ended_at is not None:
                 continue
-            if now - contact.probed_at >= PROBE_INTERVAL_SECONDS:
+            is_due = now - contact.probed_at >= PROBE_INTERVAL_SECONDS
+            if is_due and self._running_probes < MAX_PROBES:
+                self._running_probes += 1
                 contact.probed_at = now
                 contact.probe = gevent.spawn(self._check_end, contact)
             if contact.probe is not None:
@@ -285,7 +292,10 @@
 
     def _check_end(self, contact: _Contact) -> None:
         probed_at = self._ticker.now()
-        shown = self._probe_address(contact.address)
+        try:
+            shown = self._probe_address(contact.address)
+        finally:
+            self._running_probes -= 1
         # Reports that were sent before the probe may be read during it, as
         # after a time in which this process did not run.
         out_of_reach_at = (
--- a/tests/relay/test_contacts.py
+++ b/tests/relay/test_contacts.py
@@ -158,6 +158,31 @@
         gevent.sleep(0)
         self.assertEqual(["y"], probed)
 
+    def test_many_silent_instances(self):
+        """Guards against a socket for each instance that someone names."""
+        names = [f"z{n}" for n in range(3 * contacts.MAX_PROBES)]
+        running = peak = 0
+
+        def probe_slowly(address):
+            nonlocal running, peak
+            running += 1
+            peak = max(peak, running)
+            gevent.sleep(0.01)
+            running -= 1
+            return contacts.Probe.REFUSED
+
+        self.contacts = contacts.Contacts(
+            self.members, self.ticker, probe_slowly
+        )
+        self.report(*names)
+        self.ticker.advance(20.0)
+        # Lets the event loop read the time, from which timeouts count.
+        gevent.sleep(0)
+        self.assertTrue(self.may_know_more("x", "y"))
+        gevent.sleep(contacts.PROBE_SECONDS)
+        self.assertLessEqual(peak, contacts.MAX_PROBES)
+        self.assertEqual(0, running)
+
     def test_out_of_contact(self):
         """Guards against others that do not learn who may know more."""
         self.assertEqual([], self.contacts.list_out_of_contact(5, 0.0))
