Keep no values of the store that nothing reads, and shorter answers

Cause: the copy of the store held the values of all keys, whoever writes them; an answer of up to 16 MB was taken, and takes two and a half times its size while it is decoded; a read in pages held all pages until its end. 48 values of 900 KB under other keys took 101.5 MB, eleven in one answer 80.2, 80 allowed.

Change: values of keys that are neither the configuration nor an endpoint's entry are dropped as a page or an answer is decoded. An answer has 4 MB (a page 1 MB and one of the largest values); a watch that has missed more is replaced by a read in pages, as after a discarded history.

--- a/citronport/platform/client.py
+++ b/citronport/platform/client.py
@@ -19,9 +19,9 @@
 """Time limit of a response that keeps arriving; a page of 1 MB takes 4 s on
 half of a 5 Mbit/s link."""
 
-MAX_ANSWER_BYTES = 16_000_000
-"""Most bytes of one response. A page holds about 1 MB, and changes of the
-largest values in a row fit into a watch's response."""
+MAX_ANSWER_BYTES = 4_000_000
+"""Most bytes of one response: a page has about 1 MB and one of the largest
+values. A watch's response that has more is replaced by a read in pages."""
 
 
 class Compacted:
--- a/citronport/relay/cluster_state.py
+++ b/citronport/relay/cluster_state.py
@@ -372,6 +372,13 @@
                 listed.append(endpoint)
 
 
+def uses_value(key: str) -> bool:
+    """Return whether the value of an item's key is read."""
+    return key == const.KEY_CONFIGURATION or key.startswith(
+        const.PREFIX_ENDPOINTS
+    )
+
+
 def _get_fault(key: str) -> errors.InputFault:
     """Return the fault of an item whose value can't be used."""
     if key == const.KEY_CONFIGURATION:
--- a/citronport/relay/core.py
+++ b/citronport/relay/core.py
@@ -118,7 +118,7 @@
         )
         if any(str(seed) != str(settings.peers) for seed in settings.seeds):
             self.members.expect_others(ticker.now())
-        self.mirror = mirror_module.Mirror()
+        self.mirror = mirror_module.Mirror(cluster_state_module.uses_value)
         self.cluster_state = cluster_state_module.ClusterState(
             self.cold, self._forget_endpoint, self.log
         )
--- a/citronport/relay/follower.py
+++ b/citronport/relay/follower.py
@@ -272,7 +272,7 @@
                     ):
                         # The store was restored between two pages.
                         return True
-                    items += page.items
+                    items += self._mirror.strip(page.items)
                     self._log_rejected(page)
                 case result.Err(reason):
                     self._note_failure(str(reason), started_at)
--- a/citronport/relay/mirror.py
+++ b/citronport/relay/mirror.py
@@ -21,9 +21,17 @@
         revision: all changes of the store up to this revision are known.
         lost_era: the latest era for which another instance has said what the
             store has lost at its beginning.
+
+    Args:
+        is_used: returns whether the value of a key is of use; others are not
+            kept, whatever else is written to the store.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        is_used: collections.abc.Callable[[str], bool] = lambda key: True,
+    ) -> None:
+        self._is_used = is_used
         self.revision = 0
         self.lost_era = 0
         self._items: dict[str, models.Item] = {}
@@ -42,7 +50,7 @@
             revision: revision up to which all changes are known now.
         """
         changed = []
-        for item in items:
+        for item in self.strip(items):
             change = self._apply_item(item)
             if change is not None:
                 changed.append(change)
@@ -51,6 +59,17 @@
         self.revision = max(self.revision, revision)
         return changed
 
+    def strip(
+        self, items: collections.abc.Iterable[models.Item]
+    ) -> list[models.Item]:
+        """Return items without the values that are of no use."""
+        return [
+            dataclasses.replace(item, value=b"")
+            if item.value and not self._is_used(item.key)
+            else item
+            for item in items
+        ]
+
     def replace(
         self, items: collections.abc.Sequence[models.Item], revision: int
     ) -> list[models.Item]:
