--- a/citronport/relay/contacts.py
+++ b/citronport/relay/contacts.py
@@ -25,7 +25,7 @@
 PROBE_INTERVAL_SECONDS = 0.5
 """Time between two probes of an instance."""
 
-MAX_PROBES = 64
+MAX_PROBES = 16
 """Most probes at once, each with a socket; anyone can name instances that do
 not answer. One that is not probed counts as possibly alive."""
 
--- a/citronport/resources.py
+++ b/citronport/resources.py
@@ -68,7 +68,7 @@
 RESERVED_DESCRIPTORS = 200
 """File descriptors that the platform keeps for files."""
 
-PORTS_SHARE = 0.53
+PORTS_SHARE = 0.515
 """Share of the sockets that clients may take at all ports. Each connection
 that carries a request may need a further one, to an endpoint; an eighth as
 many are being refused, and a few are for the store and other instances."""
