Bound what a message makes an entry instance parse and keep

Cause: a published value of 8 MB was parsed whatever it held (790 bytes for each node of YAML, 75 for each of JSON), under any path; summaries were kept for any name, and each entry they name for as long as the view is.

Change: values have a megabyte, as at the platform. Between instances they are JSON, of the two published paths only; who read YAML sends it as JSON. Summaries and silences count for listed instances only; a summary has 4,096 rows of a kind and names of 256 characters.

--- a/citronport/catalogue/const.py
+++ b/citronport/catalogue/const.py
@@ -4,6 +4,7 @@
 
 PATH_CATALOGUE: Final = "/v1/catalogue"
 PATH_INSTANCES: Final = "/v1/instances"
+PATHS: Final = (PATH_CATALOGUE, PATH_INSTANCES)
 
 CATALOGUE_WATCH_SECONDS: Final = 5.0
 """How long the platform may hold a watch of the catalogue open.
--- a/citronport/catalogue/store.py
+++ b/citronport/catalogue/store.py
@@ -65,9 +65,12 @@
         return {p: h.published.version for p, h in self._values.items()}
 
     def get(self, path: str) -> client.Published | None:
-        """Return a value in its published form, to send it to a peer."""
+        """Return a value as JSON, to send it to a peer."""
         stored = self._values.get(path)
-        return stored.published if stored else None
+        if stored is None:
+            return None
+        text = delta.dump(stored.document)
+        return dataclasses.replace(stored.published, value=text)
 
     def find_deltas(self, path: str, version: int) -> list[delta.Delta]:
         """Return the deltas from a version to the one in force.
@@ -85,9 +88,26 @@
 
     def apply(self, published: client.Published) -> bool:
         """Apply a value if it is newer and valid; return whether it was."""
+        return self._apply_text(published, documents.load)
+
+    def apply_from_peer(self, published: client.Published) -> bool:
+        """Apply a value that another instance sends; see ``apply``.
+
+        It is JSON, whose parser needs a twentieth of the memory of the one
+        for YAML.
+        """
+        if published.path not in const.PATHS:
+            return False
+        return self._apply_text(published, documents.load_json)
+
+    def _apply_text(
+        self,
+        published: client.Published,
+        parse: collections.abc.Callable[[str], result.Result],
+    ) -> bool:
         if not self._is_newer(published.path, published.version):
             return False
-        match documents.load(published.value):
+        match parse(published.value):
             case result.Ok(raw):
                 return self._apply_document(published, raw, None)
             case result.Err(reason):
--- a/citronport/documents.py
+++ b/citronport/documents.py
@@ -96,6 +96,17 @@
         return result.Err(f"invalid YAML: {type(error).__name__}")
 
 
+def load_json(text: str) -> result.Result[Any, str]:
+    """Parse the JSON text of a mapping; on failure return a reason."""
+    try:
+        document = json.loads(text, object_pairs_hook=_reject_duplicate_keys)
+    except (ValueError, RecursionError) as error:
+        return result.Err(f"invalid JSON: {type(error).__name__}")
+    if not isinstance(document, dict):
+        return result.Err(NO_MAPPING)
+    return result.Ok(document)
+
+
 def read_text(path: pathlib.Path) -> result.Result[str, str]:
     """Return the text of a file, or a one-line reason why it is unreadable."""
     try:
--- a/citronport/instances/const.py
+++ b/citronport/instances/const.py
@@ -13,6 +13,9 @@
 forwards it again."""
 
 MAX_MESSAGE_BYTES: Final = 8_000_000
+MAX_VALUE_BYTES: Final = 1_004_096
+"""Size of a message with a published value, which has a megabyte."""
+
 MAX_STATE_BYTES: Final = 1_000_000
 """Size of a message without the content of a request or a published value. A
 byte of its fields may stand for an object of 64 bytes."""
--- a/citronport/instances/gossip.py
+++ b/citronport/instances/gossip.py
@@ -114,7 +114,7 @@
             case messages.Difference():
                 self._handle_difference(sender, message)
             case messages.Value():
-                self._published.apply(
+                self._published.apply_from_peer(
                     catalogue_client.Published(**dataclasses.asdict(message))
                 )
             case messages.Release():
@@ -125,11 +125,15 @@
         self, sender: str, message: messages.Report
     ) -> messages.Message:
         now = self._ticker.now()
-        self._failure_detector.record_relayed_silence(message.silent, now)
+        # Anyone can name instances that do not exist.
+        listed = self._published.instances
+        silent = {n: age for n, age in message.silent.items() if n in listed}
+        self._failure_detector.record_relayed_silence(silent, now)
         self._request_newer(sender, message.versions)
         summary = message.summary
-        self._owners.update_leaving(summary.instance, summary.leaving, now)
-        self._post(models.InstanceReported(summary=summary))
+        if summary.instance in listed:
+            self._owners.update_leaving(summary.instance, summary.leaving, now)
+            self._post(models.InstanceReported(summary=summary))
         return messages.Echo(
             sent=message.sent, versions=self._published.get_versions()
         )
@@ -137,7 +141,11 @@
     def _request_newer(self, sender: str, versions: dict[str, int]) -> bool:
         """Request values that are newer there; return whether any are."""
         mine = self._published.get_versions()
-        newer = {p: v for p, v in versions.items() if v > mine.get(p, 0)}
+        newer = {
+            path: versions[path]
+            for path in catalogue_const.PATHS
+            if versions.get(path, 0) > mine.get(path, 0)
+        }
         for path in newer:
             self._request_value(sender, path, mine.get(path, 0))
         return bool(newer)
--- a/citronport/instances/messages.py
+++ b/citronport/instances/messages.py
@@ -209,7 +209,8 @@
         kind: const.MAX_STATE_BYTES
         for kind in _KINDS
         if kind not in (Submit, Piece, Value)
-    },
+    }
+    | {Value: const.MAX_VALUE_BYTES},
 )
 
 encode = _CODEC.encode
--- a/citronport/scheduler/models.py
+++ b/citronport/scheduler/models.py
@@ -18,6 +18,18 @@
 """Hashes of the leading blocks of a prompt."""
 
 
+MAX_SUMMARY_ROWS = 4096
+"""Most rows of one kind in a summary: models, or entries of the catalogue."""
+
+MAX_NAME_CHARS = 256
+
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+"""Name of a model or of an entry of the catalogue."""
+
+_ROWS = msgspec.Meta(max_length=MAX_SUMMARY_ROWS)
+_TIERS = msgspec.Meta(max_length=16)
+
+
 class Kind(enum.StrEnum):
     """Type of an endpoint."""
 
@@ -228,20 +240,28 @@
         token_rates: tokens per second admitted, by limited entry.
     """
 
-    instance: str
+    instance: Name
     version: int
-    queued_tokens: tuple[int, ...] = (0, 0, 0, 0)
-    running: tuple[int, ...] = (0, 0, 0, 0)
-    free: dict[str, int] = dataclasses.field(default_factory=dict)
+    queued_tokens: Annotated[tuple[int, ...], _TIERS] = (0, 0, 0, 0)
+    running: Annotated[tuple[int, ...], _TIERS] = (0, 0, 0, 0)
+    free: Annotated[dict[Name, int], _ROWS] = dataclasses.field(
+        default_factory=dict
+    )
     drain_rate: float = 0.0
     floor: int = 3
-    usage: dict[str, int] = dataclasses.field(default_factory=dict)
+    usage: Annotated[dict[Name, int], _ROWS] = dataclasses.field(
+        default_factory=dict
+    )
     leaving: bool = False
-    waits: dict[str, tuple[float, ...]] = dataclasses.field(
+    waits: Annotated[
+        dict[Name, Annotated[tuple[float, ...], _TIERS]], _ROWS
+    ] = dataclasses.field(default_factory=dict)
+    rates: Annotated[dict[Name, float], _ROWS] = dataclasses.field(
+        default_factory=dict
+    )
+    token_rates: Annotated[dict[Name, float], _ROWS] = dataclasses.field(
         default_factory=dict
     )
-    rates: dict[str, float] = dataclasses.field(default_factory=dict)
-    token_rates: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 # Events
--- a/tests/catalogue/test_store.py
+++ b/tests/catalogue/test_store.py
@@ -4,6 +4,7 @@
 import json
 
 import testtools
+import yaml
 
 from citronport.catalogue import client
 from citronport.catalogue import const
@@ -63,6 +64,22 @@
         self.assertTrue(peer.apply_delta(PATH, change))
         self.assertEqual(self.store.fleet, peer.fleet)
 
+    def test_value_for_a_peer(self):
+        """Guards against a peer that can't read a value written as YAML."""
+        text = yaml.safe_dump(make_document(3, ["a", "d"]))
+        published = client.Published(path=PATH, version=3, value=text)
+        self.assertTrue(self.store.apply(published))
+        peer = store.Store()
+        self.assertFalse(peer.apply_from_peer(published))
+        self.assertTrue(peer.apply_from_peer(self.store.get(PATH)))
+        self.assertEqual(self.store.get(PATH), peer.get(PATH))
+
+    def test_value_under_another_path(self):
+        """Guards against values that replace others under any name."""
+        value = json.dumps(make_document(9, ["z"]))
+        odd = client.Published(path="/v1/other", version=9, value=value)
+        self.assertFalse(self.store.apply_from_peer(odd))
+
     def test_delta_to_another_document_is_rejected(self):
         """The checksum detects different values under the same version.
 
