Show the rows of other instances in the metrics

Cause: a limit that is met has to be seen: rows that are left out change which endpoints are chosen.

--- a/citronport/instances/const.py
+++ b/citronport/instances/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from citronport.catalogue import const as catalogue_const
+
 PROTOCOL: Final = 1
 """Protocol version, sent in the first message of each connection."""
 
@@ -13,8 +15,8 @@
 forwards it again."""
 
 MAX_MESSAGE_BYTES: Final = 8_000_000
-MAX_VALUE_BYTES: Final = 1_004_096
-"""Size of a message with a published value, which has a megabyte."""
+MAX_VALUE_BYTES: Final = catalogue_const.MAX_VALUE_BYTES + 4096
+"""Size of a message with a published value."""
 
 MAX_STATE_BYTES: Final = 1_000_000
 """Size of a message without the content of a request or a published value. A
--- a/citronport/relay/metrics.py
+++ b/citronport/relay/metrics.py
@@ -147,6 +147,8 @@
         barred_parts: parts of prompts, or sets of them, with which no request
             is sent any more for the same reason.
         streams: streams whose software version is remembered.
+        peer_row_bytes: bytes of the rows that other instances have reported.
+        peer_rows_refused: how often there was no room for further ones.
         lines_dropped: log lines dropped since they were last logged.
         rejected: inputs that could not be used, by fault.
         oldest_report_seconds: age of the oldest report in use.
@@ -183,6 +185,8 @@
     barred: int
     barred_parts: int
     streams: int
+    peer_row_bytes: int
+    peer_rows_refused: int
     lines_dropped: int
     rejected: collections.abc.Mapping[errors.InputFault, int]
     oldest_report_seconds: float
@@ -277,6 +281,16 @@
         "Streams whose software version is remembered.",
         state.streams,
     )
+    gauge(
+        "peer_row_bytes",
+        "Rows that other instances have reported.",
+        state.peer_row_bytes,
+    )
+    gauge(
+        "peer_rows_refused",
+        "Times at which there was no room for further ones.",
+        state.peer_rows_refused,
+    )
     gauge(
         "report_age_seconds",
         "Age of the oldest report in use.",
--- a/citronport/relay/state.py
+++ b/citronport/relay/state.py
@@ -64,6 +64,8 @@
         barred=instance.suspects.count_barred(),
         barred_parts=instance.suspects.count_barred_parts(),
         streams=len(instance.stream_versions),
+        peer_row_bytes=instance.peer_rows.total,
+        peer_rows_refused=instance.peer_rows.refused,
         lines_dropped=sum(instance.log.dropped.values()),
         rejected=instance.log.rejected,
         oldest_report_seconds=instance.members.get_oldest_age(now),
