Use the number of streams that the settings allow

Cause: StreamRecords has a length, so that an empty one counted as missing, and the default of 10,000 was used whatever the memory is. A report on a stream that this instance knows by itself moved it among those of others.

Change: only None stands for the default; what is known here stays so.

--- a/citronport/relay/stream_records.py
+++ b/citronport/relay/stream_records.py
@@ -89,8 +89,9 @@
             is_reported: whether another instance says so.
         """
         until = self._ticker.now() + software_history.KEEP_SECONDS
+        is_own = not is_reported or key in self._own.records
         self.forget(key)
-        table = self._reported if is_reported else self._own
+        table = self._own if is_own else self._reported
         table.add(key, _Record(version, until))
 
     def forget(self, key: int) -> None:
--- a/citronport/relay/stream_versions.py
+++ b/citronport/relay/stream_versions.py
@@ -93,7 +93,9 @@
         self._ticker = ticker
         self._history = software_history.SoftwareHistory()
         self._routes = route_history.RouteHistory(cluster_state, ticker)
-        self._records = records or stream_records.StreamRecords(ticker)
+        if records is None:
+            records = stream_records.StreamRecords(ticker)
+        self._records = records
         self._shared_services: set[str] = set()
         self._questions = stream_questions.StreamQuestions(own, send, ticker)
         self._proofs = proofs
