Test summaries with as many rows as a message may hold

Cause: found at the last read: the two crowds of summaries have 15,000 rows. Since a message of more than 8,192 rows is dropped, so that they no longer reach the tables whose bounds they were written for.

Change: two more crowds with 8,192 rows; the others stay as they are.

--- a/tests/relay/test_crowds.py
+++ b/tests/relay/test_crowds.py
@@ -35,6 +35,17 @@
 """The grace of the sample settings, and the start of a process's end."""
 
 
+FETCH = messages.CODEC.encode(
+    messages.Want(
+        protocol=messages.PROTOCOL,
+        revision=0,
+        include_large=True,
+        include_lost=True,
+    )
+)
+"""Asks for all that an instance knows of the store."""
+
+
 class MemoryTest(crowds.CrowdCase):
     """Bytes that clients send, whoever has read them."""
 
@@ -58,13 +69,7 @@
         """Guards against answers that are kept for those who ask for them."""
         for number in range(40):
             self.store.put(f"servers/{number}", bytes(100_000))
-        want = messages.Want(
-            protocol=messages.PROTOCOL,
-            revision=0,
-            include_large=True,
-            include_lost=True,
-        )
-        client = crowds.Client(head=messages.CODEC.encode(want))
+        client = crowds.Client(head=FETCH)
         self.join(120, client, "peers")
         self.check()
 
@@ -79,13 +84,7 @@
                 in self.fetch(self.host, instances.METRICS, "/metrics")[2]
             ),
         )
-        want = messages.Want(
-            protocol=messages.PROTOCOL,
-            revision=0,
-            include_large=True,
-            include_lost=True,
-        )
-        client = crowds.Client(head=messages.CODEC.encode(want))
+        client = crowds.Client(head=FETCH)
         self.join(40, client, "peers")
         self.check()
 
--- a/tests/relay/test_forged_datagrams.py
+++ b/tests/relay/test_forged_datagrams.py
@@ -13,6 +13,9 @@
 CROWD = 200
 """Datagrams of most crowds, each close to the longest."""
 
+MAX_ROWS = 8192
+"""Rows of one kind that a message has at most."""
+
 ROWS = 3000
 """Rows that fit into a datagram."""
 
@@ -258,6 +261,24 @@
             }
         )
 
+    def test_usage_of_as_many_as_a_message_holds(self):
+        """Guards against usage that passes the limit on rows."""
+        self.attack_by_summaries(
+            lambda n: {
+                "admitted_units": {
+                    f"{n}-{row}": 1.0 for row in range(MAX_ROWS)
+                }
+            }
+        )
+
+    def test_limits_of_as_many_as_a_message_holds(self):
+        """Guards against limits that pass the limit on rows."""
+        self.attack_by_summaries(
+            lambda n: {
+                "limits": [(f"{n}-{row}", 1000, 0) for row in range(MAX_ROWS)]
+            }
+        )
+
     def test_many_data_centres(self):
         """Guards against envoys whose names are kept at any length."""
         self.attack_by_summaries(
