review: show that requests at once with a deadly part count as one crash

Cause: crashes of several endpoints within 0.05 s count once for a part, and a part is barred after two; requests that come at once crash theirs within that.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -490,7 +490,7 @@
     deadline_ms=3000,
     body=b"x",
     request=None,
-    local=None,
+    parts=None,
 ):
     """Send one request as a requester; return its status, 0 if none came."""
     request = request or secrets.token_hex(8)
@@ -503,19 +503,17 @@
         f"Content-Length: {len(body)}",
     ]
     if tokens is not None:
-        part = secrets.token_hex(4)
+        parts = parts or f"{secrets.token_hex(4)}:{tokens[0]}"
         lines += [
             "X-Model: m",
             f"X-Token-Counts: {tokens[0]},{tokens[1]}",
-            f"X-Prompt-Prefix: {part}:{tokens[0]}",
+            f"X-Prompt-Prefix: {parts}",
         ]
     status, headers = 0, {}
     record(f"send {request} to {address[0]} tokens {tokens}")
     try:
         async with asyncio.timeout(deadline_ms / 1000):
-            reader, writer = await asyncio.open_connection(
-                *address, local_addr=local
-            )
+            reader, writer = await asyncio.open_connection(*address)
             try:
                 writer.write("\r\n".join((*lines, "", "")).encode() + body)
                 found = await read_message(reader)
